--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision core and of the processes."""
--- /dev/null
+++ b/src/dogwoodpost/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout service for reinforcement learning."""
--- /dev/null
+++ b/src/dogwoodpost/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of the ports to libraries and protocols."""
--- /dev/null
+++ b/src/dogwoodpost/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and endpoints."""
--- /dev/null
+++ b/src/dogwoodpost/adapters/nng/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between own processes over pynng."""
--- /dev/null
+++ b/src/dogwoodpost/adapters/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/src/dogwoodpost/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API over gRPC."""
--- /dev/null
+++ b/src/dogwoodpost/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/dogwoodpost/client/__init__.py
@@ -0,0 +1,1 @@
+"""Python library for trainers."""
--- /dev/null
+++ b/src/dogwoodpost/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision core: pure functions and state without I/O."""
--- /dev/null
+++ b/src/dogwoodpost/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits and fair queueing per client account."""
--- /dev/null
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -0,0 +1,89 @@
+"""Configuration of the whole system, as one immutable value."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from dogwoodpost.core import ids
+
+
+class ServiceKind(Enum):
+    """What stands behind a service."""
+
+    ENGINE = 'engine'
+    PLAIN = 'plain'
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits and share of a client account."""
+
+    max_concurrency: int = 64
+    token_rate_per_s: float = 100_000.0
+    token_burst_tokens: int = 1_000_000
+    max_queued_count: int = 256
+    weight: float = 1.0
+
+
+class ClientAccount(msgspec.Struct, frozen=True, kw_only=True):
+    """A client account."""
+
+    client_account_id: ids.ClientAccountId
+    limits: Limits = Limits()
+    enabled: bool = True
+
+
+class KeyRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A key of a client account; only its digest is kept."""
+
+    key_id: ids.KeyId
+    client_account_id: ids.ClientAccountId
+    digest: str
+    revoked: bool = False
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Maps a path prefix, and for engines a model, to a service."""
+
+    name: ids.RouteName
+    service: ids.ServiceName
+    path_prefix: str
+    model: ids.ModelName | None = None
+    idempotent: bool = True
+    open_to_all: bool = False
+    client_account_ids: tuple[ids.ClientAccountId, ...] = ()
+    max_body_bytes: int = 4 * 1024 * 1024
+    timeout_ms: int = 60_000
+    priority: int = 0
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """A declared service.
+
+    ``checks_fencing`` tells whether its endpoints refuse orders that carry an
+    old fencing number.
+    """
+
+    name: ids.ServiceName
+    kind: ServiceKind
+    model: ids.ModelName | None = None
+    checks_fencing: bool = False
+    endpoint_concurrency: int = 32
+    min_endpoint_count: int = 1
+    max_endpoint_count: int = 16
+    endpoint_cost_per_hour: float = 1.0
+
+
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """One revision of the configuration."""
+
+    revision: ids.Revision = ids.Revision(0)
+    client_accounts: dict[ids.ClientAccountId, ClientAccount] = msgspec.field(
+        default_factory=dict
+    )
+    keys: dict[ids.KeyId, KeyRecord] = msgspec.field(default_factory=dict)
+    services: dict[ids.ServiceName, Service] = msgspec.field(
+        default_factory=dict
+    )
+    routes: dict[ids.RouteName, Route] = msgspec.field(default_factory=dict)
--- /dev/null
+++ b/src/dogwoodpost/core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers."""
--- /dev/null
+++ b/src/dogwoodpost/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live, leaving and silent processes."""
--- /dev/null
+++ b/src/dogwoodpost/core/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoint orders under a lease."""
--- /dev/null
+++ b/src/dogwoodpost/core/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and backoff."""
--- /dev/null
+++ b/src/dogwoodpost/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of rollout steps and hand-over of samples."""
--- /dev/null
+++ b/src/dogwoodpost/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of endpoints."""
--- /dev/null
+++ b/src/dogwoodpost/core/routing/endpoint.py
@@ -0,0 +1,44 @@
+"""An endpoint as an entry sees it."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core import messages
+
+
+class Endpoint(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint, and the agent that it is reached through."""
+
+    endpoint_id: ids.EndpointId
+    service: ids.ServiceName
+    host_id: ids.HostId
+    availability_zone: ids.AvailabilityZone
+    region: ids.Region
+    agent_id: ids.ProcessId
+    agent_incarnation: ids.Incarnation
+    agent_address: str
+    weight_version: ids.WeightVersion | None = None
+    ready: bool = True
+    draining: bool = False
+
+
+class EndpointListener(Protocol):
+    """Is told what is known of endpoints."""
+
+    def upsert(self, endpoint: Endpoint, now_s: float) -> None:
+        """Add an endpoint, or replace what is known of it."""
+
+    def remove(self, endpoint_id: ids.EndpointId, now_s: float) -> None:
+        """Forget an endpoint; an unknown id has no effect."""
+
+    def report_load(self, load: messages.EndpointLoad, now_s: float) -> None:
+        """Take a load report, which lags by ``age_ms``."""
+
+    def record_cache_events(
+        self, events: messages.CacheEvents, now_s: float
+    ) -> None:
+        """Take cache events; a gap makes the index of that endpoint void."""
--- /dev/null
+++ b/src/dogwoodpost/core/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoint counts from forecast and load."""
--- /dev/null
+++ b/src/dogwoodpost/core/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage totals and windows."""
--- /dev/null
+++ b/src/dogwoodpost/core/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout of weight versions."""
--- /dev/null
+++ b/src/dogwoodpost/errors.py
@@ -0,0 +1,110 @@
+"""Exception tree of dogwoodpost.
+
+Every error that the project raises on purpose derives from
+:class:`DogwoodpostError`. Errors that reach a caller derive from
+:class:`RequestError` and carry a machine-readable code.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dogwoodpost.core.findings import Finding
+
+
+class DogwoodpostError(Exception):
+    """Base of all errors raised by dogwoodpost."""
+
+
+class InvalidInputError(DogwoodpostError):
+    """Input with one or more findings, all reported together."""
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        self.findings = tuple(findings)
+        super().__init__('\n'.join(str(finding) for finding in findings))
+
+
+class SettingsError(InvalidInputError):
+    """The settings file has one or more findings."""
+
+
+class StoreError(DogwoodpostError):
+    """Base of errors of the platform's table service and object store."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not take the call; nothing changed."""
+
+
+class StoreOutcomeUnknownError(StoreError):
+    """The answer was lost; the change may or may not have taken effect."""
+
+
+class StoreConflictError(StoreError):
+    """A check of a transaction failed; nothing changed."""
+
+    def __init__(self, keys: Sequence[str]) -> None:
+        self.keys = tuple(keys)
+        super().__init__(f'conflicting rows: {", ".join(keys)}')
+
+
+class ConfigurationConflictError(DogwoodpostError):
+    """A change was based on a revision that is no longer current."""
+
+    def __init__(
+        self, current_revision: int, differing_fields: Sequence[str]
+    ) -> None:
+        self.current_revision = current_revision
+        self.differing_fields = tuple(differing_fields)
+        super().__init__(
+            f'current revision is {current_revision}; differing fields: '
+            f'{", ".join(differing_fields)}'
+        )
+
+
+class LeaseLostError(DogwoodpostError):
+    """The caller does not hold the lease that the action needs."""
+
+
+class TransportError(DogwoodpostError):
+    """A message could not be handed to a peer."""
+
+
+class EndpointError(DogwoodpostError):
+    """An endpoint failed or broke its protocol."""
+
+
+class PlatformError(DogwoodpostError):
+    """An interface of the platform refused or failed a call."""
+
+
+class PlatformOutcomeUnknownError(PlatformError):
+    """The platform's answer was lost; the call may have taken effect."""
+
+
+class RequestError(DogwoodpostError):
+    """An error that is reported to a caller over HTTP.
+
+    :param code: machine-readable reason, also the counter label.
+    :param status: HTTP status code.
+    :param not_run: true only if no copy of the request can still run.
+    :param retry_after_s: when the caller may try again, in seconds.
+    """
+
+    def __init__(
+        self,
+        code: str,
+        message: str,
+        *,
+        status: int,
+        not_run: bool = False,
+        retry_after_s: float | None = None,
+    ) -> None:
+        self.code = code
+        self.status = status
+        self.not_run = not_run
+        self.retry_after_s = retry_after_s
+        super().__init__(message)
--- /dev/null
+++ b/src/dogwoodpost/observability/logs.py
@@ -0,0 +1,36 @@
+"""Log set-up."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING
+
+import structlog
+
+if TYPE_CHECKING:
+    from dogwoodpost.config.settings import LogSettings
+
+
+def configure_logs(settings: LogSettings, *, process_id: str = '') -> None:
+    """Send structured logs to standard error."""
+    renderer: structlog.typing.Processor = (
+        structlog.processors.JSONRenderer()
+        if settings.json_output
+        else structlog.dev.ConsoleRenderer(colors=False)
+    )
+    level = logging.getLevelNamesMapping()[settings.level.upper()]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    structlog.contextvars.bind_contextvars(process_id=process_id)
+    logging.basicConfig(level=max(level, logging.WARNING), stream=sys.stderr)
--- /dev/null
+++ b/src/dogwoodpost/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Abstract interfaces between the decision core and the outside."""
--- /dev/null
+++ b/src/dogwoodpost/ports/attempt_runner.py
@@ -0,0 +1,93 @@
+"""Port: runs one attempt at one endpoint."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core import messages
+from dogwoodpost.errors import DogwoodpostError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from dogwoodpost.core.routing.endpoint import Endpoint
+
+
+class AttemptSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """What to run; ``headers`` hold no caller's key."""
+
+    attempt_id: ids.AttemptId
+    client_account_id: ids.ClientAccountId | None
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_s: float
+    idempotent: bool
+    priority: int = 0
+
+
+class AttemptHead(msgspec.Struct, frozen=True):
+    """Status and headers of the response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+class AttemptData(msgspec.Struct, frozen=True):
+    """A piece of the body, in order and without repeats."""
+
+    data: bytes
+
+
+class AttemptEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """End of an attempt that ran, with its usage."""
+
+    outcome: messages.AttemptOutcome
+    detail: str
+    weight_versions: tuple[ids.WeightVersion, ...]
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+AttemptEvent = AttemptHead | AttemptData | AttemptEnd
+
+
+class AttemptNotRunError(DogwoodpostError):
+    """The attempt has not run, and no copy of it can run any more."""
+
+    def __init__(
+        self,
+        reason: messages.RefusalReason | None,
+        message: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        super().__init__(message)
+
+
+class AttemptOutcomeUnknownError(DogwoodpostError):
+    """The attempt may have run, in part or as a whole."""
+
+
+class AttemptRunner(abc.ABC):
+    """Runs attempts through the agents of their endpoints."""
+
+    @abc.abstractmethod
+    def run(
+        self, endpoint: Endpoint, spec: AttemptSpec
+    ) -> AsyncIterator[AttemptEvent]:
+        """Yield the head, the body and the end of the response.
+
+        Closing the iterator early cancels the attempt.
+
+        :raises AttemptNotRunError: refused, or never handed to the transport.
+        :raises AttemptOutcomeUnknownError: the agent cannot be reached or has
+            restarted.
+        """
--- /dev/null
+++ b/src/dogwoodpost/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services that connect the decision core to the ports."""
--- /dev/null
+++ b/src/dogwoodpost/services/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process."""
--- /dev/null
+++ b/src/dogwoodpost/services/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control work under leases, inside entry processes."""
--- /dev/null
+++ b/src/dogwoodpost/services/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process."""
--- /dev/null
+++ b/src/dogwoodpost/services/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout steps, inside entry processes."""
--- /dev/null
+++ b/src/dogwoodpost/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems."""
