--- a/src/dogwoodpost/adapters/nng/__init__.py
+++ b/src/dogwoodpost/adapters/nng/__init__.py
@@ -1,1 +1,7 @@
-"""Messages between own processes over pynng."""
+"""Messages between the system's own processes over pynng."""
+
+from __future__ import annotations
+
+from dogwoodpost.adapters.nng.transport import NngPeerTransport
+
+__all__ = ('NngPeerTransport',)
--- /dev/null
+++ b/src/dogwoodpost/adapters/nng/transport.py
@@ -0,0 +1,138 @@
+"""Messages between processes over pynng Push and Pull sockets."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+import pynng
+
+from dogwoodpost.core.messages import AnyMessage
+from dogwoodpost.errors import TransportError
+from dogwoodpost.ports.peer_transport import PeerTransport
+
+if TYPE_CHECKING:
+    from dogwoodpost.observability import Metrics
+
+# The largest request body (16 MiB) with room for its headers.
+MAX_MESSAGE_BYTES = 20 * 1024 * 1024
+_SEND_TIMEOUT_MS = 1_000
+_SEND_BUFFER_COUNT = 64
+_RECEIVE_BUFFER_COUNT = 256
+
+
+class NngPeerTransport(PeerTransport):
+    """Listens on one Pull socket and opens one Push socket per peer."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        *,
+        ip: str = '127.0.0.1',
+        port: int = 0,
+        send_timeout_ms: int = _SEND_TIMEOUT_MS,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
+    ) -> None:
+        self._metrics = metrics
+        self._send_timeout_ms = send_timeout_ms
+        self._max_message_bytes = max_message_bytes
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(AnyMessage)
+        self._peers: dict[str, Any] = {}
+        self._closed = False
+        self._pull = _listen(ip, port, max_message_bytes)
+        self._address = f'tcp://{self._pull.listeners[0].local_address}'
+
+    @property
+    def address(self) -> str:
+        """Return the address that peers reach this process at."""
+        return self._address
+
+    async def send(self, address: str, message: AnyMessage) -> None:
+        """Hand a message to the connection to a peer.
+
+        :raises TransportError: the message was surely not sent.
+        """
+        data = self._encoder.encode(message)
+        name = type(message).__name__
+        if len(data) > self._max_message_bytes:
+            self._count_failure(name)
+            raise TransportError(f'{name} of {len(data)} bytes is too large')
+        try:
+            await self._peer(address).asend(data)
+        except pynng.NNGException as error:
+            self._count_failure(name)
+            raise TransportError(f'{name} to {address}: {error}') from error
+        self._metrics.peer_messages.labels('sent', name).inc()
+        self._metrics.peer_bytes.labels('sent').inc(len(data))
+
+    async def receive(self) -> AnyMessage:
+        """Return the next message; malformed ones are counted and dropped.
+
+        :raises TransportError: the transport is closed.
+        """
+        while True:
+            try:
+                data = await self._pull.arecv()
+            except pynng.NNGException as error:
+                raise TransportError(f'receive: {error}') from error
+            self._metrics.peer_bytes.labels('received').inc(len(data))
+            try:
+                message: AnyMessage = self._decoder.decode(data)
+            except (msgspec.MsgspecError, ValueError, RecursionError):
+                self._metrics.events.labels('malformed_peer_message').inc()
+                continue
+            name = type(message).__name__
+            self._metrics.peer_messages.labels('received', name).inc()
+            return message
+
+    def reconnect(self, address: str) -> None:
+        """Drop the connection to a peer; the next send opens a new one."""
+        socket = self._peers.pop(address, None)
+        if socket is not None:
+            socket.close()
+            self._metrics.events.labels('peer_reconnect').inc()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._closed = True
+        while self._peers:
+            _, socket = self._peers.popitem()
+            socket.close()
+        self._pull.close()
+
+    def _peer(self, address: str) -> Any:
+        if self._closed:
+            raise TransportError('the transport is closed')
+        socket = self._peers.get(address)
+        if socket is None:
+            socket = _dial(address, self._send_timeout_ms)
+            self._peers[address] = socket
+        return socket
+
+    def _count_failure(self, name: str) -> None:
+        self._metrics.peer_messages.labels('failed', name).inc()
+
+
+def _listen(ip: str, port: int, max_message_bytes: int) -> Any:
+    try:
+        return pynng.Pull0(
+            listen=f'tcp://{ip}:{port}',
+            recv_max_size=max_message_bytes,
+            recv_buffer_size=_RECEIVE_BUFFER_COUNT,
+        )
+    except pynng.NNGException as error:
+        raise TransportError(f'listen on {ip}:{port}: {error}') from error
+
+
+def _dial(address: str, send_timeout_ms: int) -> Any:
+    socket = pynng.Push0(
+        send_timeout=send_timeout_ms, send_buffer_size=_SEND_BUFFER_COUNT
+    )
+    try:
+        socket.dial(address, block=False)
+    except pynng.NNGException as error:
+        socket.close()
+        raise TransportError(f'dial {address}: {error}') from error
+    return socket
--- /dev/null
+++ b/src/dogwoodpost/core/membership/identity.py
@@ -0,0 +1,25 @@
+"""What a process says of itself in every message."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from dogwoodpost.core import ids
+
+
+class ProcessIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """A process, this run of it, and where it listens for peers."""
+
+    process_id: ids.ProcessId
+    incarnation: ids.Incarnation
+    address: str
+
+    def sender_fields(self) -> dict[str, Any]:
+        """Return the sender's fields of a message."""
+        return {
+            'sender_id': self.process_id,
+            'sender_incarnation': self.incarnation,
+            'sender_address': self.address,
+        }
--- /dev/null
+++ b/src/dogwoodpost/core/membership/peer_link.py
@@ -0,0 +1,75 @@
+"""Whether a peer is heard, and whether it hears this process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+
+HEARTBEAT_PERIOD_S = 1.0
+# Three missed heartbeats; a leaving endpoint must stop receiving work within
+# 3 s, so the bound may not be larger.
+SILENCE_S = 3.0
+# A peer gets as long again to answer over the reopened connection before its
+# work is given up.
+GONE_S = 2 * SILENCE_S
+
+
+class PeerLink:
+    """Heartbeats exchanged with one peer.
+
+    Both directions are watched: the peer's heartbeats show that it is heard,
+    and the sequence number that they echo shows that it hears this process.
+    """
+
+    def __init__(self, incarnation: ids.Incarnation, now_s: float) -> None:
+        self.incarnation = incarnation
+        self.received_sequence = 0
+        self._heard_s = now_s
+        self._confirmed_s = now_s
+        self._confirmed_sequence = 0
+        self._reopened_s = now_s
+
+    def record_heartbeat(
+        self,
+        incarnation: ids.Incarnation,
+        sequence: int,
+        echo_sequence: int,
+        now_s: float,
+    ) -> bool:
+        """Take a heartbeat; return whether the peer has restarted."""
+        restarted = incarnation != self.incarnation
+        if restarted:
+            self.incarnation = incarnation
+            self.received_sequence = 0
+            self._confirmed_sequence = 0
+            self._confirmed_s = now_s
+        elif sequence <= self.received_sequence:
+            return False
+        self.received_sequence = sequence
+        self._heard_s = now_s
+        if echo_sequence > self._confirmed_sequence:
+            self._confirmed_sequence = echo_sequence
+            self._confirmed_s = now_s
+        return restarted
+
+    def silence_s(self, now_s: float) -> float:
+        """Return for how long nothing has come from the peer."""
+        return now_s - self._heard_s
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether the peer has missed its heartbeats."""
+        return self.silence_s(now_s) > SILENCE_S
+
+    def is_gone(self, now_s: float) -> bool:
+        """Return whether work with the peer is to be given up."""
+        return self.silence_s(now_s) > GONE_S
+
+    def take_reconnect(self, now_s: float) -> bool:
+        """Return whether to reopen the connection, at most every 3 s."""
+        last_s = min(self._heard_s, self._confirmed_s)
+        if now_s - max(last_s, self._reopened_s) <= SILENCE_S:
+            return False
+        self._reopened_s = now_s
+        return True
