--- /dev/null
+++ b/src/dogwoodpost/client/trainer_client.py
@@ -0,0 +1,195 @@
+"""Client of the trainers' HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from dogwoodpost.client.batch import Batch
+from dogwoodpost.core import ids
+from dogwoodpost.core.rollouts.trainer_api import Acknowledgement
+from dogwoodpost.core.rollouts.trainer_api import ErrorReply
+from dogwoodpost.core.rollouts.trainer_api import FetchReply
+from dogwoodpost.core.rollouts.trainer_api import PATH_PREFIX
+from dogwoodpost.core.rollouts.trainer_api import StepView
+from dogwoodpost.errors import RequestError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Sequence
+
+    from dogwoodpost.core.rollouts.trainer_api import BatchView
+    from dogwoodpost.core.rollouts.trainer_api import StepSubmission
+
+_Reply = TypeVar('_Reply', bound=msgspec.Struct)
+
+START_CURSOR = '0'
+BASE_S = 0.2
+CAP_S = 5.0
+
+
+class TrainerClient:
+    """Submits steps and yields each batch once.
+
+    Calls are repeated with full jitter, at the next entry, until they succeed
+    or are refused for good. After a crash, a new client is made with the
+    cursor that the trainer has stored together with its own state; a trainer
+    stores the cursor of a batch before it acknowledges the batch.
+
+    :param entry_urls: base URLs of entries, or of their load balancer.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        entry_urls: Sequence[str],
+        *,
+        trainer_id: ids.TrainerId,
+        key: str,
+        cursor: str = START_CURSOR,
+        wait_s: float = 10.0,
+        call_timeout_s: float = 30.0,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.cursor = cursor
+        self.weight_version = ids.WeightVersion(0)
+        self._session = session
+        self._urls = [url.rstrip('/') for url in entry_urls]
+        self._path = f'{PATH_PREFIX}/trainers/{quote(trainer_id, safe="")}'
+        self._headers = {'Authorization': f'Bearer {key}'}
+        self._wait_s = wait_s
+        self._timeout = aiohttp.ClientTimeout(total=call_timeout_s)
+        self._rng = rng or random.Random()
+        self._seen: set[ids.BatchId] = set()
+
+    async def submit_step(self, submission: StepSubmission) -> StepView:
+        """Submit a step; the same submission may be repeated.
+
+        :raises RequestError: the step was refused.
+        """
+        data = msgspec.json.encode(submission)
+        return await self._call('POST', '/steps', StepView, data=data)
+
+    async def step(self, step_id: ids.StepId) -> StepView:
+        """Return the state of a step."""
+        path = f'/steps/{quote(step_id, safe="")}'
+        return await self._call('GET', path, StepView)
+
+    async def batches(
+        self, step_id: ids.StepId | None = None
+    ) -> AsyncIterator[Batch]:
+        """Yield batches; end when the given step has no more of them.
+
+        The cursor moves on when a batch is yielded.
+        """
+        while True:
+            batch = await self._fetch()
+            if batch is not None:
+                yield batch
+            elif step_id is not None and await self._is_finished(step_id):
+                return
+
+    async def acknowledge(self, batch: Batch) -> None:
+        """Let the service forget a batch that the trainer has stored."""
+        await self._acknowledge(batch.batch_id, received=True)
+
+    async def _fetch(self) -> Batch | None:
+        query = (
+            f'?after={self.cursor}&wait_ms={int(self._wait_s * 1000)}'
+            f'&weight_version={self.weight_version}'
+        )
+        begun_s = time.monotonic()
+        reply = await self._call('GET', f'/batches{query}', FetchReply)
+        view = reply.batch
+        if view is None:
+            return None
+        transit_s = time.monotonic() - begun_s - reply.held_s
+        is_new = view.batch_id not in self._seen
+        self._seen.add(view.batch_id)
+        self.cursor = view.cursor
+        if is_new and view.samples is not None and _is_valid(view, transit_s):
+            return Batch(
+                batch_id=view.batch_id,
+                cursor=view.cursor,
+                step_id=view.step_id,
+                samples=view.samples,
+            )
+        if is_new:
+            await self._acknowledge(view.batch_id, received=False)
+        return None
+
+    async def _is_finished(self, step_id: ids.StepId) -> bool:
+        return (await self.step(step_id)).is_finished
+
+    async def _acknowledge(
+        self, batch_id: ids.BatchId, *, received: bool
+    ) -> None:
+        data = msgspec.json.encode(Acknowledgement(received=received))
+        path = f'/batches/{quote(batch_id, safe="")}/ack'
+        await self._call('POST', path, Acknowledgement, data=data)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        kind: type[_Reply],
+        *,
+        data: bytes | None = None,
+    ) -> _Reply:
+        attempt = 0
+        while True:
+            url = self._urls[attempt % len(self._urls)] + self._path + path
+            delay_s = min(CAP_S, BASE_S * 2 ** min(attempt, 16))
+            try:
+                return await self._request(method, url, kind, data)
+            except RequestError as error:
+                if error.status != 503:
+                    raise
+                delay_s = max(delay_s, error.retry_after_s or 0.0)
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            attempt += 1
+            await asyncio.sleep(self._rng.uniform(0.0, delay_s))
+
+    async def _request(
+        self, method: str, url: str, kind: type[_Reply], data: bytes | None
+    ) -> _Reply:
+        async with self._session.request(
+            method,
+            url,
+            data=data,
+            headers=self._headers,
+            timeout=self._timeout,
+        ) as response:
+            body = await response.read()
+            if response.status >= 400:
+                raise _error(response.status, body)
+            return msgspec.json.decode(body, type=kind)
+
+
+def _is_valid(view: BatchView, transit_s: float) -> bool:
+    return view.valid_for_s is None or transit_s <= view.valid_for_s
+
+
+def _error(status: int, body: bytes) -> RequestError:
+    try:
+        detail = msgspec.json.decode(body, type=ErrorReply).error
+    except msgspec.DecodeError:
+        # A load balancer answers in its own form.
+        code = 'unavailable' if status >= 500 else 'refused'
+        status = 503 if status >= 500 else status
+        return RequestError(code, f'HTTP status {status}', status=status)
+    return RequestError(
+        detail.code,
+        detail.message,
+        status=status,
+        not_run=detail.not_run,
+        retry_after_s=detail.retry_after_s,
+    )
--- a/src/dogwoodpost/core/rollouts/__init__.py
+++ b/src/dogwoodpost/core/rollouts/__init__.py
@@ -1,1 +1,1 @@
-"""Scheduling of rollout steps and hand-over of samples."""
+"""Rollout steps: scheduling, staleness, batches."""
--- /dev/null
+++ b/src/dogwoodpost/core/rollouts/records.py
@@ -0,0 +1,123 @@
+"""Rows and objects that hold steps and batches."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.ports.sample_dispatcher import TokenSegment
+
+
+class StepStatus(Enum):
+    """State of a step."""
+
+    OPEN = 'open'
+    COMPLETE = 'complete'
+    EXPIRED = 'expired'
+
+
+class StepRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a step.
+
+    ``number`` counts the steps of a trainer. ``digest`` identifies the
+    specification, which is an object. ``claims`` has one bit per slot.
+    ``remaining_s`` is the time to the deadline at the last write, because
+    hosts do not share a clock.
+    """
+
+    step_id: ids.StepId
+    number: int
+    digest: str
+    slot_count: int
+    claims: bytes
+    remaining_s: float
+    status: StepStatus = StepStatus.OPEN
+
+
+class BatchState(Enum):
+    """State of a batch.
+
+    A batch is ISSUED before its first byte is sent. A VOID batch was replaced
+    and is never sent again; its row stays until the cursor has passed it, so
+    that its sequence number is not used twice.
+    """
+
+    READY = 'ready'
+    ISSUED = 'issued'
+    ACKNOWLEDGED = 'acknowledged'
+    VOID = 'void'
+
+
+class BatchRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a batch; its samples are in the object ``object_name``."""
+
+    batch_id: ids.BatchId
+    sequence: int
+    step_id: ids.StepId
+    slots: tuple[int, ...]
+    object_name: str
+    state: BatchState = BatchState.READY
+
+
+class CursorRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a trainer, which belongs to one client account.
+
+    All batches up to ``settled_sequence`` are removed. The last of them that
+    the trainer acknowledged is ``acknowledged_sequence``.
+    """
+
+    client_account_id: ids.ClientAccountId
+    settled_sequence: int = 0
+    acknowledged_sequence: int = 0
+
+
+class DeliveredSample(msgspec.Struct, frozen=True, kw_only=True):
+    """A scored sample as a trainer gets it."""
+
+    sample_id: ids.SampleId
+    group: int
+    index: int
+    prompt: str
+    completion: str
+    segments: tuple[TokenSegment, ...]
+    score: float
+
+
+class BatchBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Object that holds the samples of a batch."""
+
+    samples: tuple[DeliveredSample, ...]
+
+
+def step_prefix(trainer_id: ids.TrainerId) -> str:
+    """Return the key prefix of a trainer's steps."""
+    return f'rollout/{trainer_id}/step/'
+
+
+def step_key(trainer_id: ids.TrainerId, step_id: ids.StepId) -> str:
+    """Return the key of a step's row."""
+    return f'{step_prefix(trainer_id)}{step_id}'
+
+
+def batch_prefix(trainer_id: ids.TrainerId) -> str:
+    """Return the key prefix of a trainer's batches."""
+    return f'rollout/{trainer_id}/batch/'
+
+
+def batch_key(trainer_id: ids.TrainerId, sequence: int) -> str:
+    """Return the key of a batch's row; keys sort by sequence number."""
+    return f'{batch_prefix(trainer_id)}{sequence:012d}'
+
+
+def cursor_key(trainer_id: ids.TrainerId) -> str:
+    """Return the key of a trainer's cursor row."""
+    return f'rollout/{trainer_id}/cursor'
+
+
+def spec_object(
+    trainer_id: ids.TrainerId, step_id: ids.StepId, digest: str
+) -> str:
+    """Return the name of the object that holds a specification."""
+    return f'rollout/{trainer_id}/{step_id}/spec-{digest}'
--- /dev/null
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -0,0 +1,276 @@
+"""The samples of one step, from waiting to claimed."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.rollouts.sample import Sample
+from dogwoodpost.core.rollouts.sample import SamplePhase
+from dogwoodpost.core.rollouts.waiting_samples import WaitingSamples
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from dogwoodpost.core.rollouts.length_estimator import LengthEstimator
+    from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
+    from dogwoodpost.core.rollouts.step_spec import StepSpec
+    from dogwoodpost.ports.sample_dispatcher import SampleResult
+
+
+class ResultOutcome(Enum):
+    """What became of a dispatch."""
+
+    FINISHED = 'finished'
+    PARTIAL = 'partial'
+    UNCERTAIN = 'uncertain_version'
+    LATE = 'late'
+
+
+class StepState:
+    """Samples of a step at its owner.
+
+    Ids of samples contain the owner's fencing number, so that a sample of an
+    earlier owner never shares an id, and a score, with one of this owner.
+    """
+
+    def __init__(
+        self,
+        spec: StepSpec,
+        *,
+        fencing_number: ids.FencingNumber,
+        deadline_s: float,
+        policy: SchedulingPolicy,
+        lengths: LengthEstimator,
+    ) -> None:
+        self.spec = spec
+        self.fencing_number = fencing_number
+        self.deadline_s = deadline_s
+        self.bound = spec.bound
+        self.waiting = WaitingSamples()
+        self.pending_count = 0
+        self.unclaimed_count = spec.slot_count
+        self._policy = policy
+        self._lengths = lengths
+        self._generation = 0
+        self._scored_by_group = [0] * len(spec.prompts)
+        self._ready_since_s: dict[int, float] = {}
+        self.samples = [self._new_sample(n) for n in range(spec.slot_count)]
+        for sample in self.samples:
+            self.waiting.push(sample, self._rank(sample))
+
+    def prompt(self, sample: Sample) -> str:
+        """Return the prompt of a sample's group."""
+        return self.spec.prompts[sample.group]
+
+    def is_current(self, sample: Sample) -> bool:
+        """Return whether a sample has not been replaced."""
+        return self.samples[sample.slot] is sample
+
+    def take(self, now_s: float) -> Sample | None:
+        """Return the sample to dispatch next and count it as running."""
+        while (sample := self.waiting.pop(now_s)) is not None:
+            if not self._is_waiting(sample):
+                continue
+            sample.phase = SamplePhase.RUNNING
+            sample.dispatch_count += 1
+            if sample.begun_s is None:
+                sample.begun_s = now_s
+            return sample
+        return None
+
+    def record_result(
+        self, sample: Sample, result: SampleResult
+    ) -> ResultOutcome:
+        """Take the result of a dispatch."""
+        if not self._accepts(sample, result.sample_id):
+            return ResultOutcome.LATE
+        if not _is_certain(result):
+            self.discard(sample)
+            return ResultOutcome.UNCERTAIN
+        sample.extend(result.completion, result.segments)
+        sample.failure_count = 0
+        if result.finished or sample.token_count >= self.spec.max_tokens:
+            self._lengths.record(self.prompt(sample), sample.token_count)
+            sample.phase = SamplePhase.SCORING
+            self.pending_count += 1
+            return ResultOutcome.FINISHED
+        sample.phase = SamplePhase.WAITING
+        self.waiting.push(sample, self._rank(sample))
+        return ResultOutcome.PARTIAL
+
+    def record_failure(
+        self,
+        sample: Sample,
+        dispatch_id: ids.SampleId,
+        now_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Let a sample continue from its last result after a delay.
+
+        The delay has full jitter, so that the samples of a crashed endpoint
+        do not come back all at once.
+        """
+        if not self._accepts(sample, dispatch_id):
+            return
+        sample.failure_count += 1
+        base_s = self._policy.retry_base_s * 2**sample.failure_count
+        delay_s = rng.uniform(0.0, min(base_s, self._policy.retry_cap_s))
+        sample.phase = SamplePhase.WAITING
+        rank = self._rank(sample)
+        self.waiting.push_delayed(sample, rank, now_s + delay_s)
+
+    def record_score(self, sample: Sample, score: float, now_s: float) -> bool:
+        """Take a score; only the first one of a sample counts."""
+        if not self.is_current(sample):
+            return False
+        if sample.phase is not SamplePhase.SCORING:
+            return False
+        sample.score = score
+        self._mark_scored(sample, now_s)
+        return True
+
+    def discard(self, sample: Sample) -> None:
+        """Replace a sample by a new one in the same slot."""
+        if not self.is_current(sample):
+            return
+        if sample.phase is SamplePhase.CLAIMED:
+            self.unclaimed_count += 1
+        if sample.phase in (SamplePhase.SCORING, SamplePhase.SCORED):
+            self.pending_count -= 1
+        if sample.phase is SamplePhase.SCORED:
+            self._scored_by_group[sample.group] -= 1
+            self._ready_since_s.pop(sample.group, None)
+        self._generation += 1
+        fresh = self._new_sample(sample.slot)
+        self.samples[sample.slot] = fresh
+        self.waiting.push(fresh, self._rank(fresh))
+
+    def discard_stale(
+        self, now_s: float, current_version: ids.WeightVersion
+    ) -> list[tuple[Sample, str]]:
+        """Replace scored samples that are over the bound."""
+        stale = []
+        for group in list(self._ready_since_s):
+            for sample in self._group(group):
+                reason = self.reason_if_stale(sample, now_s, current_version)
+                if reason is not None:
+                    stale.append((sample, reason))
+        for sample, _ in stale:
+            self.discard(sample)
+        return stale
+
+    def reason_if_stale(
+        self, sample: Sample, now_s: float, current_version: ids.WeightVersion
+    ) -> str | None:
+        """Return why a sample is over the bound, or None if it is not."""
+        if not sample.segments:
+            return None
+        begun_s = now_s if sample.begun_s is None else sample.begun_s
+        return self.bound.reason_if_stale(
+            sample.oldest_version, current_version, now_s - begun_s
+        )
+
+    def plan_batch(self, now_s: float) -> list[Sample]:
+        """Return the whole groups to claim now, or nothing yet."""
+        if not self._ready_since_s:
+            return []
+        oldest_s = min(self._ready_since_s.values())
+        per_group = self.spec.samples_per_group
+        count = len(self._ready_since_s) * per_group
+        is_due = now_s - oldest_s >= self._policy.flush_after_s
+        is_full = count >= self._policy.batch_sample_count
+        if not (is_due or is_full or count == self.unclaimed_count):
+            return []
+        group_count = max(1, self._policy.batch_sample_count // per_group)
+        groups = sorted(
+            self._ready_since_s, key=lambda group: self._ready_since_s[group]
+        )
+        return [
+            sample
+            for group in groups[:group_count]
+            for sample in self._group(group)
+        ]
+
+    def mark_claimed(self, slots: Iterable[int]) -> None:
+        """Settle slots, whoever produced their samples."""
+        for slot in slots:
+            sample = self.samples[slot]
+            if sample.phase is SamplePhase.CLAIMED:
+                continue
+            if sample.phase in (SamplePhase.SCORING, SamplePhase.SCORED):
+                self.pending_count -= 1
+            if sample.phase is SamplePhase.SCORED:
+                self._scored_by_group[sample.group] -= 1
+            self._ready_since_s.pop(sample.group, None)
+            sample.phase = SamplePhase.CLAIMED
+            # The text is in the object of the batch.
+            sample.completion = ''
+            self.unclaimed_count -= 1
+
+    def release(self, slot: int, sample: Sample | None, now_s: float) -> None:
+        """Reopen a claimed slot, with its sample if that is still good."""
+        if self.samples[slot].phase is not SamplePhase.CLAIMED:
+            return
+        if sample is None:
+            self.discard(self.samples[slot])
+            return
+        self.samples[slot] = sample
+        self.unclaimed_count += 1
+        self.pending_count += 1
+        self._mark_scored(sample, now_s)
+
+    def remaining_tokens(self, sample: Sample) -> float:
+        """Return how many tokens a sample is expected to need yet."""
+        return self._lengths.expected_remaining(
+            self.prompt(sample), sample.token_count, self.spec.max_tokens
+        )
+
+    def _group(self, group: int) -> list[Sample]:
+        start = group * self.spec.samples_per_group
+        return self.samples[start : start + self.spec.samples_per_group]
+
+    def _mark_scored(self, sample: Sample, now_s: float) -> None:
+        sample.phase = SamplePhase.SCORED
+        self._scored_by_group[sample.group] += 1
+        if self._scored_by_group[sample.group] == self.spec.samples_per_group:
+            self._ready_since_s[sample.group] = now_s
+
+    def _new_sample(self, slot: int) -> Sample:
+        group, index = divmod(slot, self.spec.samples_per_group)
+        name = (
+            f'{self.spec.trainer_id}/{self.spec.step_id}/{group}/{index}/'
+            f'{self.fencing_number}.{self._generation}'
+        )
+        return Sample(
+            sample_id=ids.SampleId(name),
+            slot=slot,
+            group=group,
+        )
+
+    def _rank(self, sample: Sample) -> float:
+        if not self._policy.long_first:
+            return 0.0
+        return -self.remaining_tokens(sample)
+
+    def _is_waiting(self, sample: Sample) -> bool:
+        return self.is_current(sample) and sample.phase is SamplePhase.WAITING
+
+    def _accepts(self, sample: Sample, dispatch_id: ids.SampleId) -> bool:
+        return (
+            self.is_current(sample)
+            and sample.phase is SamplePhase.RUNNING
+            and sample.dispatch_id == dispatch_id
+        )
+
+
+def _is_certain(result: SampleResult) -> bool:
+    """Return whether each generated token has a reported version.
+
+    A dispatch that was cut off before its first token has nothing to report.
+    """
+    if not result.segments:
+        return not result.completion and not result.finished
+    return all(segment.token_count > 0 for segment in result.segments)
--- /dev/null
+++ b/tests/services/rollouts/rollout_fakes.py
@@ -0,0 +1,211 @@
+"""Small fakes around the rollout service, and an event loop without waits."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
+from dogwoodpost.core.rollouts.step_spec import StepSpec
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.errors import RequestError
+from dogwoodpost.observability import Metrics
+from dogwoodpost.ports.clock import Clock
+from dogwoodpost.ports.lease_guard import LeaseGuard
+from dogwoodpost.ports.sample_dispatcher import SampleDispatcher
+from dogwoodpost.ports.sample_dispatcher import SampleRequest
+from dogwoodpost.ports.sample_dispatcher import SampleResult
+from dogwoodpost.ports.sample_dispatcher import TokenSegment
+from dogwoodpost.ports.scorer import Scorer
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Write
+from dogwoodpost.services.rollouts.rollout_service import RolloutService
+from dogwoodpost.standins.memory_store import MemoryObjectStore
+from dogwoodpost.standins.memory_store import MemoryTableStore
+
+TRAINER = ids.TrainerId('trainer-1')
+ACCOUNT = ids.ClientAccountId('account-1')
+STEP = ids.StepId('step-1')
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jumps to the next timer when nothing else is to be done."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        super().__init__()
+
+    def time(self) -> float:
+        return self.now_s
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
+            when_s = self._scheduled[0].when()  # type: ignore[attr-defined]
+            self.now_s = max(self.now_s, when_s)
+        super()._run_once()  # type: ignore[misc]
+
+
+class LoopClock(Clock):
+    """Time of the running event loop."""
+
+    def monotonic_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall_s(self) -> float:
+        return self.monotonic_s()
+
+    async def sleep(self, duration_s: float) -> None:
+        await asyncio.sleep(duration_s)
+
+
+class FakeGuard(LeaseGuard):
+    """A lease whose holder may wrongly believe that it holds it."""
+
+    def __init__(self, number: int, version: int) -> None:
+        self.number = ids.FencingNumber(number)
+        self.version = version
+        self.is_held = True
+
+    def fencing_number(self) -> ids.FencingNumber:
+        if not self.is_held:
+            raise LeaseLostError('lost')
+        return self.number
+
+    def fence_check(self) -> Check:
+        self.fencing_number()
+        return Check('lease/rollout/fence', self.version)
+
+
+class FakeDispatcher(SampleDispatcher):
+    """Generates one token a second; faults apply to the coming samples."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.version = ids.WeightVersion(1)
+        self.failing_count = 0
+        self.uncertain_count = 0
+        self.requests: list[SampleRequest] = []
+
+    async def generate(self, request: SampleRequest) -> SampleResult:
+        self.requests.append(request)
+        version = self.version
+        length = self.rng.randint(1, request.max_tokens)
+        count = min(length, max(1, int(request.timeout_s)))
+        await asyncio.sleep(count)
+        if self.failing_count > 0:
+            self.failing_count -= 1
+            raise RequestError('endpoint_failed', 'crashed', status=502)
+        segments: tuple[TokenSegment, ...] = (
+            TokenSegment(weight_version=version, token_count=count),
+        )
+        if self.uncertain_count > 0:
+            self.uncertain_count -= 1
+            segments = ()
+        return SampleResult(
+            sample_id=request.sample_id,
+            endpoint_id=ids.EndpointId('endpoint-1'),
+            completion=f'<{version}>' * count,
+            segments=segments,
+            finished=count == length,
+        )
+
+    async def cancel(self, sample_id: ids.SampleId) -> None:
+        return
+
+
+class FakeScorer(Scorer):
+    """Scores by length; fails the coming calls if told so."""
+
+    def __init__(self) -> None:
+        self.failing_count = 0
+        self.calls: list[ids.SampleId] = []
+
+    async def score(
+        self, sample_id: ids.SampleId, prompt: str, completion: str
+    ) -> float:
+        self.calls.append(sample_id)
+        await asyncio.sleep(0.1)
+        if self.failing_count > 0:
+            self.failing_count -= 1
+            raise PlatformError('scorer timed out')
+        return float(len(completion))
+
+
+class World:
+    """The stores, the engines and the lease that owners share."""
+
+    def __init__(self, seed: int = 1, **policy: Any) -> None:
+        self.rng = random.Random(seed)
+        self.table = MemoryTableStore()
+        self.objects = MemoryObjectStore(self.table.faults)
+        self.faults = self.table.faults
+        self.dispatcher = FakeDispatcher(self.rng)
+        self.scorer = FakeScorer()
+        self.metrics = Metrics()
+        self.current_version = ids.WeightVersion(1)
+        self.holder: object = None
+        self.guards: list[FakeGuard] = []
+        self.policy = SchedulingPolicy(**{'batch_sample_count': 4, **policy})
+
+    async def take_lease(self) -> FakeGuard:
+        """Write the fence row, as a lease keeper does at a takeover."""
+        number = len(self.guards) + 1
+        key = 'lease/rollout/fence'
+        row = self.table.rows.get(key)
+        checks = [Check(key, row.version if row else 0)]
+        versions = await self.table.commit(
+            ids.OperationId(f'lease-{self.rng.random()}'),
+            checks,
+            [Write(key, str(number).encode())],
+        )
+        guard = FakeGuard(number, versions[key])
+        self.guards.append(guard)
+        return guard
+
+    def service(self) -> RolloutService:
+        """Return a service that takes the lease when it first needs it."""
+        service: RolloutService
+
+        async def acquire(_: ids.TrainerId) -> LeaseGuard:
+            if self.holder is not None and self.holder is not service:
+                raise LeaseLostError('held elsewhere')
+            guard = await self.take_lease()
+            self.holder = service
+            return guard
+
+        service = RolloutService(
+            table=self.table,
+            objects=self.objects,
+            dispatcher=self.dispatcher,
+            scorer=self.scorer,
+            clock=LoopClock(),
+            rng=random.Random(self.rng.random()),
+            metrics=self.metrics,
+            acquire=acquire,
+            current_version=lambda _: self.current_version,
+            capacity=lambda: 16,
+            policy=self.policy,
+        )
+        return service
+
+
+def step_spec(step_id: str = STEP, **changes: Any) -> StepSpec:
+    """Return a small step."""
+    values = {
+        'prompts': ('p0', 'p1', 'p2'),
+        'samples_per_group': 2,
+        'max_tokens': 40,
+        'max_version_lag': 1,
+        'max_age_s': 600.0,
+        'deadline_s': 3600.0,
+    }
+    return StepSpec(
+        step_id=ids.StepId(step_id),
+        trainer_id=TRAINER,
+        client_account_id=ACCOUNT,
+        service=ids.ServiceName('slate-lm'),
+        **{**values, **changes},
+    )
