--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -54,7 +54,10 @@
 
 
 class AgentHello(Message, frozen=True, kw_only=True):
-    """Heartbeat of an agent to an entry, with its endpoints."""
+    """Heartbeat of an agent to an entry, with its endpoints.
+
+    ``weights_url`` is where other agents fetch weights from this one.
+    """
 
     host_id: ids.HostId
     availability_zone: ids.AvailabilityZone
@@ -63,6 +66,7 @@
     echo_sequence: int
     endpoints: tuple[EndpointState, ...]
     leaving: bool = False
+    weights_url: str = ''
 
 
 class EntryHeartbeat(Message, frozen=True, kw_only=True):
--- a/src/dogwoodpost/core/routing/endpoint.py
+++ b/src/dogwoodpost/core/routing/endpoint.py
@@ -11,7 +11,10 @@
 
 
 class Endpoint(msgspec.Struct, frozen=True, kw_only=True):
-    """An endpoint, and the agent that it is reached through."""
+    """An endpoint, and the agent that it is reached through.
+
+    ``weights_url`` is where other agents fetch weights from its agent.
+    """
 
     endpoint_id: ids.EndpointId
     service: ids.ServiceName
@@ -24,6 +27,7 @@
     weight_version: ids.WeightVersion | None = None
     ready: bool = True
     draining: bool = False
+    weights_url: str = ''
 
 
 class EndpointListener(Protocol):
