Add endpoint orders with intents and usage windows, first version

Orders write an intent under the lease's fence before they are sent; usage totals are written per entry, closed, frozen and reported. The ports get an optional before_send callable, so that the guard is asked once the connection stands.

--- /dev/null
+++ b/src/dogwoodpost/adapters/platform/endpoint_orders.py
@@ -0,0 +1,55 @@
+"""Client of the platform's interface that orders endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.adapters.platform.guarded_http import GuardedHttp
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.ports.endpoint_orders import EndpointOrder
+from dogwoodpost.ports.endpoint_orders import EndpointOrders
+from dogwoodpost.ports.endpoint_orders import OrderedEndpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from dogwoodpost.core import ids
+
+
+class HttpEndpointOrders(EndpointOrders):
+    """Orders endpoints over HTTP with JSON."""
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        timeout_s: float = 2.0,
+        token: str | None = None,
+    ) -> None:
+        self._http = GuardedHttp(base_url, timeout_s=timeout_s, token=token)
+
+    async def submit(
+        self,
+        order: EndpointOrder,
+        *,
+        before_send: Callable[[], object] | None = None,
+    ) -> None:
+        """Submit an order."""
+        await self._http.post('/v1/orders', order, before_send)
+
+    async def list_endpoints(
+        self, service: ids.ServiceName
+    ) -> Sequence[OrderedEndpoint]:
+        """Return the endpoints that were ordered and not yet stopped."""
+        body = await self._http.get('/v1/endpoints', service=service)
+        try:
+            return msgspec.json.decode(body, type=list[OrderedEndpoint])
+        except msgspec.MsgspecError as error:
+            raise PlatformError(f'malformed list: {error}') from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close()
--- /dev/null
+++ b/src/dogwoodpost/core/orders/ledger.py
@@ -0,0 +1,153 @@
+"""Orders of one shard: what was intended and what became of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.orders.intent import IntentState
+from dogwoodpost.core.orders.intent import OrderIntent
+from dogwoodpost.ports.endpoint_orders import OrderAction
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.ports.endpoint_orders import OrderedEndpoint
+
+# Settled intents that stay in the table for operators. A takeover reads all
+# rows of a shard in one scan, which returns at most 1,000.
+RETAINED_COUNT = 200
+
+
+class OrderLedger:
+    """In-memory copy of a shard's intents.
+
+    An intent that this process found or left open gets an age, counted from
+    the moment at which its sender had certainly stopped sending.
+    """
+
+    def __init__(
+        self, shard: ids.ShardName, intents: Iterable[OrderIntent] = ()
+    ) -> None:
+        self._shard = shard
+        self._intents = {intent.number: intent for intent in intents}
+        self._next_number = max(self._intents, default=0) + 1
+        self._open_since_s: dict[int, float] = {}
+
+    def plan_start(
+        self,
+        service: ids.ServiceName,
+        availability_zone: ids.AvailabilityZone,
+        fencing_number: ids.FencingNumber,
+    ) -> OrderIntent:
+        """Return a new intent to start an endpoint."""
+        return OrderIntent(
+            number=self._take_number(),
+            shard=self._shard,
+            fencing_number=fencing_number,
+            service=service,
+            availability_zone=availability_zone,
+            action=OrderAction.START,
+            state=IntentState.OPEN,
+        )
+
+    def plan_stop(
+        self, endpoint: OrderedEndpoint, fencing_number: ids.FencingNumber
+    ) -> OrderIntent:
+        """Return a new intent to drain and stop an endpoint."""
+        return OrderIntent(
+            number=self._take_number(),
+            shard=self._shard,
+            fencing_number=fencing_number,
+            service=endpoint.service,
+            availability_zone=endpoint.availability_zone,
+            action=OrderAction.STOP,
+            state=IntentState.DRAINING,
+            endpoint_id=endpoint.endpoint_id,
+        )
+
+    def put(self, intent: OrderIntent, now_s: float) -> None:
+        """Take a new state of an intent."""
+        self._intents[intent.number] = intent
+        if intent.state is IntentState.OPEN:
+            self._open_since_s[intent.number] = now_s
+        else:
+            self._open_since_s.pop(intent.number, None)
+
+    def unsettled(self, state: IntentState) -> list[OrderIntent]:
+        """Return the intents in a state, oldest first."""
+        return [
+            intent
+            for _, intent in sorted(self._intents.items())
+            if intent.state is state
+        ]
+
+    def leaving(self) -> set[ids.EndpointId]:
+        """Return endpoints for which a stop was intended and not cancelled.
+
+        An endpoint whose stop may have been sent never returns to routing,
+        even if the stop was abandoned: a late copy could still stop it.
+        """
+        return {
+            intent.endpoint_id
+            for intent in self._intents.values()
+            if intent.endpoint_id is not None
+            and intent.state is not IntentState.CANCELLED
+        }
+
+    def stops_to_repeat(
+        self, listing: Sequence[OrderedEndpoint]
+    ) -> list[OrderedEndpoint]:
+        """Return leaving endpoints that no order is going to stop."""
+        handled = {
+            intent.endpoint_id
+            for intent in self._intents.values()
+            if not intent.is_settled or intent.state is IntentState.DONE
+        }
+        due = self.leaving() - handled
+        return [
+            endpoint for endpoint in listing if endpoint.endpoint_id in due
+        ]
+
+    def settle(
+        self,
+        listing: Sequence[OrderedEndpoint],
+        now_s: float,
+        settlement_s: float,
+    ) -> list[OrderIntent]:
+        """Return the open intents whose outcome a listing shows.
+
+        An order that the listing does not show is given up only when it has
+        been open for the settlement time, since it may still be on its way.
+        """
+        order_ids = {endpoint.order_id for endpoint in listing}
+        endpoint_ids = {endpoint.endpoint_id for endpoint in listing}
+        settled = []
+        for intent in self.unsettled(IntentState.OPEN):
+            took_effect = (
+                intent.order_id in order_ids
+                if intent.action is OrderAction.START
+                else intent.endpoint_id not in endpoint_ids
+            )
+            age_s = now_s - self._open_since_s.get(intent.number, now_s)
+            if took_effect:
+                settled.append(intent.moved(IntentState.DONE, 'listed'))
+            elif age_s >= settlement_s:
+                settled.append(intent.moved(IntentState.ABANDONED))
+        return settled
+
+    def take_expired(self) -> list[OrderIntent]:
+        """Remove and return settled intents beyond the retained number."""
+        settled = sorted(
+            number
+            for number, intent in self._intents.items()
+            if intent.is_settled
+        )
+        expired = settled[: max(0, len(settled) - RETAINED_COUNT)]
+        return [self._intents.pop(number) for number in expired]
+
+    def _take_number(self) -> int:
+        number = self._next_number
+        self._next_number += 1
+        return number
--- /dev/null
+++ b/src/dogwoodpost/core/usage/ledger.py
@@ -0,0 +1,188 @@
+"""Usage totals of one entry: what was counted and what was written."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.usage.figures import add
+from dogwoodpost.core.usage.figures import merge
+from dogwoodpost.core.usage.figures import remainder_as_adjustment
+from dogwoodpost.core.usage.rows import OPEN_WINDOWS_KEY
+from dogwoodpost.core.usage.rows import OpenWindows
+from dogwoodpost.core.usage.rows import part_key
+from dogwoodpost.core.usage.rows import UsagePart
+from dogwoodpost.core.usage.windows import window_at
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Write
+from dogwoodpost.ports.usage_reports import UsageFigures
+
+if TYPE_CHECKING:
+    from dogwoodpost.ports.table_store import Row
+
+_NO_USAGE = UsageFigures()
+
+
+class UsageFlush(msgspec.Struct, frozen=True, kw_only=True):
+    """One write of all totals that have grown."""
+
+    operation_id: ids.OperationId
+    checks: tuple[Check, ...]
+    writes: tuple[Write, ...]
+    figures: dict[ids.UsageWindow, dict[ids.ClientAccountId, UsageFigures]]
+
+
+class _Window:
+    """Totals of one window and what of them stands in the table."""
+
+    def __init__(self) -> None:
+        self.totals: dict[ids.ClientAccountId, UsageFigures] = {}
+        self.written: dict[ids.ClientAccountId, UsageFigures] = {}
+        self.version = 0
+        self.is_dirty = False
+
+    def add(
+        self, client_account_id: ids.ClientAccountId, figures: UsageFigures
+    ) -> None:
+        known = self.totals.get(client_account_id, _NO_USAGE)
+        self.totals[client_account_id] = add(known, figures)
+        self.is_dirty = True
+
+    def remainder(self) -> dict[ids.ClientAccountId, UsageFigures]:
+        """Return what was counted and not written, as adjustments."""
+        remainders = {
+            client_account_id: remainder_as_adjustment(
+                total, self.written.get(client_account_id, _NO_USAGE)
+            )
+            for client_account_id, total in self.totals.items()
+        }
+        return {
+            client_account_id: figures
+            for client_account_id, figures in remainders.items()
+            if figures != _NO_USAGE
+        }
+
+
+class UsageLedger:
+    """Counts usage per window and plans its writes.
+
+    One flush is in progress at a time; its outcome is known before the next
+    one is planned or the open windows are learnt again.
+    """
+
+    def __init__(
+        self,
+        host_id: ids.HostId,
+        incarnation: ids.Incarnation,
+        window_s: int,
+    ) -> None:
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._window_s = window_s
+        self._windows: dict[ids.UsageWindow, _Window] = {}
+        self._first_open = ids.UsageWindow(0)
+        self._open_version = 0
+        self._flush_count = 0
+
+    @property
+    def knows_open_windows(self) -> bool:
+        """Return whether totals may be written."""
+        return self._open_version > 0
+
+    @property
+    def unwritten(self) -> dict[ids.ClientAccountId, UsageFigures]:
+        """Return what a crash of this process would lose."""
+        return merge(window.remainder() for window in self._windows.values())
+
+    def record(
+        self,
+        client_account_id: ids.ClientAccountId,
+        figures: UsageFigures,
+        wall_s: float,
+    ) -> None:
+        """Count usage in the window that is open at a wall-clock time.
+
+        A clock that lags behind the closing of windows counts in the first
+        open one.
+        """
+        self._window(wall_s).add(client_account_id, figures)
+
+    def learn_open_windows(
+        self, first_open: ids.UsageWindow, version: int, wall_s: float
+    ) -> None:
+        """Take over which windows are open.
+
+        What was counted for a closed window and not written becomes an
+        adjustment of the window that is open now.
+        """
+        self._first_open = first_open
+        self._open_version = version
+        closed = [window for window in self._windows if window < first_open]
+        for window in closed:
+            remainder = self._windows.pop(window).remainder()
+            for client_account_id, figures in remainder.items():
+                self._window(wall_s).add(client_account_id, figures)
+
+    def first_open_windows(self, wall_s: float) -> OpenWindows:
+        """Return the row that the very first entry writes."""
+        window = min(self._windows, default=window_at(wall_s, self._window_s))
+        return OpenWindows(first_window=window, first_open=window)
+
+    def plan_flush(self) -> UsageFlush | None:
+        """Return the write of all totals that have grown, if any."""
+        dirty = {
+            number: window
+            for number, window in self._windows.items()
+            if window.is_dirty
+        }
+        if not dirty or not self.knows_open_windows:
+            return None
+        self._flush_count += 1
+        checks = [Check(OPEN_WINDOWS_KEY, self._open_version)]
+        writes = []
+        for number, window in dirty.items():
+            key = part_key(number, self._host_id, self._incarnation)
+            checks.append(Check(key, window.version))
+            value = msgspec.json.encode(UsagePart(figures=window.totals))
+            writes.append(Write(key, value))
+            window.is_dirty = False
+        return UsageFlush(
+            operation_id=ids.OperationId(
+                f'usage/{self._host_id}/{self._incarnation}/'
+                f'{self._flush_count}'
+            ),
+            checks=tuple(checks),
+            writes=tuple(writes),
+            figures={
+                number: dict(window.totals) for number, window in dirty.items()
+            },
+        )
+
+    def confirm_flush(
+        self, flush: UsageFlush, versions: dict[str, int]
+    ) -> None:
+        """Note that a flush took effect."""
+        for number, figures in flush.figures.items():
+            window = self._windows[number]
+            window.written = figures
+            key = part_key(number, self._host_id, self._incarnation)
+            window.version = versions[key]
+
+    def reject_flush(self, flush: UsageFlush) -> None:
+        """Note that a flush changed nothing."""
+        for number in flush.figures:
+            self._windows[number].is_dirty = True
+
+    def _window(self, wall_s: float) -> _Window:
+        number = max(window_at(wall_s, self._window_s), self._first_open)
+        return self._windows.setdefault(number, _Window())
+
+
+def decode_open_windows(row: Row) -> OpenWindows:
+    """Return the content of the row under ``OPEN_WINDOWS_KEY``.
+
+    :raises msgspec.DecodeError: the row has another form.
+    """
+    return msgspec.json.decode(row.value, type=OpenWindows)
--- a/src/dogwoodpost/ports/endpoint_orders.py
+++ b/src/dogwoodpost/ports/endpoint_orders.py
@@ -11,6 +11,7 @@
 from dogwoodpost.core import ids
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 
@@ -45,9 +46,18 @@
     """Orders endpoints by availability zone; knows no fencing number."""
 
     @abc.abstractmethod
-    async def submit(self, order: EndpointOrder) -> None:
+    async def submit(
+        self,
+        order: EndpointOrder,
+        *,
+        before_send: Callable[[], object] | None = None,
+    ) -> None:
         """Submit an order.
 
+        ``before_send`` is called directly before the bytes of the order go
+        out, once the connection stands; if it raises, no byte of the order is
+        sent and its exception passes through.
+
         :raises PlatformError: the order was refused or not taken.
         :raises PlatformOutcomeUnknownError: the answer was lost; find out by
             :meth:`list_endpoints`.
--- a/src/dogwoodpost/ports/usage_reports.py
+++ b/src/dogwoodpost/ports/usage_reports.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import abc
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from dogwoodpost.core import ids
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class UsageFigures(msgspec.Struct, frozen=True, kw_only=True):
     """Usage of one client account in one window."""
@@ -31,9 +35,17 @@
     """Takes usage reports; knows no fencing number."""
 
     @abc.abstractmethod
-    async def submit(self, report: UsageReport) -> None:
+    async def submit(
+        self,
+        report: UsageReport,
+        *,
+        before_send: Callable[[], object] | None = None,
+    ) -> None:
         """Report a window.
 
+        ``before_send`` is called directly before the bytes of the report go
+        out; if it raises, none is sent and its exception passes through.
+
         :raises PlatformError: the report was refused or not taken.
         :raises PlatformOutcomeUnknownError: the answer was lost; a repeat
             with the same figures is safe.
--- /dev/null
+++ b/src/dogwoodpost/services/control/order_controller.py
@@ -0,0 +1,361 @@
+"""Issues the endpoint orders of one shard under its lease."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.orders import decode_intent
+from dogwoodpost.core.orders import encode_intent
+from dogwoodpost.core.orders import intent_prefix
+from dogwoodpost.core.orders import IntentState
+from dogwoodpost.core.orders import OrderIntent
+from dogwoodpost.core.orders import OrderLedger
+from dogwoodpost.errors import DogwoodpostError
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.errors import PlatformOutcomeUnknownError
+from dogwoodpost.errors import StoreConflictError
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Write
+from dogwoodpost.services.resolved_commit import commit_resolved
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.endpoint_orders import EndpointOrders
+    from dogwoodpost.ports.endpoint_orders import OrderedEndpoint
+    from dogwoodpost.ports.lease_guard import LeaseGuard
+    from dogwoodpost.ports.table_store import TableStore
+
+_log = structlog.get_logger()
+
+
+class OrderController:
+    """Orders endpoints for one holding of one shard's lease.
+
+    A new controller is made for each holding. ``drain`` returns when an
+    endpoint is out of routing at every entry, each has confirmed it, and no
+    request runs on it; ``resume`` puts it back.
+    """
+
+    # An order that the platform does not list is given up after this time:
+    # three times the call timeout of 2 s, and well above the delay of a
+    # packet that the network still delivers.
+    settlement_s = 15.0
+    # One transaction and one round of calls per batch.
+    batch_count = 32
+
+    def __init__(
+        self,
+        *,
+        shard: ids.ShardName,
+        service: ids.ServiceName,
+        guard: LeaseGuard,
+        store: TableStore,
+        platform: EndpointOrders,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        drain: Callable[[ids.EndpointId], Awaitable[None]],
+        resume: Callable[[ids.EndpointId], Awaitable[None]],
+    ) -> None:
+        self._shard = shard
+        self._service = service
+        self._guard = guard
+        self._store = store
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._drain = drain
+        self._resume = resume
+        self._fencing_number = guard.fencing_number()
+        self._ledger = OrderLedger(shard)
+        self._unwritten: dict[int, OrderIntent] = {}
+        self._drains: dict[int, asyncio.Task[None]] = {}
+        self._commit_count = 0
+        self._has_taken_over = False
+
+    @property
+    def accepts_orders(self) -> bool:
+        """Return whether no earlier order is open."""
+        return self._has_taken_over and not self._ledger.unsettled(
+            IntentState.OPEN
+        )
+
+    @property
+    def leaving(self) -> set[ids.EndpointId]:
+        """Return the endpoints that must not be counted as capacity."""
+        return self._ledger.leaving()
+
+    async def take_over(self) -> None:
+        """Read the predecessor's intents; to be called once, first.
+
+        :raises StoreError: the store did not answer.
+        """
+        rows = await self._store.scan(intent_prefix(self._shard))
+        self._ledger = OrderLedger(
+            self._shard, [decode_intent(row.value) for row in rows]
+        )
+        now_s = self._clock.monotonic_s()
+        for intent in self._ledger.unsettled(IntentState.OPEN):
+            self._ledger.put(intent, now_s)
+        self._has_taken_over = True
+
+    async def reconcile(self) -> Sequence[OrderedEndpoint]:
+        """Settle open orders, go on with stops, return the platform's list.
+
+        :raises LeaseLostError: the lease is lost; nothing more may be done.
+        :raises PlatformError: the platform did not answer.
+        """
+        self._assert_holder()
+        listing = await self._platform.list_endpoints(self._service)
+        now_s = self._clock.monotonic_s()
+        settled = self._ledger.settle(listing, now_s, self.settlement_s)
+        for intent in settled:
+            self._count(f'order_{intent.state.value}_by_listing')
+            self._put(intent)
+        await self._write_results()
+        await self._repeat_abandoned_stops(listing)
+        await self._advance_stops()
+        return listing
+
+    async def start(self, zones: Sequence[ids.AvailabilityZone]) -> None:
+        """Order one endpoint per named availability zone.
+
+        :raises LeaseLostError: the lease is lost.
+        """
+        for first in range(0, len(zones), self.batch_count):
+            if not self.accepts_orders:
+                return
+            intents = [
+                self._ledger.plan_start(
+                    self._service, zone, self._fencing_number
+                )
+                for zone in zones[first : first + self.batch_count]
+            ]
+            await self._open(intents)
+            await self._send(intents)
+
+    async def stop(self, endpoints: Sequence[OrderedEndpoint]) -> None:
+        """Begin to drain endpoints; each is ordered to stop when empty.
+
+        :raises LeaseLostError: the lease is lost.
+        """
+        leaving = self._ledger.leaving()
+        intents = [
+            self._ledger.plan_stop(endpoint, self._fencing_number)
+            for endpoint in endpoints
+            if endpoint.endpoint_id not in leaving
+        ]
+        if intents:
+            await self._open(intents)
+            self._start_drains()
+
+    async def close(self) -> None:
+        """End running drains; the next holder takes them up again."""
+        drains = list(self._drains.values())
+        for drain in drains:
+            drain.cancel()
+        await asyncio.gather(*drains, return_exceptions=True)
+        self._drains.clear()
+
+    async def _open(self, intents: Sequence[OrderIntent]) -> None:
+        await self._commit(intents, is_new=True)
+        for intent in intents:
+            self._ledger.put(intent, self._clock.monotonic_s())
+
+    async def _send(self, intents: Sequence[OrderIntent]) -> None:
+        results = await asyncio.gather(
+            *(self._submit(intent) for intent in intents),
+            return_exceptions=True,
+        )
+        failures = [
+            result for result in results if isinstance(result, BaseException)
+        ]
+        for result in results:
+            if isinstance(result, OrderIntent):
+                self._put(result)
+        if failures:
+            raise failures[0]
+        await self._write_results()
+
+    async def _submit(self, intent: OrderIntent) -> OrderIntent:
+        """Send one order; return the intent in its new state."""
+        try:
+            await self._platform.submit(
+                intent.order(), before_send=self._assert_holder
+            )
+        except PlatformOutcomeUnknownError as error:
+            self._count('order_outcome_unknown')
+            _log.warning(
+                'order_outcome_unknown',
+                order_id=intent.order_id,
+                error=str(error),
+            )
+            return intent
+        except PlatformError as error:
+            self._count('order_refused')
+            _log.warning(
+                'order_refused', order_id=intent.order_id, error=str(error)
+            )
+            return intent.moved(IntentState.REFUSED, str(error))
+        self._report_late_send(intent)
+        self._count(f'order_{intent.action.value}')
+        return intent.moved(IntentState.DONE)
+
+    def _report_late_send(self, intent: OrderIntent) -> None:
+        """Count an order whose sender was paused between check and send.
+
+        A client cannot exclude such a pause at an interface that checks no
+        fencing number; see docs/endpoint-orders.md.
+        """
+        try:
+            self._assert_holder()
+        except LeaseLostError:
+            self._count('order_answered_after_lease_lost')
+            _log.error(
+                'order_answered_after_lease_lost', order_id=intent.order_id
+            )
+
+    def _assert_holder(self) -> None:
+        """Require the very holding that this controller was made for.
+
+        A lease that was lost and taken again has another number.
+        """
+        if self._guard.fencing_number() != self._fencing_number:
+            raise LeaseLostError(
+                f'{self._shard}: fencing number {self._fencing_number} is old'
+            )
+
+    async def _repeat_abandoned_stops(
+        self, listing: Sequence[OrderedEndpoint]
+    ) -> None:
+        """Stop endpoints again whose stop was refused or abandoned.
+
+        The new order has a new number. Stopping a named endpoint twice has
+        the effect of stopping it once.
+        """
+        intents = [
+            self._ledger.plan_stop(endpoint, self._fencing_number)
+            for endpoint in self._ledger.stops_to_repeat(listing)
+        ]
+        if intents:
+            await self._open(intents)
+
+    async def _advance_stops(self) -> None:
+        """Order the stops of endpoints that have drained."""
+        self._start_drains()
+        drained: list[OrderIntent] = []
+        for intent in self._ledger.unsettled(IntentState.DRAINING):
+            task = self._drains[intent.number]
+            if not task.done():
+                continue
+            del self._drains[intent.number]
+            if task.exception() is None:
+                drained.append(intent.moved(IntentState.OPEN))
+            else:
+                await self._cancel_stop(intent, str(task.exception()))
+        await self._write_results()
+        for first in range(0, len(drained), self.batch_count):
+            batch = drained[first : first + self.batch_count]
+            await self._open_drained(batch)
+            await self._send(batch)
+
+    async def _open_drained(self, intents: Sequence[OrderIntent]) -> None:
+        await self._commit(intents, is_new=False)
+        for intent in intents:
+            self._ledger.put(intent, self._clock.monotonic_s())
+
+    async def _cancel_stop(self, intent: OrderIntent, detail: str) -> None:
+        self._count('order_stop_cancelled')
+        _log.warning(
+            'order_stop_cancelled',
+            endpoint_id=intent.endpoint_id,
+            detail=detail,
+        )
+        self._put(intent.moved(IntentState.CANCELLED, detail))
+        endpoint_id = intent.endpoint_id
+        if endpoint_id and endpoint_id not in self._ledger.leaving():
+            await self._resume(endpoint_id)
+
+    def _start_drains(self) -> None:
+        for intent in self._ledger.unsettled(IntentState.DRAINING):
+            if intent.number not in self._drains and intent.endpoint_id:
+                self._drains[intent.number] = asyncio.create_task(
+                    self._drain_endpoint(intent.endpoint_id)
+                )
+
+    async def _drain_endpoint(self, endpoint_id: ids.EndpointId) -> None:
+        try:
+            await self._drain(endpoint_id)
+        except DogwoodpostError:
+            raise
+        except Exception as error:
+            raise PlatformError(f'drain failed: {error!r}') from error
+
+    def _put(self, intent: OrderIntent) -> None:
+        self._ledger.put(intent, self._clock.monotonic_s())
+        self._unwritten[intent.number] = intent
+
+    async def _write_results(self) -> None:
+        """Write new states, with the removal of rows past retention."""
+        if not self._unwritten:
+            return
+        intents = list(self._unwritten.values())
+        await self._commit(
+            intents, is_new=False, expired=self._ledger.take_expired()
+        )
+        for intent in intents:
+            if self._unwritten.get(intent.number) is intent:
+                del self._unwritten[intent.number]
+
+    async def _commit(
+        self,
+        intents: Sequence[OrderIntent],
+        *,
+        is_new: bool,
+        expired: Sequence[OrderIntent] = (),
+    ) -> None:
+        """Write intents in a transaction that holds only under the lease.
+
+        :raises LeaseLostError: the lease was lost.
+        """
+        fence = self._guard.fence_check()
+        checks = [fence]
+        if is_new:
+            checks += [Check(intent.key, 0) for intent in intents]
+        writes = [
+            Write(intent.key, encode_intent(intent)) for intent in intents
+        ]
+        writes += [Write(intent.key, None) for intent in expired]
+        try:
+            await commit_resolved(
+                self._store,
+                self._operation_id(),
+                checks,
+                writes,
+                clock=self._clock,
+                rng=self._rng,
+                before_attempt=self._assert_holder,
+            )
+        except StoreConflictError as error:
+            raise LeaseLostError(f'{self._shard}: {error}') from error
+
+    def _operation_id(self) -> ids.OperationId:
+        self._commit_count += 1
+        return ids.OperationId(
+            f'{self._shard}/{self._fencing_number}/{self._commit_count}'
+        )
+
+    def _count(self, name: str) -> None:
+        self._metrics.events.labels(name).inc()
--- /dev/null
+++ b/src/dogwoodpost/services/control/usage_reporter.py
@@ -0,0 +1,222 @@
+"""Closes, freezes and reports usage windows under the lease of usage."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.usage import decode_open_windows
+from dogwoodpost.core.usage import first_window_to_keep_open
+from dogwoodpost.core.usage import frozen_key
+from dogwoodpost.core.usage import merge
+from dogwoodpost.core.usage import OPEN_WINDOWS_KEY
+from dogwoodpost.core.usage import OpenWindows
+from dogwoodpost.core.usage import part_prefix
+from dogwoodpost.core.usage import REPORTED_WINDOWS_KEY
+from dogwoodpost.core.usage import ReportedWindows
+from dogwoodpost.core.usage import UsagePart
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import StoreConflictError
+from dogwoodpost.errors import StoreError
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Row
+from dogwoodpost.ports.table_store import Write
+from dogwoodpost.ports.usage_reports import UsageReport
+from dogwoodpost.services.resolved_commit import commit_resolved
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.lease_guard import LeaseGuard
+    from dogwoodpost.ports.table_store import TableStore
+    from dogwoodpost.ports.usage_reports import UsageReports
+
+_log = structlog.get_logger()
+_SCAN_COUNT = 1000
+
+
+class UsageReporter:
+    """Reports windows for one holding of the lease of shard ``usage``.
+
+    A new reporter is made for each holding.
+    """
+
+    # Longer than the longest time between two writes of an entry that
+    # reaches the store: write interval, its jitter, and one timed-out call.
+    grace_s = 15.0
+    # Frozen rows stay for a week of windows of 60 s for operators.
+    retained_window_count = 7 * 24 * 60
+
+    def __init__(
+        self,
+        *,
+        guard: LeaseGuard,
+        store: TableStore,
+        platform: UsageReports,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        window_s: int,
+    ) -> None:
+        self._guard = guard
+        self._store = store
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._window_s = window_s
+        self._fencing_number = guard.fencing_number()
+        self._contact_since_s: float | None = None
+        self._commit_count = 0
+
+    async def run_once(self) -> None:
+        """Close the windows that are due and report all closed ones.
+
+        :raises LeaseLostError: the lease is lost; nothing more may be done.
+        :raises StoreError: the store did not answer.
+        :raises PlatformError: the platform did not take a report.
+        """
+        try:
+            rows = await self._store.read(
+                [OPEN_WINDOWS_KEY, REPORTED_WINDOWS_KEY]
+            )
+        except StoreError:
+            self._contact_since_s = None
+            raise
+        if self._contact_since_s is None:
+            self._contact_since_s = self._clock.monotonic_s()
+        open_row = rows.get(OPEN_WINDOWS_KEY)
+        if open_row is None:
+            return
+        open_windows = await self._close_due(open_row)
+        next_window = _next_to_report(
+            rows.get(REPORTED_WINDOWS_KEY), open_windows
+        )
+        for number in range(next_window, open_windows.first_open):
+            await self._finish(ids.UsageWindow(number))
+
+    async def _close_due(self, open_row: Row) -> OpenWindows:
+        """Close windows whose grace period has passed, in one write.
+
+        The grace period starts again after a loss of contact to the store,
+        since entries lost it as well and need time to write their totals.
+        """
+        open_windows = decode_open_windows(open_row)
+        first_open = first_window_to_keep_open(
+            self._clock.wall_s(), self._window_s, self.grace_s
+        )
+        if first_open <= open_windows.first_open or not self._has_contact():
+            return open_windows
+        closed = OpenWindows(
+            first_window=open_windows.first_window, first_open=first_open
+        )
+        await self._commit(
+            [Check(OPEN_WINDOWS_KEY, open_row.version)],
+            [Write(OPEN_WINDOWS_KEY, msgspec.json.encode(closed))],
+        )
+        return closed
+
+    def _has_contact(self) -> bool:
+        if self._contact_since_s is None:
+            return False
+        contact_s = self._clock.monotonic_s() - self._contact_since_s
+        return contact_s >= self.grace_s
+
+    async def _finish(self, window: ids.UsageWindow) -> None:
+        """Freeze a closed window unless it is frozen, and report it."""
+        key = frozen_key(window)
+        rows = await self._store.read([key])
+        parts = await self._parts(window)
+        if key in rows:
+            report = msgspec.json.decode(rows[key].value, type=UsageReport)
+        else:
+            report = await self._freeze(window, parts)
+        await self._platform.submit(report, before_send=self._assert_holder)
+        self._metrics.events.labels('usage_window_reported').inc()
+        await self._mark_reported(window, parts)
+
+    async def _freeze(
+        self, window: ids.UsageWindow, parts: Sequence[Row]
+    ) -> UsageReport:
+        decoded = (
+            msgspec.json.decode(row.value, type=UsagePart) for row in parts
+        )
+        report = UsageReport(
+            window=window, figures=merge(part.figures for part in decoded)
+        )
+        key = frozen_key(window)
+        await self._commit(
+            [Check(key, 0)], [Write(key, msgspec.json.encode(report))]
+        )
+        return report
+
+    async def _mark_reported(
+        self, window: ids.UsageWindow, parts: Sequence[Row]
+    ) -> None:
+        """Go on to the next window and remove rows that are done with."""
+        reported = ReportedWindows(next_window=ids.UsageWindow(window + 1))
+        expired = ids.UsageWindow(window - self.retained_window_count)
+        writes = [Write(REPORTED_WINDOWS_KEY, msgspec.json.encode(reported))]
+        writes += [Write(row.key, None) for row in parts]
+        writes.append(Write(frozen_key(expired), None))
+        await self._commit([], writes)
+
+    async def _parts(self, window: ids.UsageWindow) -> list[Row]:
+        prefix = part_prefix(window)
+        rows: list[Row] = []
+        while True:
+            after = rows[-1].key if rows else ''
+            page = await self._store.scan(
+                prefix, after=after, limit=_SCAN_COUNT
+            )
+            rows += page
+            if len(page) < _SCAN_COUNT:
+                return rows
+
+    async def _commit(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> None:
+        """Commit in a transaction that holds only under the lease.
+
+        :raises LeaseLostError: the lease was lost.
+        """
+        self._commit_count += 1
+        fence = self._guard.fence_check()
+        start_s = self._clock.monotonic_s()
+        try:
+            await commit_resolved(
+                self._store,
+                ids.OperationId(
+                    f'usage/{self._fencing_number}/{self._commit_count}'
+                ),
+                [fence, *checks],
+                writes,
+                clock=self._clock,
+                rng=self._rng,
+                before_attempt=self._assert_holder,
+            )
+        except StoreConflictError as error:
+            raise LeaseLostError(f'usage: {error}') from error
+        if self._clock.monotonic_s() - start_s > self.grace_s:
+            self._contact_since_s = None
+
+    def _assert_holder(self) -> None:
+        """Require the very holding that this reporter was made for."""
+        if self._guard.fencing_number() != self._fencing_number:
+            raise LeaseLostError(
+                f'usage: fencing number {self._fencing_number} is old'
+            )
+
+
+def _next_to_report(
+    row: Row | None, open_windows: OpenWindows
+) -> ids.UsageWindow:
+    if row is None:
+        return open_windows.first_window
+    return msgspec.json.decode(row.value, type=ReportedWindows).next_window
--- /dev/null
+++ b/src/dogwoodpost/standins/usage_reports.py
@@ -0,0 +1,81 @@
+"""Stand-in of the platform's interface that takes usage reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+from dogwoodpost.ports.usage_reports import UsageReport
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+
+
+class UsageBook:
+    """Reports that the platform has taken, with faults.
+
+    Every report is recorded with the time of its arrival; a window that is
+    reported with different figures is listed in ``contradicted_windows``.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.refused_count = 0
+        self.lost_response_count = 0
+        self.received: list[UsageReport] = []
+        self.by_window: dict[ids.UsageWindow, UsageReport] = {}
+        self.contradicted_windows: set[ids.UsageWindow] = set()
+
+    def refuses(self) -> bool:
+        """Return whether the current report is refused by a fault."""
+        if self.refused_count > 0:
+            self.refused_count -= 1
+            return True
+        return False
+
+    def take(self, report: UsageReport) -> None:
+        """Record a report."""
+        self.received.append(report)
+        known = self.by_window.setdefault(report.window, report)
+        if known != report:
+            self.contradicted_windows.add(report.window)
+
+    def loses_response(self) -> bool:
+        """Return whether the answer of the current report is lost."""
+        if self.lost_response_count > 0:
+            self.lost_response_count -= 1
+            return True
+        return False
+
+
+def create_app(book: UsageBook) -> web.Application:
+    """Return an application that serves a usage book over HTTP."""
+
+    async def take_report(request: web.Request) -> web.Response:
+        if book.is_down:
+            return _without_answer(request)
+        try:
+            report = msgspec.json.decode(
+                await request.read(), type=UsageReport
+            )
+        except msgspec.MsgspecError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        if book.refuses():
+            raise web.HTTPConflict(text='refused by a fault')
+        book.take(report)
+        if book.loses_response():
+            return _without_answer(request)
+        return web.Response(status=202)
+
+    app = web.Application()
+    app.router.add_post('/v1/usage', take_report)
+    return app
+
+
+def _without_answer(request: web.Request) -> web.Response:
+    """Close the connection instead of answering."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
