--- /dev/null
+++ b/src/dogwoodpost/adapters/platform/platform_session.py
@@ -0,0 +1,35 @@
+"""HTTP session towards the platform's services."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from dogwoodpost.config.settings import PlatformSettings
+
+# Bounds the sockets of one process; a slow store holds at most this many.
+CONNECTION_LIMIT = 32
+
+
+@asynccontextmanager
+async def platform_session(
+    settings: PlatformSettings,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    """Open a session with the platform's token and time limit."""
+    headers = {}
+    if settings.token is not None:
+        headers['Authorization'] = (
+            f'Bearer {settings.token.get_secret_value()}'
+        )
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=CONNECTION_LIMIT),
+        timeout=aiohttp.ClientTimeout(total=settings.timeout_ms / 1000),
+        headers=headers,
+    )
+    async with session:
+        yield session
--- /dev/null
+++ b/src/dogwoodpost/adapters/platform/wire.py
@@ -0,0 +1,60 @@
+"""JSON bodies of the platform's table service and host list.
+
+``msgspec`` writes ``bytes`` fields as base64 text.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.ports.host_list import ListedHost
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Row
+from dogwoodpost.ports.table_store import Write
+
+
+class ReadRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /read``."""
+
+    keys: tuple[str, ...]
+
+
+class ScanRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /scan``."""
+
+    prefix: str
+    after: str
+    limit: int
+
+
+class RowsResponse(msgspec.Struct, frozen=True):
+    """Answer to a read or a scan."""
+
+    rows: list[Row]
+
+
+class CommitRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /commit``."""
+
+    operation_id: ids.OperationId
+    checks: tuple[Check, ...]
+    writes: tuple[Write, ...]
+
+
+class CommitResponse(msgspec.Struct, frozen=True):
+    """Answer to a commit that took effect, with the new versions."""
+
+    versions: dict[str, int]
+
+
+class ConflictResponse(msgspec.Struct, frozen=True):
+    """Answer with status 409: the rows whose check failed."""
+
+    conflicts: tuple[str, ...]
+
+
+class HostsResponse(msgspec.Struct, frozen=True):
+    """Answer to ``GET /hosts``."""
+
+    hosts: list[ListedHost]
--- a/src/dogwoodpost/core/configuration/__init__.py
+++ b/src/dogwoodpost/core/configuration/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from dogwoodpost.core.configuration.changes import apply_change
+from dogwoodpost.core.configuration.delta import apply_delta
+from dogwoodpost.core.configuration.delta import Delta
+from dogwoodpost.core.configuration.delta import difference
+from dogwoodpost.core.configuration.delta import field_differences
+from dogwoodpost.core.configuration.delta import FieldDifference
 from dogwoodpost.core.configuration.model import ClientAccount
 from dogwoodpost.core.configuration.model import Configuration
 from dogwoodpost.core.configuration.model import KeyRecord
@@ -9,13 +15,21 @@
 from dogwoodpost.core.configuration.model import Route
 from dogwoodpost.core.configuration.model import Service
 from dogwoodpost.core.configuration.model import ServiceKind
+from dogwoodpost.core.configuration.validation import validate
 
 __all__ = (
     'ClientAccount',
     'Configuration',
+    'Delta',
+    'FieldDifference',
     'KeyRecord',
     'Limits',
     'Route',
     'Service',
     'ServiceKind',
+    'apply_change',
+    'apply_delta',
+    'difference',
+    'field_differences',
+    'validate',
 )
--- /dev/null
+++ b/src/dogwoodpost/core/configuration/freshness.py
@@ -0,0 +1,153 @@
+"""Decides whether keyed routes may be served."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+
+# How long a store read, or the finding that the store is down, is valid from
+# its start.
+FRESH_S = 3.0
+
+
+class Freshness(Enum):
+    """Why keyed routes may be served, or that they may not."""
+
+    FRESH = 'fresh'
+    STORE_DOWN = 'store_down'
+    STALE = 'stale'
+
+
+class PeerAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry's answer to a query; ``read_age_s`` is None before a read."""
+
+    process_id: ids.ProcessId
+    revision: ids.Revision
+    read_age_s: float | None
+
+
+class _Query(msgspec.Struct):
+    query_id: str
+    start_s: float
+    required: frozenset[ids.ProcessId]
+    unanswered: set[ids.ProcessId]
+
+
+class FreshnessTracker:
+    """Freshness of one entry's configuration.
+
+    Times are seconds of the caller's monotonic clock.
+    """
+
+    def __init__(self) -> None:
+        self._read_start_s: float | None = None
+        self._own_read_start_s: float | None = None
+        self._finding_start_s: float | None = None
+        self._query: _Query | None = None
+
+    def record_read(self, start_s: float) -> None:
+        """Take an own store read whose revision is in force here."""
+        self._own_read_start_s = _latest(self._own_read_start_s, start_s)
+        self._read_start_s = _latest(self._read_start_s, start_s)
+
+    def start_query(
+        self,
+        query_id: str,
+        required: frozenset[ids.ProcessId],
+        now_s: float,
+        *,
+        last_drop_s: float | None = None,
+    ) -> None:
+        """Begin to ask the required entries; replaces an open query.
+
+        :param last_drop_s: when an entry was last dropped from the required
+            ones because its registration was gone. It may have accepted a
+            change before, so the store must have been read since.
+        """
+        if last_drop_s is not None and (
+            self._own_read_start_s is None
+            or self._own_read_start_s < last_drop_s
+        ):
+            self._query = None
+            return
+        self._query = _Query(query_id, now_s, required, set(required))
+        self._conclude()
+
+    def record_answer(
+        self,
+        query_id: str,
+        answer: PeerAnswer,
+        own_revision: ids.Revision,
+    ) -> None:
+        """Take an answer to the open query; others are ignored.
+
+        An answer with a higher revision than the one in force here counts as
+        none, because this entry would serve what is known to be outdated.
+        """
+        query = self._query
+        if query is None or query.query_id != query_id:
+            return
+        if answer.revision > own_revision:
+            return
+        if _is_fresh_age(answer.read_age_s):
+            # The read began at least this long before the query was sent.
+            start_s = query.start_s - (answer.read_age_s or 0.0)
+            self._read_start_s = _latest(self._read_start_s, start_s)
+            self._query = None
+            return
+        query.unanswered.discard(answer.process_id)
+        self._conclude()
+
+    def state(self, now_s: float) -> Freshness:
+        """Return whether and why keyed routes may be served."""
+        if _is_valid(self._read_start_s, now_s):
+            return Freshness.FRESH
+        if _is_valid(self._finding_start_s, now_s):
+            return Freshness.STORE_DOWN
+        return Freshness.STALE
+
+    def valid_until_s(self) -> float:
+        """Return when keyed routes have to be refused; -inf if never read."""
+        starts = [
+            start_s
+            for start_s in (self._read_start_s, self._finding_start_s)
+            if start_s is not None
+        ]
+        return max(starts) + FRESH_S if starts else float('-inf')
+
+    def read_age_s(self, now_s: float) -> float | None:
+        """Return the age of the newest read, own or relayed."""
+        if self._read_start_s is None:
+            return None
+        return now_s - self._read_start_s
+
+    def unanswered(self) -> frozenset[ids.ProcessId]:
+        """Return the entries that have not answered the open query."""
+        if self._query is None:
+            return frozenset()
+        return frozenset(self._query.unanswered)
+
+    def _conclude(self) -> None:
+        query = self._query
+        # An entry that has never read the store knows nothing to go on with.
+        if query is None or query.unanswered or self._read_start_s is None:
+            return
+        self._finding_start_s = _latest(self._finding_start_s, query.start_s)
+        self._query = None
+
+
+def _latest(current_s: float | None, start_s: float) -> float:
+    return start_s if current_s is None else max(current_s, start_s)
+
+
+def _is_valid(start_s: float | None, now_s: float) -> bool:
+    return start_s is not None and now_s < start_s + FRESH_S
+
+
+def _is_fresh_age(read_age_s: float | None) -> bool:
+    return read_age_s is not None and read_age_s < FRESH_S
--- /dev/null
+++ b/src/dogwoodpost/core/configuration/history.py
@@ -0,0 +1,87 @@
+"""Which rows and snapshots of the history are kept."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.configuration import records
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from dogwoodpost.core.configuration.model import Configuration
+    from dogwoodpost.ports.table_store import Row
+
+# A reader replays at most this many revisions after a snapshot, unless the
+# object store was down when the next one was due.
+SNAPSHOT_INTERVAL = 64
+
+# 2.4 days at the target of 8,300 changes a day. A request id is remembered
+# for as long.
+KEPT_COUNT = 20_000
+
+# Each change may remove this many old revisions, so a backlog shrinks.
+TRIMMED_PER_CHANGE = 2
+
+
+class Trim(msgspec.Struct, frozen=True, kw_only=True):
+    """What one change removes from the history."""
+
+    oldest_revision: ids.Revision
+    deleted_keys: tuple[str, ...]
+    unused_snapshots: tuple[ids.Revision, ...]
+
+
+def trimmed(
+    head: records.HeadRecord, rows: Mapping[str, Row], kept: int = KEPT_COUNT
+) -> Trim:
+    """Return what the change after ``head`` removes.
+
+    :param rows: rows that were read, among them the oldest revisions.
+    """
+    oldest = head.oldest_revision
+    deleted: list[str] = []
+    snapshots: list[ids.Revision] = []
+    for _ in range(TRIMMED_PER_CHANGE):
+        row = rows.get(records.revision_key(oldest))
+        following = rows.get(records.revision_key(oldest + 1))
+        if row is None or oldest > head.revision + 1 - kept:
+            break
+        record = _decode(row)
+        deleted += [row.key, records.operation_key(record.request_id)]
+        if following is not None:
+            next_snapshot = _decode(following).snapshot_revision
+            if 0 < record.snapshot_revision < next_snapshot:
+                snapshots.append(record.snapshot_revision)
+        oldest = ids.Revision(oldest + 1)
+    return Trim(
+        oldest_revision=oldest,
+        deleted_keys=tuple(deleted),
+        unused_snapshots=tuple(snapshots),
+    )
+
+
+def prune_revoked_keys(
+    configuration: Configuration, oldest_revision: ids.Revision
+) -> Configuration:
+    """Drop keys that were revoked before the oldest kept revision.
+
+    No restore can bring them back, because a restore takes no key from the
+    earlier content.
+    """
+    keys = {
+        key_id: record
+        for key_id, record in configuration.keys.items()
+        if record.revoked_revision is None
+        or record.revoked_revision >= oldest_revision
+    }
+    if len(keys) == len(configuration.keys):
+        return configuration
+    return msgspec.structs.replace(configuration, keys=keys)
+
+
+def _decode(row: Row) -> records.RevisionRecord:
+    return msgspec.json.decode(row.value, type=records.RevisionRecord)
--- a/src/dogwoodpost/core/configuration/model.py
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -35,12 +35,16 @@
 
 
 class KeyRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """A key of a client account; only its digest is kept."""
+    """A key of a client account; only its digest is kept.
+
+    ``revoked_revision`` is the revision that revoked the key.
+    """
 
     key_id: ids.KeyId
     client_account_id: ids.ClientAccountId
     digest: str
     revoked: bool = False
+    revoked_revision: ids.Revision | None = None
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -229,20 +229,27 @@
 
 
 class FreshnessQuery(Message, frozen=True, kw_only=True):
-    """Asks an entry how fresh its configuration is."""
+    """Asks an entry how fresh its configuration is.
+
+    ``revision`` is the one in force at the sender.
+    """
 
     query_id: str
+    revision: ids.Revision = ids.Revision(0)
 
 
 class FreshnessReply(Message, frozen=True, kw_only=True):
     """How long ago the sender began its last successful store read.
 
-    ``read_age_ms`` is None if the sender has read nothing yet.
+    ``read_age_ms`` is None if the sender has read nothing yet. ``records``
+    are the revisions that the asking entry lacks, as JSON rows, if the sender
+    still has all of them.
     """
 
     query_id: str
     revision: ids.Revision
     read_age_ms: int | None
+    records: tuple[bytes, ...] = ()
 
 
 AnyMessage = (
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -108,3 +108,15 @@
         self.not_run = not_run
         self.retry_after_s = retry_after_s
         super().__init__(message)
+
+
+class EntryNotReadyError(DogwoodpostError):
+    """This entry may not accept changes yet, or no longer."""
+
+
+class RequestIdReusedError(DogwoodpostError):
+    """A request id was used before for a different change."""
+
+
+class RevisionNotKeptError(DogwoodpostError):
+    """The content of a revision is unknown or no longer kept."""
--- /dev/null
+++ b/src/dogwoodpost/services/entry/configuration_editor.py
@@ -0,0 +1,266 @@
+"""Makes changes to the configuration durable."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.configuration import apply_change
+from dogwoodpost.core.configuration import difference
+from dogwoodpost.core.configuration import field_differences
+from dogwoodpost.core.configuration import records
+from dogwoodpost.core.configuration import validate
+from dogwoodpost.core.configuration.history import prune_revoked_keys
+from dogwoodpost.core.configuration.history import SNAPSHOT_INTERVAL
+from dogwoodpost.core.configuration.history import trimmed
+from dogwoodpost.core.configuration.known_entries import member_key
+from dogwoodpost.errors import ConfigurationConflictError
+from dogwoodpost.errors import EntryNotReadyError
+from dogwoodpost.errors import InvalidInputError
+from dogwoodpost.errors import RequestIdReusedError
+from dogwoodpost.errors import RevisionNotKeptError
+from dogwoodpost.errors import StoreConflictError
+from dogwoodpost.errors import StoreError
+from dogwoodpost.errors import StoreUnavailableError
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Write
+
+if TYPE_CHECKING:
+    import random
+
+    from dogwoodpost.core.configuration import Configuration
+    from dogwoodpost.core.configuration.changes import Change
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.services.entry.configuration_repository import (
+        ConfigurationRepository,
+    )
+    from dogwoodpost.services.entry.configuration_repository import (
+        RepositoryRead,
+    )
+    from dogwoodpost.services.entry.configuration_service import (
+        ConfigurationService,
+    )
+
+# Racing operators each make one of them lose a try; more racers than this at
+# the same moment get a conflict error.
+MAX_TRIES = 16
+MAX_DELAY_S = 0.2
+
+
+class ChangeRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A change with what makes it safe to repeat.
+
+    ``fingerprint`` is equal for repeats only; ``subject`` names what the
+    change created, for the repeat's result.
+    """
+
+    request_id: ids.RequestId
+    fingerprint: str
+    change: Change
+    base_revision: ids.Revision | None = None
+    subject: str = ''
+
+
+class ChangeOutcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of a change; ``repeated`` if it was accepted before."""
+
+    revision: ids.Revision
+    subject: str
+    repeated: bool
+
+
+class ConfigurationEditor:
+    """Accepts changes by compare-and-set on the revision.
+
+    :param process_id: the entry that accepts; its registration is part of
+        each transaction, so that an entry that others no longer ask for
+        freshness cannot accept a change.
+    """
+
+    def __init__(
+        self,
+        service: ConfigurationService,
+        repository: ConfigurationRepository,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        process_id: ids.ProcessId,
+    ) -> None:
+        self._service = service
+        self._repository = repository
+        self._clock = clock
+        self._rng = rng
+        self._member_key = member_key(process_id)
+        self._head = records.HeadRecord()
+
+    async def change(self, request: ChangeRequest) -> ChangeOutcome:
+        """Make a change durable and put it in force here.
+
+        :raises ConfigurationConflictError: the base revision is not current.
+        :raises InvalidInputError: the resulting configuration is invalid.
+        :raises RequestIdReusedError: the id belongs to another change.
+        :raises EntryNotReadyError: this entry may not accept changes yet.
+        :raises StoreError: the store is down, or the outcome is unknown; a
+            repeat with the same request id is safe.
+        """
+        for _ in range(MAX_TRIES):
+            read = await self._read(request)
+            repeated = self._earlier_outcome(read, request)
+            if repeated is not None:
+                return repeated
+            await self._check_base(read, request)
+            if not self._service.accepts_changes():
+                raise EntryNotReadyError(
+                    'not every entry knows this one yet; try again shortly'
+                )
+            try:
+                return await self._try_change(read, request)
+            except StoreConflictError:
+                delay_s = self._rng.uniform(0, MAX_DELAY_S)
+                await self._clock.sleep(delay_s)
+        raise StoreUnavailableError('too many changes at the same time')
+
+    async def _read(self, request: ChangeRequest) -> RepositoryRead:
+        oldest = self._head.oldest_revision
+        read = await self._repository.read(
+            self._service.current(),
+            [
+                records.operation_key(request.request_id),
+                self._member_key,
+                records.revision_key(oldest),
+                records.revision_key(oldest + 1),
+                records.revision_key(oldest + 2),
+            ],
+        )
+        self._head = read.head
+        self._service.adopt(read)
+        return read
+
+    def _earlier_outcome(
+        self, read: RepositoryRead, request: ChangeRequest
+    ) -> ChangeOutcome | None:
+        row = read.rows.get(records.operation_key(request.request_id))
+        if row is None:
+            return None
+        earlier = msgspec.json.decode(row.value, type=records.OperationRecord)
+        if earlier.fingerprint != request.fingerprint:
+            raise RequestIdReusedError(
+                f'request id {request.request_id!r} was used for another '
+                f'change, which made revision {earlier.revision}'
+            )
+        return ChangeOutcome(
+            revision=earlier.revision, subject=earlier.subject, repeated=True
+        )
+
+    async def _check_base(
+        self, read: RepositoryRead, request: ChangeRequest
+    ) -> None:
+        base_revision = request.base_revision
+        current = read.configuration
+        if base_revision is None or base_revision == current.revision:
+            return
+        try:
+            base = await self._repository.content_at(base_revision)
+        except RevisionNotKeptError:
+            raise ConfigurationConflictError(current.revision, ['*']) from None
+        raise ConfigurationConflictError(
+            current.revision,
+            [item.place for item in field_differences(base, current)],
+        )
+
+    async def _try_change(
+        self, read: RepositoryRead, request: ChangeRequest
+    ) -> ChangeOutcome:
+        base = read.configuration
+        result = apply_change(base, request.change)
+        findings = validate(result)
+        if findings:
+            raise InvalidInputError(findings)
+        trim = trimmed(read.head, read.rows)
+        result = prune_revoked_keys(result, trim.oldest_revision)
+        snapshot_revision = await self._snapshot(read)
+        record = records.RevisionRecord(
+            revision=result.revision,
+            snapshot_revision=snapshot_revision,
+            request_id=request.request_id,
+            change=type(request.change).__name__,
+            accepted_at_ms=int(self._clock.wall_s() * 1000),
+            delta=difference(base, result),
+        )
+        head = records.HeadRecord(
+            revision=result.revision,
+            snapshot_revision=snapshot_revision,
+            oldest_revision=trim.oldest_revision,
+        )
+        writes = [
+            _write(records.HEAD_KEY, head),
+            _write(records.revision_key(result.revision), record),
+            self._operation_write(request, result),
+            *(Write(key, None) for key in trim.deleted_keys),
+        ]
+        await self._commit(read, request, writes)
+        self._service.adopt_own(result, record)
+        await self._delete_snapshots(trim.unused_snapshots)
+        return ChangeOutcome(
+            revision=result.revision, subject=request.subject, repeated=False
+        )
+
+    def _operation_write(
+        self, request: ChangeRequest, result: Configuration
+    ) -> Write:
+        operation = records.OperationRecord(
+            fingerprint=request.fingerprint,
+            revision=result.revision,
+            subject=request.subject,
+        )
+        return _write(records.operation_key(request.request_id), operation)
+
+    async def _commit(
+        self,
+        read: RepositoryRead,
+        request: ChangeRequest,
+        writes: list[Write],
+    ) -> None:
+        member = read.rows.get(self._member_key)
+        if member is None:
+            raise EntryNotReadyError('this entry is not registered')
+        checks = [
+            Check(records.HEAD_KEY, read.head_version),
+            Check(records.operation_key(request.request_id), 0),
+            Check(self._member_key, member.version),
+        ]
+        operation_id = ids.OperationId(f'config/{uuid.uuid4().hex}')
+        await self._repository.tables.commit(operation_id, checks, writes)
+
+    async def _snapshot(self, read: RepositoryRead) -> ids.Revision:
+        base = read.configuration
+        newest = read.head.snapshot_revision
+        if base.revision - newest < SNAPSHOT_INTERVAL:
+            return newest
+        try:
+            await self._repository.store_snapshot(base)
+        except StoreError:
+            # The next change tries again; readers replay more rows until then.
+            return newest
+        return base.revision
+
+    async def _delete_snapshots(
+        self, revisions: tuple[ids.Revision, ...]
+    ) -> None:
+        for revision in revisions:
+            try:
+                await self._repository.delete_snapshot(revision)
+            except StoreError:
+                return
+
+
+def fingerprint_of(change: Change) -> str:
+    """Return a text that is equal for equal changes only."""
+    return msgspec.json.encode(change, order='deterministic').decode()
+
+
+def _write(key: str, record: msgspec.Struct) -> Write:
+    return Write(key, msgspec.json.encode(record))
--- /dev/null
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -0,0 +1,359 @@
+"""Keeps the configuration of one entry up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from mode import Service
+
+from dogwoodpost.core import messages
+from dogwoodpost.core.configuration import apply_delta
+from dogwoodpost.core.configuration import Configuration
+from dogwoodpost.core.configuration import records
+from dogwoodpost.core.configuration.freshness import Freshness
+from dogwoodpost.core.configuration.known_entries import member_key
+from dogwoodpost.core.configuration.spread import Spread
+from dogwoodpost.errors import StoreError
+from dogwoodpost.ports.configuration_source import ConfigurationSource
+from dogwoodpost.services.entry.freshness import FreshnessQueries
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Sequence
+    from typing import Any
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.configuration.spread import SpreadReport
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.services.entry.configuration_repository import (
+        ConfigurationRepository,
+    )
+    from dogwoodpost.services.entry.configuration_repository import (
+        RepositoryRead,
+    )
+    from dogwoodpost.services.entry.entry_peers import EntryPeers
+    from dogwoodpost.services.entry.registration import EntryRegistration
+
+POLL_INTERVAL_S = 1.0
+# Polls may overlap, so that a store that takes up to this many intervals to
+# answer still keeps the configuration fresh.
+MAX_OPEN_READS = 3
+TICK_S = 0.25
+REPEAT_PUSH_S = 1.0
+# An entry that learns of a change by polling tells a few others, in case the
+# entry that accepted it has died. The others learn of it by polling as well.
+FANOUT_AFTER_POLL = 8
+RELAYED_COUNT = 64
+
+_logger = structlog.get_logger(__name__)
+
+
+class Origin(Enum):
+    """How an entry learned of a revision."""
+
+    OWN = 'own'
+    STORE = 'store'
+    RELAY = 'relay'
+
+
+class ConfigurationService(Service, ConfigurationSource):
+    """Polls the store, pushes changes and answers the other entries."""
+
+    def __init__(
+        self,
+        repository: ConfigurationRepository,
+        registration: EntryRegistration,
+        peers: EntryPeers,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self._repository = repository
+        self._registration = registration
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._member_key = member_key(peers.own.process_id)
+        self._configuration = Configuration()
+        self._listeners: list[Callable[[Configuration], None]] = []
+        self._recent: deque[records.RevisionRecord] = deque(
+            maxlen=RELAYED_COUNT
+        )
+        self._spread = Spread()
+        self._freshness = FreshnessQueries(peers, clock)
+        self._ready = asyncio.Event()
+        self._is_registered = False
+        self._is_superseded = False
+        self._last_push_s = 0.0
+        self._open_reads = 0
+        self._read_again = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def current(self) -> Configuration:
+        """Return the revision in force; revision 0 before the first read."""
+        return self._configuration
+
+    def is_fresh(self) -> bool:
+        """Return whether keyed routes may be served."""
+        return self.freshness() is not Freshness.STALE
+
+    def freshness(self) -> Freshness:
+        """Return whether and why keyed routes may be served."""
+        if not self._ready.is_set():
+            return Freshness.STALE
+        return self._freshness.state()
+
+    def subscribe(self, listener: Callable[[Configuration], None]) -> None:
+        """Call the listener with each new revision, on the event loop."""
+        self._listeners.append(listener)
+
+    def accepts_changes(self) -> bool:
+        """Return whether this entry may accept changes."""
+        return self._is_registered and self._freshness.is_announced()
+
+    def is_ready(self) -> bool:
+        """Return whether the current revision has been read."""
+        return self._ready.is_set()
+
+    async def wait_ready(self) -> None:
+        """Wait for the first read."""
+        await self._ready.wait()
+
+    def spread(self, revision: ids.Revision) -> SpreadReport:
+        """Return which entries have a revision in force."""
+        now_s = self._clock.monotonic_s()
+        known = self._peers.known
+        return self._spread.report(
+            revision,
+            now_s,
+            awaited=known.awaited(now_s),
+            scan_start_s=known.last_scan_s,
+            announced=self.accepts_changes(),
+        )
+
+    async def ask_spread(self, revision: ids.Revision) -> SpreadReport:
+        """Ask the entries that have not confirmed a revision."""
+        report = self.spread(revision)
+        if report.in_force:
+            return report
+        await self._registration.scan()
+        behind = self._spread.behind(revision, self._peers.known.addresses())
+        await self._peers.query('spread', self._configuration.revision, behind)
+        return self.spread(revision)
+
+    async def on_start(self) -> None:
+        """Register, then follow the store."""
+        self.add_future(self._run())
+
+    async def on_stop(self) -> None:
+        """Cancel open reads."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def handle(self, message: messages.AnyMessage) -> None:
+        """Take a message of another entry."""
+        match message:
+            case messages.ConfigurationPush():
+                self._peers.hear(message)
+                await self._handle_push(message)
+            case messages.FreshnessQuery():
+                self._peers.hear(message)
+                await self._handle_query(message)
+            case messages.FreshnessReply():
+                self._peers.hear(message)
+                self._handle_reply(message)
+
+    def adopt(self, read: RepositoryRead) -> None:
+        """Put a revision read from the store in force."""
+        is_new = read.configuration.revision > self._configuration.revision
+        self._put_in_force(read.configuration, read.records)
+        self._check_registration(read)
+        if self._is_registered:
+            self._freshness.tracker.record_read(read.start_s)
+            self._ready.set()
+        if is_new and self._ready.is_set():
+            self._start(self._push_to_some())
+
+    def adopt_own(
+        self, configuration: Configuration, record: records.RevisionRecord
+    ) -> None:
+        """Put a revision in force that was accepted here."""
+        self._put_in_force(configuration, [record])
+        self._start(self._push_to_all())
+
+    async def refresh(self) -> bool:
+        """Read the store once; return whether it answered."""
+        try:
+            read = await self._repository.read(
+                self._configuration, [self._member_key]
+            )
+        except StoreError as error:
+            _logger.debug('configuration_not_read', error=str(error))
+            return False
+        self.adopt(read)
+        return True
+
+    def _put_in_force(
+        self,
+        configuration: Configuration,
+        applied: Sequence[records.RevisionRecord],
+    ) -> None:
+        if configuration.revision <= self._configuration.revision:
+            return
+        self._configuration = configuration
+        for record in applied:
+            if self._recent and record.revision <= self._recent[-1].revision:
+                continue
+            self._recent.append(record)
+        for listener in self._listeners:
+            listener(configuration)
+        self._spread.record_own(
+            configuration.revision, self._clock.monotonic_s()
+        )
+
+    def _check_registration(self, read: RepositoryRead) -> None:
+        row = read.rows.get(self._member_key)
+        self._is_registered = self._registration.is_own_row(row)
+        if self._is_registered:
+            return
+        self._freshness.forget_announcement()
+        if row is None:
+            _logger.warning('registration_missing')
+            return
+        if not self._is_superseded:
+            # Another incarnation with this process id has started.
+            _logger.error('registration_superseded')
+        self._is_superseded = True
+
+    async def _run(self) -> None:
+        await self._register()
+        await self._registration.scan()
+        await self._registration.read_hosts()
+        self.add_future(self._poll())
+        self.add_future(self._tick())
+        self.add_future(self._registration.follow())
+
+    async def _register(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._registration.register()
+            except StoreError as error:
+                _logger.warning('not_registered', error=str(error))
+                delay_s = self._rng.uniform(0, POLL_INTERVAL_S)
+                await self._clock.sleep(delay_s)
+            else:
+                return
+
+    async def _poll(self) -> None:
+        while not self.should_stop:
+            self._request_read()
+            await self._clock.sleep(POLL_INTERVAL_S)
+
+    def _request_read(self) -> None:
+        if self._open_reads >= MAX_OPEN_READS:
+            self._read_again = True
+            return
+        self._open_reads += 1
+        self._start(self._read())
+
+    async def _read(self) -> None:
+        try:
+            await self.refresh()
+        finally:
+            self._open_reads -= 1
+        if self._read_again:
+            self._read_again = False
+            self._request_read()
+
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            revision = self._configuration.revision
+            await self._freshness.keep_fresh(revision)
+            if not self._is_registered and self._ready.is_set():
+                await self._register_again()
+            elif not self._freshness.is_announced() and self._is_registered:
+                await self._freshness.announce(revision)
+            await self._clock.sleep(TICK_S)
+
+    async def _register_again(self) -> None:
+        if self._is_superseded:
+            return
+        try:
+            await self._registration.register()
+        except StoreError as error:
+            _logger.warning('not_registered', error=str(error))
+            return
+        await self._registration.scan()
+        self._request_read()
+
+    async def _push_to_all(self) -> None:
+        revision = self._configuration.revision
+        for _ in range(3):
+            if self._configuration.revision != revision:
+                return
+            behind = self._spread.behind(
+                revision, self._peers.known.addresses()
+            )
+            await self._peers.push(revision, behind)
+            if not await self._registration.scan() or behind:
+                await self._clock.sleep(REPEAT_PUSH_S)
+
+    async def _push_to_some(self) -> None:
+        revision = self._configuration.revision
+        behind = self._spread.behind(revision, self._peers.known.addresses())
+        count = min(len(behind), FANOUT_AFTER_POLL)
+        await self._peers.push(revision, self._rng.sample(behind, count))
+
+    async def _handle_push(self, push: messages.ConfigurationPush) -> None:
+        self._spread.confirm(push.sender_id, push.revision)
+        if push.revision == self._configuration.revision:
+            return
+        if push.revision > self._configuration.revision:
+            await self.refresh()
+        # Confirms the pushed revision, or tells the sender of a higher one.
+        if push.revision <= self._configuration.revision:
+            revision = self._configuration.revision
+            await self._peers.push(revision, [push.sender_id])
+
+    async def _handle_query(self, query: messages.FreshnessQuery) -> None:
+        await self._peers.reply(
+            query,
+            self._configuration.revision,
+            self._freshness.read_age_ms(),
+            self._records_after(query.revision),
+        )
+
+    def _handle_reply(self, reply: messages.FreshnessReply) -> None:
+        self._apply_relayed(reply.records)
+        self._spread.confirm(reply.sender_id, reply.revision)
+        self._freshness.record_reply(reply, self._configuration.revision)
+
+    def _records_after(self, revision: ids.Revision) -> tuple[bytes, ...]:
+        missing = [
+            record for record in self._recent if record.revision > revision
+        ]
+        if revision == 0 or not missing or missing[0].revision != revision + 1:
+            return ()
+        return tuple(msgspec.json.encode(record) for record in missing)
+
+    def _apply_relayed(self, relayed: Sequence[bytes]) -> None:
+        configuration = self._configuration
+        applied = []
+        for data in relayed:
+            record = msgspec.json.decode(data, type=records.RevisionRecord)
+            if record.revision == configuration.revision + 1:
+                configuration = apply_delta(configuration, record.delta)
+                applied.append(record)
+        self._put_in_force(configuration, applied)
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/dogwoodpost/services/entry/freshness.py
@@ -0,0 +1,97 @@
+"""Asks the other entries when the store cannot be read."""
+
+from __future__ import annotations
+
+import math
+import uuid
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.configuration.freshness import Freshness
+from dogwoodpost.core.configuration.freshness import FreshnessTracker
+from dogwoodpost.core.configuration.freshness import PeerAnswer
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core import messages
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.services.entry.entry_peers import EntryPeers
+
+# Two polls have failed by then, and the answers come before the last read
+# loses its freshness.
+QUERY_AHEAD_S = 1.5
+QUERY_INTERVAL_S = 1.0
+
+
+class FreshnessQueries:
+    """Keeps the configuration fresh through other entries.
+
+    It also makes this entry known: an entry that has answered one of the
+    queries knows that it must ask this one before it finds the store down.
+    """
+
+    def __init__(self, peers: EntryPeers, clock: Clock) -> None:
+        self.tracker = FreshnessTracker()
+        self._peers = peers
+        self._clock = clock
+        self._known_by: set[ids.ProcessId] = set()
+        self._is_announced = False
+        self._last_query_s = -math.inf
+        self._query_id = ''
+
+    def state(self) -> Freshness:
+        """Return whether and why keyed routes may be served."""
+        return self.tracker.state(self._clock.monotonic_s())
+
+    def is_announced(self) -> bool:
+        """Return whether every registered live entry knows this one."""
+        return self._is_announced
+
+    def forget_announcement(self) -> None:
+        """Start over, after the own registration was lost."""
+        self._is_announced = False
+        self._known_by.clear()
+
+    async def announce(self, revision: ids.Revision) -> None:
+        """Ask the entries that do not know this one yet."""
+        required = self._peers.known.required(self._clock.monotonic_s())
+        missing = required - self._known_by
+        if not missing:
+            self._is_announced = True
+            return
+        await self._peers.query(uuid.uuid4().hex, revision, sorted(missing))
+
+    async def keep_fresh(self, revision: ids.Revision) -> None:
+        """Ask the required entries if freshness is about to expire."""
+        now_s = self._clock.monotonic_s()
+        if self.tracker.valid_until_s() - now_s >= QUERY_AHEAD_S:
+            return
+        if now_s - self._last_query_s < QUERY_INTERVAL_S:
+            return
+        self._last_query_s = now_s
+        self._query_id = uuid.uuid4().hex
+        required = self._peers.known.required(now_s)
+        self.tracker.start_query(
+            self._query_id,
+            required,
+            now_s,
+            last_drop_s=self._peers.known.last_drop_s,
+        )
+        await self._peers.query(self._query_id, revision, sorted(required))
+
+    def record_reply(
+        self, reply: messages.FreshnessReply, own_revision: ids.Revision
+    ) -> None:
+        """Take a reply, after its records were applied."""
+        self._known_by.add(reply.sender_id)
+        age_s = None if reply.read_age_ms is None else reply.read_age_ms / 1000
+        answer = PeerAnswer(
+            process_id=reply.sender_id,
+            revision=reply.revision,
+            read_age_s=age_s,
+        )
+        self.tracker.record_answer(reply.query_id, answer, own_revision)
+
+    def read_age_ms(self) -> int | None:
+        """Return the age of the newest read in whole ms, rounded up."""
+        age_s = self.tracker.read_age_s(self._clock.monotonic_s())
+        return None if age_s is None else math.ceil(age_s * 1000)
