--- a/src/dogwoodpost/core/configuration/changes.py
+++ b/src/dogwoodpost/core/configuration/changes.py
@@ -159,7 +159,9 @@
 def _(change: IssueKey, base: Configuration) -> Configuration:
     if change.key_id in base.keys:
         raise _invalid(
-            f'keys.{change.key_id}', 'a key that exists already', 'an unused id'
+            f'keys.{change.key_id}',
+            'a key that exists already',
+            'an unused id',
         )
     record = KeyRecord(
         key_id=change.key_id,
--- a/src/dogwoodpost/core/configuration/delta.py
+++ b/src/dogwoodpost/core/configuration/delta.py
@@ -89,7 +89,9 @@
     for section in SECTIONS:
         values: dict[str, Any] = getattr(configuration, section)
         for name, value in values.items():
-            _flatten_value(f'{section}.{name}', msgspec.to_builtins(value), fields)
+            _flatten_value(
+                f'{section}.{name}', msgspec.to_builtins(value), fields
+            )
     return fields
 
 
--- a/src/dogwoodpost/core/configuration/freshness.py
+++ b/src/dogwoodpost/core/configuration/freshness.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import msgspec
 
-if TYPE_CHECKING:
-    from dogwoodpost.core import ids
+from dogwoodpost.core import ids
 
 # How long a store read, or the finding that the store is down, is valid from
 # its start.
--- a/src/dogwoodpost/core/configuration/validation.py
+++ b/src/dogwoodpost/core/configuration/validation.py
@@ -112,7 +112,9 @@
         yield Finding(f'{place}.model', 'nothing', 'the model of the engines')
     if not is_engine and service.model is not None:
         yield Finding(
-            f'{place}.model', repr(service.model), 'no model at a plain service'
+            f'{place}.model',
+            repr(service.model),
+            'no model at a plain service',
         )
     yield from _check_range(
         f'{place}.endpoint_concurrency',
--- a/src/dogwoodpost/services/entry/configuration_editor.py
+++ b/src/dogwoodpost/services/entry/configuration_editor.py
@@ -13,6 +13,7 @@
 from dogwoodpost.core.configuration import field_differences
 from dogwoodpost.core.configuration import records
 from dogwoodpost.core.configuration import validate
+from dogwoodpost.core.configuration.changes import Change
 from dogwoodpost.core.configuration.history import prune_revoked_keys
 from dogwoodpost.core.configuration.history import SNAPSHOT_INTERVAL
 from dogwoodpost.core.configuration.history import trimmed
@@ -32,7 +33,6 @@
     import random
 
     from dogwoodpost.core.configuration import Configuration
-    from dogwoodpost.core.configuration.changes import Change
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.services.entry.configuration_repository import (
         ConfigurationRepository,
--- a/src/dogwoodpost/services/entry/configuration_repository.py
+++ b/src/dogwoodpost/services/entry/configuration_repository.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from dogwoodpost.core import ids
 from dogwoodpost.core.configuration import apply_delta
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import records
@@ -17,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dogwoodpost.core import ids
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.object_store import ObjectStore
     from dogwoodpost.ports.table_store import TableStore
@@ -36,7 +36,7 @@
     """
 
     configuration: Configuration
-    records: tuple[records.RevisionRecord, ...]
+    applied: tuple[records.RevisionRecord, ...]
     head: records.HeadRecord
     head_version: int
     rows: dict[str, Row]
@@ -75,7 +75,7 @@
         configuration, applied = await self._follow(known, head)
         return RepositoryRead(
             configuration=configuration,
-            records=tuple(applied),
+            applied=tuple(applied),
             head=head,
             head_version=0 if head_row is None else head_row.version,
             rows=rows,
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import deque
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -55,14 +54,6 @@
 _logger = structlog.get_logger(__name__)
 
 
-class Origin(Enum):
-    """How an entry learned of a revision."""
-
-    OWN = 'own'
-    STORE = 'store'
-    RELAY = 'relay'
-
-
 class ConfigurationService(Service, ConfigurationSource):
     """Polls the store, pushes changes and answers the other entries."""
 
@@ -94,7 +85,7 @@
         self._last_push_s = 0.0
         self._open_reads = 0
         self._read_again = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._open_tasks: set[asyncio.Task[None]] = set()
 
     def current(self) -> Configuration:
         """Return the revision in force; revision 0 before the first read."""
@@ -154,7 +145,7 @@
 
     async def on_stop(self) -> None:
         """Cancel open reads."""
-        for task in self._tasks:
+        for task in self._open_tasks:
             task.cancel()
 
     async def handle(self, message: messages.AnyMessage) -> None:
@@ -173,7 +164,7 @@
     def adopt(self, read: RepositoryRead) -> None:
         """Put a revision read from the store in force."""
         is_new = read.configuration.revision > self._configuration.revision
-        self._put_in_force(read.configuration, read.records)
+        self._put_in_force(read.configuration, read.applied)
         self._check_registration(read)
         if self._is_registered:
             self._freshness.tracker.record_read(read.start_s)
@@ -355,5 +346,5 @@
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._open_tasks.add(task)
+        task.add_done_callback(self._open_tasks.discard)
