--- a/src/dogwoodpost/standins/endpoint_orders.py
+++ b/src/dogwoodpost/standins/endpoint_orders.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
 
 from dogwoodpost.core import ids
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.errors import PlatformOutcomeUnknownError
 from dogwoodpost.ports.endpoint_orders import EndpointOrder
+from dogwoodpost.ports.endpoint_orders import EndpointOrders
 from dogwoodpost.ports.endpoint_orders import OrderAction
 from dogwoodpost.ports.endpoint_orders import OrderedEndpoint
 
@@ -103,6 +107,46 @@
         del self._endpoints[order.endpoint_id]
 
 
+class DirectEndpointOrders(EndpointOrders):
+    """Reaches an order book without a network."""
+
+    def __init__(self, book: OrderBook) -> None:
+        self._book = book
+
+    async def connect(self) -> None:
+        """Wait as a connection set-up would; tests override this."""
+        await asyncio.sleep(0)
+
+    async def submit(
+        self,
+        order: EndpointOrder,
+        *,
+        before_send: Callable[[], object] | None = None,
+    ) -> None:
+        """Submit an order."""
+        await self.connect()
+        if self._book.is_down:
+            raise PlatformError('down')
+        if before_send is not None:
+            before_send()
+        try:
+            self._book.take(order)
+        except OrderRefusedError as error:
+            raise PlatformError(str(error)) from error
+        await asyncio.sleep(0)
+        if self._book.loses_response():
+            raise PlatformOutcomeUnknownError('the answer was lost')
+
+    async def list_endpoints(
+        self, service: ids.ServiceName
+    ) -> list[OrderedEndpoint]:
+        """Return the endpoints that were ordered and not yet stopped."""
+        await asyncio.sleep(0)
+        if self._book.is_down:
+            raise PlatformError('down')
+        return self._book.endpoints(service)
+
+
 def create_app(book: OrderBook) -> web.Application:
     """Return an application that serves an order book over HTTP."""
 
--- a/src/dogwoodpost/standins/usage_reports.py
+++ b/src/dogwoodpost/standins/usage_reports.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
 
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.errors import PlatformOutcomeUnknownError
 from dogwoodpost.ports.usage_reports import UsageReport
+from dogwoodpost.ports.usage_reports import UsageReports
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dogwoodpost.core import ids
 
 
@@ -50,6 +56,32 @@
         return False
 
 
+class DirectUsageReports(UsageReports):
+    """Reaches a usage book without a network."""
+
+    def __init__(self, book: UsageBook) -> None:
+        self._book = book
+
+    async def submit(
+        self,
+        report: UsageReport,
+        *,
+        before_send: Callable[[], object] | None = None,
+    ) -> None:
+        """Report a window."""
+        await asyncio.sleep(0)
+        if self._book.is_down:
+            raise PlatformError('down')
+        if before_send is not None:
+            before_send()
+        if self._book.refuses():
+            raise PlatformError('refused by a fault')
+        self._book.take(report)
+        await asyncio.sleep(0)
+        if self._book.loses_response():
+            raise PlatformOutcomeUnknownError('the answer was lost')
+
+
 def create_app(book: UsageBook) -> web.Application:
     """Return an application that serves a usage book over HTTP."""
 
--- /dev/null
+++ b/tests/services/control/test_usage_reporter.py
@@ -0,0 +1,158 @@
+"""Tests of usage from an entry's totals to a reported window."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dogwoodpost.core import ids
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.observability import Metrics
+from dogwoodpost.ports.usage_reports import UsageFigures
+from dogwoodpost.services.control.usage_reporter import UsageReporter
+from dogwoodpost.services.entry.usage_totals import UsageTotals
+from dogwoodpost.standins.memory_store import MemoryTableStore
+from dogwoodpost.standins.usage_reports import DirectUsageReports
+from dogwoodpost.standins.usage_reports import UsageBook
+from dogwoodpost.standins.virtual_clock import VirtualClock
+from tests.fakes.lease import DURATION_S
+from tests.fakes.lease import FakeLease
+
+WINDOW_S = 60
+ACCOUNT = ids.ClientAccountId('matting')
+
+
+class World:
+    """Entries and reporters around one store."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.store = MemoryTableStore()
+        self.lease = FakeLease(self.store, self.clock)
+        self.book = UsageBook()
+
+    def entry(self, name: str) -> UsageTotals:
+        return UsageTotals(
+            host_id=ids.HostId(name),
+            incarnation=ids.Incarnation('1'),
+            window_s=WINDOW_S,
+            store=self.store,
+            clock=self.clock,
+            rng=random.Random(1),
+            metrics=Metrics(),
+        )
+
+    async def reporter(self) -> UsageReporter:
+        guard = await self.lease.take()
+        assert guard is not None
+        self.guard = guard
+        return UsageReporter(
+            guard=guard,
+            store=self.store,
+            platform=DirectUsageReports(self.book),
+            clock=self.clock,
+            rng=random.Random(1),
+            metrics=Metrics(),
+            window_s=WINDOW_S,
+        )
+
+    async def run(self, reporter: UsageReporter, duration_s: int) -> None:
+        for _ in range(duration_s):
+            self.guard.renew()
+            await reporter.run_once()
+            await self.clock.advance(1.0)
+
+    def reported(self, window: int) -> UsageFigures:
+        report = self.book.by_window[ids.UsageWindow(window)]
+        return report.figures.get(ACCOUNT, UsageFigures())
+
+
+def record(entry: UsageTotals, tokens: int) -> None:
+    entry.record(
+        ACCOUNT, request_count=1, prompt_tokens=0, completion_tokens=tokens
+    )
+
+
+async def test_totals_of_all_entries_are_reported() -> None:
+    """Guards against a window that lacks an entry's totals."""
+    world = World()
+    entries = [world.entry('a'), world.entry('b')]
+    for number, entry in enumerate(entries):
+        record(entry, 10 + number)
+        await entry.flush()
+        record(entry, 100)
+        await entry.flush()
+    await world.run(await world.reporter(), 80)
+    figures = UsageFigures(request_count=4, completion_tokens=221)
+    assert world.reported(0) == figures
+
+
+async def test_late_totals_become_one_adjustment() -> None:
+    """Guards against losing or repeating usage that missed its window."""
+    world = World()
+    entry = world.entry('a')
+    record(entry, 10)
+    await entry.flush()
+    record(entry, 5)
+    reporter = await world.reporter()
+    await world.run(reporter, 80)
+    world.store.faults.lost_response_count = 1
+    with pytest.raises(Exception, match='lost'):
+        await entry.flush()
+    await entry.flush()
+    await world.run(reporter, 60)
+    assert world.reported(0) == UsageFigures(
+        request_count=1, completion_tokens=10
+    )
+    assert world.reported(1) == UsageFigures(
+        adjustment_request_count=1, adjustment_completion_tokens=5
+    )
+
+
+@pytest.mark.parametrize('fault', ['is_down', 'lost_response_count'])
+async def test_successor_reports_the_frozen_figures(fault: str) -> None:
+    """Guards against two different figures for one window."""
+    world = World()
+    entry = world.entry('a')
+    record(entry, 10)
+    await entry.flush()
+    reporter = await world.reporter()
+    await world.run(reporter, 70)
+    setattr(world.book, fault, 1)
+    with pytest.raises(PlatformError):
+        await world.run(reporter, 10)
+    world.book.is_down = False
+    record(entry, 7)
+    await entry.flush()
+    await world.clock.advance(DURATION_S)
+    await world.run(await world.reporter(), 60)
+    assert world.book.contradicted_windows == set()
+    assert world.reported(0).completion_tokens == 10
+    assert world.reported(1).completion_tokens == 7
+
+
+async def test_nothing_is_reported_after_the_lease_is_lost() -> None:
+    """Guards against a reporter that was paused over a takeover."""
+    world = World()
+    entry = world.entry('a')
+    record(entry, 10)
+    await entry.flush()
+    reporter = await world.reporter()
+    await reporter.run_once()
+    await world.clock.advance(80.0)
+    with pytest.raises(LeaseLostError):
+        await reporter.run_once()
+    assert world.book.received == []
+
+
+async def test_graceful_stop_writes_everything() -> None:
+    """Guards against usage that is lost at a planned stop."""
+    world = World()
+    entry = world.entry('a')
+    await entry.start()
+    record(entry, 10)
+    await entry.stop()
+    await world.run(await world.reporter(), 80)
+    assert world.reported(0).completion_tokens == 10
