--- /dev/null
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -0,0 +1,269 @@
+"""Decides which requests wait, start or are refused."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core.admission.account_state import AccountState
+from dogwoodpost.core.admission.drain_rate import DrainRate
+from dogwoodpost.core.admission.fair_queue import FairQueue
+from dogwoodpost.core.admission.ticket import TicketState
+from dogwoodpost.core.configuration import Limits
+from dogwoodpost.errors import RequestError
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.admission.ticket import Ticket
+
+_TOO_MANY_REQUESTS = 429
+_UNAVAILABLE = 503
+
+
+class AdmissionSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Constants of admission.
+
+    :param max_wait_share: share of the remaining time that a request may be
+        expected to wait; the rest is for running it.
+    :param max_waiting_count: bound on all waiting requests of a service.
+    :param min_retry_after_s: shortest Retry-After.
+    :param max_retry_after_s: longest Retry-After.
+    """
+
+    max_wait_share: float = 0.5
+    max_waiting_count: int = 4_096
+    min_retry_after_s: float = 1.0
+    max_retry_after_s: float = 60.0
+
+
+class _ServiceState:
+    """Queue and drain rate of one service."""
+
+    def __init__(self) -> None:
+        self.queue = FairQueue()
+        self.rate = DrainRate()
+
+
+class Admission:
+    """Limits per client account and fair queueing per service."""
+
+    def __init__(self, settings: AdmissionSettings | None = None) -> None:
+        self._settings = settings or AdmissionSettings()
+        self._accounts: dict[ids.ClientAccountId, AccountState] = {}
+        self._services: dict[ids.ServiceName, _ServiceState] = {}
+        self._default_limits = Limits()
+
+    def set_limits(
+        self,
+        client_account_id: ids.ClientAccountId,
+        limits: Limits,
+        now_s: float,
+    ) -> None:
+        """Apply an account's limits; to be called before its requests."""
+        state = self._accounts.get(client_account_id)
+        if state is None:
+            self._accounts[client_account_id] = AccountState(limits, now_s)
+        elif state.limits != limits:
+            state.change_limits(limits, now_s)
+
+    def waiting_count(self, service: ids.ServiceName) -> int:
+        """Return how many requests of a service wait."""
+        state = self._services.get(service)
+        return state.queue.count if state else 0
+
+    def running_count(self, client_account_id: ids.ClientAccountId) -> int:
+        """Return how many requests of an account run."""
+        state = self._accounts.get(client_account_id)
+        return state.running_count if state else 0
+
+    def submit(self, ticket: Ticket, now_s: float) -> None:
+        """Queue a request.
+
+        :raises RequestError: the request is refused and has not run.
+        """
+        account = self._account(ticket.client_account_id, now_s)
+        service = self._service(ticket.service)
+        self._check_queue_bounds(account, service, ticket, now_s)
+        self._check_expected_wait(account, service, ticket, now_s)
+        service.rate.advance(now_s, backlogged=service.queue.count > 0)
+        service.queue.push(ticket)
+        account.waiting_count += 1
+
+    def heads(self, service: ids.ServiceName, now_s: float) -> list[Ticket]:
+        """Return the requests that may start, the fairest first.
+
+        There is at most one of each account.
+        """
+        state = self._services.get(service)
+        if state is None:
+            return []
+        return list(
+            state.queue.heads(
+                lambda account_id: self._accounts[account_id].may_start(now_s)
+            )
+        )
+
+    def start(self, ticket: Ticket, now_s: float) -> None:
+        """Start a request that :meth:`heads` returned."""
+        account = self._accounts[ticket.client_account_id]
+        service = self._services[ticket.service]
+        service.rate.advance(now_s, backlogged=True)
+        service.queue.start(ticket, account.limits.weight)
+        account.waiting_count -= 1
+        account.running_count += 1
+        account.charge(ticket.cost_tokens, now_s)
+        ticket.state = TicketState.RUNNING
+
+    def finish(
+        self, ticket: Ticket, actual_tokens: float, now_s: float
+    ) -> None:
+        """End a request that ran; the account pays the actual cost."""
+        if ticket.state is not TicketState.RUNNING:
+            raise ValueError(f'{ticket.request_id} does not run')
+        ticket.state = TicketState.DONE
+        account = self._accounts[ticket.client_account_id]
+        service = self._services[ticket.service]
+        account.running_count -= 1
+        extra_tokens = actual_tokens - ticket.cost_tokens
+        account.charge(extra_tokens, now_s)
+        service.queue.correct(
+            ticket.client_account_id, extra_tokens, account.limits.weight
+        )
+        backlogged = service.queue.count > 0
+        service.rate.advance(now_s, backlogged=backlogged)
+        if backlogged:
+            service.rate.complete(actual_tokens)
+        service.queue.forget(ticket.client_account_id)
+
+    def withdraw(self, ticket: Ticket, now_s: float) -> None:
+        """Take a waiting request off its queue; it has not run."""
+        if ticket.state is not TicketState.WAITING:
+            raise ValueError(f'{ticket.request_id} does not wait')
+        ticket.state = TicketState.DONE
+        service = self._services[ticket.service]
+        service.rate.advance(now_s, backlogged=True)
+        service.queue.remove(ticket)
+        service.queue.forget(ticket.client_account_id)
+        self._accounts[ticket.client_account_id].waiting_count -= 1
+
+    def expire(self, service: ids.ServiceName, now_s: float) -> list[Ticket]:
+        """Withdraw and return the requests whose deadline has passed."""
+        state = self._services.get(service)
+        if state is None:
+            return []
+        expired = state.queue.expired(now_s)
+        for ticket in expired:
+            self.withdraw(ticket, now_s)
+        return expired
+
+    def expected_wait_s(
+        self,
+        client_account_id: ids.ClientAccountId,
+        service_name: ids.ServiceName,
+        now_s: float,
+    ) -> float:
+        """Return how long a new request of an account would wait."""
+        account = self._account(client_account_id, now_s)
+        service = self._service(service_name)
+        token_wait_s = account.token_wait_s(now_s)
+        queued_tokens = service.queue.queued_tokens(client_account_id)
+        rate = service.rate.tokens_per_s()
+        if not queued_tokens or rate is None:
+            return token_wait_s
+        if rate <= 0.0:
+            return math.inf
+        own_weight = account.limits.weight
+        accounts = {client_account_id, *service.queue.backlogged()}
+        total_weight = sum(
+            self._accounts[account_id].limits.weight for account_id in accounts
+        )
+        queue_wait_s = queued_tokens * total_weight / (rate * own_weight)
+        return max(token_wait_s, queue_wait_s)
+
+    def retry_after_s(self, wait_s: float) -> float:
+        """Return a Retry-After for an expected wait, within its bounds."""
+        settings = self._settings
+        bounded_s = min(max(wait_s, settings.min_retry_after_s), math.inf)
+        return min(bounded_s, settings.max_retry_after_s)
+
+    def _check_queue_bounds(
+        self,
+        account: AccountState,
+        service: _ServiceState,
+        ticket: Ticket,
+        now_s: float,
+    ) -> None:
+        if account.waiting_count >= account.limits.max_queued_count:
+            raise self._refusal(
+                'account_queue_full',
+                'the client account has too many waiting requests',
+                _TOO_MANY_REQUESTS,
+                self.expected_wait_s(
+                    ticket.client_account_id, ticket.service, now_s
+                ),
+            )
+        if service.queue.count >= self._settings.max_waiting_count:
+            raise self._refusal(
+                'queue_full',
+                'the service has too many waiting requests',
+                _UNAVAILABLE,
+                self.expected_wait_s(
+                    ticket.client_account_id, ticket.service, now_s
+                ),
+            )
+
+    def _check_expected_wait(
+        self,
+        account: AccountState,
+        service: _ServiceState,
+        ticket: Ticket,
+        now_s: float,
+    ) -> None:
+        allowed_s = ticket.deadline_s - now_s
+        token_wait_s = account.token_wait_s(now_s)
+        if token_wait_s > allowed_s:
+            raise self._refusal(
+                'token_rate',
+                'the client account has used up its token rate',
+                _TOO_MANY_REQUESTS,
+                token_wait_s,
+            )
+        wait_s = self.expected_wait_s(
+            ticket.client_account_id, ticket.service, now_s
+        )
+        allowed_s *= self._settings.max_wait_share
+        if wait_s > allowed_s:
+            raise self._refusal(
+                'wait_exceeds_deadline',
+                'the request would wait longer than its time limit allows',
+                _UNAVAILABLE,
+                wait_s - allowed_s,
+            )
+
+    def _refusal(
+        self, code: str, message: str, status: int, wait_s: float
+    ) -> RequestError:
+        return RequestError(
+            code,
+            message,
+            status=status,
+            not_run=True,
+            retry_after_s=self.retry_after_s(wait_s),
+        )
+
+    def _account(
+        self, client_account_id: ids.ClientAccountId, now_s: float
+    ) -> AccountState:
+        state = self._accounts.get(client_account_id)
+        if state is None:
+            state = AccountState(self._default_limits, now_s)
+            self._accounts[client_account_id] = state
+        return state
+
+    def _service(self, service: ids.ServiceName) -> _ServiceState:
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _ServiceState()
+        return state
--- /dev/null
+++ b/src/dogwoodpost/core/admission/cost.py
@@ -0,0 +1,30 @@
+"""Cost of requests in tokens."""
+
+from __future__ import annotations
+
+# An engine processes prompt tokens in parallel, at about a tenth of the cost
+# of a generated token; those found in the prefix cache cost next to nothing.
+_PROMPT_TOKEN_COST = 0.1
+_CACHED_TOKEN_COST = 0.01
+# Makes requests to plain services and empty prompts count.
+MIN_COST_TOKENS = 1.0
+
+
+def estimated_cost_tokens(prompt_tokens: int, max_tokens: int) -> float:
+    """Return the cost to reserve before a request runs."""
+    cost = prompt_tokens * _PROMPT_TOKEN_COST + max_tokens
+    return max(cost, MIN_COST_TOKENS)
+
+
+def actual_cost_tokens(
+    prompt_tokens: int, cached_tokens: int, completion_tokens: int
+) -> float:
+    """Return the cost of a request that has run."""
+    cached_tokens = min(cached_tokens, prompt_tokens)
+    uncached_tokens = prompt_tokens - cached_tokens
+    cost = (
+        uncached_tokens * _PROMPT_TOKEN_COST
+        + cached_tokens * _CACHED_TOKEN_COST
+        + completion_tokens
+    )
+    return max(cost, MIN_COST_TOKENS)
--- /dev/null
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -0,0 +1,117 @@
+"""Weighted fair queueing of one service in virtual token time."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.admission.ticket import TicketState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.admission.ticket import Ticket
+
+
+class FairQueue:
+    """One first-in, first-out queue per client account.
+
+    Each account has a virtual time that advances by cost divided by weight
+    as its requests start. The account furthest behind goes first. An account
+    that had nothing to do resumes at the time of those being served, so it
+    saves up no claim while it is idle.
+    """
+
+    def __init__(self) -> None:
+        self._queues: dict[ids.ClientAccountId, deque[Ticket]] = {}
+        self._virtual: dict[ids.ClientAccountId, float] = {}
+        self._served_virtual = 0.0
+        self._queued_tokens: dict[ids.ClientAccountId, float] = {}
+        self.count = 0
+
+    def push(self, ticket: Ticket) -> None:
+        """Append a request to its account's queue."""
+        account_id = ticket.client_account_id
+        queue = self._queues.get(account_id)
+        if queue is None:
+            queue = self._queues[account_id] = deque()
+            self._virtual[account_id] = max(
+                self._virtual.get(account_id, 0.0), self._served_virtual
+            )
+        queue.append(ticket)
+        self.count += 1
+        queued = self._queued_tokens.get(account_id, 0.0)
+        self._queued_tokens[account_id] = queued + ticket.cost_tokens
+
+    def heads(
+        self, may_start: Callable[[ids.ClientAccountId], bool]
+    ) -> Iterator[Ticket]:
+        """Yield the first request of each account, the fairest first."""
+        order = sorted(
+            (
+                account_id
+                for account_id in self._queues
+                if may_start(account_id)
+            ),
+            key=lambda account_id: (self._virtual[account_id], account_id),
+        )
+        for account_id in order:
+            yield self._queues[account_id][0]
+
+    def start(self, ticket: Ticket, weight: float) -> None:
+        """Take the first request of an account off its queue to run it."""
+        account_id = ticket.client_account_id
+        self._served_virtual = max(
+            self._served_virtual,
+            min(self._virtual[account_id] for account_id in self._queues),
+        )
+        self.remove(ticket)
+        self._virtual[account_id] += ticket.cost_tokens / weight
+
+    def remove(self, ticket: Ticket) -> None:
+        """Take a waiting request off its queue."""
+        account_id = ticket.client_account_id
+        queue = self._queues[account_id]
+        queue.remove(ticket)
+        self.count -= 1
+        self._queued_tokens[account_id] -= ticket.cost_tokens
+        if not queue:
+            del self._queues[account_id]
+            del self._queued_tokens[account_id]
+
+    def correct(
+        self,
+        account_id: ids.ClientAccountId,
+        extra_tokens: float,
+        weight: float,
+    ) -> None:
+        """Account for the difference between actual and estimated cost."""
+        if account_id in self._virtual:
+            self._virtual[account_id] += extra_tokens / weight
+
+    def forget(self, account_id: ids.ClientAccountId) -> None:
+        """Drop an idle account's virtual time if it is no longer ahead."""
+        if account_id in self._queues:
+            return
+        if self._virtual.get(account_id, 0.0) <= self._served_virtual:
+            self._virtual.pop(account_id, None)
+
+    def backlogged(self) -> list[ids.ClientAccountId]:
+        """Return the accounts with waiting requests."""
+        return list(self._queues)
+
+    def queued_tokens(self, account_id: ids.ClientAccountId) -> float:
+        """Return the estimated cost of an account's waiting requests."""
+        return self._queued_tokens.get(account_id, 0.0)
+
+    def expired(self, now_s: float) -> list[Ticket]:
+        """Return the waiting requests whose deadline has passed."""
+        return [
+            ticket
+            for queue in self._queues.values()
+            for ticket in queue
+            if ticket.deadline_s <= now_s
+            and ticket.state is TicketState.WAITING
+        ]
--- /dev/null
+++ b/src/dogwoodpost/core/admission/ticket.py
@@ -0,0 +1,33 @@
+"""A request on its way through admission."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from dogwoodpost.core import ids
+
+
+class TicketState(Enum):
+    """Where a request is."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    DONE = 'done'
+
+
+class Ticket(msgspec.Struct, kw_only=True, eq=False):
+    """A request that waits or runs.
+
+    :param cost_tokens: estimated cost, corrected when the request ends.
+    :param deadline_s: time after which nobody wants the response.
+    """
+
+    request_id: ids.RequestId
+    client_account_id: ids.ClientAccountId
+    service: ids.ServiceName
+    cost_tokens: float
+    deadline_s: float
+    enqueued_s: float
+    state: TicketState = TicketState.WAITING
--- a/src/dogwoodpost/core/retries/__init__.py
+++ b/src/dogwoodpost/core/retries/__init__.py
@@ -1,1 +1,8 @@
-"""Retry budgets and backoff."""
+"""Retry budget and delays."""
+
+from __future__ import annotations
+
+from dogwoodpost.core.retries.retry_budget import RetryBudget
+from dogwoodpost.core.retries.retry_policy import RetryPolicy
+
+__all__ = ('RetryBudget', 'RetryPolicy')
--- a/src/dogwoodpost/core/routing/__init__.py
+++ b/src/dogwoodpost/core/routing/__init__.py
@@ -1,1 +1,27 @@
 """Choice of endpoints."""
+
+from __future__ import annotations
+
+from dogwoodpost.core.routing.endpoint import Endpoint
+from dogwoodpost.core.routing.endpoint import EndpointListener
+from dogwoodpost.core.routing.outlier_detector import Health
+from dogwoodpost.core.routing.prefix import BLOCK_BYTES
+from dogwoodpost.core.routing.prefix import prefix_hashes
+from dogwoodpost.core.routing.route_query import AttemptResult
+from dogwoodpost.core.routing.route_query import RouteQuery
+from dogwoodpost.core.routing.router import Router
+from dogwoodpost.core.routing.settings import OutlierSettings
+from dogwoodpost.core.routing.settings import RouterSettings
+
+__all__ = (
+    'BLOCK_BYTES',
+    'AttemptResult',
+    'Endpoint',
+    'EndpointListener',
+    'Health',
+    'OutlierSettings',
+    'RouteQuery',
+    'Router',
+    'RouterSettings',
+    'prefix_hashes',
+)
--- /dev/null
+++ b/src/dogwoodpost/core/routing/router.py
@@ -0,0 +1,358 @@
+"""Chooses the endpoint for an attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.routing.cache_index import CacheIndex
+from dogwoodpost.core.routing.outlier_detector import Health
+from dogwoodpost.core.routing.prefix import BLOCK_TOKENS
+from dogwoodpost.core.routing.rendezvous import Rendezvous
+from dogwoodpost.core.routing.service_group import Distance
+from dogwoodpost.core.routing.service_group import ServiceGroup
+from dogwoodpost.core.routing.settings import OutlierSettings
+from dogwoodpost.core.routing.settings import RouterSettings
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core import messages
+    from dogwoodpost.core.routing.endpoint import Endpoint
+    from dogwoodpost.core.routing.route_query import AttemptResult
+    from dogwoodpost.core.routing.route_query import RouteQuery
+
+_BYTES_PER_MIB = 1024 * 1024
+# Up to this size every endpoint of a service is compared.
+_COMPARE_ALL_COUNT = 16
+# Depth of the prefix that decides on a home while nobody is known to hold
+# any of it; entries that have seen nothing yet agree on it.
+_COLD_KEY_BLOCK = 3
+
+
+class Router:
+    """Implements ``EndpointListener`` and chooses among the endpoints."""
+
+    def __init__(
+        self,
+        availability_zone: ids.AvailabilityZone,
+        region: ids.Region,
+        rng: random.Random,
+        settings: RouterSettings | None = None,
+        outlier_settings: OutlierSettings | None = None,
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._region = region
+        self._rng = rng
+        self._settings = settings or RouterSettings()
+        self._outlier_settings = outlier_settings or OutlierSettings()
+        self._groups: dict[ids.ServiceName, ServiceGroup] = {}
+        self._service_by_endpoint: dict[ids.EndpointId, ids.ServiceName] = {}
+        self._rendezvous = Rendezvous()
+        self._index = CacheIndex(
+            self._settings.max_index_blocks, self._settings.presumed_weight
+        )
+
+    def upsert(self, endpoint: Endpoint, now_s: float) -> None:
+        """Add an endpoint, or replace what is known of it."""
+        endpoint_id = endpoint.endpoint_id
+        service = self._service_by_endpoint.get(endpoint_id)
+        if service is not None and service != endpoint.service:
+            self.remove(endpoint_id, now_s)
+        group = self._group(endpoint.service)
+        known = group.endpoints.get(endpoint_id)
+        if not group.upsert(endpoint):
+            return
+        self._service_by_endpoint[endpoint_id] = endpoint.service
+        self._index.add(endpoint_id)
+        self._rendezvous.clear()
+        if known is None:
+            return
+        if known.agent_incarnation != endpoint.agent_incarnation:
+            self._index.void(endpoint_id)
+
+    def remove(self, endpoint_id: ids.EndpointId, now_s: float) -> None:
+        """Forget an endpoint; an unknown id has no effect."""
+        service = self._service_by_endpoint.pop(endpoint_id, None)
+        if service is None:
+            return
+        self._groups[service].remove(endpoint_id)
+        self._index.remove(endpoint_id)
+        self._rendezvous.clear()
+
+    def report_load(self, load: messages.EndpointLoad, now_s: float) -> None:
+        """Take a load report, which lags by ``age_ms``."""
+        service = self._service_by_endpoint.get(load.endpoint_id)
+        if service is not None:
+            self._groups[service].loads[load.endpoint_id].report(load, now_s)
+
+    def record_cache_events(
+        self, events: messages.CacheEvents, now_s: float
+    ) -> None:
+        """Take cache events; a gap makes the index of that endpoint void."""
+        self._index.record_events(events)
+
+    def has_endpoint(self, service: ids.ServiceName) -> bool:
+        """Return whether any endpoint of a service may get work."""
+        group = self._groups.get(service)
+        return group is not None and any(group.eligible().values())
+
+    def duration_s(self, service: ids.ServiceName) -> float:
+        """Return the mean duration of a service's attempts, in seconds."""
+        return self._group(service).duration_s
+
+    def choose(self, query: RouteQuery, now_s: float) -> Endpoint | None:
+        """Return the endpoint for an attempt, or None if it has to wait.
+
+        None is also returned if no endpoint is eligible at all.
+        """
+        group = self._groups.get(query.service)
+        if group is None:
+            return None
+        candidates = self._candidates(group, query, now_s)
+        if not candidates:
+            return None
+        loads = {
+            endpoint_id: group.loads[endpoint_id].count(now_s)
+            for endpoint_id in candidates
+        }
+        open_ids = self._with_room(candidates, loads, query)
+        if not open_ids:
+            return None
+        scores = [
+            (self._score_s(group, query, endpoint_id, loads, now_s), index)
+            for index, endpoint_id in enumerate(open_ids)
+        ]
+        best_s, index = min(scores)
+        chosen = group.endpoints[open_ids[index]]
+        if self._should_wait_nearby(group, query, chosen, best_s):
+            return None
+        return chosen
+
+    def begin(
+        self,
+        endpoint_id: ids.EndpointId,
+        attempt_id: ids.AttemptId,
+        query: RouteQuery,
+        now_s: float,
+    ) -> None:
+        """Note that an attempt is sent to an endpoint."""
+        group = self._group(query.service)
+        load = group.loads.get(endpoint_id)
+        if load is None:
+            return
+        load.begin(attempt_id, now_s)
+        group.outliers.begin(endpoint_id, attempt_id, now_s)
+        self._index.presume(endpoint_id, query.prefix)
+
+    def finish(
+        self,
+        service: ids.ServiceName,
+        endpoint_id: ids.EndpointId,
+        attempt_id: ids.AttemptId,
+        result: AttemptResult,
+        now_s: float,
+    ) -> None:
+        """Note the end of an attempt and what it tells of its endpoint."""
+        group = self._group(service)
+        load = group.loads.get(endpoint_id)
+        if load is None:
+            return
+        load.finish(attempt_id)
+        if not result.judged:
+            group.outliers.abandon(endpoint_id, attempt_id)
+            return
+        s_per_unit = None
+        if not result.failed:
+            group.observe_duration(result.duration_s)
+            if result.work_units > 0:
+                s_per_unit = result.duration_s / result.work_units
+        group.outliers.record(
+            endpoint_id,
+            attempt_id,
+            failed=result.failed,
+            s_per_unit=s_per_unit,
+            now_s=now_s,
+        )
+
+    def health(self, endpoint_id: ids.EndpointId, now_s: float) -> Health:
+        """Return the state of an endpoint in the rotation."""
+        service = self._service_by_endpoint[endpoint_id]
+        return self._groups[service].outliers.health(endpoint_id, now_s)
+
+    def _group(self, service: ids.ServiceName) -> ServiceGroup:
+        group = self._groups.get(service)
+        if group is None:
+            group = ServiceGroup(
+                self._availability_zone, self._region, self._outlier_settings
+            )
+            self._groups[service] = group
+        return group
+
+    def _candidates(
+        self, group: ServiceGroup, query: RouteQuery, now_s: float
+    ) -> list[ids.EndpointId]:
+        allowed = [
+            endpoint_id
+            for endpoint_id in self._sample(group, query)
+            if self._is_allowed(group, query, endpoint_id)
+        ]
+        in_rotation = []
+        for endpoint_id in allowed:
+            wanted = group.outliers.wants_probe(endpoint_id, now_s)
+            if wanted and query.may_probe:
+                # A probe goes ahead of any comparison, or an endpoint whose
+                # record is bad would never be tried again.
+                return [endpoint_id]
+            if group.outliers.health(endpoint_id, now_s) is Health.HEALTHY:
+                in_rotation.append(endpoint_id)
+        # If all that is left has been ejected, trying beats refusing.
+        return in_rotation or allowed
+
+    def _sample(
+        self, group: ServiceGroup, query: RouteQuery
+    ) -> Iterable[ids.EndpointId]:
+        eligible = group.eligible()
+        total_count = sum(len(members) for members in eligible.values())
+        if total_count <= _COMPARE_ALL_COUNT:
+            return [*eligible[Distance.ZONE], *eligible[Distance.REGION]] + (
+                eligible[Distance.REMOTE]
+            )
+        settings = self._settings
+        sample = dict.fromkeys(
+            endpoint_id
+            for endpoint_id in self._index.holders(
+                query.prefix, settings.index_count
+            )
+            if self._service_by_endpoint.get(endpoint_id) == query.service
+        )
+        near = True
+        for distance, members in eligible.items():
+            if not members:
+                continue
+            count = settings.random_count if near else settings.remote_count
+            sample.update(dict.fromkeys(self._draw(members, count)))
+            if near and query.prefix:
+                group_name = f'{query.service}/{distance.value}'
+                sample.update(
+                    dict.fromkeys(self._homes(group_name, query, members))
+                )
+            near = False
+        return sample
+
+    def _homes(
+        self,
+        group_name: str,
+        query: RouteQuery,
+        members: Sequence[ids.EndpointId],
+    ) -> tuple[ids.EndpointId, ...]:
+        return self._rendezvous.top(
+            group_name,
+            self._affinity_key(query.prefix),
+            members,
+            self._settings.rendezvous_count,
+        )
+
+    def _affinity_key(self, prefix: Sequence[int]) -> int:
+        known = self._index.deepest_known(prefix)
+        if known is not None:
+            return known
+        return prefix[min(_COLD_KEY_BLOCK, len(prefix) - 1)]
+
+    def _draw(
+        self, members: Sequence[ids.EndpointId], count: int
+    ) -> list[ids.EndpointId]:
+        return self._rng.sample(members, min(count, len(members)))
+
+    def _is_allowed(
+        self,
+        group: ServiceGroup,
+        query: RouteQuery,
+        endpoint_id: ids.EndpointId,
+    ) -> bool:
+        if endpoint_id in query.excluded:
+            return False
+        endpoint = group.endpoints.get(endpoint_id)
+        if endpoint is None or endpoint.draining or not endpoint.ready:
+            return False
+        needed = query.min_weight_version
+        if needed is None:
+            return True
+        version = endpoint.weight_version
+        return version is not None and version >= needed
+
+    def _with_room(
+        self,
+        candidates: Sequence[ids.EndpointId],
+        loads: dict[ids.EndpointId, int],
+        query: RouteQuery,
+    ) -> list[ids.EndpointId]:
+        if query.needs_room:
+            candidates = [
+                endpoint_id
+                for endpoint_id in candidates
+                if loads[endpoint_id] < query.concurrency
+            ]
+        if len(candidates) < 2:
+            return list(candidates)
+        mean = sum(loads[one] for one in candidates) / len(candidates)
+        bound = self._settings.load_bound * (mean + 1.0)
+        bounded = [one for one in candidates if loads[one] <= bound]
+        return bounded or list(candidates)
+
+    def _score_s(
+        self,
+        group: ServiceGroup,
+        query: RouteQuery,
+        endpoint_id: ids.EndpointId,
+        loads: dict[ids.EndpointId, int],
+        now_s: float,
+    ) -> float:
+        """Return the expected time at an endpoint, with the charge."""
+        slowness = max(group.outliers.slowness(endpoint_id, now_s), 0.5)
+        load_share = (loads[endpoint_id] + 1) / query.concurrency
+        work_s = group.duration_s * load_share * slowness
+        matched = self._index.matched_blocks(endpoint_id, query.prefix)
+        uncached_tokens = max(
+            0.0, query.prompt_tokens - matched * BLOCK_TOKENS
+        )
+        prefill_s = uncached_tokens * self._settings.prefill_s_per_token
+        distance = group.distance(group.endpoints[endpoint_id])
+        return (
+            work_s + prefill_s * slowness + self._distance_s(distance, query)
+        )
+
+    def _distance_s(self, distance: Distance, query: RouteQuery) -> float:
+        settings = self._settings
+        if distance is Distance.ZONE:
+            return 0.0
+        if distance is Distance.REGION:
+            return settings.zone_delay_s
+        volume_mib = query.volume_bytes / _BYTES_PER_MIB
+        charge_s = volume_mib * settings.region_charge_s_per_mib
+        return settings.region_delay_s + charge_s
+
+    def _should_wait_nearby(
+        self,
+        group: ServiceGroup,
+        query: RouteQuery,
+        chosen: Endpoint,
+        best_s: float,
+    ) -> bool:
+        """Return whether a nearer endpoint frees up before it pays to go."""
+        if not query.needs_room:
+            return False
+        if group.distance(chosen) is not Distance.REMOTE:
+            return False
+        eligible = group.eligible()
+        near = eligible[Distance.ZONE] + eligible[Distance.REGION]
+        usable_count = sum(
+            self._is_allowed(group, query, endpoint_id) for endpoint_id in near
+        )
+        if not usable_count:
+            return False
+        slot_count = usable_count * query.concurrency
+        near_wait_s = group.duration_s * (query.waiting_count + 1) / slot_count
+        return near_wait_s < self._distance_s(Distance.REMOTE, query)
--- /dev/null
+++ b/src/dogwoodpost/core/routing/service_group.py
@@ -0,0 +1,83 @@
+"""The endpoints of one service, by distance from this entry."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.routing.load_estimate import LoadEstimate
+from dogwoodpost.core.routing.outlier_detector import OutlierDetector
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.routing.endpoint import Endpoint
+    from dogwoodpost.core.routing.settings import OutlierSettings
+
+_SMOOTHING = 0.05
+_INITIAL_DURATION_S = 0.1
+
+
+class Distance(Enum):
+    """How far an endpoint is from this entry."""
+
+    ZONE = 0
+    REGION = 1
+    REMOTE = 2
+
+
+class ServiceGroup:
+    """State that the router keeps per service."""
+
+    def __init__(
+        self,
+        availability_zone: ids.AvailabilityZone,
+        region: ids.Region,
+        outlier_settings: OutlierSettings,
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._region = region
+        self.endpoints: dict[ids.EndpointId, Endpoint] = {}
+        self.loads: dict[ids.EndpointId, LoadEstimate] = {}
+        self.outliers = OutlierDetector(outlier_settings)
+        self.duration_s = _INITIAL_DURATION_S
+        self._eligible: dict[Distance, list[ids.EndpointId]] | None = None
+
+    def upsert(self, endpoint: Endpoint) -> bool:
+        """Add or replace an endpoint; return whether anything changed."""
+        known = self.endpoints.get(endpoint.endpoint_id)
+        if known == endpoint:
+            return False
+        self.endpoints[endpoint.endpoint_id] = endpoint
+        self.loads.setdefault(endpoint.endpoint_id, LoadEstimate())
+        self.outliers.add(endpoint.endpoint_id)
+        self._eligible = None
+        return True
+
+    def remove(self, endpoint_id: ids.EndpointId) -> None:
+        """Forget an endpoint."""
+        self.endpoints.pop(endpoint_id, None)
+        self.loads.pop(endpoint_id, None)
+        self.outliers.remove(endpoint_id)
+        self._eligible = None
+
+    def distance(self, endpoint: Endpoint) -> Distance:
+        """Return how far an endpoint is."""
+        if endpoint.availability_zone == self._availability_zone:
+            return Distance.ZONE
+        if endpoint.region == self._region:
+            return Distance.REGION
+        return Distance.REMOTE
+
+    def eligible(self) -> dict[Distance, list[ids.EndpointId]]:
+        """Return the endpoints that may get work, by distance."""
+        if self._eligible is None:
+            self._eligible = {distance: [] for distance in Distance}
+            for endpoint_id, endpoint in self.endpoints.items():
+                if endpoint.ready and not endpoint.draining:
+                    distance = self.distance(endpoint)
+                    self._eligible[distance].append(endpoint_id)
+        return self._eligible
+
+    def observe_duration(self, duration_s: float) -> None:
+        """Follow the mean duration of the service's attempts."""
+        self.duration_s += _SMOOTHING * (duration_s - self.duration_s)
--- /dev/null
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -0,0 +1,42 @@
+"""A request as the pipeline takes it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.admission import MIN_COST_TOKENS
+from dogwoodpost.core.configuration import Limits
+from dogwoodpost.core.configuration import Route
+from dogwoodpost.core.configuration import Service
+
+
+class PipelineRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that passed all checks; holds no caller's key.
+
+    :param client_account_id: None on routes open to all.
+    :param path: with the query string.
+    :param prefix: hashes of the prompt's prefix blocks.
+    :param cost_tokens: estimated cost.
+    :param whole_response: pass nothing on before the response is complete, so
+        that a failure in the middle can still be retried.
+    """
+
+    request_id: ids.RequestId
+    route: Route
+    service: Service
+    client_account_id: ids.ClientAccountId | None
+    limits: Limits = Limits()
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    timeout_s: float
+    idempotent: bool = True
+    priority: int = 0
+    prefix: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    cost_tokens: float = MIN_COST_TOKENS
+    min_weight_version: ids.WeightVersion | None = None
+    excluded: frozenset[ids.EndpointId] = frozenset()
+    whole_response: bool = False
--- /dev/null
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -0,0 +1,79 @@
+"""Ties admission, routing, attempts and retries together."""
+
+from __future__ import annotations
+
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.retries import RetryBudget
+from dogwoodpost.core.retries import RetryPolicy
+from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.request_queue import RequestQueue
+from dogwoodpost.services.entry.request_run import RequestRun
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncGenerator
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.admission import Admission
+    from dogwoodpost.core.routing import Router
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.ports.attempt_runner import AttemptEvent
+    from dogwoodpost.ports.attempt_runner import AttemptRunner
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.usage_recorder import UsageRecorder
+    from dogwoodpost.services.entry.pipeline_request import PipelineRequest
+
+
+class RequestPipeline:
+    """Runs requests of callers and of rollouts."""
+
+    def __init__(
+        self,
+        *,
+        runner: AttemptRunner,
+        router: Router,
+        admission: Admission,
+        usage: UsageRecorder,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        retry_policy: RetryPolicy | None = None,
+    ) -> None:
+        self.runner = runner
+        self.router = router
+        self.admission = admission
+        self.usage = usage
+        self.metrics = metrics
+        self.clock = clock
+        self.rng = rng
+        self.retry_policy = retry_policy or RetryPolicy()
+        self.queue = RequestQueue(admission, router, clock)
+        self._budgets: dict[ids.RouteName, RetryBudget] = {}
+
+    async def execute(
+        self, request: PipelineRequest
+    ) -> AsyncGenerator[AttemptEvent, None]:
+        """Yield the response of a request; its last item is its end.
+
+        Closing the iterator early cancels the request.
+
+        :raises RequestError: the request was refused or failed; its reason
+            has been counted.
+        """
+        run = RequestRun(self, request)
+        try:
+            async with aclosing(run.events()) as events:
+                async for event in events:
+                    yield event
+        except RequestError as error:
+            self.metrics.refusals.labels(error.code).inc()
+            raise
+
+    def retry_budget(self, route: ids.RouteName) -> RetryBudget:
+        """Return the budget that all retries of a route share."""
+        budget = self._budgets.get(route)
+        if budget is None:
+            budget = self._budgets[route] = RetryBudget()
+        return budget
