--- a/src/dogwoodpost/core/routing/__init__.py
+++ b/src/dogwoodpost/core/routing/__init__.py
@@ -7,6 +7,8 @@
 from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.prefix import BLOCK_BYTES
 from dogwoodpost.core.routing.prefix import prefix_hashes
+from dogwoodpost.core.routing.prefix import TYPICAL_BYTES_PER_TOKEN
+from dogwoodpost.core.routing.prompt import prompt_bytes
 from dogwoodpost.core.routing.route_query import AttemptResult
 from dogwoodpost.core.routing.route_query import RouteQuery
 from dogwoodpost.core.routing.router import Router
@@ -23,5 +25,7 @@
     'RouteQuery',
     'Router',
     'RouterSettings',
+    'TYPICAL_BYTES_PER_TOKEN',
     'prefix_hashes',
+    'prompt_bytes',
 )
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -92,6 +92,8 @@
     :param status: HTTP status code.
     :param not_run: true only if no copy of the request can still run.
     :param retry_after_s: when the caller may try again, in seconds.
+
+    ``counted`` tells whether the refusal counter contains the error.
     """
 
     def __init__(
@@ -107,4 +109,5 @@
         self.status = status
         self.not_run = not_run
         self.retry_after_s = retry_after_s
+        self.counted = False
         super().__init__(message)
--- /dev/null
+++ b/src/dogwoodpost/services/entry/http/completion.py
@@ -0,0 +1,119 @@
+"""Checks the JSON body of a request to an engine."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.admission import estimated_cost_tokens
+from dogwoodpost.core.routing import prefix_hashes
+from dogwoodpost.core.routing import prompt_bytes
+from dogwoodpost.core.routing import TYPICAL_BYTES_PER_TOKEN
+from dogwoodpost.errors import RequestError
+
+# Engines serve nothing else to callers; their control paths stay out of reach.
+COMPLETIONS_PATH = '/v1/completions'
+CHAT_PATH = '/v1/chat/completions'
+ENGINE_PATHS = (COMPLETIONS_PATH, CHAT_PATH)
+# Used for the cost estimate if the caller names no maximum.
+_DEFAULT_MAX_TOKENS = 256
+_MAX_TOKENS_BOUND = 1_000_000
+_MAX_CHOICE_COUNT = 64
+
+
+class CompletionRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What the entry needs of a request to an engine."""
+
+    document: dict[str, Any]
+    model: str
+    stream: bool
+    min_weight_version: ids.WeightVersion | None
+    prefix: tuple[int, ...]
+    prompt_tokens: int
+    cost_tokens: float
+
+    def body(self, priority: int) -> bytes:
+        """Return the body for the engine, with the route's priority.
+
+        Writing the body anew removes repeated names, which two readers could
+        understand differently, and a priority that the caller chose.
+        """
+        return msgspec.json.encode({**self.document, 'priority': priority})
+
+
+def parse_completion(path: str, body: bytes) -> CompletionRequest:
+    """Check the body of a request to an engine's path.
+
+    :raises RequestError: the body is malformed.
+    """
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        raise _malformed('the body is not valid JSON') from None
+    if not isinstance(document, dict):
+        raise _malformed('the body is not a JSON object')
+    _check_prompt(path, document)
+    model = document.get('model')
+    if not isinstance(model, str) or not model:
+        raise _malformed('model is not a non-empty string')
+    stream = document.get('stream', False)
+    if not isinstance(stream, bool):
+        raise _malformed('stream is not a boolean')
+    version = _integer(document, 'min_weight_version', None, 0, 2**63 - 1)
+    choice_count = _integer(document, 'n', 1, 1, _MAX_CHOICE_COUNT) or 1
+    max_tokens = _integer(
+        document, 'max_tokens', _DEFAULT_MAX_TOKENS, 1, _MAX_TOKENS_BOUND
+    )
+    prompt = prompt_bytes(document)
+    prompt_tokens = len(prompt) // TYPICAL_BYTES_PER_TOKEN
+    return CompletionRequest(
+        document=document,
+        model=model,
+        stream=stream,
+        min_weight_version=(
+            None if version is None else ids.WeightVersion(version)
+        ),
+        prefix=prefix_hashes(prompt),
+        prompt_tokens=prompt_tokens,
+        cost_tokens=estimated_cost_tokens(
+            prompt_tokens, (max_tokens or 0) * choice_count
+        ),
+    )
+
+
+def _check_prompt(path: str, document: dict[str, Any]) -> None:
+    if path == COMPLETIONS_PATH:
+        if not isinstance(document.get('prompt'), str):
+            raise _malformed('prompt is not a string')
+        return
+    messages = document.get('messages')
+    if not isinstance(messages, list) or not messages:
+        raise _malformed('messages is not a non-empty list')
+    for message in messages:
+        if not isinstance(message, dict):
+            raise _malformed('a message is not an object')
+        if not isinstance(message.get('role'), str):
+            raise _malformed('the role of a message is not a string')
+
+
+def _integer(
+    document: dict[str, Any],
+    name: str,
+    default: int | None,
+    lowest: int,
+    highest: int,
+) -> int | None:
+    value = document.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _malformed(f'{name} is not an integer')
+    if not lowest <= value <= highest:
+        raise _malformed(f'{name} is not from {lowest} to {highest}')
+    return value
+
+
+def _malformed(message: str) -> RequestError:
+    return RequestError('malformed_request', message, status=400, not_run=True)
--- /dev/null
+++ b/src/dogwoodpost/services/entry/http/guard.py
@@ -0,0 +1,140 @@
+"""What surrounds the handling of every request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from aiohttp import web
+
+from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.http.active_requests import ActiveRequest
+from dogwoodpost.services.entry.http.error_body import error_response
+from dogwoodpost.services.entry.http.request_reader import REQUEST_ID_HEADER
+from dogwoodpost.services.entry.refusals import count_refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from dogwoodpost.config import EntrySettings
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.services.entry.http.active_requests import ActiveRequests
+    from dogwoodpost.services.entry.http.lifecycle import Lifecycle
+
+_ACTIVE = web.RequestKey('active_request', ActiveRequest)
+_NO_ROUTE = 'none'
+_log = structlog.get_logger(__name__)
+
+
+class Guard:
+    """Tracks requests, turns errors into responses and counts both."""
+
+    def __init__(
+        self,
+        lifecycle: Lifecycle,
+        active_requests: ActiveRequests,
+        metrics: Metrics,
+        clock: Clock,
+        settings: EntrySettings,
+    ) -> None:
+        self._lifecycle = lifecycle
+        self._active_requests = active_requests
+        self._metrics = metrics
+        self._clock = clock
+        self._max_header_bytes = settings.max_header_bytes
+
+    def middleware(self) -> Callable[..., Awaitable[web.StreamResponse]]:
+        """Return the middleware for the application."""
+
+        @web.middleware
+        async def guard(
+            request: web.Request,
+            handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+        ) -> web.StreamResponse:
+            return await self._handle(request, handler)
+
+        return guard
+
+    @staticmethod
+    def active_request(request: web.Request) -> ActiveRequest:
+        """Return the record of a request that is being handled."""
+        return request[_ACTIVE]
+
+    def handler(
+        self,
+        handle: Callable[
+            [web.Request, ActiveRequest], Awaitable[web.StreamResponse]
+        ],
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        """Adapt a handler that takes the record of its request."""
+
+        async def handler(request: web.Request) -> web.StreamResponse:
+            return await handle(request, self.active_request(request))
+
+        return handler
+
+    async def _handle(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        start_s = self._clock.monotonic_s()
+        with self._active_requests.track() as active:
+            request[_ACTIVE] = active
+            try:
+                response = await self._run(request, handler, active)
+            except RequestError as error:
+                response = self._error_response(error, active)
+            except (ConnectionError, web.HTTPException):
+                raise
+            except Exception:
+                _log.exception('request_failed', route=active.route_name)
+                internal = RequestError(
+                    'internal_error', 'internal error', status=500
+                )
+                response = self._error_response(internal, active)
+            self._observe(active, response, start_s)
+            return response
+
+    async def _run(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+        active: ActiveRequest,
+    ) -> web.StreamResponse:
+        with self._lifecycle.running(), active.ended_as_error():
+            self._check_headers(request)
+            return await handler(request)
+
+    def _error_response(
+        self, error: RequestError, active: ActiveRequest
+    ) -> web.Response:
+        count_refusal(self._metrics, error)
+        response = error_response(error)
+        if active.request_id:
+            response.headers[REQUEST_ID_HEADER] = active.request_id
+        return response
+
+    def _check_headers(self, request: web.Request) -> None:
+        size_bytes = len(request.raw_path) + sum(
+            len(name) + len(value) for name, value in request.raw_headers
+        )
+        if size_bytes > self._max_header_bytes:
+            raise RequestError(
+                'headers_too_large',
+                f'the head is larger than {self._max_header_bytes} bytes',
+                status=431,
+                not_run=True,
+            )
+
+    def _observe(
+        self,
+        active: ActiveRequest,
+        response: web.StreamResponse,
+        start_s: float,
+    ) -> None:
+        route_name = active.route_name or _NO_ROUTE
+        self._metrics.requests.labels(route_name, str(response.status)).inc()
+        self._metrics.observe('request', self._clock.monotonic_s() - start_s)
--- /dev/null
+++ b/src/dogwoodpost/services/entry/http/request_handler.py
@@ -0,0 +1,157 @@
+"""Answers callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from dogwoodpost.errors import RequestError
+from dogwoodpost.ports.attempt_runner import AttemptData
+from dogwoodpost.ports.attempt_runner import AttemptHead
+from dogwoodpost.services.entry.http.active_requests import Phase
+from dogwoodpost.services.entry.http.error_body import error_event
+from dogwoodpost.services.entry.http.header_filter import response_headers
+from dogwoodpost.services.entry.http.request_ids import RequestIds
+from dogwoodpost.services.entry.http.request_reader import REQUEST_ID_HEADER
+from dogwoodpost.services.entry.refusals import count_refusal
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.ports.attempt_runner import AttemptEvent
+    from dogwoodpost.services.entry.http.active_requests import ActiveRequest
+    from dogwoodpost.services.entry.http.request_reader import RequestReader
+    from dogwoodpost.services.entry.pipeline_request import PipelineRequest
+    from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+
+_EVENT_STREAM = 'text/event-stream'
+# A caller that reads nothing for so long is disconnected; it occupies the
+# memory of its response and its place at the engine.
+_WRITE_TIMEOUT_S = 30.0
+
+
+class RequestHandler:
+    """Runs requests through the pipeline and writes their responses."""
+
+    def __init__(
+        self, pipeline: RequestPipeline, reader: RequestReader
+    ) -> None:
+        self._pipeline = pipeline
+        self._reader = reader
+        self._ids = RequestIds()
+
+    async def handle(
+        self, request: web.Request, active: ActiveRequest
+    ) -> web.StreamResponse:
+        """Answer one request.
+
+        :raises RequestError: refused or failed before the response began.
+        """
+        with self._reader.memory.reservation() as reservation:
+            with active.ended_as_error():
+                prepared = await self._reader.read(
+                    request, active, reservation
+                )
+            active.route_name = prepared.route.name
+            active.request_id = prepared.request_id
+            if REQUEST_ID_HEADER not in request.headers:
+                return await self._respond(request, prepared, active)
+            return await self._respond_once(request, prepared, active)
+
+    async def _respond_once(
+        self,
+        request: web.Request,
+        prepared: PipelineRequest,
+        active: ActiveRequest,
+    ) -> web.StreamResponse:
+        """Answer a request whose id must not have been used before."""
+        account_id = prepared.client_account_id or ''
+        now_s = self._pipeline.clock.monotonic_s()
+        self._ids.remember(
+            account_id, prepared.request_id, prepared.timeout_s, now_s
+        )
+        try:
+            return await self._respond(request, prepared, active)
+        except RequestError as error:
+            if error.not_run:
+                self._ids.forget(account_id, prepared.request_id)
+            raise
+        except asyncio.CancelledError:
+            if active.phase is Phase.WAITING:
+                self._ids.forget(account_id, prepared.request_id)
+            raise
+
+    async def _respond(
+        self,
+        request: web.Request,
+        prepared: PipelineRequest,
+        active: ActiveRequest,
+    ) -> web.StreamResponse:
+        def attempt_started(endpoint_id: ids.EndpointId) -> None:
+            active.phase = Phase.RUNNING
+
+        events = self._pipeline.execute(prepared, on_attempt=attempt_started)
+        async with aclosing(events):
+            with active.ended_as_error():
+                head = await anext(events)
+            if not isinstance(head, AttemptHead):
+                raise RequestError(
+                    'endpoint_failed',
+                    'the response has no head',
+                    status=502,
+                )
+            response = web.StreamResponse(status=head.status)
+            response.headers.extend(response_headers(head.headers))
+            response.headers[REQUEST_ID_HEADER] = prepared.request_id
+            await response.prepare(request)
+            active.phase = Phase.STREAMING
+            await self._write_body(request, response, events, active)
+        return response
+
+    async def _write_body(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        events: AsyncGenerator[AttemptEvent, None],
+        active: ActiveRequest,
+    ) -> None:
+        try:
+            with active.ended_as_error():
+                async for event in events:
+                    if isinstance(event, AttemptData):
+                        await _write(request, response, event.data)
+                active.phase = Phase.FINISHED
+        except RequestError as error:
+            count_refusal(self._pipeline.metrics, error)
+            await _fail_response(request, response, error)
+
+
+async def _write(
+    request: web.Request, response: web.StreamResponse, data: bytes
+) -> None:
+    """Write a part of the body.
+
+    :raises ConnectionResetError: the caller has not read for too long.
+    """
+    try:
+        async with asyncio.timeout(_WRITE_TIMEOUT_S):
+            await response.write(data)
+    except TimeoutError:
+        if request.transport is not None:
+            request.transport.abort()
+        raise ConnectionResetError('the caller does not read') from None
+
+
+async def _fail_response(
+    request: web.Request, response: web.StreamResponse, error: RequestError
+) -> None:
+    """End a response that has begun so that it can't pass for complete."""
+    if response.content_type == _EVENT_STREAM:
+        await _write(request, response, error_event(error))
+    elif request.transport is not None:
+        # Without the end of the body the caller sees a broken response.
+        request.transport.close()
--- /dev/null
+++ b/src/dogwoodpost/services/entry/refusals.py
@@ -0,0 +1,17 @@
+"""Counts refusals by their reason."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dogwoodpost.errors import RequestError
+    from dogwoodpost.observability import Metrics
+
+
+def count_refusal(metrics: Metrics, error: RequestError) -> None:
+    """Count an error once, however many layers it passes."""
+    if error.counted:
+        return
+    error.counted = True
+    metrics.refusals.labels(error.code).inc()
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -8,12 +8,14 @@
 from dogwoodpost.core.retries import RetryBudget
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.refusals import count_refusal
 from dogwoodpost.services.entry.request_queue import RequestQueue
 from dogwoodpost.services.entry.request_run import RequestRun
 
 if TYPE_CHECKING:
     import random
     from collections.abc import AsyncGenerator
+    from collections.abc import Callable
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.admission import Admission
@@ -53,22 +55,25 @@
         self._budgets: dict[ids.RouteName, RetryBudget] = {}
 
     async def execute(
-        self, request: PipelineRequest
+        self,
+        request: PipelineRequest,
+        on_attempt: Callable[[ids.EndpointId], None] | None = None,
     ) -> AsyncGenerator[AttemptEvent, None]:
         """Yield the response of a request; its last item is its end.
 
-        Closing the iterator early cancels the request.
+        Closing the iterator early cancels the request. ``on_attempt`` is
+        called before each attempt.
 
         :raises RequestError: the request was refused or failed; its reason
             has been counted.
         """
-        run = RequestRun(self, request)
+        run = RequestRun(self, request, on_attempt)
         try:
             async with aclosing(run.events()) as events:
                 async for event in events:
                     yield event
         except RequestError as error:
-            self.metrics.refusals.labels(error.code).inc()
+            count_refusal(self.metrics, error)
             raise
 
     def retry_budget(self, route: ids.RouteName) -> RetryBudget:
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
+    from collections.abc import Callable
 
     from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.ports.attempt_runner import AttemptEvent
@@ -46,8 +47,12 @@
     """State of one request from its admission to its end."""
 
     def __init__(
-        self, pipeline: RequestPipeline, request: PipelineRequest
+        self,
+        pipeline: RequestPipeline,
+        request: PipelineRequest,
+        on_attempt: Callable[[ids.EndpointId], None] | None,
     ) -> None:
+        self._on_attempt = on_attempt
         self._pipeline = pipeline
         self._request = request
         self._start_s = pipeline.clock.monotonic_s()
@@ -87,6 +92,8 @@
     ) -> AsyncGenerator[AttemptEvent, None]:
         while True:
             self._attempt_count += 1
+            if self._on_attempt is not None:
+                self._on_attempt(endpoint.endpoint_id)
             try:
                 attempt = self._attempt(endpoint, attempt_id)
                 if self._request.whole_response:
