--- a/src/dogwoodpost/core/admission/__init__.py
+++ b/src/dogwoodpost/core/admission/__init__.py
@@ -7,6 +7,8 @@
 from dogwoodpost.core.admission.cost import actual_cost_tokens
 from dogwoodpost.core.admission.cost import estimated_cost_tokens
 from dogwoodpost.core.admission.cost import MIN_COST_TOKENS
+from dogwoodpost.core.admission.dispatcher import Dispatcher
+from dogwoodpost.core.admission.dispatcher import Started
 from dogwoodpost.core.admission.ticket import Ticket
 from dogwoodpost.core.admission.ticket import TicketState
 
@@ -14,6 +16,8 @@
     'MIN_COST_TOKENS',
     'Admission',
     'AdmissionSettings',
+    'Dispatcher',
+    'Started',
     'Ticket',
     'TicketState',
     'actual_cost_tokens',
--- /dev/null
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -0,0 +1,104 @@
+"""Starts waiting requests in fair order as endpoints have room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.admission.ticket import Ticket
+from dogwoodpost.core.routing.endpoint import Endpoint
+from dogwoodpost.core.routing.route_query import RouteQuery
+from dogwoodpost.errors import RequestError
+
+if TYPE_CHECKING:
+    from dogwoodpost.core.admission.admission import Admission
+    from dogwoodpost.core.routing.router import Router
+
+# Requests that the router can't place are passed over, up to this many.
+_MAX_PASSED_OVER_COUNT = 16
+
+
+class Started(msgspec.Struct, frozen=True):
+    """A request that starts now, and where."""
+
+    ticket: Ticket
+    endpoint: Endpoint
+
+
+class _Waiting(msgspec.Struct, frozen=True):
+    """What the router needs to know of a waiting request."""
+
+    query: RouteQuery
+    attempt_id: ids.AttemptId
+
+
+class Dispatcher:
+    """Combines admission and routing for first attempts."""
+
+    def __init__(self, admission: Admission, router: Router) -> None:
+        self._admission = admission
+        self._router = router
+        self._waiting: dict[int, _Waiting] = {}
+
+    def submit(
+        self,
+        ticket: Ticket,
+        query: RouteQuery,
+        attempt_id: ids.AttemptId,
+        now_s: float,
+    ) -> None:
+        """Queue a request.
+
+        :raises RequestError: the request is refused and has not run.
+        """
+        if not self._router.has_endpoint(ticket.service):
+            raise RequestError(
+                'no_endpoint',
+                'no endpoint of the service is available',
+                status=503,
+                not_run=True,
+                retry_after_s=self._admission.retry_after_s(0.0),
+            )
+        self._admission.submit(ticket, now_s)
+        self._waiting[id(ticket)] = _Waiting(query, attempt_id)
+
+    def withdraw(self, ticket: Ticket, now_s: float) -> None:
+        """Take a waiting request off its queue."""
+        del self._waiting[id(ticket)]
+        self._admission.withdraw(ticket, now_s)
+
+    def start_ready(
+        self, service: ids.ServiceName, now_s: float
+    ) -> list[Started]:
+        """Start what can start now; the attempts count from now on."""
+        started: list[Started] = []
+        while True:
+            one = self._start_one(service, now_s)
+            if one is None:
+                return started
+            started.append(one)
+
+    def _start_one(
+        self, service: ids.ServiceName, now_s: float
+    ) -> Started | None:
+        waiting_count = self._admission.waiting_count(service)
+        if not waiting_count:
+            return None
+        heads = self._admission.heads(service, now_s)
+        for ticket in heads[:_MAX_PASSED_OVER_COUNT]:
+            waiting = self._waiting[id(ticket)]
+            query = msgspec.structs.replace(
+                waiting.query, waiting_count=waiting_count - 1
+            )
+            endpoint = self._router.choose(query, now_s)
+            if endpoint is None:
+                continue
+            del self._waiting[id(ticket)]
+            self._admission.start(ticket, now_s)
+            self._router.begin(
+                endpoint.endpoint_id, waiting.attempt_id, query, now_s
+            )
+            return Started(ticket, endpoint)
+        return None
