--- /dev/null
+++ b/src/dogwoodpost/services/entry/request_queue.py
@@ -0,0 +1,117 @@
+"""Requests that wait for admission and for an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.admission import Dispatcher
+from dogwoodpost.core.admission import TicketState
+from dogwoodpost.core.routing import AttemptResult
+from dogwoodpost.errors import RequestError
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.admission import Admission
+    from dogwoodpost.core.admission import Ticket
+    from dogwoodpost.core.routing import Endpoint
+    from dogwoodpost.core.routing import RouteQuery
+    from dogwoodpost.core.routing import Router
+    from dogwoodpost.ports.clock import Clock
+
+# Room also appears without an event of this entry: by load reports, new
+# endpoints and refilled token buckets.
+_POLL_INTERVAL_S = 0.02
+
+
+class RequestQueue:
+    """Lets requests wait for the dispatcher."""
+
+    def __init__(
+        self, admission: Admission, router: Router, clock: Clock
+    ) -> None:
+        self._admission = admission
+        self._router = router
+        self._clock = clock
+        self._dispatcher = Dispatcher(admission, router)
+        self._futures: dict[int, asyncio.Future[Endpoint]] = {}
+        self._timers: dict[ids.ServiceName, asyncio.TimerHandle] = {}
+
+    async def acquire(
+        self, ticket: Ticket, query: RouteQuery, attempt_id: ids.AttemptId
+    ) -> Endpoint:
+        """Wait until the request may run; return its first endpoint.
+
+        :raises RequestError: refused or expired; the request has not run.
+        """
+        now_s = self._clock.monotonic_s()
+        self._dispatcher.submit(ticket, query, attempt_id, now_s)
+        future = asyncio.get_running_loop().create_future()
+        self._futures[id(ticket)] = future
+        try:
+            self._start_ready(ticket.service)
+            return await self._wait(ticket, future, now_s)
+        except BaseException:
+            self._give_up(ticket, future, attempt_id)
+            raise
+        finally:
+            del self._futures[id(ticket)]
+
+    def release(self, ticket: Ticket, actual_tokens: float) -> None:
+        """End a request that :meth:`acquire` let through."""
+        now_s = self._clock.monotonic_s()
+        self._admission.finish(ticket, actual_tokens, now_s)
+        self._start_ready(ticket.service)
+
+    def _start_ready(self, service: ids.ServiceName) -> None:
+        now_s = self._clock.monotonic_s()
+        for started in self._dispatcher.start_ready(service, now_s):
+            self._futures[id(started.ticket)].set_result(started.endpoint)
+        waiting = self._admission.waiting_count(service) > 0
+        if waiting and service not in self._timers:
+            self._timers[service] = asyncio.get_running_loop().call_later(
+                _POLL_INTERVAL_S, self._on_timer, service
+            )
+
+    def _on_timer(self, service: ids.ServiceName) -> None:
+        del self._timers[service]
+        self._start_ready(service)
+
+    async def _wait(
+        self, ticket: Ticket, future: asyncio.Future[Endpoint], start_s: float
+    ) -> Endpoint:
+        try:
+            async with asyncio.timeout(ticket.deadline_s - start_s):
+                return await asyncio.shield(future)
+        except TimeoutError:
+            now_s = self._clock.monotonic_s()
+            wait_s = self._admission.expected_wait_s(
+                ticket.client_account_id, ticket.service, now_s
+            )
+            raise RequestError(
+                'expired_in_queue',
+                'the time limit passed while the request was waiting',
+                status=504,
+                not_run=True,
+                retry_after_s=self._admission.retry_after_s(wait_s),
+            ) from None
+
+    def _give_up(
+        self,
+        ticket: Ticket,
+        future: asyncio.Future[Endpoint],
+        attempt_id: ids.AttemptId,
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        if ticket.state is TicketState.WAITING:
+            self._dispatcher.withdraw(ticket, now_s)
+        elif ticket.state is TicketState.RUNNING:
+            # Given up after it was started and before it was woken.
+            self._router.finish(
+                ticket.service,
+                future.result().endpoint_id,
+                attempt_id,
+                AttemptResult(failed=False, judged=False),
+                now_s,
+            )
+            self.release(ticket, 0.0)
