--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import msgspec
 
+from dogwoodpost.core import ids
 from dogwoodpost.core.rollouts.endpoint_pace import EndpointPace
 from dogwoodpost.core.rollouts.length_estimator import LengthEstimator
 from dogwoodpost.core.rollouts.sample import Sample
@@ -14,9 +13,6 @@
 from dogwoodpost.core.rollouts.trainer_shares import TrainerShares
 from dogwoodpost.ports.sample_dispatcher import SampleRequest
 
-if TYPE_CHECKING:
-    from dogwoodpost.core import ids
-
 # Callers' requests have priority 0 unless their route says otherwise.
 SAMPLE_PRIORITY = -1
 
@@ -129,6 +125,7 @@
             max_tokens=spec.max_tokens - sample.token_count,
             timeout_s=timeout_s,
             priority=SAMPLE_PRIORITY,
+            min_weight_version=_min_version(step),
             resume_text=sample.completion,
             avoid=avoid,
         )
@@ -140,3 +137,9 @@
     def _charged_tokens(self, dispatch: Dispatch) -> float:
         # A flat estimate: the correction follows with the result.
         return min(dispatch.request.max_tokens, 256)
+
+
+def _min_version(step: StepState) -> ids.WeightVersion:
+    """Return the version that leaves half of the lag for the time to come."""
+    lag = step.spec.max_version_lag // 2
+    return ids.WeightVersion(max(0, step.current_version - lag))
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from dogwoodpost.core.rollouts.length_estimator import LengthEstimator
@@ -44,6 +45,7 @@
         deadline_s: float,
         policy: SchedulingPolicy,
         lengths: LengthEstimator,
+        on_discard: Callable[[str], None],
     ) -> None:
         self.spec = spec
         self.fencing_number = fencing_number
@@ -52,7 +54,10 @@
         self.waiting = WaitingSamples()
         self.pending_count = 0
         self.unclaimed_count = spec.slot_count
+        # Set by the owner; lag is counted from it.
+        self.current_version = ids.WeightVersion(0)
         self._policy = policy
+        self._on_discard = on_discard
         self._lengths = lengths
         self._generation = 0
         self._scored_by_group = [0] * len(spec.prompts)
@@ -74,6 +79,8 @@
         while (sample := self.waiting.pop(now_s)) is not None:
             if not self._is_waiting(sample):
                 continue
+            if self._discard_if_stale(sample, now_s):
+                continue
             sample.phase = SamplePhase.RUNNING
             sample.dispatch_count += 1
             if sample.begun_s is None:
@@ -88,7 +95,7 @@
         if not self._accepts(sample, result.sample_id):
             return ResultOutcome.LATE
         if not _is_certain(result):
-            self.discard(sample)
+            self.discard(sample, ResultOutcome.UNCERTAIN.value)
             return ResultOutcome.UNCERTAIN
         sample.extend(result.completion, result.segments)
         sample.failure_count = 0
@@ -132,10 +139,22 @@
         self._mark_scored(sample, now_s)
         return True
 
-    def discard(self, sample: Sample) -> None:
+    def discard(self, sample: Sample, reason: str) -> None:
         """Replace a sample by a new one in the same slot."""
-        if not self.is_current(sample):
-            return
+        self._on_discard(reason)
+        self._replace(sample)
+
+    def _discard_if_stale(self, sample: Sample, now_s: float) -> bool:
+        if not sample.segments or sample.begun_s is None:
+            return False
+        reason = self.bound.reason_if_stale(
+            sample.oldest_version, self.current_version, now_s - sample.begun_s
+        )
+        if reason is not None:
+            self.discard(sample, reason)
+        return reason is not None
+
+    def _replace(self, sample: Sample) -> None:
         if sample.phase is SamplePhase.CLAIMED:
             self.unclaimed_count += 1
         if sample.phase in (SamplePhase.SCORING, SamplePhase.SCORED):
@@ -148,30 +167,14 @@
         self.samples[sample.slot] = fresh
         self.waiting.push(fresh, self._rank(fresh))
 
-    def discard_stale(
-        self, now_s: float, current_version: ids.WeightVersion
-    ) -> list[tuple[Sample, str]]:
-        """Replace scored samples that are over the bound."""
-        stale = []
-        for group in list(self._ready_since_s):
-            for sample in self._group(group):
-                reason = self.reason_if_stale(sample, now_s, current_version)
-                if reason is not None:
-                    stale.append((sample, reason))
-        for sample, _ in stale:
-            self.discard(sample)
-        return stale
-
-    def reason_if_stale(
-        self, sample: Sample, now_s: float, current_version: ids.WeightVersion
-    ) -> str | None:
-        """Return why a sample is over the bound, or None if it is not."""
-        if not sample.segments:
-            return None
-        begun_s = now_s if sample.begun_s is None else sample.begun_s
-        return self.bound.reason_if_stale(
-            sample.oldest_version, current_version, now_s - begun_s
-        )
+    def discard_stale(self, now_s: float) -> bool:
+        """Replace samples of complete groups that are over the bound."""
+        found = [
+            self._discard_if_stale(sample, now_s)
+            for group in list(self._ready_since_s)
+            for sample in self._group(group)
+        ]
+        return any(found)
 
     def plan_batch(self, now_s: float) -> list[Sample]:
         """Return the whole groups to claim now, or nothing yet."""
@@ -215,7 +218,7 @@
         if self.samples[slot].phase is not SamplePhase.CLAIMED:
             return
         if sample is None:
-            self.discard(self.samples[slot])
+            self._replace(self.samples[slot])
             return
         self.samples[slot] = sample
         self.unclaimed_count += 1
--- a/src/dogwoodpost/services/rollouts/rollout_service.py
+++ b/src/dogwoodpost/services/rollouts/rollout_service.py
@@ -186,8 +186,6 @@
         finally:
             self._running_count -= 1
             self._work.set()
-        if outcome is ResultOutcome.UNCERTAIN:
-            self._metrics.discarded_samples.labels(outcome.value).inc()
         if outcome is ResultOutcome.FINISHED:
             await self._score(dispatch)
 
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -173,7 +173,9 @@
         claimed = False
         now_s = self._clock.monotonic_s()
         for step_id, step in list(self.steps.items()):
-            self._discard_stale(step, now_s)
+            step.current_version = self._version_for(step.spec)
+            if step.discard_stale(now_s):
+                self.work_added()
             if not step.plan_batch(now_s) and step.deadline_s > now_s:
                 continue
             async with self._lock:
@@ -242,17 +244,10 @@
             if reason is None:
                 sample = _restored(fact.slot, fact.begun_s, delivered)
             else:
-                self._metrics.discarded_samples.labels(reason).inc()
+                self._count_discard(reason)
             step.release(fact.slot, sample, now_s)
         self.work_added()
 
-    def _discard_stale(self, step: StepState, now_s: float) -> None:
-        stale = step.discard_stale(now_s, self._version_for(step.spec))
-        for _, reason in stale:
-            self._metrics.discarded_samples.labels(reason).inc()
-        if stale:
-            self.work_added()
-
     def _stale_slots(self, entry: BatchEntry) -> dict[int, str]:
         spec = self._ledger.steps[entry.record.step_id].spec
         return entry.stale_slots(
@@ -331,12 +326,17 @@
             deadline_s=self._clock.monotonic_s() + entry.record.remaining_s,
             policy=self._scheduler.policy,
             lengths=self._scheduler.lengths(self.trainer_id),
+            on_discard=self._count_discard,
         )
+        step.current_version = self._version_for(entry.spec)
         step.mark_claimed(slot_bits.claimed_slots(entry.record.claims))
         self.steps[step_id] = step
         self._scheduler.add_step(step)
         return step
 
+    def _count_discard(self, reason: str) -> None:
+        self._metrics.discarded_samples.labels(reason).inc()
+
     def _remove_state(self, step_id: ids.StepId) -> None:
         self._scheduler.remove_step(self.steps.pop(step_id))
 
--- a/tests/services/rollouts/rollout_fakes.py
+++ b/tests/services/rollouts/rollout_fakes.py
@@ -13,7 +13,6 @@
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.observability import Metrics
-from dogwoodpost.ports.clock import Clock
 from dogwoodpost.ports.lease_guard import LeaseGuard
 from dogwoodpost.ports.sample_dispatcher import SampleDispatcher
 from dogwoodpost.ports.sample_dispatcher import SampleRequest
@@ -25,42 +24,13 @@
 from dogwoodpost.services.rollouts.rollout_service import RolloutService
 from dogwoodpost.standins.memory_store import MemoryObjectStore
 from dogwoodpost.standins.memory_store import MemoryTableStore
+from dogwoodpost.standins.virtual_loop import LoopClock
 
 TRAINER = ids.TrainerId('trainer-1')
 ACCOUNT = ids.ClientAccountId('account-1')
 STEP = ids.StepId('step-1')
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Jumps to the next timer when nothing else is to be done."""
-
-    def __init__(self) -> None:
-        self.now_s = 1000.0
-        super().__init__()
-
-    def time(self) -> float:
-        return self.now_s
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
-            when_s = self._scheduled[0].when()  # type: ignore[attr-defined]
-            self.now_s = max(self.now_s, when_s)
-        super()._run_once()  # type: ignore[misc]
-
-
-class LoopClock(Clock):
-    """Time of the running event loop."""
-
-    def monotonic_s(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall_s(self) -> float:
-        return self.monotonic_s()
-
-    async def sleep(self, duration_s: float) -> None:
-        await asyncio.sleep(duration_s)
-
-
 class FakeGuard(LeaseGuard):
     """A lease whose holder may wrongly believe that it holds it."""
 
--- a/tests/services/rollouts/test_rollout_service.py
+++ b/tests/services/rollouts/test_rollout_service.py
@@ -8,10 +8,10 @@
 from rollout_fakes import STEP
 from rollout_fakes import step_spec
 from rollout_fakes import TRAINER
-from rollout_fakes import VirtualLoop
 from rollout_fakes import World
 
 from dogwoodpost.core import ids
+from dogwoodpost.standins.virtual_loop import run_virtually
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -48,11 +48,7 @@
             await trainer.submit(step_spec(**spec_changes))
             return [batch async for batch in drain(service)]
 
-    loop = VirtualLoop()
-    try:
-        return loop.run_until_complete(run_step())
-    finally:
-        loop.close()
+    return run_virtually(run_step())
 
 
 def slots(batches: list[BatchView]) -> list[tuple[int, int]]:
