--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -54,7 +54,10 @@
 
 
 class AgentHello(Message, frozen=True, kw_only=True):
-    """Heartbeat of an agent to an entry, with its endpoints."""
+    """Heartbeat of an agent to an entry, with its endpoints.
+
+    ``weights_url`` is where other agents fetch weights from this one.
+    """
 
     host_id: ids.HostId
     availability_zone: ids.AvailabilityZone
@@ -63,6 +66,7 @@
     echo_sequence: int
     endpoints: tuple[EndpointState, ...]
     leaving: bool = False
+    weights_url: str = ''
 
 
 class EntryHeartbeat(Message, frozen=True, kw_only=True):
@@ -229,20 +233,27 @@
 
 
 class FreshnessQuery(Message, frozen=True, kw_only=True):
-    """Asks an entry how fresh its configuration is."""
+    """Asks an entry how fresh its configuration is.
+
+    ``revision`` is the one in force at the sender.
+    """
 
     query_id: str
+    revision: ids.Revision = ids.Revision(0)
 
 
 class FreshnessReply(Message, frozen=True, kw_only=True):
     """How long ago the sender began its last successful store read.
 
-    ``read_age_ms`` is None if the sender has read nothing yet.
+    ``read_age_ms`` is None if the sender has read nothing yet. ``records``
+    are the revisions that the asking entry lacks, as JSON rows, if the sender
+    still has all of them.
     """
 
     query_id: str
     revision: ids.Revision
     read_age_ms: int | None
+    records: tuple[bytes, ...] = ()
 
 
 AnyMessage = (
