--- /dev/null
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -0,0 +1,264 @@
+"""HTTP client of one engine or plain service."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+import yarl
+
+from dogwoodpost.adapters.http.send_once import SendOnce
+from dogwoodpost.core import messages
+from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import EndpointUnsupportedError
+from dogwoodpost.ports.endpoint_client import CacheEventBatch
+from dogwoodpost.ports.endpoint_client import EndpointClient
+from dogwoodpost.ports.endpoint_client import EndpointResponse
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.ports.endpoint_client import EndpointRequest
+
+# Between tokens. A queued request sends no bytes, so the wait for the head is
+# bounded by the request's own time limit only.
+IDLE_TIMEOUT_S = 20.0
+CONTROL_TIMEOUT_S = 5.0
+# Loading weights moves gigabytes; 17 s is the target for all samplers.
+COMMAND_TIMEOUT_S = 60.0
+_MAX_CHUNK_BYTES = 64 * 1024
+
+# The entry removes keys; this is the second line of defence.
+_SECRET_HEADERS = frozenset(
+    {'authorization', 'proxy-authorization', 'cookie', 'x-api-key'}
+)
+# Apply to one connection only, or are written anew by the library.
+_CONNECTION_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+_UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
+_Action = messages.EndpointAction
+# The path of an order, and the field that holds its argument.
+_COMMANDS = {
+    _Action.LOAD_WEIGHTS: ('/control/weights/load', 'weight_version'),
+    _Action.SWITCH_WEIGHTS: ('/control/weights/switch', 'weight_version'),
+    _Action.LOAD_ADAPTER: ('/control/adapters/load', 'adapter'),
+    _Action.LOAD_MODEL: ('/control/models/load', 'model'),
+    _Action.SET_ROLE: ('/control/role', 'role'),
+}
+_CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+
+
+class _Load(msgspec.Struct):
+    running_count: int
+    waiting_count: int
+    running_tokens: int = 0
+    age_ms: int = 0
+    weight_version: int | None = None
+
+
+class HttpEndpointResponse(EndpointResponse):
+    """An answer over HTTP."""
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, idle_timeout_s: float
+    ) -> None:
+        self._response = response
+        self._idle_timeout_s = idle_timeout_s
+        self.status = response.status
+        self.headers = tuple(
+            (str(name), value)
+            for name, value in response.headers.items()
+            if name.lower() not in _CONNECTION_HEADERS
+        )
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises EndpointError: the body broke off, or nothing came for the
+            idle time-out.
+        """
+        content = self._response.content
+        while True:
+            try:
+                async with asyncio.timeout(self._idle_timeout_s):
+                    data = await content.readany()
+            except TimeoutError:
+                raise EndpointError(
+                    f'no bytes for {self._idle_timeout_s} s'
+                ) from None
+            except _CALL_ERRORS as error:
+                raise EndpointError(f'body broke off: {error!r}') from error
+            if not data:
+                return
+            for start in range(0, len(data), _MAX_CHUNK_BYTES):
+                yield data[start : start + _MAX_CHUNK_BYTES]
+
+
+class HttpEndpointClient(EndpointClient):
+    """Calls one endpoint; does not own the session."""
+
+    def __init__(
+        self,
+        endpoint_id: ids.EndpointId,
+        base_url: str,
+        session: aiohttp.ClientSession,
+        *,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
+        self._endpoint_id = endpoint_id
+        self._base_url = base_url.rstrip('/')
+        self._session = session
+        self._idle_timeout_s = idle_timeout_s
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, request: EndpointRequest
+    ) -> AsyncIterator[EndpointResponse]:
+        """Send a request and open its answer.
+
+        :raises EndpointError: no answer came.
+        """
+        response = await self._open(request)
+        try:
+            yield HttpEndpointResponse(response, self._idle_timeout_s)
+        finally:
+            # Closes the connection unless the body was read to its end.
+            response.close()
+
+    async def cancel(self, request_id: str) -> None:
+        """Cancel a request; an unknown id has no effect."""
+        with contextlib.suppress(EndpointError):
+            await self._control(
+                'POST', '/control/cancel', {'request_id': request_id}
+            )
+
+    async def load(self) -> messages.EndpointLoad:
+        """Return the endpoint's last load report.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        load = _decode(await self._control('GET', '/control/load'), _Load)
+        return messages.EndpointLoad(
+            endpoint_id=self._endpoint_id,
+            running_count=load.running_count,
+            waiting_count=load.waiting_count,
+            running_tokens=load.running_tokens,
+            age_ms=load.age_ms,
+            weight_version=load.weight_version,
+        )
+
+    async def command(
+        self,
+        action: messages.EndpointAction,
+        argument: str,
+        fencing_number: ids.FencingNumber,
+        fetch_from: tuple[str, ...] = (),
+    ) -> None:
+        """Carry out an order to load, switch or change role.
+
+        :raises EndpointError: the endpoint refused or failed the order.
+        """
+        if action not in _COMMANDS:
+            raise EndpointError(f'{action.value} is no order to an endpoint')
+        path, field = _COMMANDS[action]
+        body = {
+            field: argument,
+            'fencing_number': fencing_number,
+            'fetch_from': list(fetch_from),
+        }
+        await self._control('POST', path, body, COMMAND_TIMEOUT_S)
+
+    async def cache_events(self, after: int) -> CacheEventBatch | None:
+        """Return the cache events after a number, None without any.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        path = f'/control/cache_events?after={after}'
+        batch: CacheEventBatch = _decode(
+            await self._control('GET', path), CacheEventBatch
+        )
+        if batch.cleared or batch.stored or batch.evicted:
+            return batch
+        return None
+
+    async def _open(self, request: EndpointRequest) -> aiohttp.ClientResponse:
+        headers = _request_headers(request)
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                return await self._session.request(
+                    request.method,
+                    yarl.URL(self._base_url + request.path, encoded=True),
+                    headers=headers,
+                    data=request.body or None,
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(total=None),
+                    middlewares=(SendOnce(),),
+                )
+        except TimeoutError:
+            raise EndpointError(
+                f'no answer within {request.timeout_s:.3f} s'
+            ) from None
+        except _CALL_ERRORS as error:
+            raise EndpointError(f'no answer: {error!r}') from error
+
+    async def _control(
+        self,
+        method: str,
+        path: str,
+        document: dict[str, Any] | None = None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> bytes:
+        try:
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                json=document,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                body = await response.read()
+        except TimeoutError:
+            raise EndpointError(f'{path}: no answer') from None
+        except _CALL_ERRORS as error:
+            raise EndpointError(f'{path}: {error!r}') from error
+        if response.status in _UNSUPPORTED_STATUSES:
+            raise EndpointUnsupportedError(f'{path}: no such path')
+        if response.status != 200:
+            text = body[:200].decode(errors='replace')
+            raise EndpointError(f'{path}: status {response.status}: {text}')
+        return body
+
+
+def _request_headers(request: EndpointRequest) -> list[tuple[str, str]]:
+    dropped = _CONNECTION_HEADERS | _SECRET_HEADERS
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name.lower() not in dropped
+    ]
+    # The caller of a plain service may have named the request itself.
+    if all(name.lower() != 'x-request-id' for name, _ in headers):
+        headers.append(('X-Request-Id', request.request_id))
+    return headers
+
+
+def _decode(body: bytes, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise EndpointError(f'malformed answer: {error}') from None
--- /dev/null
+++ b/src/dogwoodpost/core/attempts/response_usage.py
@@ -0,0 +1,101 @@
+"""Usage and weight versions that an engine reports in its response."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from dogwoodpost.core import ids
+
+ENGINE_PATHS = frozenset({'/v1/completions', '/v1/chat/completions'})
+EVENT_STREAM = 'text/event-stream'
+_DATA = b'data:'
+_DONE = b'[DONE]'
+# Events hold a few tokens each; a longer line is not one of an engine.
+_MAX_LINE_BYTES = 1024 * 1024
+
+
+class _TokenDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _TokenDetails | None = None
+
+
+class _Segment(msgspec.Struct):
+    weight_version: int
+
+
+class _Report(msgspec.Struct):
+    usage: _Usage | None = None
+    weight_segments: list[_Segment] | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Report)
+
+
+class ResponseUsage:
+    """Reads an engine's response piece by piece, in bounded memory."""
+
+    def __init__(self, *, is_stream: bool, max_body_bytes: int) -> None:
+        self._is_stream = is_stream
+        self._limit = _MAX_LINE_BYTES if is_stream else max_body_bytes
+        self._pending = b''
+        self._skipping = False
+        self._report = _Report()
+        self.done_seen = False
+
+    def feed(self, data: bytes) -> None:
+        """Take the next piece of the body."""
+        if not self._is_stream:
+            if len(self._pending) + len(data) <= self._limit:
+                self._pending += data
+            return
+        *lines, rest = (self._pending + data).split(b'\n')
+        for line in lines:
+            if not self._skipping:
+                self._read_line(line.strip())
+            self._skipping = False
+        if len(rest) > self._limit:
+            self._skipping = True
+            rest = b''
+        self._pending = rest
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of ``ResponseEnd`` that the engine reported."""
+        if not self._is_stream:
+            self._decode(self._pending)
+        usage = self._report.usage or _Usage()
+        details = usage.prompt_tokens_details or _TokenDetails()
+        versions = dict.fromkeys(
+            ids.WeightVersion(segment.weight_version)
+            for segment in self._report.weight_segments or ()
+        )
+        return {
+            'weight_versions': tuple(versions),
+            'prompt_tokens': usage.prompt_tokens,
+            'cached_tokens': details.cached_tokens,
+            'completion_tokens': usage.completion_tokens,
+        }
+
+    def _read_line(self, line: bytes) -> None:
+        if not line.startswith(_DATA):
+            return
+        data = line[len(_DATA) :].strip()
+        if data == _DONE:
+            self.done_seen = True
+        elif b'"usage"' in data:
+            # Only the last event has it, the others need no decoding.
+            self._decode(data)
+
+    def _decode(self, data: bytes) -> None:
+        try:
+            report = _DECODER.decode(data)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            return
+        if report.usage is not None:
+            self._report = report
--- /dev/null
+++ b/src/dogwoodpost/core/membership/fencing_numbers.py
@@ -0,0 +1,52 @@
+"""Fencing numbers that an agent has seen."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from dogwoodpost.core import ids
+
+
+class FencingNumbers:
+    """Highest fencing number per shard, in memory only.
+
+    A new agent has seen none. For endpoints that ignore the numbers it
+    therefore refuses all orders until an entry has sent the number that the
+    store held after the agent's start.
+    """
+
+    def __init__(self) -> None:
+        self._highest: dict[str, int] = {}
+        self._read_back: set[str] = set()
+
+    def record_read_back(self, numbers: Mapping[str, int]) -> None:
+        """Take numbers that were read from the store since the start."""
+        for shard, number in numbers.items():
+            self._read_back.add(shard)
+            self._raise(shard, number)
+
+    def highest(self, shard: ids.ShardName) -> int:
+        """Return the highest number seen, 0 if none."""
+        return self._highest.get(shard, 0)
+
+    def refusal(
+        self,
+        shard: ids.ShardName,
+        number: ids.FencingNumber,
+        *,
+        endpoint_checks: bool,
+    ) -> str | None:
+        """Return why an order must be refused, None if it may be sent."""
+        if not endpoint_checks and shard not in self._read_back:
+            return 'the current fencing number is not known since the restart'
+        highest = self._highest.get(shard, 0)
+        if number < highest:
+            return f'fencing number {number} is lower than {highest}'
+        self._raise(shard, number)
+        return None
+
+    def _raise(self, shard: str, number: int) -> None:
+        self._highest[shard] = max(number, self._highest.get(shard, 0))
--- a/src/dogwoodpost/core/membership/peer_link.py
+++ b/src/dogwoodpost/core/membership/peer_link.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,6 +16,15 @@
 # A peer gets as long again to answer over the reopened connection before its
 # work is given up.
 GONE_S = 2 * SILENCE_S
+_PAST_COUNT = 16
+
+
+class HeartbeatResult(Enum):
+    """What a heartbeat has shown."""
+
+    ACCEPTED = 'accepted'
+    RESTARTED = 'restarted'
+    OUTDATED = 'outdated'
 
 
 class PeerLink:
@@ -25,10 +36,12 @@
 
     def __init__(self, incarnation: ids.Incarnation, now_s: float) -> None:
         self.incarnation = incarnation
+        self.incarnation_since_s = now_s
         self.received_sequence = 0
+        self.confirmed_sequence = 0
+        self._past: deque[ids.Incarnation] = deque(maxlen=_PAST_COUNT)
         self._heard_s = now_s
         self._confirmed_s = now_s
-        self._confirmed_sequence = 0
         self._reopened_s = now_s
 
     def record_heartbeat(
@@ -37,22 +50,26 @@
         sequence: int,
         echo_sequence: int,
         now_s: float,
-    ) -> bool:
-        """Take a heartbeat; return whether the peer has restarted."""
-        restarted = incarnation != self.incarnation
-        if restarted:
+    ) -> HeartbeatResult:
+        """Take a heartbeat; late ones of an earlier run change nothing."""
+        if incarnation in self._past:
+            return HeartbeatResult.OUTDATED
+        result = HeartbeatResult.ACCEPTED
+        if incarnation != self.incarnation:
+            result = HeartbeatResult.RESTARTED
+            self._past.append(self.incarnation)
             self.incarnation = incarnation
-            self.received_sequence = 0
-            self._confirmed_sequence = 0
+            self.incarnation_since_s = now_s
+            self.confirmed_sequence = 0
             self._confirmed_s = now_s
         elif sequence <= self.received_sequence:
-            return False
+            return HeartbeatResult.OUTDATED
         self.received_sequence = sequence
         self._heard_s = now_s
-        if echo_sequence > self._confirmed_sequence:
-            self._confirmed_sequence = echo_sequence
+        if echo_sequence > self.confirmed_sequence:
+            self.confirmed_sequence = echo_sequence
             self._confirmed_s = now_s
-        return restarted
+        return result
 
     def silence_s(self, now_s: float) -> float:
         """Return for how long nothing has come from the peer."""
--- a/src/dogwoodpost/ports/endpoint_client.py
+++ b/src/dogwoodpost/ports/endpoint_client.py
@@ -27,6 +27,19 @@
     priority: int = 0
 
 
+class CacheEventBatch(msgspec.Struct, frozen=True, kw_only=True):
+    """Cache events of an engine; each block counts as one number.
+
+    ``last_sequence`` is what the next call passes as ``after``.
+    """
+
+    first_sequence: int
+    stored: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    cleared: bool = False
+    last_sequence: int = 0
+
+
 class EndpointResponse(abc.ABC):
     """An answer that is being received."""
 
@@ -70,8 +83,18 @@
         action: messages.EndpointAction,
         argument: str,
         fencing_number: ids.FencingNumber,
+        fetch_from: tuple[str, ...] = (),
     ) -> None:
         """Carry out an order to load, switch or change role.
 
+        ``fetch_from`` are URLs to try before the weight store.
+
         :raises EndpointError: the endpoint refused or failed the order.
         """
+
+    async def cache_events(self, after: int) -> CacheEventBatch | None:
+        """Return the cache events after a number, None without any.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        return None
--- /dev/null
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -0,0 +1,246 @@
+"""The agent process: the only one that talks to its endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import mode
+import structlog
+
+from dogwoodpost.core import ids
+from dogwoodpost.core import messages
+from dogwoodpost.core.attempts import AttemptRecord
+from dogwoodpost.core.membership import HEARTBEAT_PERIOD_S
+from dogwoodpost.core.membership import HeartbeatResult
+from dogwoodpost.errors import TransportError
+from dogwoodpost.services.background_tasks import BackgroundTasks
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from dogwoodpost.config import AgentSettings
+    from dogwoodpost.core.attempts import AgentAttempts
+    from dogwoodpost.core.membership import FencingNumbers
+    from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.peer_transport import PeerTransport
+    from dogwoodpost.services.agent.attempt_worker import AttemptWorker
+    from dogwoodpost.services.agent.endpoint_commands import EndpointCommands
+    from dogwoodpost.services.agent.endpoint_watch import EndpointWatch
+    from dogwoodpost.services.agent.entry_links import EntryLink
+    from dogwoodpost.services.agent.entry_links import EntryLinks
+
+REGISTRATION_PERIOD_S = 5.0
+LOAD_PERIOD_S = 1.0
+_DRAIN_POLL_S = 0.05
+
+_log = structlog.get_logger(__name__)
+
+
+class Agent(mode.Service):
+    """Runs attempts and orders of the entries at its endpoints."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        identity: ProcessIdentity,
+        transport: PeerTransport,
+        clock: Clock,
+        links: EntryLinks,
+        attempts: AgentAttempts,
+        worker: AttemptWorker,
+        numbers: FencingNumbers,
+        commands: EndpointCommands,
+        watches: Sequence[EndpointWatch],
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self.identity = identity
+        self._transport = transport
+        self._clock = clock
+        self._links = links
+        self._attempts = attempts
+        self._worker = worker
+        self._numbers = numbers
+        self._commands = commands
+        self._watches = tuple(watches)
+        self._sequence = 0
+        self._background = BackgroundTasks()
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            messages.EntryHeartbeat: self._on_heartbeat,
+            messages.StartAttempt: self._on_start_attempt,
+            messages.FetchAttempt: self._on_fetch,
+            messages.CancelAttempt: self._on_cancel,
+            messages.AcknowledgeAttempt: self._attempts.acknowledge,
+            messages.EndpointCommand: self._on_command,
+        }
+
+    async def on_start(self) -> None:
+        """Read the entries, then start to serve them."""
+        await self._links.read_registrations(self._now_s())
+        for watch in self._watches:
+            await watch.poll_load()
+        self.add_future(self._receive())
+        self.add_future(self._every(HEARTBEAT_PERIOD_S, self._beat))
+        self.add_future(self._every(LOAD_PERIOD_S, self._report))
+        self.add_future(self._every(REGISTRATION_PERIOD_S, self._register))
+
+    async def on_stop(self) -> None:
+        """Drain: announce, refuse new work, let the rest finish."""
+        self._attempts.draining = True
+        deadline_s = self._now_s() + self._settings.drain_timeout_s
+        await self._beat()
+        announced = self._sequence
+        while self._now_s() < deadline_s:
+            if self._is_drained() and self._is_confirmed(announced):
+                break
+            await asyncio.sleep(_DRAIN_POLL_S)
+        else:
+            _log.warning(
+                'drain_timeout', running=self._attempts.running_count()
+            )
+        await self._worker.close()
+
+    async def on_shutdown(self) -> None:
+        """Close the connections after all tasks have ended."""
+        await self._background.cancel()
+        await self._transport.close()
+
+    def _is_drained(self) -> bool:
+        if self._attempts.running_count() > 0:
+            return False
+        live = self._links.live(self._now_s())
+        return not live or self._attempts.unacknowledged_count() == 0
+
+    def _is_confirmed(self, sequence: int) -> bool:
+        return all(
+            link.liveness.confirmed_sequence >= sequence
+            for link in self._links.live(self._now_s())
+        )
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._transport.receive()
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(message)
+
+    async def _every(
+        self, period_s: float, action: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await action()
+            await asyncio.sleep(period_s)
+
+    # Periodic work
+
+    async def _beat(self) -> None:
+        now_s = self._now_s()
+        self._sequence += 1
+        self._attempts.record_hello(self._sequence, now_s)
+        self._links.reopen_silent(now_s)
+        for process_id in self._links.take_gone(now_s):
+            for record in self._attempts.owned_by(process_id):
+                self._worker.cancel(record)
+        self._attempts.expire(now_s)
+        for link in self._links.all():
+            # A blocked peer gets no second heartbeat on top of the first.
+            if not link.sending:
+                self._background.spawn(self._send_hello(link))
+
+    async def _send_hello(self, link: EntryLink) -> None:
+        settings = self._settings
+        hello = messages.AgentHello(
+            **self.identity.sender_fields(),
+            host_id=ids.HostId(settings.host_id),
+            availability_zone=ids.AvailabilityZone(settings.availability_zone),
+            region=ids.Region(settings.region),
+            sequence=self._sequence,
+            echo_sequence=link.liveness.received_sequence,
+            endpoints=tuple(watch.state() for watch in self._watches),
+            leaving=self._attempts.draining,
+        )
+        link.sending = True
+        try:
+            await self._send(link.address, hello)
+        finally:
+            link.sending = False
+
+    async def _report(self) -> None:
+        loads = await asyncio.gather(
+            *(watch.poll_load() for watch in self._watches)
+        )
+        report = messages.LoadReport(
+            **self.identity.sender_fields(),
+            loads=tuple(load for load in loads if load is not None),
+        )
+        events = await asyncio.gather(
+            *(watch.poll_cache() for watch in self._watches)
+        )
+        news: list[messages.AnyMessage] = [report]
+        news += [event for event in events if event is not None]
+        for link in self._links.live(self._now_s()):
+            self._worker.resend(link.address, news)
+
+    async def _register(self) -> None:
+        await self._links.read_registrations(self._now_s())
+
+    # Messages
+
+    def _on_heartbeat(self, message: messages.EntryHeartbeat) -> None:
+        result = self._links.record_heartbeat(message, self._now_s())
+        if result is HeartbeatResult.OUTDATED:
+            return
+        self._numbers.record_read_back(message.fencing_numbers)
+        if result is HeartbeatResult.RESTARTED:
+            for record in self._attempts.owned_by(
+                message.sender_id, message.sender_incarnation
+            ):
+                self._worker.cancel(record)
+            self._background.spawn(
+                self._send_snapshots(message.sender_address)
+            )
+
+    async def _send_snapshots(self, address: str) -> None:
+        for watch in self._watches:
+            events = await watch.snapshot()
+            if events is not None:
+                await self._send(address, events)
+
+    def _on_start_attempt(self, message: messages.StartAttempt) -> None:
+        result = self._attempts.start(message, self._now_s())
+        if isinstance(result, AttemptRecord):
+            self._worker.start(result, message)
+        elif result is not None:
+            self._worker.resend(message.sender_address, (result,))
+
+    def _on_fetch(self, message: messages.FetchAttempt) -> None:
+        parts = self._attempts.fetch(message, self._now_s())
+        self._worker.resend(message.sender_address, parts)
+
+    def _on_cancel(self, message: messages.CancelAttempt) -> None:
+        result = self._attempts.cancel(message, self._now_s())
+        if isinstance(result, AttemptRecord):
+            self._worker.cancel(result)
+        elif result is not None:
+            self._worker.resend(message.sender_address, (result,))
+
+    def _on_command(self, message: messages.EndpointCommand) -> None:
+        self._background.spawn(self._execute(message))
+
+    async def _execute(self, command: messages.EndpointCommand) -> None:
+        result = await self._commands.execute(command)
+        await self._send(command.sender_address, result)
+
+    async def _send(self, address: str, message: messages.AnyMessage) -> None:
+        # Heartbeats repeat; a lost result of an order is asked for again.
+        with contextlib.suppress(TransportError):
+            await self._transport.send(address, message)
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic_s()
--- /dev/null
+++ b/src/dogwoodpost/services/agent/application.py
@@ -0,0 +1,148 @@
+"""Composes an agent from its settings."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+import aiohttp
+import mode
+
+from dogwoodpost.adapters.clock import BoottimeClock
+from dogwoodpost.adapters.http import HttpEndpointClient
+from dogwoodpost.adapters.nng import NngPeerTransport
+from dogwoodpost.core import ids
+from dogwoodpost.core.attempts import AgentAttemptLimits
+from dogwoodpost.core.attempts import AgentAttempts
+from dogwoodpost.core.membership import FencingNumbers
+from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.services.agent.agent import Agent
+from dogwoodpost.services.agent.attempt_worker import AttemptWorker
+from dogwoodpost.services.agent.endpoint_commands import EndpointCommands
+from dogwoodpost.services.agent.endpoint_watch import EndpointWatch
+from dogwoodpost.services.agent.entry_links import EntryLinks
+
+if TYPE_CHECKING:
+    from dogwoodpost.config import AgentSettings
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.ports.table_store import TableStore
+
+
+def build_agent(
+    settings: AgentSettings, table_store: TableStore, metrics: Metrics
+) -> mode.Service:
+    """Return an agent; it opens its sockets when it starts."""
+    return AgentApplication(settings, table_store, metrics)
+
+
+class AgentApplication(mode.Service):
+    """Owns the HTTP session and the transport of an agent."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        table_store: TableStore,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._table_store = table_store
+        self._metrics = metrics
+        self._session: aiohttp.ClientSession | None = None
+        self.agent: Agent | None = None
+
+    async def on_start(self) -> None:
+        """Open the sockets and start the agent."""
+        self._session = open_endpoint_session()
+        self.agent = _compose(
+            self._settings, self._table_store, self._metrics, self._session
+        )
+        await self.add_runtime_dependency(self.agent)
+
+    async def on_shutdown(self) -> None:
+        """Close the session after the agent has stopped."""
+        if self._session is not None:
+            await self._session.close()
+
+
+def open_endpoint_session() -> aiohttp.ClientSession:
+    """Return a session that passes bodies on as they are."""
+    return aiohttp.ClientSession(
+        # The agent bounds the concurrency per endpoint itself.
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Content-Type'),
+    )
+
+
+def _compose(
+    settings: AgentSettings,
+    table_store: TableStore,
+    metrics: Metrics,
+    session: aiohttp.ClientSession,
+) -> Agent:
+    clock = BoottimeClock()
+    listen = settings.peer_listen
+    transport = NngPeerTransport(metrics, ip=listen.ip, port=listen.port)
+    identity = ProcessIdentity(
+        process_id=ids.ProcessId(settings.process_id),
+        incarnation=ids.Incarnation(uuid.uuid4().hex),
+        address=transport.address,
+    )
+    clients = {
+        ids.EndpointId(endpoint.endpoint_id): HttpEndpointClient(
+            ids.EndpointId(endpoint.endpoint_id), str(endpoint.url), session
+        )
+        for endpoint in settings.endpoints
+    }
+    attempts = _attempts(settings, identity, clock.monotonic_s())
+    numbers = FencingNumbers()
+    watches = [
+        EndpointWatch(
+            ids.EndpointId(endpoint.endpoint_id),
+            ids.ServiceName(endpoint.service),
+            clients[ids.EndpointId(endpoint.endpoint_id)],
+            attempts,
+            identity,
+        )
+        for endpoint in settings.endpoints
+    ]
+    checks_fencing = frozenset(
+        ids.EndpointId(endpoint.endpoint_id)
+        for endpoint in settings.endpoints
+        if endpoint.checks_fencing
+    )
+    return Agent(
+        settings,
+        identity,
+        transport,
+        clock,
+        EntryLinks(
+            settings.seed_entry_addresses,
+            table_store,
+            transport,
+            clock.monotonic_s(),
+        ),
+        attempts,
+        AttemptWorker(attempts, clients, transport, clock, metrics),
+        numbers,
+        EndpointCommands(
+            identity, clients, checks_fencing, attempts, numbers, metrics
+        ),
+        watches,
+    )
+
+
+def _attempts(
+    settings: AgentSettings, identity: ProcessIdentity, now_s: float
+) -> AgentAttempts:
+    return AgentAttempts(
+        identity,
+        {
+            ids.EndpointId(endpoint.endpoint_id): endpoint.max_concurrency
+            for endpoint in settings.endpoints
+        },
+        AgentAttemptLimits(retained_bytes=settings.retained_answer_bytes),
+        now_s,
+    )
--- /dev/null
+++ b/src/dogwoodpost/services/agent/endpoint_commands.py
@@ -0,0 +1,116 @@
+"""Carries out fenced orders to endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core import messages
+from dogwoodpost.errors import EndpointError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.attempts import AgentAttempts
+    from dogwoodpost.core.membership import FencingNumbers
+    from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.ports.endpoint_client import EndpointClient
+
+_KEPT_RESULT_COUNT = 1_024
+
+Action = messages.EndpointAction
+Command = messages.EndpointCommand
+Result = messages.EndpointCommandResult
+
+
+class EndpointCommands:
+    """Checks the fencing number, then sends the order; one at a time."""
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        clients: Mapping[ids.EndpointId, EndpointClient],
+        checks_fencing: frozenset[ids.EndpointId],
+        attempts: AgentAttempts,
+        numbers: FencingNumbers,
+        metrics: Metrics,
+    ) -> None:
+        self._sender = identity.sender_fields()
+        self._clients = clients
+        self._checks_fencing = checks_fencing
+        self._attempts = attempts
+        self._numbers = numbers
+        self._metrics = metrics
+        self._locks = {key: asyncio.Lock() for key in clients}
+        self._results: OrderedDict[ids.OperationId, asyncio.Future[Result]] = (
+            OrderedDict()
+        )
+
+    async def execute(self, command: Command) -> Result:
+        """Carry out an order once; a repeat gets the first result."""
+        known = self._results.get(command.command_id)
+        if known is not None:
+            return await asyncio.shield(known)
+        future = asyncio.get_running_loop().create_future()
+        self._results[command.command_id] = future
+        try:
+            result = await self._execute(command)
+        except BaseException:
+            del self._results[command.command_id]
+            future.cancel()
+            raise
+        future.set_result(result)
+        self._drop_old_results()
+        return result
+
+    async def _execute(self, command: Command) -> Result:
+        endpoint_id = command.endpoint_id
+        client = self._clients.get(endpoint_id)
+        if client is None:
+            return self._result(command, 'no such endpoint at this agent')
+        async with self._locks[endpoint_id]:
+            # Checked under the lock, so that no lower number follows a
+            # higher one to the endpoint.
+            refusal = self._numbers.refusal(
+                command.shard,
+                command.fencing_number,
+                endpoint_checks=endpoint_id in self._checks_fencing,
+            )
+            if refusal is not None:
+                self._metrics.refusals.labels('fencing_number').inc()
+                return self._result(command, refusal)
+            try:
+                await self._send(client, command)
+            except EndpointError as error:
+                return self._result(command, str(error))
+        return self._result(command, None)
+
+    async def _send(self, client: EndpointClient, command: Command) -> None:
+        if command.action in (Action.DRAIN, Action.RESUME):
+            serving = command.action is Action.RESUME
+            self._attempts.set_rotation(command.endpoint_id, serving)
+            return
+        await client.command(
+            command.action,
+            command.argument,
+            command.fencing_number,
+            command.fetch_from,
+        )
+
+    def _result(self, command: Command, refusal: str | None) -> Result:
+        return Result(
+            **self._sender,
+            command_id=command.command_id,
+            endpoint_id=command.endpoint_id,
+            accepted=refusal is None,
+            detail=refusal or '',
+            highest_fencing_number=self._numbers.highest(command.shard),
+        )
+
+    def _drop_old_results(self) -> None:
+        for command_id in list(self._results)[:-_KEPT_RESULT_COUNT]:
+            if self._results[command_id].done():
+                del self._results[command_id]
--- /dev/null
+++ b/src/dogwoodpost/services/agent/endpoint_watch.py
@@ -0,0 +1,107 @@
+"""Follows the load, the weights and the cache of endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core import messages
+from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import EndpointUnsupportedError
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.attempts import AgentAttempts
+    from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.ports.endpoint_client import CacheEventBatch
+    from dogwoodpost.ports.endpoint_client import EndpointClient
+
+# One lost answer is common under load; two in a row are not.
+_FAILURES_UNTIL_NOT_READY = 2
+SNAPSHOT = -1
+
+
+class EndpointWatch:
+    """What the agent last knew of one endpoint."""
+
+    def __init__(
+        self,
+        endpoint_id: ids.EndpointId,
+        service: ids.ServiceName,
+        client: EndpointClient,
+        attempts: AgentAttempts,
+        identity: ProcessIdentity,
+    ) -> None:
+        self._endpoint_id = endpoint_id
+        self._service = service
+        self._client = client
+        self._attempts = attempts
+        self._sender = identity.sender_fields()
+        self._failure_count = 0
+        self._weight_version: ids.WeightVersion | None = None
+        self._has_cache_events = True
+        self._last_sequence = SNAPSHOT
+
+    def state(self) -> messages.EndpointState:
+        """Return what heartbeats say of the endpoint."""
+        return messages.EndpointState(
+            endpoint_id=self._endpoint_id,
+            service=self._service,
+            weight_version=self._weight_version,
+            ready=self._failure_count < _FAILURES_UNTIL_NOT_READY,
+            draining=self._attempts.is_out_of_rotation(self._endpoint_id),
+        )
+
+    async def poll_load(self) -> messages.EndpointLoad | None:
+        """Return the load, None if the endpoint does not answer."""
+        try:
+            load = await self._client.load()
+        except EndpointUnsupportedError:
+            self._failure_count = 0
+            running_count = self._attempts.running_count(self._endpoint_id)
+            return messages.EndpointLoad(
+                endpoint_id=self._endpoint_id,
+                running_count=running_count,
+                waiting_count=0,
+            )
+        except EndpointError:
+            self._failure_count += 1
+            return None
+        self._failure_count = 0
+        self._weight_version = load.weight_version
+        return load
+
+    async def poll_cache(self) -> messages.CacheEvents | None:
+        """Return the cache events since the last call."""
+        if not self._has_cache_events:
+            return None
+        batch = await self._fetch(self._last_sequence)
+        if batch is None:
+            return None
+        self._last_sequence = batch.last_sequence
+        return self._message(batch)
+
+    async def snapshot(self) -> messages.CacheEvents | None:
+        """Return all cached blocks, for an entry that has none of them."""
+        if not self._has_cache_events:
+            return None
+        batch = await self._fetch(SNAPSHOT)
+        return None if batch is None else self._message(batch)
+
+    async def _fetch(self, after: int) -> CacheEventBatch | None:
+        try:
+            return await self._client.cache_events(after)
+        except EndpointUnsupportedError:
+            self._has_cache_events = False
+        except EndpointError:
+            pass
+        return None
+
+    def _message(self, batch: CacheEventBatch) -> messages.CacheEvents:
+        return messages.CacheEvents(
+            **self._sender,
+            endpoint_id=self._endpoint_id,
+            first_sequence=batch.first_sequence,
+            stored=batch.stored,
+            evicted=batch.evicted,
+            cleared=batch.cleared,
+        )
--- /dev/null
+++ b/src/dogwoodpost/services/agent/entry_links.py
@@ -0,0 +1,140 @@
+"""The entries that an agent knows, and its heartbeats to them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.configuration.known_entries import EntryRow
+from dogwoodpost.core.configuration.known_entries import MEMBER_PREFIX
+from dogwoodpost.core.membership import HeartbeatResult
+from dogwoodpost.core.membership import PeerLink
+from dogwoodpost.errors import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dogwoodpost.core import messages
+    from dogwoodpost.ports.peer_transport import PeerTransport
+    from dogwoodpost.ports.table_store import Row
+    from dogwoodpost.ports.table_store import TableStore
+
+_SCAN_LIMIT = 1_000
+_NOT_HEARD = ids.Incarnation('')
+
+_log = structlog.get_logger(__name__)
+
+
+class EntryLink:
+    """One entry, found by its address."""
+
+    def __init__(self, address: str, now_s: float) -> None:
+        self.address = address
+        self.process_id: ids.ProcessId | None = None
+        self.liveness = PeerLink(_NOT_HEARD, now_s)
+        self.sending = False
+
+
+class EntryLinks:
+    """Entries from the settings, from the store and from heartbeats."""
+
+    def __init__(
+        self,
+        seed_addresses: Iterable[str],
+        tables: TableStore,
+        transport: PeerTransport,
+        now_s: float,
+    ) -> None:
+        self._seeds = frozenset(seed_addresses)
+        self._tables = tables
+        self._transport = transport
+        self._registered: frozenset[str] = frozenset()
+        self._links: dict[str, EntryLink] = {}
+        for address in self._seeds:
+            self._links[address] = EntryLink(address, now_s)
+
+    def all(self) -> list[EntryLink]:
+        """Return the links to all known entries."""
+        return list(self._links.values())
+
+    def live(self, now_s: float) -> list[EntryLink]:
+        """Return the links to the entries that are heard."""
+        return [
+            link
+            for link in self._links.values()
+            if link.process_id is not None
+            and not link.liveness.is_silent(now_s)
+        ]
+
+    async def read_registrations(self, now_s: float) -> None:
+        """Read the rows of the entries; on a failure keep the last ones."""
+        rows: list[Row] = []
+        try:
+            while True:
+                after = rows[-1].key if rows else ''
+                found = await self._tables.scan(
+                    MEMBER_PREFIX, after=after, limit=_SCAN_LIMIT
+                )
+                rows += found
+                if len(found) < _SCAN_LIMIT:
+                    break
+        except StoreError as error:
+            _log.info('entries_not_read', error=str(error))
+            return
+        addresses = set()
+        for row in rows:
+            try:
+                entry = msgspec.json.decode(row.value, type=EntryRow)
+            except msgspec.MsgspecError:
+                _log.warning('malformed_entry_row', key=row.key)
+                continue
+            addresses.add(entry.peer_address)
+        self._registered = frozenset(addresses)
+        for address in self._registered:
+            self._add(address, now_s)
+
+    def record_heartbeat(
+        self, message: messages.EntryHeartbeat, now_s: float
+    ) -> HeartbeatResult:
+        """Take a heartbeat of an entry."""
+        link = self._add(message.sender_address, now_s)
+        link.process_id = message.sender_id
+        return link.liveness.record_heartbeat(
+            message.sender_incarnation,
+            message.sequence,
+            message.echo_sequence,
+            now_s,
+        )
+
+    def reopen_silent(self, now_s: float) -> None:
+        """Reopen the connections that are silent in either direction."""
+        for link in self._links.values():
+            if link.liveness.take_reconnect(now_s):
+                self._transport.reconnect(link.address)
+
+    def take_gone(self, now_s: float) -> list[ids.ProcessId]:
+        """Return the entries whose work is to be given up.
+
+        Entries that are not registered are forgotten as well.
+        """
+        gone = []
+        for link in self.all():
+            if not link.liveness.is_gone(now_s):
+                continue
+            if link.process_id is not None:
+                gone.append(link.process_id)
+            known = self._seeds | self._registered
+            if link.address not in known:
+                del self._links[link.address]
+                self._transport.reconnect(link.address)
+        return gone
+
+    def _add(self, address: str, now_s: float) -> EntryLink:
+        link = self._links.get(address)
+        if link is None:
+            link = EntryLink(address, now_s)
+            self._links[address] = link
+        return link
--- /dev/null
+++ b/src/dogwoodpost/services/entry/peer_service.py
@@ -0,0 +1,168 @@
+"""The entry's side of the connections to agents and other entries."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+import mode
+
+from dogwoodpost.core import messages
+from dogwoodpost.core.membership import HEARTBEAT_PERIOD_S
+from dogwoodpost.core.membership import HeartbeatResult
+from dogwoodpost.errors import TransportError
+from dogwoodpost.services.background_tasks import BackgroundTasks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Mapping
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.peer_transport import PeerTransport
+    from dogwoodpost.services.entry.agent_directory import AgentDirectory
+    from dogwoodpost.services.entry.agent_directory import KnownAgent
+    from dogwoodpost.services.entry.endpoint_commander import EndpointCommander
+    from dogwoodpost.services.entry.peer_attempt_runner import (
+        PeerAttemptRunner,
+    )
+
+_POLL_PERIOD_S = 0.1
+
+RESPONSE_PARTS = (
+    messages.AttemptRefused,
+    messages.AttemptMissing,
+    messages.ResponseHead,
+    messages.ResponseChunk,
+    messages.ResponseEnd,
+)
+
+
+class PeerService(mode.Service):
+    """Receives messages, sends heartbeats and notices silent agents.
+
+    ``fencing_numbers`` is called with a time and returns the numbers, by
+    shard, that this process has read from the store since that time.
+    ``handle_other`` takes the messages of other entries.
+    """
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        transport: PeerTransport,
+        clock: Clock,
+        directory: AgentDirectory,
+        runner: PeerAttemptRunner,
+        commander: EndpointCommander,
+        *,
+        revision: Callable[[], ids.Revision],
+        fencing_numbers: Callable[[float], Mapping[str, int]],
+        handle_other: Callable[
+            [messages.AnyMessage], Coroutine[Any, Any, None]
+        ],
+    ) -> None:
+        super().__init__()
+        self._sender = identity.sender_fields()
+        self._transport = transport
+        self._clock = clock
+        self._directory = directory
+        self._runner = runner
+        self._commander = commander
+        self._revision = revision
+        self._fencing_numbers = fencing_numbers
+        self._handle_other = handle_other
+        self._sequence = 0
+        self._background = BackgroundTasks()
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            messages.AgentHello: self._on_hello,
+            messages.LoadReport: self._on_load,
+            messages.CacheEvents: self._on_cache_events,
+            messages.EndpointCommandResult: commander.receive,
+            **dict.fromkeys(RESPONSE_PARTS, runner.receive),
+        }
+
+    async def on_start(self) -> None:
+        """Start to receive and to send heartbeats."""
+        self.add_future(self._receive())
+        self.add_future(self._beat_forever())
+        self.add_future(self._poll_forever())
+
+    async def on_shutdown(self) -> None:
+        """Send the last messages and close the connections."""
+        await self._runner.close()
+        await self._background.cancel()
+        await self._transport.close()
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self._transport.receive()
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(message)
+            else:
+                self._background.spawn(self._handle_other(message))
+
+    async def _beat_forever(self) -> None:
+        while True:
+            self._beat()
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    async def _poll_forever(self) -> None:
+        while True:
+            self._runner.poll()
+            await asyncio.sleep(_POLL_PERIOD_S)
+
+    def _beat(self) -> None:
+        now_s = self._clock.monotonic_s()
+        self._sequence += 1
+        for agent in self._directory.remove_silent(now_s):
+            self._runner.agent_gone(agent)
+            self._transport.reconnect(agent.address)
+        for agent in self._directory.agents():
+            if agent.liveness.take_reconnect(now_s):
+                self._transport.reconnect(agent.address)
+                self._runner.agent_reconnected(agent)
+            # A blocked peer gets no second heartbeat on top of the first.
+            if not agent.sending:
+                self._background.spawn(self._send_heartbeat(agent))
+
+    async def _send_heartbeat(self, agent: KnownAgent) -> None:
+        since_s = agent.liveness.incarnation_since_s
+        heartbeat = messages.EntryHeartbeat(
+            **self._sender,
+            sequence=self._sequence,
+            echo_sequence=agent.liveness.received_sequence,
+            revision=self._revision(),
+            fencing_numbers=dict(self._fencing_numbers(since_s)),
+        )
+        agent.sending = True
+        try:
+            # The next period repeats it.
+            with contextlib.suppress(TransportError):
+                await self._transport.send(agent.address, heartbeat)
+        finally:
+            agent.sending = False
+
+    def _on_hello(self, hello: messages.AgentHello) -> None:
+        now_s = self._clock.monotonic_s()
+        is_new = self._directory.find(hello.sender_id) is None
+        result = self._directory.record_hello(hello, now_s)
+        agent = self._directory.find(hello.sender_id)
+        if agent is None or result is HeartbeatResult.OUTDATED:
+            return
+        if result is HeartbeatResult.RESTARTED:
+            self._runner.agent_restarted(agent)
+        if is_new or hello.leaving or result is HeartbeatResult.RESTARTED:
+            # The agent waits for the echo.
+            if not agent.sending:
+                self._background.spawn(self._send_heartbeat(agent))
+
+    def _on_load(self, report: messages.LoadReport) -> None:
+        self._directory.record_load(report, self._clock.monotonic_s())
+
+    def _on_cache_events(self, events: messages.CacheEvents) -> None:
+        self._directory.record_cache_events(events, self._clock.monotonic_s())
--- /dev/null
+++ b/tests/fakes/site.py
@@ -0,0 +1,164 @@
+"""One agent and one entry on loopback, with their endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dogwoodpost.adapters.clock import BoottimeClock
+from dogwoodpost.adapters.nng import NngPeerTransport
+from dogwoodpost.config import AgentSettings
+from dogwoodpost.core import ids
+from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.observability import Metrics
+from dogwoodpost.ports.attempt_runner import AttemptSpec
+from dogwoodpost.services.agent.application import build_agent
+from dogwoodpost.services.entry.agent_directory import AgentDirectory
+from dogwoodpost.services.entry.endpoint_commander import EndpointCommander
+from dogwoodpost.services.entry.peer_attempt_runner import PeerAttemptRunner
+from dogwoodpost.services.entry.peer_service import PeerService
+from dogwoodpost.standins import plain_service
+from dogwoodpost.standins.engine import ENGINE
+from dogwoodpost.standins.memory_store import MemoryTableStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import mode
+    from aiohttp.test_utils import TestServer
+
+    from dogwoodpost.core import messages
+    from dogwoodpost.core.routing.endpoint import Endpoint
+    from dogwoodpost.ports.attempt_runner import AttemptEvent
+
+
+class FakeListener:
+    """Keeps what the directory tells."""
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, Endpoint] = {}
+        self.loads: dict[str, messages.EndpointLoad] = {}
+        self.cache_events: list[messages.CacheEvents] = []
+
+    def upsert(self, endpoint: Endpoint, now_s: float) -> None:
+        self.endpoints[endpoint.endpoint_id] = endpoint
+
+    def remove(self, endpoint_id: ids.EndpointId, now_s: float) -> None:
+        self.endpoints.pop(endpoint_id, None)
+
+    def report_load(self, load: messages.EndpointLoad, now_s: float) -> None:
+        self.loads[load.endpoint_id] = load
+
+    def record_cache_events(
+        self, events: messages.CacheEvents, now_s: float
+    ) -> None:
+        self.cache_events.append(events)
+
+
+class Entry:
+    """The entry's side."""
+
+    def __init__(self) -> None:
+        self.metrics = Metrics()
+        self.transport = NngPeerTransport(self.metrics)
+        self.identity = ProcessIdentity(
+            process_id=ids.ProcessId('entry-1'),
+            incarnation=ids.Incarnation('e1'),
+            address=self.transport.address,
+        )
+        self.listener = FakeListener()
+        self.fencing_numbers: dict[str, int] = {}
+        clock = BoottimeClock()
+        self.directory = AgentDirectory(self.listener)
+        self.runner = PeerAttemptRunner(
+            self.identity, self.transport, self.directory, clock
+        )
+        self.commander = EndpointCommander(self.identity, self.transport)
+        self.service = PeerService(
+            self.identity,
+            self.transport,
+            clock,
+            self.directory,
+            self.runner,
+            self.commander,
+            revision=lambda: ids.Revision(1),
+            fencing_numbers=lambda since_s: self.fencing_numbers,
+            handle_other=self._handle_other,
+        )
+
+    async def _handle_other(self, message: messages.AnyMessage) -> None:
+        raise AssertionError(message)
+
+    async def run(
+        self, endpoint_id: str, spec: AttemptSpec
+    ) -> list[AttemptEvent]:
+        endpoint = self.listener.endpoints[endpoint_id]
+        return [event async for event in self.runner.run(endpoint, spec)]
+
+
+class Site:
+    """An entry, an agent, an engine and a plain service."""
+
+    def __init__(self, engine: TestServer, plain: TestServer) -> None:
+        self.engine = engine.app[ENGINE]
+        self.plain = plain.app[plain_service.STATE]
+        self.entry = Entry()
+        self.tables = MemoryTableStore()
+        self._urls = {'engine-1': engine, 'plain-1': plain}
+        self.agent = self.build_agent()
+
+    def build_agent(self, **changes: object) -> mode.Service:
+        endpoints = [
+            {
+                'endpoint_id': name,
+                'service': name.partition('-')[0],
+                'url': str(server.make_url('/')),
+                'max_concurrency': 4,
+            }
+            for name, server in self._urls.items()
+        ]
+        document = {
+            'process_id': 'agent-1',
+            'host_id': 'host-1',
+            'region': 'minas',
+            'availability_zone': 'minas-a',
+            'platform': {
+                'table_store_url': 'http://127.0.0.1:1',
+                'object_store_url': 'http://127.0.0.1:1',
+            },
+            'drain_timeout_s': 10.0,
+            'endpoints': endpoints,
+            'seed_entry_addresses': [self.entry.transport.address],
+            **changes,
+        }
+        settings = AgentSettings.model_validate(document)
+        return build_agent(settings, self.tables, Metrics())
+
+    async def start(self) -> None:
+        await self.entry.service.start()
+        await self.agent.start()
+        await eventually(lambda: len(self.entry.listener.endpoints) == 2)
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the test runner bounds the wait."""
+    async with asyncio.timeout(30):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+def make_spec(attempt_id: str, **changes: object) -> AttemptSpec:
+    """Return a request to the engine, or what the test changes of it."""
+    fields = {
+        'attempt_id': ids.AttemptId(attempt_id),
+        'client_account_id': None,
+        'method': 'POST',
+        'path': '/v1/completions',
+        'headers': (('Content-Type', 'application/json'),),
+        'body': b'{"model":"model","prompt":"' + attempt_id.encode() + b'"}',
+        'timeout_s': 20.0,
+        'idempotent': True,
+    }
+    return AttemptSpec(**{**fields, **changes})
