Test the path of an attempt and fix what the tests found

A cancelled attempt kept its response until its deadline, so that a stop of the agent waited for callers who had left; it is dropped at once now.

--- a/src/dogwoodpost/core/attempts/agent_attempts.py
+++ b/src/dogwoodpost/core/attempts/agent_attempts.py
@@ -88,6 +88,10 @@
             return sum(self._running.values())
         return self._running.get(endpoint_id, 0)
 
+    def known_count(self) -> int:
+        """Return how many ids are remembered."""
+        return len(self._records)
+
     def unacknowledged_count(self) -> int:
         """Return how many responses have not been taken as a whole."""
         states = (RecordState.RUNNING, RecordState.FINISHED)
@@ -157,6 +161,7 @@
             return self._refused(key, Reason.CANCELLED)
         if record.state is RecordState.RUNNING:
             record.cancelled = True
+            record.abandoned = True
             return record
         if record.state is RecordState.REFUSED:
             return self._refused(key, record.reason or Reason.CANCELLED)
@@ -215,8 +220,6 @@
         usage: dict[str, Any] | None = None,
     ) -> messages.ResponseEnd:
         """End a running attempt; return the end mark to send."""
-        if record.end is not None:
-            return record.end
         count = len(record.chunks)
         end = self._end(record.key, count, outcome, detail)
         if usage is not None:
@@ -225,6 +228,8 @@
         record.state = RecordState.FINISHED
         if record.endpoint_id is not None:
             self._running[record.endpoint_id] -= 1
+        if record.abandoned:
+            self._drop_response(record)
         return end
 
     # Time
--- a/src/dogwoodpost/core/attempts/agent_record.py
+++ b/src/dogwoodpost/core/attempts/agent_record.py
@@ -51,7 +51,9 @@
         self.deadline_s = deadline_s
         self.endpoint_id = endpoint_id
         self.reason = reason
+        # Stopped for any reason; the owner wants no response any more.
         self.cancelled = False
+        self.abandoned = False
         self.connected = True
         self.head: messages.ResponseHead | None = None
         self.chunks: list[messages.ResponseChunk] = []
--- a/src/dogwoodpost/core/attempts/entry_attempt.py
+++ b/src/dogwoodpost/core/attempts/entry_attempt.py
@@ -25,6 +25,7 @@
 DEADLINE_GRACE_S = 2.0
 MAX_BUFFERED_COUNT = 4_096
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+_OVERDUE = 'no end of the response before the deadline'
 
 AttemptError = AttemptNotRunError | AttemptOutcomeUnknownError
 ResponsePart = (
@@ -67,7 +68,10 @@
         if self.done:
             return
         self._last_part_s = now_s
-        if part.sender_incarnation != self.agent_incarnation:
+        if self._is_overdue(now_s):
+            # The agent may have forgotten the attempt by now.
+            self._fail_unknown(_OVERDUE)
+        elif part.sender_incarnation != self.agent_incarnation:
             # Another run of the agent knows nothing of this attempt, not
             # even that it has not run.
             self._fail_unknown('the agent has restarted')
@@ -112,8 +116,8 @@
         """Return whether to fetch now; fails the attempt when time is up."""
         if self.done:
             return False
-        if now_s > self.deadline_s + DEADLINE_GRACE_S:
-            self._fail_unknown('no end of the response before the deadline')
+        if self._is_overdue(now_s):
+            self._fail_unknown(_OVERDUE)
             return False
         self._note_gap(now_s)
         since_fetch_s = now_s - self._last_fetch_s
@@ -132,6 +136,9 @@
         """Return the time left, at least 0."""
         return max(int((self.deadline_s - now_s) * 1000), 0)
 
+    def _is_overdue(self, now_s: float) -> bool:
+        return now_s > self.deadline_s + DEADLINE_GRACE_S
+
     def _receive_chunk(self, part: messages.ResponseChunk) -> None:
         index = part.index
         if index < self.next_index or index in self._buffer:
--- a/src/dogwoodpost/core/attempts/response_usage.py
+++ b/src/dogwoodpost/core/attempts/response_usage.py
@@ -45,6 +45,7 @@
         self._is_stream = is_stream
         self._limit = _MAX_LINE_BYTES if is_stream else max_body_bytes
         self._pending = b''
+        self._document = bytearray()
         self._skipping = False
         self._report = _Report()
         self.done_seen = False
@@ -52,8 +53,7 @@
     def feed(self, data: bytes) -> None:
         """Take the next piece of the body."""
         if not self._is_stream:
-            if len(self._pending) + len(data) <= self._limit:
-                self._pending += data
+            self._feed_document(data)
             return
         *lines, rest = (self._pending + data).split(b'\n')
         for line in lines:
@@ -68,7 +68,7 @@
     def fields(self) -> dict[str, Any]:
         """Return the fields of ``ResponseEnd`` that the engine reported."""
         if not self._is_stream:
-            self._decode(self._pending)
+            self._decode(bytes(self._document))
         usage = self._report.usage or _Usage()
         details = usage.prompt_tokens_details or _TokenDetails()
         versions = dict.fromkeys(
@@ -82,6 +82,14 @@
             'completion_tokens': usage.completion_tokens,
         }
 
+    def _feed_document(self, data: bytes) -> None:
+        if not self._skipping:
+            self._document += data
+        if len(self._document) > self._limit:
+            # A part of a document says nothing.
+            self._skipping = True
+            self._document.clear()
+
     def _read_line(self, line: bytes) -> None:
         if not line.startswith(_DATA):
             return
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -61,7 +61,7 @@
         super().__init__()
         self._settings = settings
         self.identity = identity
-        self._transport = transport
+        self.transport = transport
         self._clock = clock
         self._links = links
         self._attempts = attempts
@@ -109,7 +109,7 @@
     async def on_shutdown(self) -> None:
         """Close the connections after all tasks have ended."""
         await self._background.cancel()
-        await self._transport.close()
+        await self.transport.close()
 
     def _is_drained(self) -> bool:
         if self._attempts.running_count() > 0:
@@ -125,7 +125,7 @@
 
     async def _receive(self) -> None:
         while True:
-            message = await self._transport.receive()
+            message = await self.transport.receive()
             handler = self._handlers.get(type(message))
             if handler is not None:
                 handler(message)
@@ -240,7 +240,7 @@
     async def _send(self, address: str, message: messages.AnyMessage) -> None:
         # Heartbeats repeat; a lost result of an order is asked for again.
         with contextlib.suppress(TransportError):
-            await self._transport.send(address, message)
+            await self.transport.send(address, message)
 
     def _now_s(self) -> float:
         return self._clock.monotonic_s()
--- /dev/null
+++ b/tests/adapters/http/test_endpoint_client.py
@@ -0,0 +1,153 @@
+"""Contract of the endpoint client, with faults on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from dogwoodpost.adapters.http import HttpEndpointClient
+from dogwoodpost.core import ids
+from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import EndpointUnsupportedError
+from dogwoodpost.ports.endpoint_client import EndpointRequest
+from dogwoodpost.services.agent.application import open_endpoint_session
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+class RawServer:
+    """Answers each request with the same bytes, then closes or waits."""
+
+    def __init__(self, answer: bytes, *, silent: bool = False) -> None:
+        self._answer = answer
+        self._silent = silent
+        self.requests: list[bytes] = []
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(self._answer)
+        if self._silent:
+            await reader.read()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def connected(raw: RawServer) -> AsyncIterator[HttpEndpointClient]:
+    server = await asyncio.start_server(raw.handle, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    async with open_endpoint_session() as session:
+        yield HttpEndpointClient(
+            ids.EndpointId('e'),
+            f'http://127.0.0.1:{port}/',
+            session,
+            idle_timeout_s=0.2,
+        )
+    server.close()
+
+
+def make_request(**changes: object) -> EndpointRequest:
+    fields = {
+        'request_id': 'r1',
+        'method': 'POST',
+        'path': '/a%2Fb?c=%20',
+        'headers': (('X-Kept', '1'),),
+        'body': b'body',
+        'timeout_s': 0.5,
+    }
+    return EndpointRequest(**{**fields, **changes})
+
+
+async def call(client: HttpEndpointClient, **changes: object) -> bytes:
+    async with client.call(make_request(**changes)) as response:
+        return b''.join([chunk async for chunk in response.chunks()])
+
+
+async def test_request_is_passed_on_as_it_is() -> None:
+    """Guards against a changed path, and against keys that leak."""
+    raw = RawServer(HEAD + b'body')
+    secret = (('Authorization', 'Bearer k'), ('Cookie', 'k=1'))
+    async with connected(raw) as client:
+        headers = (*secret, ('X-Kept', '1'))
+        assert await call(client, headers=headers) == b'body'
+    sent = raw.requests[0].decode()
+    assert sent.startswith('POST /a%2Fb?c=%20 HTTP/1.1\r\n')
+    assert 'X-Kept: 1' in sent and 'X-Request-Id: r1' in sent
+    assert 'Bearer' not in sent and 'k=1' not in sent
+
+
+@pytest.mark.parametrize(
+    ('answer', 'silent'),
+    [
+        (b'', False),
+        (b'', True),
+        (b'nonsense\r\n\r\n', False),
+        (HEAD + b'bo', False),
+        (HEAD + b'bo', True),
+        (CHUNKED + b'2\r\nab\r\n', False),
+        (CHUNKED + b'2\r\nab\r\n', True),
+        (CHUNKED + b'zz\r\n', False),
+    ],
+)
+@pytest.mark.parametrize('method', ['POST', 'GET', 'PUT', 'DELETE'])
+async def test_fault_is_explicit_and_sent_once(
+    method: str, answer: bytes, silent: bool
+) -> None:
+    """Guards against a cut body taken for whole, and a hidden second run."""
+    raw = RawServer(answer, silent=silent)
+    async with connected(raw) as client:
+        with pytest.raises(EndpointError):
+            await call(client, method=method)
+    assert len(raw.requests) == 1
+
+
+async def test_refused_connection_is_an_error() -> None:
+    """Guards against an unhandled error when the endpoint is down."""
+    async with open_endpoint_session() as session:
+        client = HttpEndpointClient(
+            ids.EndpointId('e'), 'http://127.0.0.1:1', session
+        )
+        with pytest.raises(EndpointError):
+            await call(client)
+        with pytest.raises(EndpointError):
+            await client.load()
+        await client.cancel('r1')
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'error'),
+    [
+        ('404 Not Found', b'{}', EndpointUnsupportedError),
+        ('409 Conflict', b'{}', EndpointError),
+        ('200 OK', b'{"running_count": "x"}', EndpointError),
+        ('200 OK', b'\xff', EndpointError),
+    ],
+)
+async def test_bad_control_answer(
+    status: str, body: bytes, error: type
+) -> None:
+    """Guards against malformed control answers taken as load reports."""
+    head = f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n'
+    async with connected(RawServer(head.encode() + body)) as client:
+        with pytest.raises(error):
+            await client.load()
+
+
+async def test_cache_events_are_decoded() -> None:
+    """Guards against an index fed with other numbers than the engine's."""
+    batch = {'first_sequence': 3, 'stored': [1], 'last_sequence': 3}
+    body = msgspec.json.encode(batch)
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+    async with connected(RawServer(head.encode() + body)) as client:
+        events = await client.cache_events(2)
+    assert (events.first_sequence, events.stored) == (3, (1,))
--- /dev/null
+++ b/tests/adapters/nng/test_transport.py
@@ -0,0 +1,156 @@
+"""Contract of the peer transport."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import pynng
+import pytest
+import pytest_asyncio
+
+from dogwoodpost.adapters.nng import NngPeerTransport
+from dogwoodpost.core import messages
+from dogwoodpost.errors import TransportError
+from dogwoodpost.observability import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+LIMIT = 4_096
+
+
+def make_message(index: int, size: int = 1) -> messages.ResponseChunk:
+    return messages.ResponseChunk(
+        sender_id='sender',
+        sender_incarnation='i',
+        sender_address='a',
+        attempt_id='x',
+        index=index,
+        data=b'd' * size,
+    )
+
+
+@pytest_asyncio.fixture
+async def pair() -> AsyncIterator[tuple[NngPeerTransport, NngPeerTransport]]:
+    transports = [
+        NngPeerTransport(
+            Metrics(), send_timeout_ms=100, max_message_bytes=LIMIT
+        )
+        for _ in range(2)
+    ]
+    yield tuple(transports)
+    for transport in transports:
+        await transport.close()
+
+
+async def receive(transport: NngPeerTransport) -> messages.AnyMessage:
+    async with asyncio.timeout(20):
+        return await transport.receive()
+
+
+def count(
+    transport: NngPeerTransport, counter: str, **labels: str
+) -> float | None:
+    registry = transport._metrics.registry
+    return registry.get_sample_value(f'dogwoodpost_{counter}_total', labels)
+
+
+async def test_messages_arrive_in_order_and_are_counted(pair) -> None:
+    """Guards against loss and reordering on one connection."""
+    sender, receiver = pair
+    sent = [make_message(index) for index in range(200)]
+    for message in sent:
+        await sender.send(receiver.address, message)
+    assert [await receive(receiver) for _ in sent] == sent
+    labels = {'type': 'ResponseChunk'}
+    assert count(sender, 'peer_messages', direction='sent', **labels) == 200
+    received = {'direction': 'received', **labels}
+    assert count(receiver, 'peer_messages', **received) == 200
+
+
+async def test_reconnect_opens_a_new_connection(pair) -> None:
+    """Guards against a connection that stays silent for ever."""
+    sender, receiver = pair
+    await sender.send(receiver.address, make_message(0))
+    assert (await receive(receiver)).index == 0
+    sender.reconnect(receiver.address)
+    await sender.send(receiver.address, make_message(1))
+    assert (await receive(receiver)).index == 1
+
+
+@pytest.mark.parametrize(
+    ('address', 'size'),
+    [
+        ('tcp://127.0.0.1:1', 1),
+        ('not an address', 1),
+        ('self', LIMIT + 1),
+    ],
+)
+async def test_unsent_message_is_an_error(
+    pair, address: str, size: int
+) -> None:
+    """Guards against sends that block for ever or fail silently."""
+    sender, receiver = pair
+    if address == 'self':
+        address = receiver.address
+    with pytest.raises(TransportError):
+        # The first ones fit into the send buffer.
+        for index in range(1_000):
+            await sender.send(address, make_message(index, size))
+
+
+async def test_slow_peer_blocks_instead_of_dropping(pair) -> None:
+    """Guards against silent loss when the receiver does not keep up."""
+    sender, receiver = pair
+    sent_count = 0
+    with pytest.raises(TransportError):
+        for index in range(100_000):
+            await sender.send(receiver.address, make_message(index, 3_000))
+            sent_count += 1
+    received = [(await receive(receiver)).index for _ in range(sent_count)]
+    assert received == list(range(sent_count))
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'\xc1',
+        b'\x91' * 3_000,
+        msgspec.msgpack.encode({'type': 'Unknown'}),
+        msgspec.msgpack.encode({'type': 'ResponseChunk', 'index': 'x'}),
+        b'\x81\xa4type\xa2\xff\xff',
+    ],
+)
+async def test_malformed_message_is_dropped(pair, data: bytes) -> None:
+    """Guards against a receiver that one bad message stops."""
+    sender, receiver = pair
+    with pynng.Push0(dial=receiver.address) as socket:
+        await socket.asend(data)
+        await asyncio.sleep(0.01)
+        await sender.send(receiver.address, make_message(7))
+        assert (await receive(receiver)).index == 7
+    dropped = {'name': 'malformed_peer_message'}
+    while count(receiver, 'events', **dropped) != 1:
+        pending = asyncio.ensure_future(receiver.receive())
+        await asyncio.sleep(0.05)
+        pending.cancel()
+
+
+async def test_oversized_message_of_a_peer_is_dropped(pair) -> None:
+    """Guards against memory taken by a peer without the size limit."""
+    sender, receiver = pair
+    with pynng.Push0(dial=receiver.address) as socket:
+        await socket.asend(b'x' * (LIMIT + 1))
+        await sender.send(receiver.address, make_message(7))
+        assert (await receive(receiver)).index == 7
+
+
+async def test_closed_transport_refuses(pair) -> None:
+    """Guards against a hang after the end."""
+    sender, receiver = pair
+    await sender.close()
+    with pytest.raises(TransportError):
+        await sender.send(receiver.address, make_message(0))
--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -55,12 +55,25 @@
         self.cache_events.append(events)
 
 
+class LossyTransport(NngPeerTransport):
+    """Loses the received messages that a test chooses."""
+
+    def __init__(self) -> None:
+        super().__init__(Metrics())
+        self.loses: Callable[[messages.AnyMessage], bool] = lambda _: False
+
+    async def receive(self) -> messages.AnyMessage:
+        while True:
+            message = await super().receive()
+            if not self.loses(message):
+                return message
+
+
 class Entry:
     """The entry's side."""
 
     def __init__(self) -> None:
-        self.metrics = Metrics()
-        self.transport = NngPeerTransport(self.metrics)
+        self.transport = LossyTransport()
         self.identity = ProcessIdentity(
             process_id=ids.ProcessId('entry-1'),
             incarnation=ids.Incarnation('e1'),
@@ -134,6 +147,15 @@
         settings = AgentSettings.model_validate(document)
         return build_agent(settings, self.tables, Metrics())
 
+    async def kill_agent(self) -> None:
+        """End the agent without a drain, as a crash does."""
+        agent = self.agent.agent
+        agent._settings = agent._settings.model_copy(
+            update={'drain_timeout_s': 0.0}
+        )
+        await agent.transport.close()
+        await self.agent.stop()
+
     async def start(self) -> None:
         await self.entry.service.start()
         await self.agent.start()
--- /dev/null
+++ b/tests/services/agent/test_commands.py
@@ -0,0 +1,106 @@
+"""Fenced orders through the agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from dogwoodpost.core import messages
+from dogwoodpost.core.messages import EndpointAction
+from dogwoodpost.ports.attempt_runner import AttemptNotRunError
+from tests.fakes.site import eventually
+from tests.fakes.site import make_spec
+
+if TYPE_CHECKING:
+    from tests.fakes.site import Site
+
+ENGINE = 'engine-1'
+SHARD = 'weights/model'
+
+
+async def command(
+    site: Site, number: int, action: EndpointAction, argument: str = ''
+) -> messages.EndpointCommandResult:
+    endpoint = site.entry.listener.endpoints[ENGINE]
+    return await site.entry.commander.command(
+        endpoint, SHARD, number, action, argument, ()
+    )
+
+
+async def read_back(site: Site, number: int) -> None:
+    """Let the agent learn the number that the store holds."""
+    site.entry.fencing_numbers[SHARD] = number
+    known = site.agent.agent._numbers
+    await eventually(lambda: known.highest(SHARD) >= number)
+
+
+async def test_new_agent_refuses_until_the_number_is_read(
+    site: Site,
+) -> None:
+    """Guards against an old holder's order after the agent's restart."""
+    first = await command(site, 7, EndpointAction.SET_ROLE, 'prefill')
+    assert not first.accepted
+    assert site.engine.role == 'mixed'
+    await read_back(site, 7)
+    old = await command(site, 6, EndpointAction.SET_ROLE, 'decode')
+    assert not old.accepted
+    assert old.highest_fencing_number == 7
+    assert site.engine.role == 'mixed'
+    current = await command(site, 7, EndpointAction.SET_ROLE, 'prefill')
+    assert current.accepted
+    assert site.engine.role == 'prefill'
+
+
+async def test_swap_is_reported(site: Site) -> None:
+    """Guards against a swap that entries never hear of, or a false one."""
+    await read_back(site, 1)
+    site.engine.faults.refuse_swap = True
+    failed = await command(site, 1, EndpointAction.LOAD_WEIGHTS, '2')
+    assert not failed.accepted and 'swap' in failed.detail
+    site.engine.faults.refuse_swap = False
+    for action in (EndpointAction.LOAD_WEIGHTS, EndpointAction.SWITCH_WEIGHTS):
+        assert (await command(site, 1, action, '2')).accepted
+    endpoints = site.entry.listener.endpoints
+    await eventually(lambda: endpoints[ENGINE].weight_version == 2)
+
+
+async def test_repeated_order_is_carried_out_once(site: Site) -> None:
+    """Guards against a second execution when a result was lost."""
+    await read_back(site, 1)
+    endpoint = site.entry.listener.endpoints[ENGINE]
+    order = messages.EndpointCommand(
+        **site.entry.identity.sender_fields(),
+        command_id='c1',
+        shard=SHARD,
+        fencing_number=1,
+        endpoint_id=endpoint.endpoint_id,
+        action=EndpointAction.LOAD_ADAPTER,
+        argument='adapter-1',
+    )
+    commands = site.agent.agent._commands
+    results = [await commands.execute(order) for _ in range(2)]
+    assert results[0] == results[1] and results[0].accepted
+    assert site.engine.loaded_names['adapter'] == ['adapter-1']
+
+
+async def test_drained_endpoint_takes_no_work(site: Site) -> None:
+    """Guards against work for an endpoint that is to be stopped."""
+    await read_back(site, 1)
+    assert (await command(site, 1, EndpointAction.DRAIN)).accepted
+    with pytest.raises(AttemptNotRunError):
+        await site.entry.run(ENGINE, make_spec('t1'))
+    assert (await command(site, 1, EndpointAction.RESUME)).accepted
+    head, *_ = await site.entry.run(ENGINE, make_spec('t2'))
+    assert head.status == 200
+
+
+async def test_load_and_cache_events_reach_the_entry(site: Site) -> None:
+    """Guards against a router that never learns of loads and prefixes."""
+    listener = site.entry.listener
+    await eventually(lambda: set(listener.loads) == {ENGINE, 'plain-1'})
+    body = b'{"model":"model","prompt":"' + b'x' * 600 + b'"}'
+    await site.entry.run(ENGINE, make_spec('t1', body=body))
+    await eventually(
+        lambda: sum(len(e.stored) for e in listener.cache_events) >= 2
+    )
--- /dev/null
+++ b/tests/services/entry/test_agent_directory.py
@@ -0,0 +1,82 @@
+"""Which endpoints an entry counts as reachable."""
+
+from __future__ import annotations
+
+from dogwoodpost.core import messages
+from dogwoodpost.services.entry.agent_directory import AgentDirectory
+from tests.fakes.site import FakeListener
+
+
+def hello(
+    agent: str, sequence: int, *endpoints: str, **changes: object
+) -> messages.AgentHello:
+    fields = {
+        'sender_id': agent,
+        'sender_incarnation': 'i1',
+        'sender_address': f'tcp://{agent}',
+        'host_id': 'h',
+        'availability_zone': 'z',
+        'region': 'r',
+        'sequence': sequence,
+        'echo_sequence': 0,
+        'endpoints': tuple(
+            messages.EndpointState(endpoint_id=name, service='s')
+            for name in endpoints
+        ),
+    }
+    return messages.AgentHello(**{**fields, **changes})
+
+
+def make() -> tuple[AgentDirectory, FakeListener]:
+    listener = FakeListener()
+    return AgentDirectory(listener), listener
+
+
+def test_silent_agent_loses_its_endpoints_until_it_is_heard() -> None:
+    """Guards against work for an agent that has been silent for 3 s."""
+    directory, listener = make()
+    directory.record_hello(hello('a', 1, 'e1', 'e2'), 0.0)
+    directory.remove_silent(2.9)
+    assert set(listener.endpoints) == {'e1', 'e2'}
+    assert directory.remove_silent(3.1) == []
+    assert listener.endpoints == {}
+    directory.record_hello(hello('a', 2, 'e1'), 3.5)
+    assert set(listener.endpoints) == {'e1'}
+    (gone,) = directory.remove_silent(9.6)
+    assert gone.process_id == 'a'
+    assert directory.find('a') is None
+
+
+def test_restart_and_leaving_replace_what_is_known() -> None:
+    """Guards against attempts addressed to an agent's earlier run."""
+    directory, listener = make()
+    directory.record_hello(hello('a', 9, 'e1'), 0.0)
+    restarted = {'sender_incarnation': 'i2', 'sender_address': 'tcp://new'}
+    directory.record_hello(hello('a', 1, 'e1', **restarted), 1.0)
+    directory.record_hello(hello('a', 10, 'e1', 'e2'), 1.1)
+    assert set(listener.endpoints) == {'e1'}
+    assert listener.endpoints['e1'].agent_incarnation == 'i2'
+    assert listener.endpoints['e1'].agent_address == 'tcp://new'
+    directory.record_hello(hello('a', 2, 'e1', leaving=True, **restarted), 2)
+    assert listener.endpoints['e1'].draining
+
+
+def test_endpoint_that_moved_stays_with_its_new_agent() -> None:
+    """Guards against the old agent's silence removing a moved endpoint."""
+    directory, listener = make()
+    directory.record_hello(hello('old', 1, 'e1'), 0.0)
+    directory.record_hello(hello('new', 1, 'e1'), 2.0)
+    directory.remove_silent(3.5)
+    assert listener.endpoints['e1'].agent_id == 'new'
+    stale = messages.LoadReport(
+        sender_id='old',
+        sender_incarnation='i1',
+        sender_address='tcp://old',
+        loads=(
+            messages.EndpointLoad(
+                endpoint_id='e1', running_count=1, waiting_count=0
+            ),
+        ),
+    )
+    directory.record_load(stale, 3.5)
+    assert listener.loads == {}
