--- /dev/null
+++ b/src/dogwoodpost/standins/engine/control.py
@@ -0,0 +1,177 @@
+"""Control paths of the engine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+
+from dogwoodpost.standins.engine.engine_refusal import EngineRefusal
+from dogwoodpost.standins.engine.faults import EngineFaults
+from dogwoodpost.standins.engine.kv_store import KvExport
+
+if TYPE_CHECKING:
+    from dogwoodpost.standins.engine.engine import Engine
+
+_Body = TypeVar('_Body')
+
+
+class CancelBody(msgspec.Struct):
+    """Body of ``POST /control/cancel``."""
+
+    request_id: str
+
+
+class WeightOrder(msgspec.Struct):
+    """Body of the orders to load and to switch weights."""
+
+    weight_version: int
+    fencing_number: int | None = None
+
+
+class ModelOrder(msgspec.Struct):
+    """Body of ``POST /control/models/load``."""
+
+    model: str
+    fencing_number: int | None = None
+
+
+class AdapterOrder(msgspec.Struct):
+    """Body of ``POST /control/adapters/load``."""
+
+    adapter: str
+    fencing_number: int | None = None
+
+
+class RoleOrder(msgspec.Struct):
+    """Body of ``POST /control/role``."""
+
+    role: str
+    fencing_number: int | None = None
+
+
+class Control:
+    """Serves the control paths of one engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel a request; an unknown id has no effect."""
+        body = await _body(request, CancelBody)
+        found = self._engine.cancel(body.request_id)
+        return _json({'cancelled': found})
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report the load."""
+        del request
+        engine = self._engine
+        return _json(
+            {
+                'running_count': engine.batch.running_count,
+                'waiting_count': engine.batch.waiting_count,
+                'running_tokens': engine.batch.running_tokens,
+                'age_ms': 0,
+                'cached_blocks': len(engine.cache),
+                'weight_version': engine.orders.weight_version,
+                'loaded_versions': sorted(engine.orders.loaded_versions),
+                'models': sorted(engine.orders.models),
+                'adapters': sorted(engine.orders.adapters),
+                'role': engine.orders.role,
+            }
+        )
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Return cache events after a number."""
+        try:
+            after = int(request.query.get('after', '0'))
+        except ValueError as error:
+            raise _malformed('after is not a number') from error
+        return _json(self._engine.cache.events(after))
+
+    async def load_weights(self, request: web.Request) -> web.Response:
+        """Load a version beside the one in use."""
+        order = await _body(request, WeightOrder)
+        self._check_swap(order.fencing_number)
+        await asyncio.sleep(self._engine.settings.load_s)
+        self._engine.orders.add_version(order.weight_version)
+        return web.Response(status=204)
+
+    async def switch_weights(self, request: web.Request) -> web.Response:
+        """Switch to a loaded version."""
+        order = await _body(request, WeightOrder)
+        self._check_swap(order.fencing_number)
+        self._engine.switch_weights(order.weight_version)
+        return web.Response(status=204)
+
+    async def load_model(self, request: web.Request) -> web.Response:
+        """Load a model beside the others."""
+        order = await _body(request, ModelOrder)
+        self._engine.orders.check_fencing(order.fencing_number)
+        self._engine.orders.models.add(order.model)
+        return web.Response(status=204)
+
+    async def load_adapter(self, request: web.Request) -> web.Response:
+        """Load an adapter."""
+        order = await _body(request, AdapterOrder)
+        self._engine.orders.check_fencing(order.fencing_number)
+        self._engine.orders.adapters.add(order.adapter)
+        return web.Response(status=204)
+
+    async def set_role(self, request: web.Request) -> web.Response:
+        """Change the role."""
+        order = await _body(request, RoleOrder)
+        self._engine.orders.check_fencing(order.fencing_number)
+        self._engine.orders.set_role(order.role)
+        self._engine.batch.role = order.role
+        return web.Response(status=204)
+
+    async def export_kv(self, request: web.Request) -> web.Response:
+        """Return the KV cache of a request."""
+        export = self._engine.export_kv(request.match_info['request_id'])
+        if export is None:
+            raise EngineRefusal(404, 'unknown_request', 'no such request')
+        return _json(export)
+
+    async def import_kv(self, request: web.Request) -> web.Response:
+        """Store the KV cache of a request of another engine."""
+        export = await _body(request, KvExport)
+        if export.request_id != request.match_info['request_id']:
+            raise _malformed('the path names another request')
+        self._engine.import_kv(export)
+        return web.Response(status=204)
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Set all faults at once."""
+        self._engine.set_faults(await _body(request, EngineFaults))
+        return web.Response(status=204)
+
+    async def counters(self, request: web.Request) -> web.Response:
+        """Return the counters."""
+        del request
+        return _json(self._engine.counters)
+
+    def _check_swap(self, fencing_number: int | None) -> None:
+        self._engine.orders.check_fencing(fencing_number)
+        if self._engine.faults.take('refuse_swap_count'):
+            raise EngineRefusal(503, 'swap_refused', 'refused by a fault')
+
+
+async def _body(request: web.Request, body_type: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(await request.read(), type=body_type)
+    except msgspec.MsgspecError as error:
+        raise _malformed(str(error)) from error
+
+
+def _malformed(message: str) -> EngineRefusal:
+    return EngineRefusal(400, 'malformed_request', message)
+
+
+def _json(document: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(document), content_type='application/json'
+    )
--- /dev/null
+++ b/src/dogwoodpost/standins/engine/engine.py
@@ -0,0 +1,174 @@
+"""State of one stand-in engine and the loop that generates tokens."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from dogwoodpost.standins.engine.batch import Batch
+from dogwoodpost.standins.engine.engine_refusal import EngineRefusal
+from dogwoodpost.standins.engine.faults import EngineFaults
+from dogwoodpost.standins.engine.generation import Generation
+from dogwoodpost.standins.engine.kv_store import export_of
+from dogwoodpost.standins.engine.kv_store import KvExport
+from dogwoodpost.standins.engine.kv_store import KvStore
+from dogwoodpost.standins.engine.order_book import OrderBook
+from dogwoodpost.standins.engine.prefix_cache import PrefixCache
+from dogwoodpost.standins.engine.request_counters import CounterValues
+
+if TYPE_CHECKING:
+    from dogwoodpost.standins.engine.completion_request import (
+        CompletionRequest,
+    )
+    from dogwoodpost.standins.engine.settings import EngineSettings
+
+CANCELLED = 'cancelled'
+CRASHED = 'crashed'
+DEADLINE_PASSED = 'deadline_passed'
+
+
+class Engine:
+    """Generates completions and carries out orders."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.faults = EngineFaults()
+        self.counters = CounterValues()
+        self.orders = OrderBook(settings)
+        self.cache = PrefixCache(
+            settings.cache_block_count,
+            settings.max_cache_event_count,
+            self.faults,
+        )
+        self.batch = Batch(settings, self.cache)
+        self.kv_store = KvStore(settings.retained_kv_count)
+        self.crash_count = 0
+        # Cleared while nothing may be sent.
+        self.responsive = asyncio.Event()
+        self.responsive.set()
+        self._has_work = asyncio.Event()
+
+    def start(self, request: CompletionRequest) -> Generation:
+        """Enter a request into the batch.
+
+        :raises EngineRefusal: the model or the weights are not there.
+        """
+        self.orders.check_model(request.model)
+        lowest = request.min_weight_version
+        if lowest is not None and self.orders.weight_version < lowest:
+            # 503, so that the caller may try an engine that has switched.
+            raise EngineRefusal(
+                503,
+                'weight_version_too_old',
+                f'version {self.orders.weight_version} is in use',
+            )
+        max_tokens = request.max_tokens or self.settings.default_max_tokens
+        generation = Generation(request, max_tokens)
+        self.counters.started_count += 1
+        self.counters.executions[request.request_id] += 1
+        self.batch.add(generation)
+        self._has_work.set()
+        return generation
+
+    def finish(self, generation: Generation) -> None:
+        """Take leave of a request; one that is not over is cancelled."""
+        generation.fail(CANCELLED)
+        self.batch.remove_over()
+        if generation.finish_reason is not None:
+            self.counters.completed_count += 1
+        elif generation.failure == CANCELLED:
+            self.counters.cancelled_count += 1
+        if generation.failure != CRASHED:
+            self.kv_store.keep(
+                export_of(generation, self.orders.weight_version)
+            )
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancel a request; return whether it was known."""
+        found = self._find(request_id)
+        for generation in found:
+            generation.fail(CANCELLED)
+        self.batch.remove_over()
+        return bool(found)
+
+    def export_kv(self, request_id: str) -> KvExport | None:
+        """Return the KV cache of a running or a recent request."""
+        for generation in self._find(request_id):
+            return export_of(generation, self.orders.weight_version)
+        return self.kv_store.get(request_id)
+
+    def import_kv(self, export: KvExport) -> None:
+        """Store another engine's blocks.
+
+        :raises EngineRefusal: other weights computed them.
+        """
+        if export.weight_version != self.orders.weight_version:
+            raise EngineRefusal(
+                409,
+                'other_weight_version',
+                f'version {self.orders.weight_version} is in use',
+            )
+        self.cache.store(export.hashes)
+        self.kv_store.keep(export)
+
+    def switch_weights(self, version: int) -> None:
+        """Use a loaded version; blocks of the old one become useless.
+
+        :raises EngineRefusal: the version is not loaded.
+        """
+        if self.orders.switch(version):
+            self.cache.clear()
+            self.kv_store.clear()
+
+    def set_faults(self, faults: EngineFaults) -> None:
+        """Set all faults."""
+        if faults.crashed and not self.faults.crashed:
+            self._crash()
+        self.faults = faults
+        self.cache.faults = faults
+        if faults.hang and not faults.crashed:
+            self.responsive.clear()
+        else:
+            self.responsive.set()
+
+    async def run(self) -> None:
+        """Generate tokens until cancelled."""
+        last_s = time.monotonic()
+        while True:
+            if self.batch.running_count == 0:
+                self._has_work.clear()
+                await self._has_work.wait()
+                last_s = time.monotonic()
+            await asyncio.sleep(self.settings.tick_s)
+            now_s = time.monotonic()
+            if not self.faults.hang:
+                rate = self.settings.token_rate_per_s / self.faults.slow_factor
+                self.batch.advance(
+                    (now_s - last_s) * rate, self.orders.weight_version
+                )
+            last_s = now_s
+
+    def _crash(self) -> None:
+        """Lose what a restarted engine process lacks.
+
+        The fencing number stays: engines that check it promise to refuse
+        lower ones, whatever happens.
+        """
+        self.crash_count += 1
+        for generation in self.batch:
+            generation.fail(CRASHED)
+        self.batch.remove_over()
+        self.cache.clear()
+        self.kv_store.clear()
+        fencing_number = self.orders.highest_fencing_number
+        self.orders = OrderBook(self.settings)
+        self.orders.highest_fencing_number = fencing_number
+        self.batch.role = self.orders.role
+
+    def _find(self, request_id: str) -> list[Generation]:
+        return [
+            generation
+            for generation in self.batch
+            if generation.request.request_id == request_id
+        ]
--- /dev/null
+++ b/src/dogwoodpost/standins/engine/prefix_cache.py
@@ -0,0 +1,67 @@
+"""Prefix cache in limited memory."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from dogwoodpost.standins.engine.cache_event_log import CacheEventLog
+from dogwoodpost.standins.engine.cache_event_log import CacheEventPage
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dogwoodpost.standins.engine.faults import EngineFaults
+
+
+class PrefixCache:
+    """Least recently used blocks, each named by the hash of its chain."""
+
+    def __init__(
+        self, block_count: int, max_event_count: int, faults: EngineFaults
+    ) -> None:
+        self._block_count = block_count
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._log = CacheEventLog(max_event_count)
+        self.faults = faults
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def matched_count(self, hashes: Sequence[int]) -> int:
+        """Return how many leading blocks are cached."""
+        for index, block in enumerate(hashes):
+            if block not in self._blocks:
+                return index
+        return len(hashes)
+
+    def store(self, hashes: Sequence[int]) -> None:
+        """Store a chain; its first blocks count as the most recent.
+
+        A chain without its first block is useless, so its end goes first.
+        """
+        kept = hashes[: self._block_count]
+        for block in reversed(kept):
+            is_new = block not in self._blocks
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+            if is_new:
+                self._note(block, is_stored=True)
+        while len(self._blocks) > self._block_count:
+            block, _ = self._blocks.popitem(last=False)
+            self._note(block, is_stored=False)
+
+    def clear(self) -> None:
+        """Drop all blocks."""
+        self._blocks.clear()
+        self._log.reset()
+
+    def events(self, after: int) -> CacheEventPage:
+        """Return the changes after a number."""
+        return self._log.page(after, tuple(self._blocks))
+
+    def _note(self, block: int, *, is_stored: bool) -> None:
+        if self.faults.take('drop_cache_event_count'):
+            self._log.drop()
+        else:
+            self._log.append(block, is_stored=is_stored)
