Add leases with fencing numbers and the lease manager

The decisions are pure; a state machine checks that calls under the lease never overlap between processes with clock rates that differ by 2%.

Trial on a scratch copy: leaving the longest call out of the window, a wait of 0.8 durations, a takeover without the renewal check, counting a renewal from 1 s after it was sent, a release without waiting for calls, and counting the first read from 1 s before it ended each make the state machine fail.

--- /dev/null
+++ b/src/dogwoodpost/core/leases/lease.py
@@ -0,0 +1,295 @@
+"""Decisions of one process on one lease, as holder and as successor."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.leases.records import fence_key
+from dogwoodpost.core.leases.records import FenceRecord
+from dogwoodpost.core.leases.records import renewal_key
+from dogwoodpost.core.leases.records import RenewalRecord
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.ports.table_store import Check
+from dogwoodpost.ports.table_store import Write
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from dogwoodpost.core.leases.terms import LeaseTerms
+    from dogwoodpost.ports.table_store import Row
+
+
+class LeaseAction(Enum):
+    """What to do next about a lease."""
+
+    WAIT = 'wait'
+    READ = 'read'
+    TAKE = 'take'
+    RENEW = 'renew'
+
+
+class LeaseOperation(msgspec.Struct, frozen=True, kw_only=True):
+    """A transaction on a lease.
+
+    ``sent_s`` is taken before the first try; repeats with the same operation
+    id keep it, because any of the tries may be the one that took effect.
+    """
+
+    operation_id: ids.OperationId
+    checks: tuple[Check, ...]
+    writes: tuple[Write, ...]
+    fencing_number: ids.FencingNumber
+    sequence: int
+    sent_s: float
+    releases: bool = False
+
+
+class _Held(msgspec.Struct):
+    fencing_number: ids.FencingNumber
+    fence_version: int
+    renewal_version: int
+    sequence: int
+    renewed_s: float
+
+
+class _Observed(msgspec.Struct, frozen=True):
+    fence_version: int
+    renewal_version: int
+    fencing_number: ids.FencingNumber
+    duration_s: float
+    released: bool
+    first_seen_s: float
+
+
+class Lease:
+    """State of one lease at one process.
+
+    Times are seconds of the process's ``CLOCK_BOOTTIME``.
+
+    :param take_delay_s: extra wait before a takeover, so that the leases
+        spread over the entries.
+    """
+
+    def __init__(
+        self,
+        shard: ids.ShardName,
+        process_id: ids.ProcessId,
+        incarnation: ids.Incarnation,
+        terms: LeaseTerms,
+        *,
+        take_delay_s: float = 0.0,
+    ) -> None:
+        self.shard = shard
+        self._process_id = process_id
+        self._incarnation = incarnation
+        self._terms = terms
+        self._take_delay_s = take_delay_s
+        self._held: _Held | None = None
+        self._observed: _Observed | None = None
+        self._last_tick_s: float | None = None
+        self._gap_seen_s = float('-inf')
+        self._last_use_s = float('-inf')
+        self._is_retired = False
+
+    def tick(self, now_s: float) -> None:
+        """Note that the event loop runs; a late call is a gap."""
+        if (
+            self._last_tick_s is not None
+            and now_s - self._last_tick_s > self._terms.margin_s
+        ):
+            self._gap_seen_s = now_s
+        self._last_tick_s = now_s
+
+    def acts_until_s(self) -> float:
+        """Return when the holder must stop acting; -inf if not held."""
+        held = self._held
+        if self._is_retired or held is None:
+            return float('-inf')
+        if held.renewed_s <= self._gap_seen_s:
+            return float('-inf')
+        return held.renewed_s + self._terms.duration_s - self._terms.margin_s
+
+    def use(self, now_s: float) -> ids.FencingNumber:
+        """Return the fencing number for a call that is begun now.
+
+        :raises LeaseLostError: not held, or not for long enough.
+        """
+        self.tick(now_s)
+        if self._held is None or now_s >= self.acts_until_s():
+            raise LeaseLostError(f'lease {self.shard} is not held')
+        self._last_use_s = now_s
+        return self._held.fencing_number
+
+    def fence_check(self, now_s: float) -> Check:
+        """Return the check that fails a transaction after a takeover.
+
+        :raises LeaseLostError: not held.
+        """
+        self.use(now_s)
+        assert self._held is not None
+        return Check(fence_key(self.shard), self._held.fence_version)
+
+    def is_held(self, now_s: float) -> bool:
+        """Return whether a call may be begun now."""
+        self.tick(now_s)
+        return now_s < self.acts_until_s()
+
+    def observe(self, rows: Mapping[str, Row], read_end_s: float) -> None:
+        """Take the lease's rows as they were read.
+
+        :param read_end_s: when the read returned. The rows may have been
+            written while it was under way, so its start is too early.
+        """
+        fence = rows.get(fence_key(self.shard))
+        renewal = rows.get(renewal_key(self.shard))
+        if self._held is not None and (
+            fence is None or fence.version != self._held.fence_version
+        ):
+            self._held = None
+        if fence is None or renewal is None:
+            self._observed = _Observed(
+                0, 0, ids.FencingNumber(0), 0.0, True, read_end_s
+            )
+            return
+        previous = self._observed
+        if previous is not None and (
+            previous.fence_version == fence.version
+            and previous.renewal_version == renewal.version
+        ):
+            return
+        record = msgspec.json.decode(renewal.value, type=RenewalRecord)
+        self._observed = _Observed(
+            fence.version,
+            renewal.version,
+            record.fencing_number,
+            record.duration_s,
+            record.released,
+            read_end_s,
+        )
+
+    def next_action(self, now_s: float) -> LeaseAction:
+        """Return what to do now."""
+        if self._held is not None:
+            due_s = self._held.renewed_s + self._terms.renew_interval_s
+            is_due = now_s >= due_s or now_s >= self.acts_until_s()
+            return LeaseAction.RENEW if is_due else LeaseAction.WAIT
+        if self._observed is not None and now_s >= self._take_at_s():
+            return LeaseAction.TAKE
+        return LeaseAction.READ
+
+    def take(
+        self, operation_id: ids.OperationId, now_s: float
+    ) -> LeaseOperation:
+        """Return the transaction of a takeover."""
+        observed = self._observed
+        assert observed is not None
+        number = ids.FencingNumber(observed.fencing_number + 1)
+        fence = FenceRecord(
+            holder=self._process_id,
+            incarnation=self._incarnation,
+            fencing_number=number,
+        )
+        fence_write = Write(fence_key(self.shard), msgspec.json.encode(fence))
+        return LeaseOperation(
+            operation_id=operation_id,
+            checks=(
+                Check(fence_key(self.shard), observed.fence_version),
+                Check(renewal_key(self.shard), observed.renewal_version),
+            ),
+            writes=(fence_write, self._renewal_write(number, 0)),
+            fencing_number=number,
+            sequence=0,
+            sent_s=now_s,
+        )
+
+    def renew(
+        self,
+        operation_id: ids.OperationId,
+        now_s: float,
+        *,
+        release: bool = False,
+    ) -> LeaseOperation:
+        """Return the transaction of a renewal, or of a planned release."""
+        held = self._held
+        assert held is not None
+        sequence = held.sequence + 1
+        write = self._renewal_write(
+            held.fencing_number, sequence, release=release
+        )
+        return LeaseOperation(
+            operation_id=operation_id,
+            checks=(
+                Check(fence_key(self.shard), held.fence_version),
+                Check(renewal_key(self.shard), held.renewal_version),
+            ),
+            writes=(write,),
+            fencing_number=held.fencing_number,
+            sequence=sequence,
+            sent_s=now_s,
+            releases=release,
+        )
+
+    def record_success(
+        self, operation: LeaseOperation, versions: Mapping[str, int]
+    ) -> None:
+        """Take the result of a transaction that took effect."""
+        if operation.releases:
+            self._held = None
+            self._observed = None
+            return
+        fence_version = versions.get(fence_key(self.shard))
+        if fence_version is None:
+            if self._held is None:
+                return
+            fence_version = self._held.fence_version
+        self._held = _Held(
+            operation.fencing_number,
+            fence_version,
+            versions[renewal_key(self.shard)],
+            operation.sequence,
+            operation.sent_s,
+        )
+
+    def record_conflict(self) -> None:
+        """Note that a transaction failed its checks: another one is ahead."""
+        self._held = None
+        self._observed = None
+
+    def retire(self) -> None:
+        """Begin no further call, ahead of a planned release."""
+        self._is_retired = True
+
+    def may_release(self) -> bool:
+        """Return whether there is a lease to release."""
+        return self._held is not None
+
+    def calls_end_s(self) -> float:
+        """Return when the last call that was begun has surely ended."""
+        return self._last_use_s + self._terms.longest_call_s
+
+    def _take_at_s(self) -> float:
+        observed = self._observed
+        assert observed is not None
+        wait_s = 0.0
+        if not observed.released:
+            wait_s = self._terms.successor_wait_s(observed.duration_s)
+        return observed.first_seen_s + wait_s + self._take_delay_s
+
+    def _renewal_write(
+        self,
+        number: ids.FencingNumber,
+        sequence: int,
+        *,
+        release: bool = False,
+    ) -> Write:
+        record = RenewalRecord(
+            fencing_number=number,
+            sequence=sequence,
+            duration_s=self._terms.duration_s,
+            released=release,
+        )
+        return Write(renewal_key(self.shard), msgspec.json.encode(record))
