--- a/src/dogwoodpost/core/orders/intent.py
+++ b/src/dogwoodpost/core/orders/intent.py
@@ -70,6 +70,12 @@
         """Return the intent in another state."""
         return msgspec.structs.replace(self, state=state, detail=detail)
 
+    def opened_by(self, fencing_number: ids.FencingNumber) -> OrderIntent:
+        """Return a drained stop as its present holder is about to send it."""
+        return msgspec.structs.replace(
+            self, state=IntentState.OPEN, fencing_number=fencing_number
+        )
+
 
 def intent_prefix(shard: ids.ShardName) -> str:
     """Return the prefix of the keys of a shard's intents."""
--- a/src/dogwoodpost/services/control/order_controller.py
+++ b/src/dogwoodpost/services/control/order_controller.py
@@ -262,7 +262,7 @@
                 continue
             del self._drains[intent.number]
             if task.exception() is None:
-                drained.append(intent.moved(IntentState.OPEN))
+                drained.append(intent.opened_by(self._fencing_number))
             else:
                 await self._cancel_stop(intent, str(task.exception()))
         await self._write_results()
--- a/tests/services/control/test_order_controller.py
+++ b/tests/services/control/test_order_controller.py
@@ -220,3 +220,22 @@
     assert world.count() == 0
     assert world.resumed == []
     assert len({order.order_id for order in world.book.received}) == 2
+
+
+async def test_failed_drain_after_a_refused_stop_resumes_nothing() -> None:
+    """Guards against routing to an endpoint whose first stop may arrive."""
+    world = World()
+    controller = await world.controller()
+    await controller.start([ZONE])
+    listing = await controller.reconcile()
+    await controller.stop(listing)
+    await world.clock.settle()
+    world.book.refused_count = 1
+    world.drain_error = EndpointError('an entry has not confirmed')
+    for _ in range(4):
+        await controller.reconcile()
+        await world.clock.settle()
+    assert world.count() == 1
+    assert world.resumed == []
+    assert controller.leaving == {listing[0].endpoint_id}
+    await controller.close()
