--- /dev/null
+++ b/measurements/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the measurement of the request policy."""
--- /dev/null
+++ b/measurements/requests/best_possible.py
@@ -0,0 +1,63 @@
+"""Bounds that no policy can exceed."""
+
+from __future__ import annotations
+
+import heapq
+from collections import defaultdict
+from collections import deque
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.routing.prefix import BLOCK_TOKENS
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from measurements.requests.workload import Request
+
+_NEVER = 1 << 60
+
+
+def best_hit_tokens(requests: Sequence[Request], cache_blocks: int) -> int:
+    """Return the cached prompt tokens of a clairvoyant cache.
+
+    All engines' memory is one cache, and the block whose next use is furthest
+    away is evicted (Belady's rule). No placement on separate caches can hit
+    more.
+    """
+    uses: dict[int, deque[int]] = defaultdict(deque)
+    for index, request in enumerate(requests):
+        for block in request.prefix:
+            uses[block].append(index)
+    cached: set[int] = set()
+    furthest: list[tuple[int, int]] = []
+    hit_blocks = 0
+    for request in requests:
+        for block in request.prefix:
+            hit_blocks += block in cached
+            queue = uses[block]
+            queue.popleft()
+            next_use = queue[0] if queue else _NEVER
+            cached.add(block)
+            heapq.heappush(furthest, (-next_use, block))
+        while len(cached) > cache_blocks:
+            negative_use, block = heapq.heappop(furthest)
+            queue = uses[block]
+            current = queue[0] if queue else _NEVER
+            if block in cached and -negative_use == current:
+                cached.discard(block)
+    return hit_blocks * BLOCK_TOKENS
+
+
+def fair_shares(
+    demands: Mapping[str, float], capacity: float
+) -> dict[str, float]:
+    """Return the max-min fair allocation among equal accounts."""
+    shares: dict[str, float] = {}
+    left = capacity
+    remaining = sorted(demands.items(), key=lambda item: item[1])
+    while remaining:
+        account, demand = remaining.pop(0)
+        shares[account] = min(demand, left / (len(remaining) + 1))
+        left -= shares[account]
+    return shares
--- /dev/null
+++ b/measurements/requests/case.py
@@ -0,0 +1,38 @@
+"""The cases that are measured."""
+
+from __future__ import annotations
+
+import msgspec
+
+DURATION_S = 100.0
+BURST_START_S = 30.0
+BURST_END_S = 50.0
+
+
+class Case(msgspec.Struct, frozen=True, kw_only=True):
+    """Load and faults of one run.
+
+    :param load_share: mean load as a share of the capacity.
+    :param burst_share: additional load of the morning prompt.
+    """
+
+    name: str
+    load_share: float = 0.55
+    burst_share: float = 0.25
+    crash: tuple[float, float] | None = None
+    slow: tuple[float, float] | None = None
+    pause: tuple[float, float] | None = None
+
+    @property
+    def faulty(self) -> bool:
+        """Return whether this is one of the fault cases."""
+        return self.name != 'no fault'
+
+
+CASES = (
+    Case(name='no fault'),
+    Case(name='one crashed', crash=(35.0, 65.0)),
+    Case(name='one slow', slow=(35.0, 75.0)),
+    Case(name='overload', load_share=1.8, burst_share=1.0),
+    Case(name='cross-region pause', pause=(35.0, 50.0)),
+)
--- /dev/null
+++ b/measurements/requests/entry_base.py
@@ -0,0 +1,128 @@
+"""What the entries of all policies have in common."""
+
+from __future__ import annotations
+
+import abc
+import itertools
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from measurements.requests.world import Attempt
+
+if TYPE_CHECKING:
+    from dogwoodpost.core.routing import EndpointListener
+    from measurements.requests.user import Zone
+    from measurements.requests.workload import Request
+    from measurements.requests.world import World
+
+MAX_ATTEMPT_COUNT = 3
+
+
+class Record(msgspec.Struct, kw_only=True, eq=False):
+    """What became of a request."""
+
+    request: Request
+    attempt_count: int = 0
+    outcome: str = ''
+    wait_s: float = 0.0
+    end_s: float = 0.0
+
+
+class EntryBase(abc.ABC):
+    """Keeps records and deadlines; subclasses place the attempts."""
+
+    def __init__(self, world: World, zone: Zone) -> None:
+        self.world = world
+        self.zone = zone
+        self.records: list[Record] = []
+        self._numbers = itertools.count()
+        self._open: dict[int, Attempt] = {}
+        self._record_of: dict[int, Record] = {}
+
+    @property
+    @abc.abstractmethod
+    def listener(self) -> EndpointListener:
+        """Return what the directory informs."""
+
+    @abc.abstractmethod
+    def place(self, record: Record) -> None:
+        """Place a new request."""
+
+    @abc.abstractmethod
+    def retry(self, record: Record, attempt: Attempt) -> None:
+        """Place a failed request again, or give up on it."""
+
+    def on_attempt_closed(
+        self, attempt: Attempt, *, failed: bool, cached_tokens: int
+    ) -> None:
+        """Note the end of an attempt, None of the record's business."""
+
+    def on_closed(self, record: Record) -> None:
+        """Note the end of a request."""
+
+    def arrive(self, request: Request) -> None:
+        """Take a request from a caller."""
+        record = Record(request=request)
+        self.records.append(record)
+        self._record_of[request.number] = record
+        self.world.loop.at(
+            request.arrival_s + request.timeout_s,
+            lambda: self._expire(record),
+        )
+        self.place(record)
+
+    def new_attempt_id(self) -> str:
+        """Return a fresh attempt id."""
+        return f'{self.zone.name}-{next(self._numbers)}'
+
+    def send(self, record: Record, endpoint_id: str, attempt_id: str) -> None:
+        """Send an attempt."""
+        attempt = Attempt(
+            attempt_id=attempt_id,
+            request=record.request,
+            endpoint_id=endpoint_id,
+            entry=self,
+            sent_s=self.world.loop.now_s,
+        )
+        record.attempt_count += 1
+        self._open[record.request.number] = attempt
+        self.world.send(attempt)
+
+    def attempt_ended(
+        self, attempt: Attempt, ok: bool, cached_tokens: int
+    ) -> None:
+        """Take the result of an attempt."""
+        record = self._record_of[attempt.request.number]
+        self._open.pop(attempt.request.number, None)
+        self.on_attempt_closed(
+            attempt, failed=not ok, cached_tokens=cached_tokens
+        )
+        if ok:
+            started_s = attempt.started_s or attempt.sent_s
+            record.wait_s = started_s - record.request.arrival_s
+            record.wait_s += 2 * self.world.user.client_delay_s
+            self.close(record, 'ok')
+        elif attempt.request.idempotent:
+            self.retry(record, attempt)
+        else:
+            self.close(record, 'unknown')
+
+    def attempt_unknown(self, attempt: Attempt) -> None:
+        """Take the loss of an agent."""
+        self.attempt_ended(attempt, ok=False, cached_tokens=0)
+
+    def close(self, record: Record, outcome: str) -> None:
+        """End a request."""
+        record.outcome = outcome
+        record.end_s = self.world.loop.now_s
+        self.on_closed(record)
+
+    def _expire(self, record: Record) -> None:
+        if record.outcome:
+            return
+        attempt = self._open.pop(record.request.number, None)
+        if attempt is not None:
+            self.world.cancel(attempt)
+            self.on_attempt_closed(attempt, failed=False, cached_tokens=0)
+        self.close(record, 'expired')
--- /dev/null
+++ b/measurements/requests/policy_entry.py
@@ -0,0 +1,212 @@
+"""The entry with the project's own policy."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.admission import actual_cost_tokens
+from dogwoodpost.core.admission import Admission
+from dogwoodpost.core.admission import Dispatcher
+from dogwoodpost.core.admission import estimated_cost_tokens
+from dogwoodpost.core.admission import MIN_COST_TOKENS
+from dogwoodpost.core.admission import Ticket
+from dogwoodpost.core.admission import TicketState
+from dogwoodpost.core.configuration import Limits
+from dogwoodpost.core.retries import RetryBudget
+from dogwoodpost.core.retries import RetryPolicy
+from dogwoodpost.core.routing import AttemptResult
+from dogwoodpost.core.routing import RouteQuery
+from dogwoodpost.core.routing import Router
+from dogwoodpost.errors import RequestError
+from measurements.requests.entry_base import EntryBase
+from measurements.requests.workload import MAX_TOKENS
+
+if TYPE_CHECKING:
+    from dogwoodpost.core.routing import EndpointListener
+    from measurements.requests.entry_base import Record
+    from measurements.requests.user import Zone
+    from measurements.requests.world import Attempt
+    from measurements.requests.world import World
+
+_POLL_INTERVAL_S = 0.02
+# Large enough that fair queueing, not a fixed limit, decides.
+_LIMITS = Limits(max_concurrency=512, token_rate_per_s=1e6)
+
+
+class _Open(msgspec.Struct, kw_only=True, eq=False):
+    """A request in progress."""
+
+    ticket: Ticket
+    query: RouteQuery
+    tried: frozenset[ids.EndpointId] = frozenset()
+    cost_tokens: float = 0.0
+
+
+class PolicyEntry(EntryBase):
+    """Admission, routing and retries as in the request pipeline."""
+
+    def __init__(self, world: World, zone: Zone) -> None:
+        super().__init__(world, zone)
+        self._rng = random.Random(f'{world.user.seed}/{zone.name}')
+        self.router = Router(
+            ids.AvailabilityZone(zone.name),
+            ids.Region(zone.region),
+            self._rng,
+        )
+        self.admission = Admission()
+        self._dispatcher = Dispatcher(self.admission, self.router)
+        self._policy = RetryPolicy()
+        self._budgets: dict[str, RetryBudget] = {}
+        self._requests: dict[str, _Open] = {}
+        self._record_by_ticket: dict[int, Record] = {}
+        self._attempt_ids: dict[int, str] = {}
+        self._polling: set[str] = set()
+
+    @property
+    def listener(self) -> EndpointListener:
+        """Return what the directory informs."""
+        return self.router
+
+    def place(self, record: Record) -> None:
+        """Queue a request."""
+        request = record.request
+        now_s = self.world.loop.now_s
+        query = RouteQuery(
+            service=ids.ServiceName(request.service),
+            prefix=request.prefix,
+            prompt_tokens=request.prompt_tokens,
+            volume_bytes=request.body_bytes,
+            concurrency=self.world.concurrency(request.service),
+            may_probe=request.idempotent,
+        )
+        ticket = Ticket(
+            request_id=ids.RequestId(str(request.number)),
+            client_account_id=ids.ClientAccountId(request.account),
+            service=query.service,
+            cost_tokens=self._estimate(record),
+            deadline_s=request.arrival_s + request.timeout_s,
+            enqueued_s=now_s,
+        )
+        self.admission.set_limits(ticket.client_account_id, _LIMITS, now_s)
+        attempt_id = self.new_attempt_id()
+        try:
+            self._dispatcher.submit(
+                ticket, query, ids.AttemptId(attempt_id), now_s
+            )
+        except RequestError as error:
+            self.close(record, error.code)
+            return
+        self._requests[ticket.request_id] = _Open(ticket=ticket, query=query)
+        self._record_by_ticket[id(ticket)] = record
+        self._attempt_ids[id(ticket)] = attempt_id
+        self._start_ready(request.service)
+
+    def retry(self, record: Record, attempt: Attempt) -> None:
+        """Place a failed request again within the retry budget."""
+        open_request = self._requests[str(record.request.number)]
+        open_request.tried |= {ids.EndpointId(attempt.endpoint_id)}
+        now_s = self.world.loop.now_s
+        delay_s = self._policy.delay_s(
+            record.attempt_count,
+            open_request.ticket.deadline_s - now_s,
+            self._budget(record.request.service),
+            self._rng,
+            now_s,
+        )
+        if delay_s is None:
+            self.close(record, 'failed')
+            return
+        self.world.loop.after(
+            delay_s, lambda: self._send_retry(record, open_request)
+        )
+
+    def on_attempt_closed(
+        self, attempt: Attempt, *, failed: bool, cached_tokens: int
+    ) -> None:
+        """Tell the router how the attempt went."""
+        request = attempt.request
+        now_s = self.world.loop.now_s
+        complete = not failed and attempt.done and cached_tokens >= 0
+        ran = attempt.started_s is not None
+        cost_tokens = actual_cost_tokens(
+            request.prompt_tokens, cached_tokens, request.completion_tokens
+        )
+        if not request.prompt_tokens:
+            cost_tokens = MIN_COST_TOKENS
+        if ran:
+            self._requests[str(request.number)].cost_tokens += cost_tokens
+        expired = now_s >= request.arrival_s + request.timeout_s
+        self.router.finish(
+            ids.ServiceName(request.service),
+            ids.EndpointId(attempt.endpoint_id),
+            ids.AttemptId(attempt.attempt_id),
+            AttemptResult(
+                failed=failed,
+                judged=failed or (complete and not expired),
+                duration_s=now_s - attempt.sent_s,
+                work_units=cost_tokens,
+            ),
+            now_s,
+        )
+
+    def on_closed(self, record: Record) -> None:
+        """Release the request's place."""
+        open_request = self._requests.pop(str(record.request.number), None)
+        if open_request is None:
+            return
+        now_s = self.world.loop.now_s
+        ticket = open_request.ticket
+        del self._record_by_ticket[id(ticket)]
+        if ticket.state is TicketState.WAITING:
+            self._dispatcher.withdraw(ticket, now_s)
+        else:
+            self.admission.finish(ticket, open_request.cost_tokens, now_s)
+        self._start_ready(record.request.service)
+
+    def _estimate(self, record: Record) -> float:
+        if not record.request.prompt_tokens:
+            return MIN_COST_TOKENS
+        return estimated_cost_tokens(record.request.prompt_tokens, MAX_TOKENS)
+
+    def _budget(self, service: str) -> RetryBudget:
+        return self._budgets.setdefault(service, RetryBudget())
+
+    def _send_retry(self, record: Record, open_request: _Open) -> None:
+        if record.outcome:
+            return
+        now_s = self.world.loop.now_s
+        query = msgspec.structs.replace(open_request.query, needs_room=False)
+        untried = msgspec.structs.replace(query, excluded=open_request.tried)
+        endpoint = self.router.choose(untried, now_s)
+        endpoint = endpoint or self.router.choose(query, now_s)
+        if endpoint is None:
+            self.close(record, 'failed')
+            return
+        attempt_id = self.new_attempt_id()
+        self.router.begin(
+            endpoint.endpoint_id, ids.AttemptId(attempt_id), query, now_s
+        )
+        self.send(record, endpoint.endpoint_id, attempt_id)
+
+    def _start_ready(self, service: str) -> None:
+        now_s = self.world.loop.now_s
+        name = ids.ServiceName(service)
+        for started in self._dispatcher.start_ready(name, now_s):
+            record = self._record_by_ticket[id(started.ticket)]
+            attempt_id = self._attempt_ids.pop(id(started.ticket))
+            self._budget(service).record_first(now_s)
+            self.send(record, started.endpoint.endpoint_id, attempt_id)
+        waiting = self.admission.waiting_count(name) > 0
+        if waiting and service not in self._polling:
+            self._polling.add(service)
+            self.world.loop.after(
+                _POLL_INTERVAL_S, lambda: self._poll(service)
+            )
+
+    def _poll(self, service: str) -> None:
+        self._polling.discard(service)
+        self._start_ready(service)
--- /dev/null
+++ b/measurements/requests/runner.py
@@ -0,0 +1,149 @@
+"""Runs one policy on one case."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from measurements.requests.baseline_entry import BaselineEntry
+from measurements.requests.best_possible import best_hit_tokens
+from measurements.requests.best_possible import fair_shares
+from measurements.requests.case import DURATION_S
+from measurements.requests.engine import CACHE_BLOCKS
+from measurements.requests.engine import PREFILL_COST
+from measurements.requests.engine import TOKENS_PER_S
+from measurements.requests.policy_entry import PolicyEntry
+from measurements.requests.world import World
+
+if TYPE_CHECKING:
+    from measurements.requests.case import Case
+    from measurements.requests.entry_base import EntryBase
+    from measurements.requests.entry_base import Record
+    from measurements.requests.user import User
+    from measurements.requests.workload import Request
+    from measurements.requests.workload import Workload
+
+POLICIES = ('round robin', 'least loaded', 'dogwoodpost')
+_BYTES_PER_MIB = 1024 * 1024
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of one run.
+
+    :param goodput_share: work completed in time for the worst-served client
+        account, as a share of its fair share.
+    :param plain_share: the same for the plain service.
+    :param p99_wait_s: of the worst-served client account, engine service.
+    :param plain_p99_wait_s: the same for the plain service.
+    :param hit_rate: cached share of the prompt tokens.
+    :param best_hit_rate: of a clairvoyant cache over the same requests.
+    :param amplification: attempts per request that was started.
+    """
+
+    user: str
+    case: str
+    policy: str
+    goodput_share: float
+    plain_share: float
+    p99_wait_s: float
+    plain_p99_wait_s: float
+    hit_rate: float
+    best_hit_rate: float
+    amplification: float
+    cross_region_mib: float
+    outcomes: dict[str, int]
+
+
+def run_policy(
+    user: User, case: Case, policy: str, workload: Workload
+) -> Result:
+    """Return the figures of one policy on one case."""
+    world = World(user, case)
+    entries: dict[str, EntryBase] = {}
+    for zone in user.zones:
+        entry: EntryBase
+        if policy == 'dogwoodpost':
+            entry = PolicyEntry(world, zone)
+        else:
+            entry = BaselineEntry(
+                world, zone, least_loaded=policy == 'least loaded'
+            )
+        entries[zone.name] = entry
+        world.join(entry, entry.listener)
+    world.schedule_faults()
+    for request in workload.requests:
+        _schedule(world, entries[request.zone], request)
+    world.loop.run()
+    records = [one for entry in entries.values() for one in entry.records]
+    return _result(world, case, policy, records)
+
+
+def _schedule(world: World, entry: EntryBase, request: Request) -> None:
+    world.loop.at(request.arrival_s, lambda: entry.arrive(request))
+
+
+def _result(
+    world: World, case: Case, policy: str, records: list[Record]
+) -> Result:
+    user = world.user
+    model = [r for r in records if r.request.service == user.model_service]
+    plain = [r for r in records if r.request.service == user.plain_service]
+    engine_count = sum(zone.sampler_count for zone in user.zones)
+    best_tokens = best_hit_tokens(world.started, engine_count * CACHE_BLOCKS)
+    best_rate = best_tokens / max(world.prompt_tokens, 1)
+    outcomes: dict[str, int] = defaultdict(int)
+    for record in records:
+        outcomes[record.outcome] += 1
+    started_count = sum(record.attempt_count > 0 for record in records)
+    attempt_count = sum(record.attempt_count for record in records)
+    capacity = engine_count * TOKENS_PER_S * DURATION_S
+    return Result(
+        user=user.name,
+        case=case.name,
+        policy=policy,
+        goodput_share=_goodput_share(model, best_rate, capacity),
+        plain_share=_goodput_share(plain, best_rate, float('inf')),
+        p99_wait_s=_worst_p99_wait_s(model),
+        plain_p99_wait_s=_worst_p99_wait_s(plain),
+        hit_rate=world.cached_tokens / max(world.prompt_tokens, 1),
+        best_hit_rate=best_rate,
+        amplification=attempt_count / max(started_count, 1),
+        cross_region_mib=world.cross_region_bytes / _BYTES_PER_MIB,
+        outcomes=dict(outcomes),
+    )
+
+
+def _ideal_work(record: Record, best_rate: float) -> float:
+    """Return the work of a request at the best possible hit rate."""
+    uncached_tokens = record.request.prompt_tokens * (1.0 - best_rate)
+    work = record.request.completion_tokens + uncached_tokens * PREFILL_COST
+    return max(work, 1.0)
+
+
+def _goodput_share(
+    records: list[Record], best_rate: float, capacity: float
+) -> float:
+    demands: dict[str, float] = defaultdict(float)
+    done: dict[str, float] = defaultdict(float)
+    for record in records:
+        work = _ideal_work(record, best_rate)
+        demands[record.request.account] += work
+        in_time = capacity == float('inf') or record.end_s <= DURATION_S
+        if record.outcome == 'ok' and in_time:
+            done[record.request.account] += work
+    shares = fair_shares(demands, capacity)
+    return min(done[account] / share for account, share in shares.items())
+
+
+def _worst_p99_wait_s(records: list[Record]) -> float:
+    waits: dict[str, list[float]] = defaultdict(list)
+    for record in records:
+        if record.outcome == 'ok':
+            waits[record.request.account].append(record.wait_s)
+    worst = 0.0
+    for values in waits.values():
+        values.sort()
+        worst = max(worst, values[int(0.99 * (len(values) - 1))])
+    return worst
