Wait for a nearby endpoint only if none nearby has room

Cause: a request whose best candidate was in another region waited even though nearby endpoints had room.

--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -125,11 +125,10 @@
             (self._score_s(group, query, endpoint_id, loads, now_s), index)
             for index, endpoint_id in enumerate(open_ids)
         ]
-        best_s, index = min(scores)
-        chosen = group.endpoints[open_ids[index]]
-        if self._should_wait_nearby(group, query, chosen, best_s):
+        _, index = min(scores)
+        if self._should_wait_nearby(group, query, open_ids):
             return None
-        return chosen
+        return group.endpoints[open_ids[index]]
 
     def begin(
         self,
@@ -338,14 +337,18 @@
         self,
         group: ServiceGroup,
         query: RouteQuery,
-        chosen: Endpoint,
-        best_s: float,
+        open_ids: Sequence[ids.EndpointId],
     ) -> bool:
-        """Return whether a nearer endpoint frees up before it pays to go."""
+        """Return whether to wait, because only other regions have room.
+
+        It is so if an endpoint nearby frees up before it pays to go there.
+        """
         if not query.needs_room:
             return False
-        if group.distance(chosen) is not Distance.REMOTE:
-            return False
+        for endpoint_id in open_ids:
+            endpoint = group.endpoints[endpoint_id]
+            if group.distance(endpoint) is not Distance.REMOTE:
+                return False
         eligible = group.eligible()
         near = eligible[Distance.ZONE] + eligible[Distance.REGION]
         usable_count = sum(
