Bound the credit for cached prefixes, not the choice

Cause: an endpoint above the load bound was excluded although its load is part of the score anyway; short plain requests then waited for 0.3 s.

--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -288,18 +288,13 @@
         loads: dict[ids.EndpointId, int],
         query: RouteQuery,
     ) -> list[ids.EndpointId]:
-        if query.needs_room:
-            candidates = [
-                endpoint_id
-                for endpoint_id in candidates
-                if loads[endpoint_id] < query.concurrency
-            ]
-        if len(candidates) < 2:
+        if not query.needs_room:
             return list(candidates)
-        mean = sum(loads[one] for one in candidates) / len(candidates)
-        bound = self._settings.load_bound * (mean + 1.0)
-        bounded = [one for one in candidates if loads[one] <= bound]
-        return bounded or list(candidates)
+        return [
+            endpoint_id
+            for endpoint_id in candidates
+            if loads[endpoint_id] < query.concurrency
+        ]
 
     def _score_s(
         self,
@@ -313,7 +308,9 @@
         slowness = max(group.outliers.slowness(endpoint_id, now_s), 0.5)
         load_share = (loads[endpoint_id] + 1) / query.concurrency
         work_s = group.duration_s * load_share * slowness
-        matched = self._index.matched_blocks(endpoint_id, query.prefix)
+        matched = 0.0
+        if loads[endpoint_id] <= self._bound(loads):
+            matched = self._index.matched_blocks(endpoint_id, query.prefix)
         uncached_tokens = max(
             0.0, query.prompt_tokens - matched * BLOCK_TOKENS
         )
@@ -323,6 +320,11 @@
             work_s + prefill_s * slowness + self._distance_s(distance, query)
         )
 
+    def _bound(self, loads: dict[ids.EndpointId, int]) -> float:
+        """Return the load above which cached prefixes no longer count."""
+        mean = sum(loads.values()) / len(loads)
+        return self._settings.load_bound * (mean + 1.0)
+
     def _distance_s(self, distance: Distance, query: RouteQuery) -> float:
         settings = self._settings
         if distance is Distance.ZONE:
