--- a/measurements/requests/baseline_entry.py
+++ b/measurements/requests/baseline_entry.py
@@ -100,7 +100,9 @@
         """Take the attempt off its endpoint's load."""
         load = self._list.loads.get(attempt.endpoint_id)
         if load is not None:
-            load.finish(ids.AttemptId(attempt.attempt_id))
+            load.finish(
+                ids.AttemptId(attempt.attempt_id), self.world.loop.now_s
+            )
 
     def _choose(self, ready: list[str]) -> str:
         self._turn += 1
--- a/src/dogwoodpost/core/routing/load_estimate.py
+++ b/src/dogwoodpost/core/routing/load_estimate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,14 +15,19 @@
 
 
 class LoadEstimate:
-    """Corrects the last report by the dispatches it could not contain."""
+    """Corrects the last report by what happened since the time it describes.
+
+    The report counts the requests of all entries. What it counts beyond the
+    own ones of that time are the others', taken as unchanged since; the own
+    ones are known exactly.
+    """
 
     def __init__(self) -> None:
         self._started_s: dict[ids.AttemptId, float] = {}
-        self._reported_count = 0
+        # Begin and end of own attempts that a report to come may still count.
+        self._ended: deque[tuple[float, float]] = deque()
+        self._others_count = 0
         self._reported_s: float | None = None
-        self._own_at_report: set[ids.AttemptId] = set()
-        self._finished_since_count = 0
 
     @property
     def own_count(self) -> int:
@@ -32,13 +38,14 @@
         """Note an own dispatch."""
         self._started_s[attempt_id] = now_s
 
-    def finish(self, attempt_id: ids.AttemptId) -> float | None:
-        """Note the end of an own attempt; return when it began."""
+    def finish(self, attempt_id: ids.AttemptId, now_s: float) -> None:
+        """Note the end of an own attempt."""
         started_s = self._started_s.pop(attempt_id, None)
-        if attempt_id in self._own_at_report:
-            self._own_at_report.discard(attempt_id)
-            self._finished_since_count += 1
-        return started_s
+        if started_s is None:
+            return
+        self._ended.append((started_s, now_s))
+        while self._ended[0][1] < now_s - REPORT_LIFETIME_S:
+            self._ended.popleft()
 
     def report(self, load: messages.EndpointLoad, now_s: float) -> None:
         """Take a report that describes ``age_ms`` ago."""
@@ -46,13 +53,9 @@
         if self._reported_s is not None and at_s < self._reported_s:
             return
         self._reported_s = at_s
-        self._reported_count = load.running_count + load.waiting_count
-        self._finished_since_count = 0
-        self._own_at_report = {
-            attempt_id
-            for attempt_id, started_s in self._started_s.items()
-            if started_s <= at_s
-        }
+        own_count = self._own_count_at(at_s)
+        reported_count = load.running_count + load.waiting_count
+        self._others_count = max(reported_count - own_count, 0)
 
     def count(self, now_s: float) -> int:
         """Return the estimated number of requests at the endpoint."""
@@ -61,6 +64,13 @@
             return own_count
         if now_s - self._reported_s > REPORT_LIFETIME_S:
             return own_count
-        since_count = own_count - len(self._own_at_report)
-        corrected = self._reported_count - self._finished_since_count
-        return max(own_count, max(corrected, 0) + since_count)
+        return own_count + self._others_count
+
+    def _own_count_at(self, at_s: float) -> int:
+        running = sum(
+            started_s <= at_s for started_s in self._started_s.values()
+        )
+        ended = sum(
+            started_s <= at_s < ended_s for started_s, ended_s in self._ended
+        )
+        return running + ended
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -159,7 +159,7 @@
         load = group.loads.get(endpoint_id)
         if load is None:
             return
-        load.finish(attempt_id)
+        load.finish(attempt_id, now_s)
         if not result.judged:
             group.outliers.abandon(endpoint_id, attempt_id)
             return
