Learn the ratio of actual to estimated cost per account

Cause: callers set max_tokens far above what is generated, so expected waits came out about four times too long and requests were refused that had time enough.

--- a/measurements/requests/policy_entry.py
+++ b/measurements/requests/policy_entry.py
@@ -87,7 +87,7 @@
             request_id=ids.RequestId(str(request.number)),
             client_account_id=ids.ClientAccountId(request.account),
             service=query.service,
-            cost_tokens=self._estimate(record),
+            estimated_tokens=self._estimate(record),
             deadline_s=request.arrival_s + request.timeout_s,
             enqueued_s=now_s,
         )
--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dogwoodpost.core.admission.account_state import AccountState
+from dogwoodpost.core.admission.cost_forecast import CostForecast
 from dogwoodpost.core.admission.drain_rate import DrainRate
 from dogwoodpost.core.admission.fair_queue import FairQueue
 from dogwoodpost.core.admission.ticket import TicketState
@@ -44,6 +45,7 @@
     def __init__(self) -> None:
         self.queue = FairQueue()
         self.rate = DrainRate()
+        self.forecast = CostForecast()
 
 
 class Admission:
@@ -88,6 +90,9 @@
         self._check_queue_bounds(account, service, ticket, now_s)
         self._check_expected_wait(account, service, ticket, now_s)
         service.rate.advance(now_s, backlogged=service.queue.count > 0)
+        ticket.cost_tokens = service.forecast.expected_tokens(
+            ticket.client_account_id, ticket.estimated_tokens
+        )
         service.queue.push(ticket)
         account.waiting_count += 1
 
@@ -128,6 +133,9 @@
         account.running_count -= 1
         extra_tokens = actual_tokens - ticket.cost_tokens
         account.charge(extra_tokens, now_s)
+        service.forecast.observe(
+            ticket.client_account_id, ticket.estimated_tokens, actual_tokens
+        )
         service.queue.correct(
             ticket.client_account_id, extra_tokens, account.limits.weight
         )
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -328,7 +328,7 @@
             request_id=request.request_id,
             client_account_id=request.client_account_id or ANONYMOUS,
             service=request.service.name,
-            cost_tokens=request.cost_tokens,
+            estimated_tokens=request.cost_tokens,
             deadline_s=self._deadline_s,
             enqueued_s=self._start_s,
         )
