Share accounts' consumption between entries

Cause: each entry was fair by itself, so an account that used several entries got a share at each of them. Admission now gives out what accounts have used (take_consumption) and takes what they used elsewhere (record_consumption); expected waits count the cost that starts first.

--- a/measurements/requests/baseline_entry.py
+++ b/measurements/requests/baseline_entry.py
@@ -104,6 +104,9 @@
                 ids.AttemptId(attempt.attempt_id), self.world.loop.now_s
             )
 
+    def on_closed(self, record: Record) -> None:
+        """Nothing to release."""
+
     def _choose(self, ready: list[str]) -> str:
         self._turn += 1
         if not self._least_loaded:
--- a/measurements/requests/engine.py
+++ b/measurements/requests/engine.py
@@ -6,6 +6,7 @@
 import itertools
 from collections import deque
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,8 +14,6 @@
 from dogwoodpost.core.routing.prefix import BLOCK_TOKENS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from measurements.requests.event_loop import EventLoop
 
 # Shared by the running requests of an engine.
--- a/measurements/requests/entry_base.py
+++ b/measurements/requests/entry_base.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
+from measurements.requests.workload import Request
 from measurements.requests.world import Attempt
 
 if TYPE_CHECKING:
     from dogwoodpost.core.routing import EndpointListener
     from measurements.requests.user import Zone
-    from measurements.requests.workload import Request
     from measurements.requests.world import World
 
 MAX_ATTEMPT_COUNT = 3
@@ -53,11 +53,13 @@
     def retry(self, record: Record, attempt: Attempt) -> None:
         """Place a failed request again, or give up on it."""
 
+    @abc.abstractmethod
     def on_attempt_closed(
         self, attempt: Attempt, *, failed: bool, cached_tokens: int
     ) -> None:
-        """Note the end of an attempt, None of the record's business."""
+        """Note the end of an attempt."""
 
+    @abc.abstractmethod
     def on_closed(self, record: Record) -> None:
         """Note the end of a request."""
 
--- a/measurements/requests/policy_entry.py
+++ b/measurements/requests/policy_entry.py
@@ -130,7 +130,6 @@
         """Tell the router how the attempt went."""
         request = attempt.request
         now_s = self.world.loop.now_s
-        complete = not failed and attempt.done and cached_tokens >= 0
         ran = attempt.started_s is not None
         cost_tokens = actual_cost_tokens(
             request.prompt_tokens, cached_tokens, request.completion_tokens
@@ -146,7 +145,7 @@
             ids.AttemptId(attempt.attempt_id),
             AttemptResult(
                 failed=failed,
-                judged=failed or (complete and not expired),
+                judged=failed or not expired,
                 duration_s=now_s - attempt.sent_s,
                 work_units=cost_tokens,
             ),
--- a/measurements/requests/runner.py
+++ b/measurements/requests/runner.py
@@ -18,6 +18,9 @@
 from measurements.requests.world import World
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dogwoodpost.core.admission import Consumption
     from measurements.requests.case import Case
     from measurements.requests.entry_base import EntryBase
     from measurements.requests.entry_base import Record
@@ -26,6 +29,7 @@
     from measurements.requests.workload import Workload
 
 POLICIES = ('round robin', 'least loaded', 'dogwoodpost')
+_SHARE_INTERVAL_S = 1.0
 _BYTES_PER_MIB = 1024 * 1024
 
 
@@ -73,6 +77,7 @@
         entries[zone.name] = entry
         world.join(entry, entry.listener)
     world.schedule_faults()
+    _share_consumption(world, list(entries.values()))
     for request in workload.requests:
         _schedule(world, entries[request.zone], request)
     world.loop.run()
@@ -80,6 +85,31 @@
     return _result(world, case, policy, records)
 
 
+def _share_consumption(world: World, entries: list[EntryBase]) -> None:
+    """Let the policy's entries tell each other what accounts have used."""
+    sharing = [one for one in entries if isinstance(one, PolicyEntry)]
+
+    def share() -> None:
+        for origin in sharing:
+            shared = origin.admission.take_consumption()
+            for target in sharing:
+                if target is not origin:
+                    world.send_between(
+                        origin.zone,
+                        target.zone,
+                        _consumption_call(target, shared),
+                    )
+
+    if sharing:
+        world.loop.every(_SHARE_INTERVAL_S, DURATION_S, share)
+
+
+def _consumption_call(
+    target: PolicyEntry, shared: tuple[Consumption, ...]
+) -> Callable[[], None]:
+    return lambda: target.admission.record_consumption(shared)
+
+
 def _schedule(world: World, entry: EntryBase, request: Request) -> None:
     world.loop.at(request.arrival_s, lambda: entry.arrive(request))
 
--- a/measurements/requests/world.py
+++ b/measurements/requests/world.py
@@ -18,6 +18,7 @@
 from measurements.requests.event_loop import EventLoop
 from measurements.requests.workload import PLAIN_PER_S_PER_ENDPOINT
 from measurements.requests.workload import PLAIN_SECONDS
+from measurements.requests.workload import Request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +27,6 @@
     from measurements.requests.case import Case
     from measurements.requests.user import User
     from measurements.requests.user import Zone
-    from measurements.requests.workload import Request
 
 PLAIN_BATCH_COUNT = 8
 _SAME_ZONE_DELAY_S = 0.0002
@@ -219,6 +219,12 @@
             self.cross_region_bytes += size_bytes
         self._over_link(origin, target, arrive)
 
+    def send_between(
+        self, origin: Zone, target: Zone, arrive: Callable[[], None]
+    ) -> None:
+        """Send a message from entry to entry."""
+        self._over_link(origin, target, arrive)
+
     def _over_link(
         self, origin: Zone, target: Zone, arrive: Callable[[], None]
     ) -> None:
--- a/src/dogwoodpost/core/admission/__init__.py
+++ b/src/dogwoodpost/core/admission/__init__.py
@@ -4,6 +4,7 @@
 
 from dogwoodpost.core.admission.admission import Admission
 from dogwoodpost.core.admission.admission import AdmissionSettings
+from dogwoodpost.core.admission.admission import Consumption
 from dogwoodpost.core.admission.cost import actual_cost_tokens
 from dogwoodpost.core.admission.cost import estimated_cost_tokens
 from dogwoodpost.core.admission.cost import MIN_COST_TOKENS
@@ -16,6 +17,7 @@
     'MIN_COST_TOKENS',
     'Admission',
     'AdmissionSettings',
+    'Consumption',
     'Dispatcher',
     'Started',
     'Ticket',
--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from dogwoodpost.core import ids
 from dogwoodpost.core.admission.account_state import AccountState
 from dogwoodpost.core.admission.cost_forecast import CostForecast
 from dogwoodpost.core.admission.drain_rate import DrainRate
@@ -16,7 +17,8 @@
 from dogwoodpost.errors import RequestError
 
 if TYPE_CHECKING:
-    from dogwoodpost.core import ids
+    from collections.abc import Iterable
+
     from dogwoodpost.core.admission.ticket import Ticket
 
 _TOO_MANY_REQUESTS = 429
@@ -39,6 +41,17 @@
     max_retry_after_s: float = 60.0
 
 
+class Consumption(msgspec.Struct, frozen=True):
+    """Cost that an account has caused at a service, in tokens.
+
+    It is negative if requests turned out cheaper than expected.
+    """
+
+    service: ids.ServiceName
+    client_account_id: ids.ClientAccountId
+    tokens: float
+
+
 class _ServiceState:
     """Queue and drain rate of one service."""
 
@@ -56,6 +69,9 @@
         self._accounts: dict[ids.ClientAccountId, AccountState] = {}
         self._services: dict[ids.ServiceName, _ServiceState] = {}
         self._default_limits = Limits()
+        self._to_share: dict[
+            tuple[ids.ServiceName, ids.ClientAccountId], float
+        ] = {}
 
     def set_limits(
         self,
@@ -119,6 +135,7 @@
         account.waiting_count -= 1
         account.running_count += 1
         account.charge(ticket.cost_tokens, now_s)
+        self._add_to_share(ticket, ticket.cost_tokens)
         ticket.state = TicketState.RUNNING
 
     def finish(
@@ -133,6 +150,7 @@
         account.running_count -= 1
         extra_tokens = actual_tokens - ticket.cost_tokens
         account.charge(extra_tokens, now_s)
+        self._add_to_share(ticket, extra_tokens)
         service.forecast.observe(
             ticket.client_account_id, ticket.estimated_tokens, actual_tokens
         )
@@ -166,6 +184,29 @@
             self.withdraw(ticket, now_s)
         return expired
 
+    def take_consumption(self) -> tuple[Consumption, ...]:
+        """Return what accounts have used here since the last call.
+
+        To be sent to the other entries, so that an account can't multiply its
+        share by using several of them.
+        """
+        shared = tuple(
+            Consumption(service, client_account_id, tokens)
+            for (service, client_account_id), tokens in self._to_share.items()
+            if tokens
+        )
+        self._to_share.clear()
+        return shared
+
+    def record_consumption(self, shared: Iterable[Consumption]) -> None:
+        """Take what accounts have used at another entry."""
+        for one in shared:
+            account = self._accounts.get(one.client_account_id)
+            weight = account.limits.weight if account else 1.0
+            self._service(one.service).queue.charge_elsewhere(
+                one.client_account_id, one.tokens, weight
+            )
+
     def expected_wait_s(
         self,
         client_account_id: ids.ClientAccountId,
@@ -176,18 +217,15 @@
         account = self._account(client_account_id, now_s)
         service = self._service(service_name)
         token_wait_s = account.token_wait_s(now_s)
-        queued_tokens = service.queue.queued_tokens(client_account_id)
+        if not service.queue.count:
+            return token_wait_s
         rate = service.rate.tokens_per_s()
-        if not queued_tokens or rate is None:
+        if rate is None:
             return token_wait_s
-        if rate <= 0.0:
-            return math.inf
-        own_weight = account.limits.weight
-        accounts = {client_account_id, *service.queue.backlogged()}
-        total_weight = sum(
-            self._accounts[account_id].limits.weight for account_id in accounts
+        ahead_tokens = service.queue.tokens_ahead(
+            client_account_id, self._weight
         )
-        queue_wait_s = queued_tokens * total_weight / (rate * own_weight)
+        queue_wait_s = ahead_tokens / rate if rate > 0.0 else math.inf
         return max(token_wait_s, queue_wait_s)
 
     def retry_after_s(self, wait_s: float) -> float:
@@ -261,6 +299,13 @@
             retry_after_s=self.retry_after_s(wait_s),
         )
 
+    def _add_to_share(self, ticket: Ticket, tokens: float) -> None:
+        key = (ticket.service, ticket.client_account_id)
+        self._to_share[key] = self._to_share.get(key, 0.0) + tokens
+
+    def _weight(self, client_account_id: ids.ClientAccountId) -> float:
+        return self._accounts[client_account_id].limits.weight
+
     def _account(
         self, client_account_id: ids.ClientAccountId, now_s: float
     ) -> AccountState:
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -98,13 +98,32 @@
         if self._virtual.get(account_id, 0.0) <= self._served_virtual:
             self._virtual.pop(account_id, None)
 
-    def backlogged(self) -> list[ids.ClientAccountId]:
-        """Return the accounts with waiting requests."""
-        return list(self._queues)
-
-    def queued_tokens(self, account_id: ids.ClientAccountId) -> float:
-        """Return the estimated cost of an account's waiting requests."""
-        return self._queued_tokens.get(account_id, 0.0)
+    def tokens_ahead(
+        self,
+        account_id: ids.ClientAccountId,
+        weight_of: Callable[[ids.ClientAccountId], float],
+    ) -> float:
+        """Return the cost that starts before a new request of an account.
+
+        Accounts that have waiting requests are expected to keep having some,
+        up to the virtual time at which the new request would start.
+        """
+        own_tokens = self._queued_tokens.get(account_id, 0.0)
+        virtual = max(self._virtual.get(account_id, 0.0), self._served_virtual)
+        start = virtual + own_tokens / weight_of(account_id)
+        ahead = own_tokens
+        for other_id in self._queues:
+            if other_id != account_id:
+                lead = start - self._virtual[other_id]
+                ahead += max(lead, 0.0) * weight_of(other_id)
+        return ahead
+
+    def charge_elsewhere(
+        self, account_id: ids.ClientAccountId, tokens: float, weight: float
+    ) -> None:
+        """Account for what an account has used at other entries."""
+        virtual = max(self._virtual.get(account_id, 0.0), self._served_virtual)
+        self._virtual[account_id] = virtual + tokens / weight
 
     def expired(self, now_s: float) -> list[Ticket]:
         """Return the waiting requests whose deadline has passed."""
