Value cached prompt tokens by the observed time per unit of work

Cause: the fixed 0.2 ms per uncached token was too low under load, so affinity lost against small differences in load. The cost of a prompt token is 0.05 generated tokens for admission as well.

--- a/src/dogwoodpost/core/admission/cost.py
+++ b/src/dogwoodpost/core/admission/cost.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-# An engine processes prompt tokens in parallel, at about a tenth of the cost
-# of a generated token; those found in the prefix cache cost next to nothing.
-_PROMPT_TOKEN_COST = 0.1
-_CACHED_TOKEN_COST = 0.01
+# An engine processes prompt tokens in parallel, at about a twentieth of the
+# cost of a generated token; those in the prefix cache cost next to nothing.
+_PROMPT_TOKEN_COST = 0.05
+_CACHED_TOKEN_COST = 0.0
 # Makes requests to plain services and empty prompts count.
 MIN_COST_TOKENS = 1.0
 
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -165,7 +165,7 @@
             return
         s_per_unit = None
         if not result.failed:
-            group.observe_duration(result.duration_s)
+            group.observe(result.duration_s, result.work_units)
             if result.work_units > 0:
                 s_per_unit = result.duration_s / result.work_units
         group.outliers.record(
@@ -314,7 +314,8 @@
         uncached_tokens = max(
             0.0, query.prompt_tokens - matched * BLOCK_TOKENS
         )
-        prefill_s = uncached_tokens * self._settings.prefill_s_per_token
+        prefill_units = uncached_tokens * self._settings.prompt_token_units
+        prefill_s = prefill_units * group.s_per_unit
         distance = group.distance(group.endpoints[endpoint_id])
         return (
             work_s + prefill_s * slowness + self._distance_s(distance, query)
--- a/src/dogwoodpost/core/routing/service_group.py
+++ b/src/dogwoodpost/core/routing/service_group.py
@@ -15,6 +15,7 @@
 
 _SMOOTHING = 0.05
 _INITIAL_DURATION_S = 0.1
+_INITIAL_S_PER_UNIT = 0.01
 
 
 class Distance(Enum):
@@ -40,6 +41,7 @@
         self.loads: dict[ids.EndpointId, LoadEstimate] = {}
         self.outliers = OutlierDetector(outlier_settings)
         self.duration_s = _INITIAL_DURATION_S
+        self.s_per_unit = _INITIAL_S_PER_UNIT
         self._eligible: dict[Distance, list[ids.EndpointId]] | None = None
 
     def upsert(self, endpoint: Endpoint) -> bool:
@@ -78,6 +80,9 @@
                     self._eligible[distance].append(endpoint_id)
         return self._eligible
 
-    def observe_duration(self, duration_s: float) -> None:
-        """Follow the mean duration of the service's attempts."""
+    def observe(self, duration_s: float, work_units: float) -> None:
+        """Follow the mean duration, and the mean time per unit of work."""
         self.duration_s += _SMOOTHING * (duration_s - self.duration_s)
+        if work_units > 0.0:
+            s_per_unit = duration_s / work_units
+            self.s_per_unit += _SMOOTHING * (s_per_unit - self.s_per_unit)
--- a/src/dogwoodpost/core/routing/settings.py
+++ b/src/dogwoodpost/core/routing/settings.py
@@ -15,8 +15,8 @@
     :param max_index_blocks: bound on remembered (block, endpoint) pairs.
     :param load_bound: an affine endpoint may hold this multiple of the mean
         load of its service before others are preferred.
-    :param prefill_s_per_token: assumed cost of an uncached prompt token
-        until the service's own figure is known.
+    :param prompt_token_units: work of an uncached prompt token, in
+        generated tokens; its time follows from the observed time per unit.
     :param zone_delay_s: round trip to another zone of the region.
     :param region_delay_s: round trip to another region.
     :param region_charge_s_per_mib: seconds of waiting that must be saved
@@ -30,7 +30,7 @@
     index_count: int = 3
     max_index_blocks: int = 200_000
     load_bound: float = 1.25
-    prefill_s_per_token: float = 0.0002
+    prompt_token_units: float = 0.05
     zone_delay_s: float = 0.002
     region_delay_s: float = 0.04
     region_charge_s_per_mib: float = 2.0
