Let requests wait for a full endpoint that holds their prefix

Cause: under saturation a request went to whichever endpoint had just become free, so prefixes were recomputed everywhere. A request is now passed over in favour of others while a full endpoint is worth waiting for, no longer than it would gain.

--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -27,11 +27,12 @@
     endpoint: Endpoint
 
 
-class _Waiting(msgspec.Struct, frozen=True):
+class _Waiting(msgspec.Struct, eq=False):
     """What the router needs to know of a waiting request."""
 
     query: RouteQuery
     attempt_id: ids.AttemptId
+    passed_over_since_s: float | None = None
 
 
 class Dispatcher:
@@ -89,11 +90,16 @@
         heads = self._admission.heads(service, now_s)
         for ticket in heads[:_MAX_PASSED_OVER_COUNT]:
             waiting = self._waiting[id(ticket)]
+            since_s = waiting.passed_over_since_s
             query = msgspec.structs.replace(
-                waiting.query, waiting_count=waiting_count - 1
+                waiting.query,
+                waiting_count=waiting_count - 1,
+                passed_over_s=0.0 if since_s is None else now_s - since_s,
             )
             endpoint = self._router.choose(query, now_s)
             if endpoint is None:
+                if since_s is None:
+                    waiting.passed_over_since_s = now_s
                 continue
             del self._waiting[id(ticket)]
             self._admission.start(ticket, now_s)
--- a/src/dogwoodpost/core/routing/route_query.py
+++ b/src/dogwoodpost/core/routing/route_query.py
@@ -15,6 +15,8 @@
         between regions.
     :param concurrency: requests that one endpoint of the service runs well.
     :param needs_room: refuse full endpoints, because the request can wait.
+    :param passed_over_s: how long the request has been passed over in favour
+        of others, while it waited for a better endpoint.
     :param waiting_count: requests of the service that wait before this one.
     :param may_probe: may be sent to an endpoint whose recovery is uncertain;
         false for work that must not run twice.
@@ -28,6 +30,7 @@
     min_weight_version: ids.WeightVersion | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
     needs_room: bool = True
+    passed_over_s: float = 0.0
     waiting_count: int = 0
     may_probe: bool = True
 
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -118,17 +118,19 @@
             endpoint_id: group.loads[endpoint_id].count(now_s)
             for endpoint_id in candidates
         }
+        scores = {
+            endpoint_id: self._score_s(group, query, endpoint_id, loads, now_s)
+            for endpoint_id in candidates
+        }
         open_ids = self._with_room(candidates, loads, query)
         if not open_ids:
             return None
-        scores = [
-            (self._score_s(group, query, endpoint_id, loads, now_s), index)
-            for index, endpoint_id in enumerate(open_ids)
-        ]
-        _, index = min(scores)
+        best_id = min(open_ids, key=lambda one: scores[one])
+        if self._should_wait(group, query, scores, loads, best_id):
+            return None
         if self._should_wait_nearby(group, query, open_ids):
             return None
-        return group.endpoints[open_ids[index]]
+        return group.endpoints[best_id]
 
     def begin(
         self,
@@ -336,6 +338,32 @@
         charge_s = volume_mib * settings.region_charge_s_per_mib
         return settings.region_delay_s + charge_s
 
+    def _should_wait(
+        self,
+        group: ServiceGroup,
+        query: RouteQuery,
+        scores: dict[ids.EndpointId, float],
+        loads: dict[ids.EndpointId, int],
+        best_id: ids.EndpointId,
+    ) -> bool:
+        """Return whether a full endpoint is worth waiting for.
+
+        The request waits no longer than it would gain, so that at worst it
+        loses as much again.
+        """
+        if not query.needs_room:
+            return False
+        slot_s = group.duration_s / query.concurrency
+        for endpoint_id, score_s in scores.items():
+            excess_count = loads[endpoint_id] - query.concurrency + 1
+            if excess_count <= 0:
+                continue
+            gain_s = scores[best_id] - score_s
+            wait_s = max(query.passed_over_s, slot_s * excess_count)
+            if wait_s < gain_s:
+                return True
+        return False
+
     def _should_wait_nearby(
         self,
         group: ServiceGroup,
