--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -295,9 +295,13 @@
         return [
             endpoint_id
             for endpoint_id in candidates
-            if loads[endpoint_id] < query.concurrency
+            if loads[endpoint_id] < self._room(query)
         ]
 
+    def _room(self, query: RouteQuery) -> float:
+        """Return how many requests an endpoint may hold."""
+        return query.concurrency * self._settings.room_share
+
     def _score_s(
         self,
         group: ServiceGroup,
@@ -355,7 +359,7 @@
             return False
         slot_s = group.duration_s / query.concurrency
         for endpoint_id, score_s in scores.items():
-            excess_count = loads[endpoint_id] - query.concurrency + 1
+            excess_count = loads[endpoint_id] - self._room(query) + 1
             if excess_count <= 0:
                 continue
             gain_s = scores[best_id] - score_s
--- a/src/dogwoodpost/core/routing/settings.py
+++ b/src/dogwoodpost/core/routing/settings.py
@@ -15,6 +15,9 @@
     :param max_index_blocks: bound on remembered (block, endpoint) pairs.
     :param load_bound: an affine endpoint may hold this multiple of the mean
         load of its service before others are preferred.
+    :param room_share: requests that an endpoint may hold, as a share of its
+        concurrency. Load reports lag, so without a short queue at the
+        endpoint, freed places go to the nearest entry only.
     :param prompt_token_units: work of an uncached prompt token, in
         generated tokens; its time follows from the observed time per unit.
     :param zone_delay_s: round trip to another zone of the region.
@@ -30,6 +33,7 @@
     index_count: int = 3
     max_index_blocks: int = 200_000
     load_bound: float = 1.25
+    room_share: float = 1.125
     prompt_token_units: float = 0.05
     zone_delay_s: float = 0.002
     region_delay_s: float = 0.04
