--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -1,261 +1,269 @@
-"""Calls an endpoint over HTTP."""
+"""HTTP client of one engine or plain service."""
 
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
+import contextlib
 from typing import Any
 from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
-import structlog
 import yarl
 
-from dogwoodpost.adapters.http.endpoint_response import HttpEndpointResponse
-from dogwoodpost.adapters.http.hop_by_hop import without_hop_by_hop
-from dogwoodpost.core.messages import EndpointAction
-from dogwoodpost.core.messages import EndpointLoad
+from dogwoodpost.adapters.http.send_once import SendOnce
+from dogwoodpost.core import messages
 from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import EndpointUnsupportedError
+from dogwoodpost.ports.endpoint_client import CacheEventBatch
 from dogwoodpost.ports.endpoint_client import EndpointClient
-from dogwoodpost.ports.endpoint_client import EndpointRequest
+from dogwoodpost.ports.endpoint_client import EndpointResponse
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from dogwoodpost.core import ids
+    from dogwoodpost.ports.endpoint_client import EndpointRequest
 
-# Engines send a keep-alive every few seconds while a request waits.
-SILENCE_TIMEOUT_S = 15.0
+# Between tokens. A queued request sends no bytes, so the wait for the head is
+# bounded by the request's own time limit only.
+IDLE_TIMEOUT_S = 20.0
 CONTROL_TIMEOUT_S = 5.0
-# Loading weights takes as long as reading them; the order has its own limit.
-COMMAND_TIMEOUT_S = 120.0
-MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
-PRIORITY_HEADER = 'X-Request-Priority'
-REQUEST_ID_HEADER = 'X-Request-Id'
-TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
-# aiohttp sets them for its own connection.
-_SET_BY_LIBRARY = frozenset({'content-length', 'expect', 'host'})
-_SET_HERE = frozenset(
-    {PRIORITY_HEADER.lower(), TIMEOUT_HEADER.lower(), 'cookie'}
+# Loading weights moves gigabytes; 17 s is the target for all samplers.
+COMMAND_TIMEOUT_S = 60.0
+_MAX_CHUNK_BYTES = 64 * 1024
+
+# The entry removes keys; this is the second line of defence.
+_SECRET_HEADERS = frozenset(
+    {'authorization', 'proxy-authorization', 'cookie', 'x-api-key'}
 )
-_ADDED_BY_LIBRARY = (
-    'Accept',
-    'Accept-Encoding',
-    'Content-Type',
-    'User-Agent',
+# Apply to one connection only, or are written anew by the library.
+_CONNECTION_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
 )
-
-_log = structlog.get_logger(__name__)
-
-
-class _LoadDocument(msgspec.Struct):
+_PRIORITY_HEADER = 'X-Request-Priority'
+_TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
+_UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
+_Action = messages.EndpointAction
+# The path of an order, and the field that holds its argument.
+_COMMANDS = {
+    _Action.LOAD_WEIGHTS: ('/control/weights/load', 'weight_version'),
+    _Action.SWITCH_WEIGHTS: ('/control/weights/switch', 'weight_version'),
+    _Action.LOAD_ADAPTER: ('/control/adapters/load', 'adapter'),
+    _Action.LOAD_MODEL: ('/control/models/load', 'model'),
+    _Action.SET_ROLE: ('/control/role', 'role'),
+}
+_CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+
+
+class _Load(msgspec.Struct):
     running_count: int
     waiting_count: int
     running_tokens: int = 0
     age_ms: int = 0
+    weight_version: int | None = None
 
 
-class HttpEndpointClient(EndpointClient):
-    """Calls one endpoint.
+class HttpEndpointResponse(EndpointResponse):
+    """An answer over HTTP."""
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, idle_timeout_s: float
+    ) -> None:
+        self._response = response
+        self._idle_timeout_s = idle_timeout_s
+        self.status = response.status
+        self.headers = tuple(
+            (str(name), value)
+            for name, value in response.headers.items()
+            if name.lower() not in _CONNECTION_HEADERS
+        )
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        :raises EndpointError: the body broke off, or nothing came for the
+            idle time-out.
+        """
+        content = self._response.content
+        while True:
+            try:
+                async with asyncio.timeout(self._idle_timeout_s):
+                    data = await content.readany()
+            except TimeoutError:
+                raise EndpointError(
+                    f'no bytes for {self._idle_timeout_s} s'
+                ) from None
+            except _CALL_ERRORS as error:
+                raise EndpointError(f'body broke off: {error!r}') from error
+            if not data:
+                return
+            for start in range(0, len(data), _MAX_CHUNK_BYTES):
+                yield data[start : start + _MAX_CHUNK_BYTES]
+
 
-    :param silence_timeout_s: a connection that sends no bytes for this time
-        counts as broken, in seconds.
-    """
+class HttpEndpointClient(EndpointClient):
+    """Calls one endpoint; does not own the session."""
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
-        base_url: str,
         endpoint_id: ids.EndpointId,
+        base_url: str,
+        session: aiohttp.ClientSession,
         *,
-        silence_timeout_s: float = SILENCE_TIMEOUT_S,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ) -> None:
-        self._session = session
-        self._base_url = base_url.rstrip('/')
         self._endpoint_id = endpoint_id
-        self._silence_timeout_s = silence_timeout_s
+        self._base_url = base_url.rstrip('/')
+        self._session = session
+        self._idle_timeout_s = idle_timeout_s
 
-    @asynccontextmanager
+    @contextlib.asynccontextmanager
     async def call(
         self, request: EndpointRequest
-    ) -> AsyncIterator[HttpEndpointResponse]:
-        """Send a request and open its response.
+    ) -> AsyncIterator[EndpointResponse]:
+        """Send a request and open its answer.
 
-        :raises EndpointError: no response came.
+        :raises EndpointError: no answer came.
         """
-        response = await self._open(
-            request.method,
-            request.path,
-            headers=_request_headers(request),
-            body=request.body,
-            timeout_s=request.timeout_s,
-        )
+        response = await self._open(request)
         try:
-            yield HttpEndpointResponse(response, self._silence_timeout_s)
+            yield HttpEndpointResponse(response, self._idle_timeout_s)
         finally:
-            # Keeps the connection only if the body was read to its end.
-            response.release()
+            # Closes the connection unless the body was read to its end.
+            response.close()
 
     async def cancel(self, request_id: str) -> None:
         """Cancel a request; an unknown id has no effect."""
-        try:
+        with contextlib.suppress(EndpointError):
             await self._control(
                 'POST', '/control/cancel', {'request_id': request_id}
             )
-        except EndpointError as error:
-            _log.info(
-                'endpoint_cancel_failed',
-                endpoint_id=self._endpoint_id,
-                error=str(error),
-            )
 
-    async def load(self) -> EndpointLoad:
+    async def load(self) -> messages.EndpointLoad:
         """Return the endpoint's last load report.
 
         :raises EndpointError: the endpoint did not answer.
         """
-        body = await self._control('GET', '/control/load')
-        try:
-            document = msgspec.json.decode(body, type=_LoadDocument)
-        except msgspec.MsgspecError as error:
-            raise EndpointError(f'malformed load report: {error}') from error
-        return EndpointLoad(
+        load = _decode(await self._control('GET', '/control/load'), _Load)
+        return messages.EndpointLoad(
             endpoint_id=self._endpoint_id,
-            running_count=document.running_count,
-            waiting_count=document.waiting_count,
-            running_tokens=document.running_tokens,
-            age_ms=document.age_ms,
+            running_count=load.running_count,
+            waiting_count=load.waiting_count,
+            running_tokens=load.running_tokens,
+            age_ms=load.age_ms,
+            weight_version=load.weight_version,
         )
 
     async def command(
         self,
-        action: EndpointAction,
+        action: messages.EndpointAction,
         argument: str,
         fencing_number: ids.FencingNumber,
+        fetch_from: tuple[str, ...] = (),
     ) -> None:
         """Carry out an order to load, switch or change role.
 
         :raises EndpointError: the endpoint refused or failed the order.
         """
-        path, document = _order(action, argument)
-        await self._control(
-            'POST',
-            path,
-            {**document, 'fencing_number': fencing_number},
-            timeout_s=COMMAND_TIMEOUT_S,
+        if action not in _COMMANDS:
+            raise EndpointError(f'{action.value} is no order to an endpoint')
+        path, field = _COMMANDS[action]
+        body = {
+            field: argument,
+            'fencing_number': fencing_number,
+            'fetch_from': list(fetch_from),
+        }
+        await self._control('POST', path, body, COMMAND_TIMEOUT_S)
+
+    async def cache_events(self, after: int) -> CacheEventBatch | None:
+        """Return the cache events after a number, None without any.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        path = f'/control/cache_events?after={after}'
+        batch: CacheEventBatch = _decode(
+            await self._control('GET', path), CacheEventBatch
         )
+        if batch.cleared or batch.stored or batch.evicted:
+            return batch
+        return None
+
+    async def _open(self, request: EndpointRequest) -> aiohttp.ClientResponse:
+        headers = _request_headers(request)
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                return await self._session.request(
+                    request.method,
+                    yarl.URL(self._base_url + request.path, encoded=True),
+                    headers=headers,
+                    data=request.body or None,
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(total=None),
+                    middlewares=(SendOnce(),),
+                )
+        except TimeoutError:
+            raise EndpointError(
+                f'no answer within {request.timeout_s:.3f} s'
+            ) from None
+        except _CALL_ERRORS as error:
+            raise EndpointError(f'no answer: {error!r}') from error
 
     async def _control(
         self,
         method: str,
         path: str,
         document: dict[str, Any] | None = None,
-        *,
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> bytes:
-        response = await self._open(
-            method,
-            path,
-            headers=(('Content-Type', 'application/json'),),
-            body=b'' if document is None else msgspec.json.encode(document),
-            timeout_s=timeout_s,
-            silence_timeout_s=timeout_s,
-        )
-        body = bytearray()
-        try:
-            reader = HttpEndpointResponse(response, timeout_s)
-            async for chunk in reader.chunks():
-                body += chunk
-                if len(body) > MAX_CONTROL_BODY_BYTES:
-                    raise EndpointError(f'{path}: the response is too large')
-        finally:
-            response.release()
-        if not 200 <= response.status < 300:
-            detail = body[:200].decode('utf-8', 'replace')
-            raise EndpointError(f'{path}: status {response.status}: {detail}')
-        return bytes(body)
-
-    async def _open(
-        self,
-        method: str,
-        path: str,
-        *,
-        headers: tuple[tuple[str, str], ...],
-        body: bytes,
-        timeout_s: float,
-        silence_timeout_s: float | None = None,
-    ) -> aiohttp.ClientResponse:
-        if not path.startswith('/'):
-            raise EndpointError(f'not a path: {path!r}')
         try:
-            async with asyncio.timeout(
-                silence_timeout_s or self._silence_timeout_s
-            ):
-                return await self._session.request(
-                    method,
-                    yarl.URL(self._base_url + path, encoded=True),
-                    headers=headers,
-                    data=body or None,
-                    allow_redirects=False,
-                    auto_decompress=False,
-                    skip_auto_headers=_ADDED_BY_LIBRARY,
-                    timeout=aiohttp.ClientTimeout(total=timeout_s),
-                    middlewares=(_send_once,),
-                )
-        except TimeoutError as error:
-            raise EndpointError('no response within the time limit') from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise EndpointError(f'no response: {error!r}') from error
-
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                json=document,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                body = await response.read()
+        except TimeoutError:
+            raise EndpointError(f'{path}: no answer') from None
+        except _CALL_ERRORS as error:
+            raise EndpointError(f'{path}: {error!r}') from error
+        if response.status in _UNSUPPORTED_STATUSES:
+            raise EndpointUnsupportedError(f'{path}: no such path')
+        if response.status != 200:
+            text = body[:200].decode(errors='replace')
+            raise EndpointError(f'{path}: status {response.status}: {text}')
+        return body
+
+
+def _request_headers(request: EndpointRequest) -> list[tuple[str, str]]:
+    dropped = _CONNECTION_HEADERS | _SECRET_HEADERS
+    headers = [
+        (name, value)
+        for name, value in request.headers
+        if name.lower() not in dropped
+    ]
+    headers.append((_PRIORITY_HEADER, str(request.priority)))
+    remaining_ms = max(1, int(request.timeout_s * 1000))
+    headers.append((_TIMEOUT_HEADER, str(remaining_ms)))
+    # The caller of a plain service may have named the request itself.
+    if all(name.lower() != 'x-request-id' for name, _ in headers):
+        headers.append(('X-Request-Id', request.request_id))
+    return headers
 
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep the library from repeating a request on a broken connection.
 
-    It repeats methods such as PUT and DELETE by itself, although the endpoint
-    may have run the first copy.
-    """
-    try:
-        return await handler(request)
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise EndpointError(f'no response: {error!r}') from error
-
-
-def _request_headers(
-    request: EndpointRequest,
-) -> tuple[tuple[str, str], ...]:
-    passed = without_hop_by_hop(request.headers, _SET_BY_LIBRARY | _SET_HERE)
-    added = [
-        (TIMEOUT_HEADER, str(max(1, int(request.timeout_s * 1000)))),
-        (PRIORITY_HEADER, str(request.priority)),
-    ]
-    # Plain services get the id that their caller chose.
-    if not any(name.lower() == 'x-request-id' for name, _ in passed):
-        added.append((REQUEST_ID_HEADER, request.request_id))
-    return (*passed, *added)
-
-
-def _order(
-    action: EndpointAction, argument: str
-) -> tuple[str, dict[str, Any]]:
-    """Return the path and the body of an order."""
-    if action is EndpointAction.LOAD_WEIGHTS:
-        return '/control/weights/load', _version(argument)
-    if action is EndpointAction.SWITCH_WEIGHTS:
-        return '/control/weights/switch', _version(argument)
-    if action is EndpointAction.LOAD_ADAPTER:
-        return '/control/adapters/load', {'adapter': argument}
-    if action is EndpointAction.LOAD_MODEL:
-        return '/control/models/load', {'model': argument}
-    if action is EndpointAction.SET_ROLE:
-        return '/control/role', {'role': argument}
-    raise EndpointError(f'engines have no order {action.value}')
-
-
-def _version(argument: str) -> dict[str, Any]:
+def _decode(body: bytes, kind: type[Any]) -> Any:
     try:
-        return {'weight_version': int(argument)}
-    except ValueError as error:
-        raise EndpointError(f'no weight version: {argument!r}') from error
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise EndpointError(f'malformed answer: {error}') from None
--- a/src/dogwoodpost/standins/plain_service.py
+++ b/src/dogwoodpost/standins/plain_service.py
@@ -105,6 +105,9 @@
         )
 
 
+STATE = web.AppKey('state', PlainService)
+
+
 class _Execution:
     """Counts a request while it runs."""
 
@@ -125,6 +128,7 @@
     """Return an application that serves one plain service."""
     service = PlainService(settings or PlainServiceSettings())
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app[STATE] = service
     app.router.add_get('/control/load', service.load)
     app.router.add_get('/control/counters', service.counters)
     app.router.add_route('*', r'/slow/{ms:\d+}', service.slow)
@@ -137,7 +141,7 @@
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in headers
         if name.lower() not in _SENSITIVE
     )
