--- a/src/dogwoodpost/config/__init__.py
+++ b/src/dogwoodpost/config/__init__.py
@@ -8,6 +8,7 @@
 from dogwoodpost.config.settings import EntrySettings
 from dogwoodpost.config.settings import ListenAddress
 from dogwoodpost.config.settings import LogSettings
+from dogwoodpost.config.settings import plain_secret
 from dogwoodpost.config.settings import PlatformSettings
 from dogwoodpost.config.settings import ProcessSettings
 
@@ -20,4 +21,5 @@
     'PlatformSettings',
     'ProcessSettings',
     'load_settings',
+    'plain_secret',
 )
--- a/src/dogwoodpost/config/settings.py
+++ b/src/dogwoodpost/config/settings.py
@@ -7,6 +7,11 @@
 import pydantic
 
 
+def plain_secret(secret: pydantic.SecretStr | None) -> str | None:
+    """Return a secret's value, to be handed to a protocol only."""
+    return None if secret is None else secret.get_secret_value()
+
+
 class StrictModel(pydantic.BaseModel):
     """Rejects unknown fields, so that misspelt settings are found."""
 
--- a/src/dogwoodpost/core/leases/lease.py
+++ b/src/dogwoodpost/core/leases/lease.py
@@ -138,6 +138,14 @@
         self.tick(now_s)
         return now_s < self.acts_until_s()
 
+    def number_confirmed_since(
+        self, since_s: float
+    ) -> ids.FencingNumber | None:
+        """Return the held number if the store confirmed it since a time."""
+        if self._held is None or self._held.renewed_s < since_s:
+            return None
+        return self._held.fencing_number
+
     def observe(self, rows: Mapping[str, Row], read_end_s: float) -> None:
         """Take the lease's rows as they were read.
 
--- a/src/dogwoodpost/services/control/lease_manager.py
+++ b/src/dogwoodpost/services/control/lease_manager.py
@@ -116,6 +116,15 @@
             shard for shard, guard in self._guards.items() if guard.is_held()
         ]
 
+    def fencing_numbers(self, since_s: float) -> dict[str, int]:
+        """Return the held numbers that the store confirmed since a time."""
+        numbers: dict[str, int] = {}
+        for shard, lease in self._leases.items():
+            number = lease.number_confirmed_since(since_s)
+            if number is not None:
+                numbers[shard] = number
+        return numbers
+
     async def release(self, shard: ids.ShardName) -> None:
         """Stop to hold a shard's lease and let a successor take it at once.
 
--- a/src/dogwoodpost/services/entry/http/header_filter.py
+++ b/src/dogwoodpost/services/entry/http/header_filter.py
@@ -49,7 +49,8 @@
 
     Headers that carry the key in any common encoding are dropped.
     """
-    items = list(headers)
+    # aiohttp's names are a subclass of str that messages cannot carry.
+    items = [(str(name), value) for name, value in headers]
     dropped = _HOP_BY_HOP | _CALLERS_ONLY | _listed_in_connection(items)
     if kind is ServiceKind.ENGINE:
         dropped |= _ENGINE_ONLY
--- /dev/null
+++ b/src/dogwoodpost/services/entry/process.py
@@ -0,0 +1,223 @@
+"""The entry process: composes its parts from the settings."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dogwoodpost.adapters.clock import BoottimeClock
+from dogwoodpost.adapters.nng import NngPeerTransport
+from dogwoodpost.core import ids
+from dogwoodpost.core.admission import Admission
+from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.core.routing.router import Router
+from dogwoodpost.observability import Metrics
+from dogwoodpost.services.composite_service import CompositeService
+from dogwoodpost.services.control.lease_manager import LeaseManager
+from dogwoodpost.services.entry.agent_directory import AgentDirectory
+from dogwoodpost.services.entry.configuration_parts import administration
+from dogwoodpost.services.entry.configuration_parts import (
+    compose_configuration,
+)
+from dogwoodpost.services.entry.control_parts import ControlParts
+from dogwoodpost.services.entry.endpoint_commander import EndpointCommander
+from dogwoodpost.services.entry.fleet import Fleet
+from dogwoodpost.services.entry.http.app import authenticate
+from dogwoodpost.services.entry.http.app import create_app
+from dogwoodpost.services.entry.http.app import LIFECYCLE
+from dogwoodpost.services.entry.peer_attempt_runner import PeerAttemptRunner
+from dogwoodpost.services.entry.peer_service import PeerService
+from dogwoodpost.services.entry.platform_clients import open_platform
+from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+from dogwoodpost.services.entry.sample_dispatcher import (
+    PipelineSampleDispatcher,
+)
+from dogwoodpost.services.entry.usage_totals import UsageTotals
+from dogwoodpost.services.http_server import serving
+from dogwoodpost.services.metrics_app import create_metrics_app
+from dogwoodpost.services.rollouts.rollout_service import RolloutService
+from dogwoodpost.services.rollouts.routes import add_rollout_routes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from aiohttp import web
+
+    from dogwoodpost.config import EntrySettings
+
+_log = structlog.get_logger(__name__)
+_METRICS_SHUTDOWN_TIMEOUT_S = 1.0
+
+
+def build_entry_process(settings: EntrySettings) -> EntryProcess:
+    """Return an entry; it opens its sockets when it starts."""
+    return EntryProcess(settings)
+
+
+class EntryProcess(CompositeService):
+    """One entry. Ports are known once it has started."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__()
+        self.http_port = 0
+        self.admin_port = 0
+        self.metrics_port = 0
+        self.metrics = Metrics()
+        self._settings = settings
+        self._clock = BoottimeClock()
+        self._rng = random.Random()
+
+    async def open_parts(self) -> None:
+        """Open the parts, those that serve callers last."""
+        settings = self._settings
+        platform = await self.open_part(
+            open_platform(
+                settings.platform, self._clock, self._rng, self.metrics
+            )
+        )
+        transport = await self.open_part(self._transport())
+        identity = ProcessIdentity(
+            process_id=ids.ProcessId(settings.process_id),
+            incarnation=ids.Incarnation(uuid.uuid4().hex),
+            address=transport.address,
+        )
+        configuration = compose_configuration(
+            settings, identity, platform, transport, self._clock, self._rng
+        )
+        self.metrics_port = await self.open_part(
+            serving(
+                create_metrics_app(
+                    self.metrics, configuration.service.is_ready
+                ),
+                settings.metrics_listen,
+                shutdown_timeout_s=_METRICS_SHUTDOWN_TIMEOUT_S,
+            )
+        )
+        leases = LeaseManager(
+            platform.plain_tables,
+            self._clock,
+            self._rng,
+            process_id=identity.process_id,
+            incarnation=identity.incarnation,
+        )
+        router = Router(
+            ids.AvailabilityZone(settings.availability_zone),
+            ids.Region(settings.region),
+            self._rng,
+        )
+        directory = AgentDirectory(router)
+        runner = PeerAttemptRunner(identity, transport, directory, self._clock)
+        commander = EndpointCommander(identity, transport)
+        peers = PeerService(
+            identity,
+            transport,
+            self._clock,
+            directory,
+            runner,
+            commander,
+            revision=lambda: configuration.service.current().revision,
+            fencing_numbers=leases.fencing_numbers,
+            handle_other=configuration.service.handle,
+        )
+        await self.run_part(peers)
+        await self.run_part(configuration.registration)
+        await self.run_part(configuration.service)
+        await configuration.service.wait_ready()
+        self.admin_port = await self.open_part(
+            administration(configuration, settings, self._clock)
+        )
+        await self.run_part(leases)
+        usage = await self.run_part(
+            UsageTotals(
+                host_id=ids.HostId(settings.host_id),
+                incarnation=identity.incarnation,
+                window_s=settings.usage_window_s,
+                store=platform.tables,
+                clock=self._clock,
+                rng=self._rng,
+                metrics=self.metrics,
+            )
+        )
+        pipeline = RequestPipeline(
+            runner=runner,
+            router=router,
+            admission=Admission(),
+            usage=usage,
+            metrics=self.metrics,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        fleet = Fleet(directory, configuration.service)
+        control = ControlParts(
+            settings=settings,
+            platform=platform,
+            leases=leases,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self.metrics,
+        )
+        if settings.control_enabled:
+            await self.run_part(control)
+        app = create_app(
+            pipeline, configuration.service, self.metrics, settings
+        )
+        if platform.scorer is not None:
+            rollouts = RolloutService(
+                table=platform.tables,
+                objects=platform.objects,
+                dispatcher=PipelineSampleDispatcher(
+                    pipeline, configuration.service
+                ),
+                scorer=platform.scorer,
+                clock=self._clock,
+                rng=self._rng,
+                metrics=self.metrics,
+                acquire=control.acquire_trainer,
+                current_version=fleet.newest_version,
+                capacity=fleet.sample_capacity,
+            )
+            await self.run_part(rollouts)
+            add_rollout_routes(
+                app,
+                service=rollouts,
+                clock=self._clock,
+                authenticate=authenticate,
+            )
+        self.http_port = await self.open_part(self._serving_callers(app))
+        _log.info(
+            'entry started',
+            http_port=self.http_port,
+            admin_port=self.admin_port,
+            metrics_port=self.metrics_port,
+            peer_address=transport.address,
+        )
+
+    @asynccontextmanager
+    async def _transport(self) -> AsyncIterator[NngPeerTransport]:
+        listen = self._settings.peer_listen
+        transport = NngPeerTransport(
+            self.metrics, ip=listen.ip, port=listen.port
+        )
+        try:
+            yield transport
+        finally:
+            await transport.close()
+
+    @asynccontextmanager
+    async def _serving_callers(
+        self, app: web.Application
+    ) -> AsyncIterator[int]:
+        """Serve callers; at the end, let running requests finish first."""
+        timeout_s = self._settings.drain_timeout_s
+        async with serving(
+            app, self._settings.http_listen, shutdown_timeout_s=timeout_s
+        ) as port:
+            yield port
+            lifecycle = app[LIFECYCLE]
+            lifecycle.begin_stop()
+            if not await lifecycle.wait_idle(timeout_s):
+                _log.warning('requests still run after the drain timeout')
--- a/src/dogwoodpost/services/process.py
+++ b/src/dogwoodpost/services/process.py
@@ -28,18 +28,23 @@
         await service.stop()
 
 
+async def wait_for_stop_signal() -> None:
+    """Return after SIGTERM or SIGINT."""
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in _STOP_SIGNALS:
+        loop.add_signal_handler(number, stop_requested.set)
+    await stop_requested.wait()
+
+
 async def run_until_stopped(service: mode.Service) -> int:
     """Run a service until SIGTERM, SIGINT or its crash.
 
     Returns the exit code: 0 after a signal, 1 after a crash.
     """
-    stop_requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in _STOP_SIGNALS:
-        loop.add_signal_handler(number, stop_requested.set)
     async with running(service):
-        signal_task = loop.create_task(stop_requested.wait())
-        crash_task = loop.create_task(service.wait_until_stopped())
+        signal_task = asyncio.create_task(wait_for_stop_signal())
+        crash_task = asyncio.create_task(service.wait_until_stopped())
         await asyncio.wait(
             {signal_task, crash_task}, return_when=asyncio.FIRST_COMPLETED
         )
