--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -112,19 +113,26 @@
         service.queue.push(ticket)
         account.waiting_count += 1
 
-    def heads(self, service: ids.ServiceName, now_s: float) -> list[Ticket]:
-        """Return the requests that may start, the fairest first.
+    def heads(
+        self,
+        service: ids.ServiceName,
+        now_s: float,
+        *,
+        count: int,
+        depth: int,
+    ) -> list[Ticket]:
+        """Return up to ``count`` requests that may start, the fairest first.
 
-        There is at most one of each account.
+        There are at most ``depth`` of each account.
         """
         state = self._services.get(service)
         if state is None:
             return []
-        return list(
-            state.queue.heads(
-                lambda account_id: self._accounts[account_id].may_start(now_s)
-            )
+        heads = state.queue.heads(
+            lambda account_id: self._accounts[account_id].may_start(now_s),
+            depth,
         )
+        return list(itertools.islice(heads, count))
 
     def start(self, ticket: Ticket, now_s: float) -> None:
         """Start a request that :meth:`heads` returned."""
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -16,8 +16,10 @@
     from dogwoodpost.core.admission.admission import Admission
     from dogwoodpost.core.routing.router import Router
 
-# Requests that the router can't place are passed over, up to this many.
-_MAX_PASSED_OVER_COUNT = 16
+# Requests that the router can't place now are passed over. The bounds limit
+# the work for each place that becomes free.
+_MAX_CONSIDERED_COUNT = 16
+_ACCOUNT_DEPTH = 4
 
 
 class Started(msgspec.Struct, frozen=True):
@@ -87,8 +89,11 @@
         waiting_count = self._admission.waiting_count(service)
         if not waiting_count:
             return None
-        heads = self._admission.heads(service, now_s)
-        for ticket in heads[:_MAX_PASSED_OVER_COUNT]:
+        heads = self._admission.heads(
+            service, now_s, count=_MAX_CONSIDERED_COUNT, depth=_ACCOUNT_DEPTH
+        )
+        seen: set[ids.ClientAccountId] = set()
+        for ticket in heads:
             waiting = self._waiting[id(ticket)]
             since_s = waiting.passed_over_since_s
             query = msgspec.structs.replace(
@@ -98,8 +103,12 @@
             )
             endpoint = self._router.choose(query, now_s)
             if endpoint is None:
-                if since_s is None:
+                # Later requests of an account lose no patience before their
+                # turn.
+                first = ticket.client_account_id not in seen
+                if since_s is None and first:
                     waiting.passed_over_since_s = now_s
+                seen.add(ticket.client_account_id)
                 continue
             del self._waiting[id(ticket)]
             self._admission.start(ticket, now_s)
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -46,9 +47,14 @@
         self._queued_tokens[account_id] = queued + ticket.cost_tokens
 
     def heads(
-        self, may_start: Callable[[ids.ClientAccountId], bool]
+        self,
+        may_start: Callable[[ids.ClientAccountId], bool],
+        depth: int,
     ) -> Iterator[Ticket]:
-        """Yield the first request of each account, the fairest first."""
+        """Yield up to ``depth`` requests of each account, the fairest first.
+
+        Those of one account follow each other in the order of their arrival.
+        """
         order = sorted(
             (
                 account_id
@@ -58,10 +64,10 @@
             key=lambda account_id: (self._virtual[account_id], account_id),
         )
         for account_id in order:
-            yield self._queues[account_id][0]
+            yield from itertools.islice(self._queues[account_id], depth)
 
     def start(self, ticket: Ticket, weight: float) -> None:
-        """Take the first request of an account off its queue to run it."""
+        """Take a request off its account's queue to run it."""
         account_id = ticket.client_account_id
         self._served_virtual = max(
             self._served_virtual,
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -355,7 +355,8 @@
         The request waits no longer than it would gain, so that at worst it
         loses as much again.
         """
-        if not query.needs_room:
+        patience_s = self._settings.max_patience_s
+        if not query.needs_room or query.passed_over_s >= patience_s:
             return False
         slot_s = group.duration_s / query.concurrency
         for endpoint_id, score_s in scores.items():
