--- /dev/null
+++ b/measurements/control/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of control work on virtual time."""
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -46,10 +46,15 @@
 MAX_OPEN_READS = 3
 TICK_S = 0.25
 REPEAT_PUSH_S = 1.0
+# Id of queries that ask for the revision only.
+SPREAD_QUERY = 'spread'
 # An entry that learns of a change by polling tells a few others, in case the
 # entry that accepted it has died. The others learn of it by polling as well.
 FANOUT_AFTER_POLL = 8
 RELAYED_COUNT = 64
+# More than the entries of the target size; restarts leave old ones behind.
+MAX_TOLD_COUNT = 1024
+PUSH_TRIES = 3
 
 _logger = structlog.get_logger(__name__)
 
@@ -82,7 +87,7 @@
         self._ready = asyncio.Event()
         self._is_registered = False
         self._is_superseded = False
-        self._last_push_s = 0.0
+        self._told: dict[ids.Incarnation, ids.Revision] = {}
         self._open_reads = 0
         self._read_again = False
         self._open_tasks: set[asyncio.Task[None]] = set()
@@ -117,6 +122,11 @@
         """Wait for the first read."""
         await self._ready.wait()
 
+    async def wait_accepting(self) -> None:
+        """Wait until this entry may accept changes."""
+        while not self.accepts_changes():  # noqa: ASYNC110
+            await self._clock.sleep(TICK_S)
+
     def spread(self, revision: ids.Revision) -> SpreadReport:
         """Return which entries have a revision in force."""
         now_s = self._clock.monotonic_s()
@@ -135,8 +145,11 @@
         if report.in_force:
             return report
         await self._registration.scan()
-        behind = self._spread.behind(revision, self._peers.known.addresses())
-        await self._peers.query('spread', self._configuration.revision, behind)
+        await self._peers.query(
+            SPREAD_QUERY,
+            self._configuration.revision,
+            self._behind(revision),
+        )
         return self.spread(revision)
 
     async def on_start(self) -> None:
@@ -161,7 +174,7 @@
                 self._peers.hear(message)
                 self._handle_reply(message)
 
-    def adopt(self, read: RepositoryRead) -> None:
+    def adopt(self, read: RepositoryRead, *, pushed: bool = False) -> None:
         """Put a revision read from the store in force."""
         is_new = read.configuration.revision > self._configuration.revision
         self._put_in_force(read.configuration, read.applied)
@@ -169,7 +182,7 @@
         if self._is_registered:
             self._freshness.tracker.record_read(read.start_s)
             self._ready.set()
-        if is_new and self._ready.is_set():
+        if is_new and self._ready.is_set() and not pushed:
             self._start(self._push_to_some())
 
     def adopt_own(
@@ -179,8 +192,11 @@
         self._put_in_force(configuration, [record])
         self._start(self._push_to_all())
 
-    async def refresh(self) -> bool:
-        """Read the store once; return whether it answered."""
+    async def refresh(self, *, pushed: bool = False) -> bool:
+        """Read the store once; return whether it answered.
+
+        :param pushed: another entry told of a change and tells the others.
+        """
         try:
             read = await self._repository.read(
                 self._configuration, [self._member_key]
@@ -188,7 +204,7 @@
         except StoreError as error:
             _logger.debug('configuration_not_read', error=str(error))
             return False
-        self.adopt(read)
+        self.adopt(read, pushed=pushed)
         return True
 
     def _put_in_force(
@@ -286,31 +302,40 @@
 
     async def _push_to_all(self) -> None:
         revision = self._configuration.revision
-        for _ in range(3):
-            if self._configuration.revision != revision:
+        await self._peers.push(revision, self._behind(revision))
+        # The scan shows entries that were registered meanwhile.
+        await self._registration.scan()
+        for _ in range(PUSH_TRIES):
+            await self._clock.sleep(REPEAT_PUSH_S)
+            behind = self._behind(revision)
+            if not behind or self._configuration.revision != revision:
                 return
-            behind = self._spread.behind(
-                revision, self._peers.known.addresses()
-            )
-            await self._peers.push(revision, behind)
-            if not await self._registration.scan() or behind:
-                await self._clock.sleep(REPEAT_PUSH_S)
+            # A query is answered even if the answer to a push was lost.
+            await self._peers.query(SPREAD_QUERY, revision, behind)
+
+    def _behind(self, revision: ids.Revision) -> list[ids.ProcessId]:
+        return self._spread.behind(revision, self._peers.known.addresses())
 
     async def _push_to_some(self) -> None:
         revision = self._configuration.revision
-        behind = self._spread.behind(revision, self._peers.known.addresses())
+        behind = self._behind(revision)
         count = min(len(behind), FANOUT_AFTER_POLL)
         await self._peers.push(revision, self._rng.sample(behind, count))
 
     async def _handle_push(self, push: messages.ConfigurationPush) -> None:
         self._spread.confirm(push.sender_id, push.revision)
-        if push.revision == self._configuration.revision:
-            return
         if push.revision > self._configuration.revision:
-            await self.refresh()
+            await self.refresh(pushed=True)
+        revision = self._configuration.revision
+        if push.revision > revision:
+            return
         # Confirms the pushed revision, or tells the sender of a higher one.
-        if push.revision <= self._configuration.revision:
-            revision = self._configuration.revision
+        # Each side tells the other of a revision once, which ends the
+        # exchange.
+        if self._told.get(push.sender_incarnation, -1) < revision:
+            self._told[push.sender_incarnation] = revision
+            while len(self._told) > MAX_TOLD_COUNT:
+                del self._told[next(iter(self._told))]
             await self._peers.push(revision, [push.sender_id])
 
     async def _handle_query(self, query: messages.FreshnessQuery) -> None:
@@ -320,6 +345,8 @@
             self._freshness.read_age_ms(),
             self._records_after(query.revision),
         )
+        if query.revision > self._configuration.revision:
+            self._request_read()
 
     def _handle_reply(self, reply: messages.FreshnessReply) -> None:
         self._apply_relayed(reply.records)
