Keep keyed routes served at the start of a store outage

Directed tests of the configuration service found three faults. A superseded or unregistered entry could still find the store to be down and serve. An entry at revision 0 got no relayed records.

--- a/src/dogwoodpost/core/configuration/freshness.py
+++ b/src/dogwoodpost/core/configuration/freshness.py
@@ -12,6 +12,12 @@
 # its start.
 FRESH_S = 3.0
 
+# An entry whose last read is older does not reach the store: the poll after
+# that read has failed. With FRESH_S instead, the finding that the store is
+# down came only after the reads had expired, and keyed routes were refused
+# for up to a second at the start of each outage.
+REACHES_STORE_S = 1.5
+
 
 class Freshness(Enum):
     """Why keyed routes may be served, or that they may not."""
@@ -92,10 +98,12 @@
             return
         if answer.revision > own_revision:
             return
-        if _is_fresh_age(answer.read_age_s):
+        age_s = answer.read_age_s
+        if age_s is not None and age_s < FRESH_S:
             # The read began at least this long before the query was sent.
-            start_s = query.start_s - (answer.read_age_s or 0.0)
+            start_s = query.start_s - age_s
             self._read_start_s = _latest(self._read_start_s, start_s)
+        if age_s is not None and age_s < REACHES_STORE_S:
             self._query = None
             return
         query.unanswered.discard(answer.process_id)
@@ -145,7 +153,3 @@
 
 def _is_valid(start_s: float | None, now_s: float) -> bool:
     return start_s is not None and now_s < start_s + FRESH_S
-
-
-def _is_fresh_age(read_age_s: float | None) -> bool:
-    return read_age_s is not None and read_age_s < FRESH_S
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -102,7 +102,7 @@
 
     def freshness(self) -> Freshness:
         """Return whether and why keyed routes may be served."""
-        if not self._ready.is_set():
+        if not self._ready.is_set() or not self._is_registered:
             return Freshness.STALE
         return self._freshness.state()
 
@@ -357,7 +357,7 @@
         missing = [
             record for record in self._recent if record.revision > revision
         ]
-        if revision == 0 or not missing or missing[0].revision != revision + 1:
+        if not missing or missing[0].revision != revision + 1:
             return ()
         return tuple(msgspec.json.encode(record) for record in missing)
 
--- a/tests/core/configuration/test_freshness.py
+++ b/tests/core/configuration/test_freshness.py
@@ -44,6 +44,10 @@
         answers=(('a', 3.0, 7), ('b', None, 0)),
         expected={3.0: DOWN, 5.89: DOWN, 5.9: STALE},
     ),
+    'all answer with reads that are fresh but too old for a poll': Case(
+        answers=(('a', 1.5, 7), ('b', 2.0, 7)),
+        expected={3.0: FRESH, 4.4: DOWN, 5.89: DOWN, 5.9: STALE},
+    ),
     'one does not answer': Case(
         answers=(('a', 4.0, 7),), expected={3.0: STALE}
     ),
