--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -50,6 +50,9 @@
         'upgrade',
     }
 )
+_PRIORITY_HEADER = 'X-Request-Priority'
+_TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
+_SUCCESS_STATUSES = frozenset({200, 204})
 _UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
 _Action = messages.EndpointAction
 # The path of an order, and the field that holds its argument.
@@ -177,7 +180,7 @@
             raise EndpointError(f'{action.value} is no order to an endpoint')
         path, field = _COMMANDS[action]
         body = {
-            field: argument,
+            field: _typed(field, argument),
             'fencing_number': fencing_number,
             'fetch_from': list(fetch_from),
         }
@@ -238,7 +241,7 @@
             raise EndpointError(f'{path}: {error!r}') from error
         if response.status in _UNSUPPORTED_STATUSES:
             raise EndpointUnsupportedError(f'{path}: no such path')
-        if response.status != 200:
+        if response.status not in _SUCCESS_STATUSES:
             text = body[:200].decode(errors='replace')
             raise EndpointError(f'{path}: status {response.status}: {text}')
         return body
@@ -251,12 +254,24 @@
         for name, value in request.headers
         if name.lower() not in dropped
     ]
+    headers.append((_PRIORITY_HEADER, str(request.priority)))
+    remaining_ms = max(1, int(request.timeout_s * 1000))
+    headers.append((_TIMEOUT_HEADER, str(remaining_ms)))
     # The caller of a plain service may have named the request itself.
     if all(name.lower() != 'x-request-id' for name, _ in headers):
         headers.append(('X-Request-Id', request.request_id))
     return headers
 
 
+def _typed(field: str, argument: str) -> str | int:
+    if field != 'weight_version':
+        return argument
+    try:
+        return int(argument)
+    except ValueError:
+        raise EndpointError(f'{argument!r} is no weight version') from None
+
+
 def _decode(body: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -16,8 +16,10 @@
     from dogwoodpost.core.admission.admission import Admission
     from dogwoodpost.core.routing.router import Router
 
-# Requests that the router can't place are passed over, up to this many.
-_MAX_PASSED_OVER_COUNT = 16
+# Requests that the router can't place now are passed over. The bounds limit
+# the work for each place that becomes free.
+_MAX_CONSIDERED_COUNT = 16
+_ACCOUNT_DEPTH = 4
 
 
 class Started(msgspec.Struct, frozen=True):
@@ -27,11 +29,12 @@
     endpoint: Endpoint
 
 
-class _Waiting(msgspec.Struct, frozen=True):
+class _Waiting(msgspec.Struct, eq=False):
     """What the router needs to know of a waiting request."""
 
     query: RouteQuery
     attempt_id: ids.AttemptId
+    passed_over_since_s: float | None = None
 
 
 class Dispatcher:
@@ -86,14 +89,26 @@
         waiting_count = self._admission.waiting_count(service)
         if not waiting_count:
             return None
-        heads = self._admission.heads(service, now_s)
-        for ticket in heads[:_MAX_PASSED_OVER_COUNT]:
+        heads = self._admission.heads(
+            service, now_s, count=_MAX_CONSIDERED_COUNT, depth=_ACCOUNT_DEPTH
+        )
+        seen: set[ids.ClientAccountId] = set()
+        for ticket in heads:
             waiting = self._waiting[id(ticket)]
+            since_s = waiting.passed_over_since_s
             query = msgspec.structs.replace(
-                waiting.query, waiting_count=waiting_count - 1
+                waiting.query,
+                waiting_count=waiting_count - 1,
+                passed_over_s=0.0 if since_s is None else now_s - since_s,
             )
             endpoint = self._router.choose(query, now_s)
             if endpoint is None:
+                # Later requests of an account lose no patience before their
+                # turn.
+                first = ticket.client_account_id not in seen
+                if since_s is None and first:
+                    waiting.passed_over_since_s = now_s
+                seen.add(ticket.client_account_id)
                 continue
             del self._waiting[id(ticket)]
             self._admission.start(ticket, now_s)
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -46,9 +47,14 @@
         self._queued_tokens[account_id] = queued + ticket.cost_tokens
 
     def heads(
-        self, may_start: Callable[[ids.ClientAccountId], bool]
+        self,
+        may_start: Callable[[ids.ClientAccountId], bool],
+        depth: int,
     ) -> Iterator[Ticket]:
-        """Yield the first request of each account, the fairest first."""
+        """Yield up to ``depth`` requests of each account, the fairest first.
+
+        Those of one account follow each other in the order of their arrival.
+        """
         order = sorted(
             (
                 account_id
@@ -58,10 +64,10 @@
             key=lambda account_id: (self._virtual[account_id], account_id),
         )
         for account_id in order:
-            yield self._queues[account_id][0]
+            yield from itertools.islice(self._queues[account_id], depth)
 
     def start(self, ticket: Ticket, weight: float) -> None:
-        """Take the first request of an account off its queue to run it."""
+        """Take a request off its account's queue to run it."""
         account_id = ticket.client_account_id
         self._served_virtual = max(
             self._served_virtual,
@@ -98,13 +104,32 @@
         if self._virtual.get(account_id, 0.0) <= self._served_virtual:
             self._virtual.pop(account_id, None)
 
-    def backlogged(self) -> list[ids.ClientAccountId]:
-        """Return the accounts with waiting requests."""
-        return list(self._queues)
-
-    def queued_tokens(self, account_id: ids.ClientAccountId) -> float:
-        """Return the estimated cost of an account's waiting requests."""
-        return self._queued_tokens.get(account_id, 0.0)
+    def tokens_ahead(
+        self,
+        account_id: ids.ClientAccountId,
+        weight_of: Callable[[ids.ClientAccountId], float],
+    ) -> float:
+        """Return the cost that starts before a new request of an account.
+
+        Accounts that have waiting requests are expected to keep having some,
+        up to the virtual time at which the new request would start.
+        """
+        own_tokens = self._queued_tokens.get(account_id, 0.0)
+        virtual = max(self._virtual.get(account_id, 0.0), self._served_virtual)
+        start = virtual + own_tokens / weight_of(account_id)
+        ahead = own_tokens
+        for other_id in self._queues:
+            if other_id != account_id:
+                lead = start - self._virtual[other_id]
+                ahead += max(lead, 0.0) * weight_of(other_id)
+        return ahead
+
+    def charge_elsewhere(
+        self, account_id: ids.ClientAccountId, tokens: float, weight: float
+    ) -> None:
+        """Account for what an account has used at other entries."""
+        virtual = max(self._virtual.get(account_id, 0.0), self._served_virtual)
+        self._virtual[account_id] = virtual + tokens / weight
 
     def expired(self, now_s: float) -> list[Ticket]:
         """Return the waiting requests whose deadline has passed."""
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -118,18 +118,19 @@
             endpoint_id: group.loads[endpoint_id].count(now_s)
             for endpoint_id in candidates
         }
+        scores = {
+            endpoint_id: self._score_s(group, query, endpoint_id, loads, now_s)
+            for endpoint_id in candidates
+        }
         open_ids = self._with_room(candidates, loads, query)
         if not open_ids:
             return None
-        scores = [
-            (self._score_s(group, query, endpoint_id, loads, now_s), index)
-            for index, endpoint_id in enumerate(open_ids)
-        ]
-        best_s, index = min(scores)
-        chosen = group.endpoints[open_ids[index]]
-        if self._should_wait_nearby(group, query, chosen, best_s):
+        best_id = min(open_ids, key=lambda one: scores[one])
+        if self._should_wait(group, query, scores, loads, best_id):
             return None
-        return chosen
+        if self._should_wait_nearby(group, query, open_ids):
+            return None
+        return group.endpoints[best_id]
 
     def begin(
         self,
@@ -160,13 +161,13 @@
         load = group.loads.get(endpoint_id)
         if load is None:
             return
-        load.finish(attempt_id)
+        load.finish(attempt_id, now_s)
         if not result.judged:
             group.outliers.abandon(endpoint_id, attempt_id)
             return
         s_per_unit = None
         if not result.failed:
-            group.observe_duration(result.duration_s)
+            group.observe(result.duration_s, result.work_units)
             if result.work_units > 0:
                 s_per_unit = result.duration_s / result.work_units
         group.outliers.record(
@@ -289,18 +290,17 @@
         loads: dict[ids.EndpointId, int],
         query: RouteQuery,
     ) -> list[ids.EndpointId]:
-        if query.needs_room:
-            candidates = [
-                endpoint_id
-                for endpoint_id in candidates
-                if loads[endpoint_id] < query.concurrency
-            ]
-        if len(candidates) < 2:
+        if not query.needs_room:
             return list(candidates)
-        mean = sum(loads[one] for one in candidates) / len(candidates)
-        bound = self._settings.load_bound * (mean + 1.0)
-        bounded = [one for one in candidates if loads[one] <= bound]
-        return bounded or list(candidates)
+        return [
+            endpoint_id
+            for endpoint_id in candidates
+            if loads[endpoint_id] < self._room(query)
+        ]
+
+    def _room(self, query: RouteQuery) -> float:
+        """Return how many requests an endpoint may hold."""
+        return query.concurrency * self._settings.room_share
 
     def _score_s(
         self,
@@ -314,16 +314,24 @@
         slowness = max(group.outliers.slowness(endpoint_id, now_s), 0.5)
         load_share = (loads[endpoint_id] + 1) / query.concurrency
         work_s = group.duration_s * load_share * slowness
-        matched = self._index.matched_blocks(endpoint_id, query.prefix)
+        matched = 0.0
+        if loads[endpoint_id] <= self._bound(loads):
+            matched = self._index.matched_blocks(endpoint_id, query.prefix)
         uncached_tokens = max(
             0.0, query.prompt_tokens - matched * BLOCK_TOKENS
         )
-        prefill_s = uncached_tokens * self._settings.prefill_s_per_token
+        prefill_units = uncached_tokens * self._settings.prompt_token_units
+        prefill_s = prefill_units * group.s_per_unit
         distance = group.distance(group.endpoints[endpoint_id])
         return (
             work_s + prefill_s * slowness + self._distance_s(distance, query)
         )
 
+    def _bound(self, loads: dict[ids.EndpointId, int]) -> float:
+        """Return the load above which cached prefixes no longer count."""
+        mean = sum(loads.values()) / len(loads)
+        return self._settings.load_bound * (mean + 1.0)
+
     def _distance_s(self, distance: Distance, query: RouteQuery) -> float:
         settings = self._settings
         if distance is Distance.ZONE:
@@ -334,18 +342,49 @@
         charge_s = volume_mib * settings.region_charge_s_per_mib
         return settings.region_delay_s + charge_s
 
+    def _should_wait(
+        self,
+        group: ServiceGroup,
+        query: RouteQuery,
+        scores: dict[ids.EndpointId, float],
+        loads: dict[ids.EndpointId, int],
+        best_id: ids.EndpointId,
+    ) -> bool:
+        """Return whether a full endpoint is worth waiting for.
+
+        The request waits no longer than it would gain, so that at worst it
+        loses as much again.
+        """
+        patience_s = self._settings.max_patience_s
+        if not query.needs_room or query.passed_over_s >= patience_s:
+            return False
+        slot_s = group.duration_s / query.concurrency
+        for endpoint_id, score_s in scores.items():
+            excess_count = loads[endpoint_id] - self._room(query) + 1
+            if excess_count <= 0:
+                continue
+            gain_s = scores[best_id] - score_s
+            wait_s = max(query.passed_over_s, slot_s * excess_count)
+            if wait_s < gain_s:
+                return True
+        return False
+
     def _should_wait_nearby(
         self,
         group: ServiceGroup,
         query: RouteQuery,
-        chosen: Endpoint,
-        best_s: float,
+        open_ids: Sequence[ids.EndpointId],
     ) -> bool:
-        """Return whether a nearer endpoint frees up before it pays to go."""
+        """Return whether to wait, because only other regions have room.
+
+        It is so if an endpoint nearby frees up before it pays to go there.
+        """
         if not query.needs_room:
             return False
-        if group.distance(chosen) is not Distance.REMOTE:
-            return False
+        for endpoint_id in open_ids:
+            endpoint = group.endpoints[endpoint_id]
+            if group.distance(endpoint) is not Distance.REMOTE:
+                return False
         eligible = group.eligible()
         near = eligible[Distance.ZONE] + eligible[Distance.REGION]
         usable_count = sum(
--- a/src/dogwoodpost/services/agent/application.py
+++ b/src/dogwoodpost/services/agent/application.py
@@ -5,11 +5,11 @@
 import uuid
 from typing import TYPE_CHECKING
 
-import aiohttp
 import mode
 
 from dogwoodpost.adapters.clock import BoottimeClock
 from dogwoodpost.adapters.http import HttpEndpointClient
+from dogwoodpost.adapters.http.endpoint_session import endpoint_session
 from dogwoodpost.adapters.nng import NngPeerTransport
 from dogwoodpost.core import ids
 from dogwoodpost.core.attempts import AgentAttemptLimits
@@ -23,6 +23,8 @@
 from dogwoodpost.services.agent.entry_links import EntryLinks
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from dogwoodpost.config import AgentSettings
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.table_store import TableStore
@@ -53,7 +55,7 @@
 
     async def on_start(self) -> None:
         """Open the sockets and start the agent."""
-        self._session = open_endpoint_session()
+        self._session = endpoint_session()
         self.agent = _compose(
             self._settings, self._table_store, self._metrics, self._session
         )
@@ -65,17 +67,6 @@
             await self._session.close()
 
 
-def open_endpoint_session() -> aiohttp.ClientSession:
-    """Return a session that passes bodies on as they are."""
-    return aiohttp.ClientSession(
-        # The agent bounds the concurrency per endpoint itself.
-        connector=aiohttp.TCPConnector(limit=0),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Content-Type'),
-    )
-
-
 def _compose(
     settings: AgentSettings,
     table_store: TableStore,
