Order samples by expected remaining length

Lengths are learned from the siblings in the group and from earlier steps with the same prompt; dispatches are cut into slices that double.

--- a/measurements/rollouts/simulation.py
+++ b/measurements/rollouts/simulation.py
@@ -210,7 +210,8 @@
             client_account_id=ACCOUNT,
             service=SERVICE,
             prompts=tuple(
-                f'{number}-{step}-{group}' for group in range(load.group_count)
+                f'{number}-{step % load.epoch_step_count}-{group}'
+                for group in range(load.group_count)
             ),
             samples_per_group=load.samples_per_group,
             max_tokens=load.max_tokens,
--- a/measurements/rollouts/workload.py
+++ b/measurements/rollouts/workload.py
@@ -29,6 +29,7 @@
     median_tokens: float = 350.0
     prompt_sigma: float = 0.8
     sample_sigma: float = 0.75
+    epoch_step_count: int = 4
     training_s: float = 90.0
     weight_interval_s: float = 240.0
     max_version_lag: int = 2
--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -6,7 +6,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.rollouts.endpoint_pace import EndpointPace
-from dogwoodpost.core.rollouts.length_estimator import LengthEstimator
+from dogwoodpost.core.rollouts.prompt_lengths import PromptLengths
 from dogwoodpost.core.rollouts.sample import Sample
 from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
 from dogwoodpost.core.rollouts.step_state import StepState
@@ -15,6 +15,8 @@
 
 # Callers' requests have priority 0 unless their route says otherwise.
 SAMPLE_PRIORITY = -1
+import os
+BETA=float(os.environ.get('BETA','1'))
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -32,12 +34,12 @@
         self.policy = policy or SchedulingPolicy()
         self.pace = EndpointPace()
         self.shares = TrainerShares()
-        self._lengths: dict[ids.TrainerId, LengthEstimator] = {}
+        self._history: dict[ids.TrainerId, PromptLengths] = {}
         self._steps: dict[ids.TrainerId, list[StepState]] = {}
 
-    def lengths(self, trainer_id: ids.TrainerId) -> LengthEstimator:
-        """Return the length estimator of a trainer."""
-        return self._lengths.setdefault(trainer_id, LengthEstimator())
+    def history(self, trainer_id: ids.TrainerId) -> PromptLengths:
+        """Return the lengths seen so far for a trainer's prompts."""
+        return self._history.setdefault(trainer_id, PromptLengths())
 
     def add_step(self, step: StepState) -> None:
         """Let a step's samples run; steps run in order of deadline."""
@@ -65,23 +67,22 @@
         """Return the next sample to run, or None if there is none."""
         if self.pending_count() >= self.policy.max_pending_count:
             return None
-        for trainer_id in self._trainer_order():
-            for step in self._steps[trainer_id]:
+        best: tuple[float, StepState, Sample] | None = None
+        for steps in self._steps.values():
+            for step in steps:
                 if step.deadline_s <= now_s:
                     continue
-                sample = step.take(now_s)
-                if sample is not None:
-                    return self._dispatch(step, sample, now_s)
-        return None
-
-    def next_ready_s(self) -> float | None:
-        """Return when the first delayed sample is due."""
-        due = [
-            step.waiting.next_ready_s()
-            for steps in self._steps.values()
-            for step in steps
-        ]
-        return min((time for time in due if time is not None), default=None)
+                sample = step.peek(now_s)
+                if sample is None:
+                    continue
+                urgency_s = self._latest_start_s(step, sample)
+                if best is None or urgency_s < best[0]:
+                    best = (urgency_s, step, sample)
+        if best is None:
+            return None
+        _, step, sample = best
+        step.take(sample, now_s)
+        return self._dispatch(step, sample, now_s)
 
     def settle(
         self,
@@ -97,24 +98,25 @@
         if endpoint_id is not None:
             self.pace.record(endpoint_id, token_count, duration_s)
 
-    def _trainer_order(self) -> list[ids.TrainerId]:
-        active = [key for key, steps in self._steps.items() if steps]
-        if self.policy.fair_shares:
-            return self.shares.order(active)
-        return sorted(active, key=lambda key: self._steps[key][0].deadline_s)
+    def _latest_start_s(self, step: StepState, sample: Sample) -> float:
+        if not self.policy.long_first:
+            return step.submitted_s
+        rate = self.pace.typical_rate(50.0)
+        remaining_s = step.lengths.remaining_tokens(sample) / rate
+        return step.submitted_s - remaining_s * BETA
 
     def _dispatch(
         self, step: StepState, sample: Sample, now_s: float
     ) -> Dispatch:
         spec = step.spec
         is_resumed = sample.token_count > 0
-        policy = self.policy
-        slice_s = policy.later_slice_s if is_resumed else policy.first_slice_s
         timeout_s = step.deadline_s - now_s
-        if slice_s is not None:
+        first_s = self.policy.first_slice_s
+        if first_s is not None:
+            slice_s = min(max(first_s, sample.run_s), self.policy.max_slice_s)
             timeout_s = min(timeout_s, slice_s)
         avoid: tuple[ids.EndpointId, ...] = ()
-        if policy.avoid_slow and is_resumed:
+        if self.policy.avoid_slow and is_resumed:
             avoid = self.pace.slow_endpoints()
         request = SampleRequest(
             sample_id=sample.dispatch_id,
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.rollouts.group_lengths import GroupLengths
 from dogwoodpost.core.rollouts.sample import Sample
 from dogwoodpost.core.rollouts.sample import SamplePhase
 from dogwoodpost.core.rollouts.waiting_samples import WaitingSamples
@@ -15,7 +16,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from dogwoodpost.core.rollouts.length_estimator import LengthEstimator
+    from dogwoodpost.core.rollouts.prompt_lengths import PromptLengths
     from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
     from dogwoodpost.core.rollouts.step_spec import StepSpec
     from dogwoodpost.ports.sample_dispatcher import SampleResult
@@ -42,29 +43,35 @@
         spec: StepSpec,
         *,
         fencing_number: ids.FencingNumber,
+        now_s: float,
         deadline_s: float,
         policy: SchedulingPolicy,
-        lengths: LengthEstimator,
+        history: PromptLengths,
         on_discard: Callable[[str], None],
     ) -> None:
         self.spec = spec
         self.fencing_number = fencing_number
         self.deadline_s = deadline_s
         self.bound = spec.bound
-        self.waiting = WaitingSamples()
+        self.submitted_s = now_s
+        self.lengths = GroupLengths(
+            spec.prompts, spec.max_tokens, history
+        )
+        self.waiting = WaitingSamples(
+            len(spec.prompts), self.lengths, long_first=policy.long_first
+        )
         self.pending_count = 0
         self.unclaimed_count = spec.slot_count
         # Set by the owner; lag is counted from it.
         self.current_version = ids.WeightVersion(0)
         self._policy = policy
         self._on_discard = on_discard
-        self._lengths = lengths
         self._generation = 0
         self._scored_by_group = [0] * len(spec.prompts)
         self._ready_since_s: dict[int, float] = {}
         self.samples = [self._new_sample(n) for n in range(spec.slot_count)]
         for sample in self.samples:
-            self.waiting.push(sample, self._rank(sample))
+            self.waiting.push(sample)
 
     def prompt(self, sample: Sample) -> str:
         """Return the prompt of a sample's group."""
@@ -74,22 +81,26 @@
         """Return whether a sample has not been replaced."""
         return self.samples[sample.slot] is sample
 
-    def take(self, now_s: float) -> Sample | None:
-        """Return the sample to dispatch next and count it as running."""
-        while (sample := self.waiting.pop(now_s)) is not None:
-            if not self._is_waiting(sample):
-                continue
-            if self._discard_if_stale(sample, now_s):
-                continue
-            sample.phase = SamplePhase.RUNNING
-            sample.dispatch_count += 1
-            if sample.begun_s is None:
-                sample.begun_s = now_s
-            return sample
+    def peek(self, now_s: float) -> Sample | None:
+        """Return the sample to dispatch next; drop those that are stale."""
+        while (sample := self.waiting.peek(now_s)) is not None:
+            if self._is_waiting(sample):
+                if not self._discard_if_stale(sample, now_s):
+                    return sample
+            self.waiting.pop(sample)
         return None
 
+    def take(self, sample: Sample, now_s: float) -> None:
+        """Count the sample that :meth:`peek` has returned as running."""
+        self.waiting.pop(sample)
+        sample.phase = SamplePhase.RUNNING
+        sample.dispatch_count += 1
+        if sample.begun_s is None:
+            sample.begun_s = now_s
+            self.lengths.start(sample)
+
     def record_result(
-        self, sample: Sample, result: SampleResult
+        self, sample: Sample, result: SampleResult, duration_s: float
     ) -> ResultOutcome:
         """Take the result of a dispatch."""
         if not self._accepts(sample, result.sample_id):
@@ -98,14 +109,17 @@
             self.discard(sample, ResultOutcome.UNCERTAIN.value)
             return ResultOutcome.UNCERTAIN
         sample.extend(result.completion, result.segments)
+        sample.run_s += duration_s
         sample.failure_count = 0
-        if result.finished or sample.token_count >= self.spec.max_tokens:
-            self._lengths.record(self.prompt(sample), sample.token_count)
+        is_full = sample.token_count >= self.spec.max_tokens
+        finished = result.finished or is_full
+        self.lengths.observe(sample, finished=finished)
+        if finished:
             sample.phase = SamplePhase.SCORING
             self.pending_count += 1
             return ResultOutcome.FINISHED
         sample.phase = SamplePhase.WAITING
-        self.waiting.push(sample, self._rank(sample))
+        self.waiting.push(sample)
         return ResultOutcome.PARTIAL
 
     def record_failure(
@@ -126,8 +140,7 @@
         base_s = self._policy.retry_base_s * 2**sample.failure_count
         delay_s = rng.uniform(0.0, min(base_s, self._policy.retry_cap_s))
         sample.phase = SamplePhase.WAITING
-        rank = self._rank(sample)
-        self.waiting.push_delayed(sample, rank, now_s + delay_s)
+        self.waiting.push_delayed(sample, now_s + delay_s)
 
     def record_score(self, sample: Sample, score: float, now_s: float) -> bool:
         """Take a score; only the first one of a sample counts."""
@@ -165,7 +178,7 @@
         self._generation += 1
         fresh = self._new_sample(sample.slot)
         self.samples[sample.slot] = fresh
-        self.waiting.push(fresh, self._rank(fresh))
+        self.waiting.push(fresh)
 
     def discard_stale(self, now_s: float) -> bool:
         """Replace samples of complete groups that are over the bound."""
@@ -225,12 +238,6 @@
         self.pending_count += 1
         self._mark_scored(sample, now_s)
 
-    def remaining_tokens(self, sample: Sample) -> float:
-        """Return how many tokens a sample is expected to need yet."""
-        return self._lengths.expected_remaining(
-            self.prompt(sample), sample.token_count, self.spec.max_tokens
-        )
-
     def _group(self, group: int) -> list[Sample]:
         start = group * self.spec.samples_per_group
         return self.samples[start : start + self.spec.samples_per_group]
@@ -253,11 +260,6 @@
             group=group,
         )
 
-    def _rank(self, sample: Sample) -> float:
-        if not self._policy.long_first:
-            return 0.0
-        return -self.remaining_tokens(sample)
-
     def _is_waiting(self, sample: Sample) -> bool:
         return self.is_current(sample) and sample.phase is SamplePhase.WAITING
 
--- a/src/dogwoodpost/core/rollouts/waiting_samples.py
+++ b/src/dogwoodpost/core/rollouts/waiting_samples.py
@@ -7,47 +7,62 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from dogwoodpost.core.rollouts.group_lengths import GroupLengths
     from dogwoodpost.core.rollouts.sample import Sample
 
 
 class WaitingSamples:
-    """Three queues: delayed, new and resumed samples.
+    """New samples by group, resumed ones by rank, and delayed ones."""
 
-    New samples go before resumed ones, so that the long samples of a step
-    are found early; a sample that was cut off is known to be long.
-    """
-
-    def __init__(self) -> None:
-        self._new: list[tuple[float, int, Sample]] = []
+    def __init__(
+        self, group_count: int, lengths: GroupLengths, *, long_first: bool
+    ) -> None:
+        self._lengths = lengths
+        self._long_first = long_first
+        self._new: list[list[Sample]] = [[] for _ in range(group_count)]
+        self._open_groups = set(range(group_count))
         self._resumed: list[tuple[float, int, Sample]] = []
-        self._delayed: list[tuple[float, int, float, Sample]] = []
+        self._delayed: list[tuple[float, int, Sample]] = []
         self._order = itertools.count()
 
-    def __len__(self) -> int:
-        return len(self._new) + len(self._resumed) + len(self._delayed)
-
-    def push(self, sample: Sample, rank: float) -> None:
-        """Add a sample; the lowest rank goes first."""
-        queue = self._resumed if sample.token_count else self._new
-        heapq.heappush(queue, (rank, next(self._order), sample))
+    def push(self, sample: Sample) -> None:
+        """Add a sample."""
+        if not sample.token_count:
+            self._new[sample.group].append(sample)
+            self._open_groups.add(sample.group)
+            return
+        rank = 0.0
+        if self._long_first:
+            rank = -self._lengths.remaining_tokens(sample)
+        heapq.heappush(self._resumed, (rank, next(self._order), sample))
 
-    def push_delayed(
-        self, sample: Sample, rank: float, ready_s: float
-    ) -> None:
+    def push_delayed(self, sample: Sample, ready_s: float) -> None:
         """Add a sample that is not to be dispatched before a time."""
-        item = (ready_s, next(self._order), rank, sample)
+        item = (ready_s, next(self._order), sample)
         heapq.heappush(self._delayed, item)
 
-    def next_ready_s(self) -> float | None:
-        """Return when the first delayed sample is due."""
-        return self._delayed[0][0] if self._delayed else None
-
-    def pop(self, now_s: float) -> Sample | None:
-        """Remove and return the sample to be dispatched next."""
+    def peek(self, now_s: float) -> Sample | None:
+        """Return the sample with the longest expected remainder."""
         while self._delayed and self._delayed[0][0] <= now_s:
-            _, _, rank, sample = heapq.heappop(self._delayed)
-            self.push(sample, rank)
-        for queue in (self._new, self._resumed):
-            if queue:
-                return heapq.heappop(queue)[2]
-        return None
+            self.push(heapq.heappop(self._delayed)[2])
+        resumed = self._resumed[0][2] if self._resumed else None
+        if not self._open_groups:
+            return resumed
+        if not self._long_first:
+            return resumed or self._new[min(self._open_groups)][0]
+        group = max(self._open_groups, key=self._lengths.rank)
+        if resumed is not None:
+            remaining = self._lengths.remaining_tokens(resumed)
+            if remaining >= self._lengths.expected_tokens(group):
+                return resumed
+        return self._new[group][0]
+
+    def pop(self, sample: Sample) -> None:
+        """Remove the sample that :meth:`peek` has returned."""
+        if self._resumed and self._resumed[0][2] is sample:
+            heapq.heappop(self._resumed)
+            return
+        group = sample.group
+        self._new[group].pop(0)
+        if not self._new[group]:
+            self._open_groups.remove(group)
--- a/src/dogwoodpost/services/rollouts/rollout_service.py
+++ b/src/dogwoodpost/services/rollouts/rollout_service.py
@@ -182,7 +182,7 @@
             self.scheduler.settle(
                 dispatch, token_count, duration_s, result.endpoint_id
             )
-            outcome = step.record_result(sample, result)
+            outcome = step.record_result(sample, result, duration_s)
         finally:
             self._running_count -= 1
             self._work.set()
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -320,12 +320,14 @@
         if step_id in self.steps:
             return self.steps[step_id]
         entry = self._ledger.steps[step_id]
+        now_s = self._clock.monotonic_s()
         step = StepState(
             entry.spec,
             fencing_number=self._ledger.guard.fencing_number(),
-            deadline_s=self._clock.monotonic_s() + entry.record.remaining_s,
+            now_s=now_s,
+            deadline_s=now_s + entry.record.remaining_s,
             policy=self._scheduler.policy,
-            lengths=self._scheduler.lengths(self.trainer_id),
+            history=self._scheduler.history(self.trainer_id),
             on_discard=self._count_discard,
         )
         step.current_version = self._version_for(entry.spec)
