--- a/measurements/rollouts/simulation.py
+++ b/measurements/rollouts/simulation.py
@@ -171,7 +171,10 @@
             submitted_s = self._clock.monotonic_s()
             await trainer.submit(spec)
             batches: list[BatchView] = []
-            while not trainer.step_view(ACCOUNT, spec.step_id).is_finished:
+            while True:
+                view = trainer.step_view(ACCOUNT, spec.step_id)
+                if view.is_finished and int(view.last_cursor) <= cursor:
+                    break
                 batch = await trainer.fetch(
                     ACCOUNT, cursor, ids.WeightVersion(0)
                 )
@@ -211,7 +214,7 @@
             service=SERVICE,
             prompts=tuple(
                 f'{number}-{step % load.epoch_step_count}-{group}'
-                for group in range(load.group_count)
+                for group in range(load.group_counts[number])
             ),
             samples_per_group=load.samples_per_group,
             max_tokens=load.max_tokens,
--- a/measurements/rollouts/workload.py
+++ b/measurements/rollouts/workload.py
@@ -12,18 +12,20 @@
 class Workload(msgspec.Struct, frozen=True, kw_only=True):
     """Engines and trainers, the same in all cases.
 
+    Two trainers have large steps, of 1,024 samples, and four small ones. Each
+    goes through its prompts again every ``epoch_step_count`` steps.
+
     Lengths are log-normal: a factor of the prompt and a factor of the sample,
     cut off at ``max_tokens``.
     """
 
-    sampler_count: int = 20
+    sampler_count: int = 10
     sampler_concurrency: int = 16
     tokens_per_s: float = 50.0
     prefill_tokens_per_s: float = 5_000.0
     prompt_tokens: int = 500
-    trainer_count: int = 4
+    group_counts: tuple[int, ...] = (128, 128, 16, 16, 16, 16)
     step_count: int = 8
-    group_count: int = 128
     samples_per_group: int = 8
     max_tokens: int = 4_096
     median_tokens: float = 350.0
@@ -36,6 +38,11 @@
     max_age_s: float = 900.0
     deadline_s: float = 3_600.0
 
+    @property
+    def trainer_count(self) -> int:
+        """Return the number of trainers."""
+        return len(self.group_counts)
+
     @property
     def capacity_tokens_per_s(self) -> float:
         """Return the rate of all samplers together."""
--- a/src/dogwoodpost/client/trainer_client.py
+++ b/src/dogwoodpost/client/trainer_client.py
@@ -68,6 +68,7 @@
         self._timeout = aiohttp.ClientTimeout(total=call_timeout_s)
         self._rng = rng or random.Random()
         self._seen: set[ids.BatchId] = set()
+        self._is_resumed = cursor != START_CURSOR
 
     async def submit_step(self, submission: StepSubmission) -> StepView:
         """Submit a step; the same submission may be repeated.
@@ -104,29 +105,36 @@
         query = (
             f'?after={self.cursor}&wait_ms={int(self._wait_s * 1000)}'
             f'&weight_version={self.weight_version}'
+            f'&resumed={int(self._is_resumed)}'
         )
         begun_s = time.monotonic()
         reply = await self._call('GET', f'/batches{query}', FetchReply)
+        self._is_resumed = False
         view = reply.batch
         if view is None:
             return None
         transit_s = time.monotonic() - begun_s - reply.held_s
-        is_new = view.batch_id not in self._seen
+        if view.batch_id in self._seen:
+            self.cursor = view.cursor
+            return None
+        if view.samples is None or not _is_valid(view, transit_s):
+            # Before the cursor moves on, the service must know that this
+            # batch is to be replaced.
+            await self._acknowledge(view.batch_id, received=False)
+            self.cursor = view.cursor
+            return None
         self._seen.add(view.batch_id)
         self.cursor = view.cursor
-        if is_new and view.samples is not None and _is_valid(view, transit_s):
-            return Batch(
-                batch_id=view.batch_id,
-                cursor=view.cursor,
-                step_id=view.step_id,
-                samples=view.samples,
-            )
-        if is_new:
-            await self._acknowledge(view.batch_id, received=False)
-        return None
+        return Batch(
+            batch_id=view.batch_id,
+            cursor=view.cursor,
+            step_id=view.step_id,
+            samples=view.samples,
+        )
 
     async def _is_finished(self, step_id: ids.StepId) -> bool:
-        return (await self.step(step_id)).is_finished
+        view = await self.step(step_id)
+        return view.is_finished and int(view.last_cursor) <= int(self.cursor)
 
     async def _acknowledge(
         self, batch_id: ids.BatchId, *, received: bool
--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -10,13 +10,15 @@
 from dogwoodpost.core.rollouts.sample import Sample
 from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
 from dogwoodpost.core.rollouts.step_state import StepState
-from dogwoodpost.core.rollouts.trainer_shares import TrainerShares
 from dogwoodpost.ports.sample_dispatcher import SampleRequest
 
 # Callers' requests have priority 0 unless their route says otherwise.
 SAMPLE_PRIORITY = -1
-import os
-BETA=float(os.environ.get('BETA','1'))
+# Until an endpoint's pace is known.
+DEFAULT_TOKENS_PER_S = 50.0
+# From this share of the token limit on, a sample counts as long. With 0.1 and
+# 0.4 steps ended later in at least one of three measured mixes of trainers.
+LONG_SHARE = 0.2
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -33,7 +35,8 @@
     def __init__(self, policy: SchedulingPolicy | None = None) -> None:
         self.policy = policy or SchedulingPolicy()
         self.pace = EndpointPace()
-        self.shares = TrainerShares()
+        # How many samples may run at once; set by the caller.
+        self.slot_count = 1
         self._history: dict[ids.TrainerId, PromptLengths] = {}
         self._steps: dict[ids.TrainerId, list[StepState]] = {}
 
@@ -45,7 +48,7 @@
         """Let a step's samples run; steps run in order of deadline."""
         trainer_id = step.spec.trainer_id
         steps = self._steps.setdefault(trainer_id, [])
-        self.shares.activate(trainer_id)
+        self._set_target(step, steps)
         steps.append(step)
         steps.sort(key=lambda step: step.deadline_s)
 
@@ -67,7 +70,7 @@
         """Return the next sample to run, or None if there is none."""
         if self.pending_count() >= self.policy.max_pending_count:
             return None
-        best: tuple[float, StepState, Sample] | None = None
+        best: tuple[tuple[bool, float], StepState, Sample] | None = None
         for steps in self._steps.values():
             for step in steps:
                 if step.deadline_s <= now_s:
@@ -75,9 +78,9 @@
                 sample = step.peek(now_s)
                 if sample is None:
                     continue
-                urgency_s = self._latest_start_s(step, sample)
-                if best is None or urgency_s < best[0]:
-                    best = (urgency_s, step, sample)
+                urgency = self._urgency(step, sample)
+                if best is None or urgency < best[0]:
+                    best = (urgency, step, sample)
         if best is None:
             return None
         _, step, sample = best
@@ -92,18 +95,36 @@
         endpoint_id: ids.EndpointId | None,
     ) -> None:
         """Take what a dispatch has generated; the endpoint may be unknown."""
-        expected = self._charged_tokens(dispatch)
-        trainer_id = dispatch.request.trainer_id
-        self.shares.charge(trainer_id, token_count - expected)
         if endpoint_id is not None:
             self.pace.record(endpoint_id, token_count, duration_s)
 
-    def _latest_start_s(self, step: StepState, sample: Sample) -> float:
+    def _urgency(self, step: StepState, sample: Sample) -> tuple[bool, float]:
+        """Return the rank of a step's first sample; the lowest goes first.
+
+        A sample that is known to be long never waits. Otherwise the step goes
+        first that has least time to spare until its target.
+        """
         if not self.policy.long_first:
-            return step.submitted_s
-        rate = self.pace.typical_rate(50.0)
-        remaining_s = step.lengths.remaining_tokens(sample) / rate
-        return step.submitted_s - remaining_s * BETA
+            return False, step.submitted_s
+        is_long = sample.token_count >= LONG_SHARE * step.spec.max_tokens
+        rate = self._rate()
+        left_s = (step.spec.max_tokens - sample.token_count) / rate
+        work_s = step.remaining_tokens() / step.share_tokens_per_s
+        return not is_long, step.target_s - max(left_s, work_s)
+
+    def _rate(self) -> float:
+        return self.pace.typical_rate(DEFAULT_TOKENS_PER_S)
+
+    def _set_target(self, step: StepState, earlier: list[StepState]) -> None:
+        """Aim at the time at which the trainer's share would be enough."""
+        active_count = sum(1 for steps in self._steps.values() if steps) + (
+            not earlier
+        )
+        step.share_tokens_per_s = self.slot_count * self._rate() / active_count
+        work_s = step.remaining_tokens() / step.share_tokens_per_s
+        longest_s = step.spec.max_tokens / self._rate()
+        begin_s = max([step.submitted_s, *(item.target_s for item in earlier)])
+        step.target_s = begin_s + max(work_s, longest_s)
 
     def _dispatch(
         self, step: StepState, sample: Sample, now_s: float
@@ -132,14 +153,8 @@
             avoid=avoid,
         )
         dispatch = Dispatch(step, sample, request)
-        charged = self._charged_tokens(dispatch)
-        self.shares.charge(spec.trainer_id, charged)
         return dispatch
 
-    def _charged_tokens(self, dispatch: Dispatch) -> float:
-        # A flat estimate: the correction follows with the result.
-        return min(dispatch.request.max_tokens, 256)
-
 
 def _min_version(step: StepState) -> ids.WeightVersion:
     """Return the version that leaves half of the lag for the time to come."""
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -22,6 +22,9 @@
     from dogwoodpost.ports.sample_dispatcher import SampleResult
 
 
+RESULTS_PER_SUM = 32
+
+
 class ResultOutcome(Enum):
     """What became of a dispatch."""
 
@@ -54,9 +57,12 @@
         self.deadline_s = deadline_s
         self.bound = spec.bound
         self.submitted_s = now_s
-        self.lengths = GroupLengths(
-            spec.prompts, spec.max_tokens, history
-        )
+        # Set by the scheduler: when the step should be complete.
+        self.target_s = now_s
+        self.share_tokens_per_s = 1.0
+        self._remaining_tokens = 0.0
+        self._results_since_sum = RESULTS_PER_SUM
+        self.lengths = GroupLengths(spec.prompts, spec.max_tokens, history)
         self.waiting = WaitingSamples(
             len(spec.prompts), self.lengths, long_first=policy.long_first
         )
@@ -73,6 +79,20 @@
         for sample in self.samples:
             self.waiting.push(sample)
 
+    def remaining_tokens(self) -> float:
+        """Return the expected work that is left, in tokens.
+
+        It is summed up again after a number of results only.
+        """
+        if self._results_since_sum >= RESULTS_PER_SUM:
+            self._results_since_sum = 0
+            self._remaining_tokens = sum(
+                self.lengths.remaining_tokens(sample)
+                for sample in self.samples
+                if sample.phase in (SamplePhase.WAITING, SamplePhase.RUNNING)
+            )
+        return self._remaining_tokens
+
     def prompt(self, sample: Sample) -> str:
         """Return the prompt of a sample's group."""
         return self.spec.prompts[sample.group]
@@ -110,6 +130,7 @@
             return ResultOutcome.UNCERTAIN
         sample.extend(result.completion, result.segments)
         sample.run_s += duration_s
+        self._results_since_sum += 1
         sample.failure_count = 0
         is_full = sample.token_count >= self.spec.max_tokens
         finished = result.finished or is_full
--- a/src/dogwoodpost/core/rollouts/trainer_api.py
+++ b/src/dogwoodpost/core/rollouts/trainer_api.py
@@ -28,15 +28,15 @@
     """State of a step.
 
     ``claimed_count`` counts the samples that are in batches.
-    ``is_finished`` is true when no further batch will come.
+    ``is_finished`` is true when no batch will come after ``last_cursor``.
     """
 
     step_id: ids.StepId
     status: StepStatus
     slot_count: int
     claimed_count: int
-    unacknowledged_batch_count: int
     is_finished: bool
+    last_cursor: str
 
 
 class BatchView(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/rollouts/rollout_service.py
+++ b/src/dogwoodpost/services/rollouts/rollout_service.py
@@ -151,7 +151,8 @@
             await _wait(self._claimable, CLAIM_INTERVAL_S)
 
     def _start_dispatches(self) -> None:
-        while self._running_count < self._capacity():
+        self.scheduler.slot_count = max(1, self._capacity())
+        while self._running_count < self.scheduler.slot_count:
             dispatch = self.scheduler.next_dispatch(self._clock.monotonic_s())
             if dispatch is None:
                 return
--- a/src/dogwoodpost/services/rollouts/routes.py
+++ b/src/dogwoodpost/services/rollouts/routes.py
@@ -95,12 +95,15 @@
         account = self._authenticate(request)
         cursor = _number(request, 'after', 0)
         version = ids.WeightVersion(_number(request, 'weight_version', 0))
+        resumed = _number(request, 'resumed', 0) == 1
         wait_s = min(_number(request, 'wait_ms', 0) / 1000, MAX_WAIT_S)
         begun_s = self._clock.monotonic_s()
         while True:
             trainer = await self._trainer(request)
             async with asyncio.timeout(HANDLER_TIMEOUT_S):
-                batch = await trainer.fetch(account, cursor, version)
+                batch = await trainer.fetch(
+                    account, cursor, version, resumed=resumed
+                )
             held_s = self._clock.monotonic_s() - begun_s
             if batch is not None or held_s >= wait_s:
                 return _reply(FetchReply(batch=batch, held_s=held_s))
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core import ids
@@ -21,6 +22,7 @@
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.errors import StoreConflictError
+from dogwoodpost.services.rollouts.trainer_ledger import OPEN_STATES
 from dogwoodpost.services.rollouts.trainer_ledger import spec_digest
 
 if TYPE_CHECKING:
@@ -111,9 +113,14 @@
         client_account_id: ids.ClientAccountId,
         cursor: int,
         trainer_version: ids.WeightVersion,
+        *,
+        resumed: bool = False,
     ) -> BatchView | None:
         """Return the first batch after a cursor that may be delivered.
 
+        A trainer that resumes has stored all batches up to the cursor; this
+        acknowledges those whose acknowledgement was lost in its crash.
+
         :raises RequestError: the cursor is before an acknowledged batch.
         """
         async with self._lock:
@@ -122,6 +129,8 @@
             self._check_cursor(cursor)
             self._trainer_version = max(self._trainer_version, trainer_version)
             self._batch_added.clear()
+            if resumed:
+                await self._acknowledge_up_to(cursor)
             while (entry := self._ledger.log.next_after(cursor)) is not None:
                 stale = self._stale_slots(entry)
                 verdict = self._ledger.log.verdict(entry, bool(stale))
@@ -224,6 +233,13 @@
         self._remove_state(step_id)
         self._batch_added.set()
 
+    async def _acknowledge_up_to(self, cursor: int) -> None:
+        while (entry := self._ledger.log.next_after(0)) is not None:
+            if entry.record.sequence > cursor:
+                return
+            acknowledge = functools.partial(self._ledger.acknowledge, entry)
+            await self._change(acknowledge)
+
     async def _issue(self, entry: BatchEntry) -> BatchView:
         body = await self._ledger.body(entry.record)
         await self._change(lambda: self._ledger.issue(entry))
@@ -382,11 +398,11 @@
 
     def _view(self, step_id: ids.StepId) -> StepView:
         record = self._ledger.steps[step_id].record
-        batches = [
-            entry.record
+        sequences = [
+            entry.record.sequence
             for entry in self._ledger.log.entries()
             if entry.record.step_id == step_id
-            and entry.record.state in (BatchState.READY, BatchState.ISSUED)
+            and entry.record.state in OPEN_STATES
         ]
         is_open = record.status is StepStatus.OPEN or step_id in self.steps
         return StepView(
@@ -396,8 +412,8 @@
             claimed_count=sum(
                 1 for _ in slot_bits.claimed_slots(record.claims)
             ),
-            unacknowledged_batch_count=len(batches),
-            is_finished=not is_open and not batches,
+            is_finished=not is_open,
+            last_cursor=str(max(sequences, default=0)),
         )
 
 
--- a/tests/services/rollouts/rollout_fakes.py
+++ b/tests/services/rollouts/rollout_fakes.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from typing import Any
+from typing import NamedTuple
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
@@ -49,6 +51,13 @@
         return Check('lease/rollout/fence', self.version)
 
 
+class Truth(NamedTuple):
+    """When a sample was begun and the version of each of its tokens."""
+
+    begun_s: float
+    versions: list[ids.WeightVersion]
+
+
 class FakeDispatcher(SampleDispatcher):
     """Generates one token a second; faults apply to the coming samples."""
 
@@ -58,18 +67,26 @@
         self.failing_count = 0
         self.uncertain_count = 0
         self.requests: list[SampleRequest] = []
+        self.truth: dict[str, Truth] = {}
 
     async def generate(self, request: SampleRequest) -> SampleResult:
         self.requests.append(request)
-        version = self.version
+        name = request.sample_id.rpartition('/')[0]
+        begun_s = asyncio.get_running_loop().time()
+        truth = self.truth.setdefault(name, Truth(begun_s, []))
         length = self.rng.randint(1, request.max_tokens)
         count = min(length, max(1, int(request.timeout_s)))
-        await asyncio.sleep(count)
+        tokens = []
+        for _ in range(count):
+            await asyncio.sleep(1.0)
+            tokens.append(self.version)
         if self.failing_count > 0:
             self.failing_count -= 1
             raise RequestError('endpoint_failed', 'crashed', status=502)
-        segments: tuple[TokenSegment, ...] = (
-            TokenSegment(weight_version=version, token_count=count),
+        truth.versions.extend(tokens)
+        segments = tuple(
+            TokenSegment(weight_version=version, token_count=len(list(part)))
+            for version, part in itertools.groupby(tokens)
         )
         if self.uncertain_count > 0:
             self.uncertain_count -= 1
@@ -77,7 +94,7 @@
         return SampleResult(
             sample_id=request.sample_id,
             endpoint_id=ids.EndpointId('endpoint-1'),
-            completion=f'<{version}>' * count,
+            completion='x' * count,
             segments=segments,
             finished=count == length,
         )
--- a/tests/services/rollouts/test_rollout_service.py
+++ b/tests/services/rollouts/test_rollout_service.py
@@ -26,7 +26,10 @@
     """Fetch and acknowledge until the step is finished."""
     trainer = await service.trainer(TRAINER)
     cursor = 0
-    while not trainer.step_view(ACCOUNT, STEP).is_finished:
+    while True:
+        view = trainer.step_view(ACCOUNT, STEP)
+        if view.is_finished and int(view.last_cursor) <= cursor:
+            return
         batch = await trainer.fetch(ACCOUNT, cursor, NO_VERSION)
         if batch is None:
             await trainer.wait_for_batch(5.0)
