--- a/src/dogwoodpost/services/rollouts/rollout_service.py
+++ b/src/dogwoodpost/services/rollouts/rollout_service.py
@@ -151,7 +151,8 @@
             await _wait(self._claimable, CLAIM_INTERVAL_S)
 
     def _start_dispatches(self) -> None:
-        while self._running_count < self._capacity():
+        self.scheduler.slot_count = max(1, self._capacity())
+        while self._running_count < self.scheduler.slot_count:
             dispatch = self.scheduler.next_dispatch(self._clock.monotonic_s())
             if dispatch is None:
                 return
@@ -182,7 +183,7 @@
             self.scheduler.settle(
                 dispatch, token_count, duration_s, result.endpoint_id
             )
-            outcome = step.record_result(sample, result)
+            outcome = step.record_result(sample, result, duration_s)
         finally:
             self._running_count -= 1
             self._work.set()
