--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 from dogwoodpost.core.messages import EndpointAction
 from dogwoodpost.core.messages import EndpointLoad
 from dogwoodpost.errors import EndpointError
+from dogwoodpost.ports.endpoint_client import EndpointCacheEvents
 from dogwoodpost.ports.endpoint_client import EndpointClient
 from dogwoodpost.ports.endpoint_client import EndpointRequest
 
@@ -31,14 +33,15 @@
 # Loading weights takes as long as reading them; the order has its own limit.
 COMMAND_TIMEOUT_S = 120.0
 MAX_CONTROL_BODY_BYTES = 4 * 1024 * 1024
+MAX_DETAIL_BYTES = 200
 PRIORITY_HEADER = 'X-Request-Priority'
 REQUEST_ID_HEADER = 'X-Request-Id'
 TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
 # aiohttp sets them for its own connection.
 _SET_BY_LIBRARY = frozenset({'content-length', 'expect', 'host'})
-_SET_HERE = frozenset(
-    {PRIORITY_HEADER.lower(), TIMEOUT_HEADER.lower(), 'cookie'}
-)
+# The entry removes them; endpoints must not see keys even if it fails to.
+_KEY_HEADERS = frozenset({'authorization', 'cookie'})
+_SET_HERE = frozenset({PRIORITY_HEADER.lower(), TIMEOUT_HEADER.lower()})
 _ADDED_BY_LIBRARY = (
     'Accept',
     'Accept-Encoding',
@@ -94,8 +97,7 @@
         try:
             yield HttpEndpointResponse(response, self._silence_timeout_s)
         finally:
-            # Keeps the connection only if the body was read to its end.
-            response.release()
+            _leave(response)
 
     async def cancel(self, request_id: str) -> None:
         """Cancel a request; an unknown id has no effect."""
@@ -128,6 +130,22 @@
             age_ms=document.age_ms,
         )
 
+    async def cache_events(self, after: int) -> EndpointCacheEvents | None:
+        """Return cache events; None if the endpoint has no such path.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        status, body = await self._exchange(
+            'GET', f'/control/cache_events?after={after}'
+        )
+        if status == HTTPStatus.NOT_FOUND:
+            return None
+        _check_status('/control/cache_events', status, body)
+        try:
+            return msgspec.json.decode(body, type=EndpointCacheEvents)
+        except msgspec.MsgspecError as error:
+            raise EndpointError(f'malformed cache events: {error}') from error
+
     async def command(
         self,
         action: EndpointAction,
@@ -154,6 +172,22 @@
         *,
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> bytes:
+        """Call a control path and require success."""
+        status, body = await self._exchange(
+            method, path, document, timeout_s=timeout_s
+        )
+        _check_status(path, status, body)
+        return body
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        document: dict[str, Any] | None = None,
+        *,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of a control path's response."""
         response = await self._open(
             method,
             path,
@@ -170,11 +204,8 @@
                 if len(body) > MAX_CONTROL_BODY_BYTES:
                     raise EndpointError(f'{path}: the response is too large')
         finally:
-            response.release()
-        if not 200 <= response.status < 300:
-            detail = body[:200].decode('utf-8', 'replace')
-            raise EndpointError(f'{path}: status {response.status}: {detail}')
-        return bytes(body)
+            _leave(response)
+        return response.status, bytes(body)
 
     async def _open(
         self,
@@ -209,6 +240,20 @@
             raise EndpointError(f'no response: {error!r}') from error
 
 
+def _check_status(path: str, status: int, body: bytes) -> None:
+    if not 200 <= status < 300:
+        detail = body[:MAX_DETAIL_BYTES].decode('utf-8', 'replace')
+        raise EndpointError(f'{path}: status {status}: {detail}')
+
+
+def _leave(response: aiohttp.ClientResponse) -> None:
+    """Keep the connection only if the body was read to its end."""
+    if response.content.at_eof():
+        response.release()
+    else:
+        response.close()
+
+
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -226,7 +271,9 @@
 def _request_headers(
     request: EndpointRequest,
 ) -> tuple[tuple[str, str], ...]:
-    passed = without_hop_by_hop(request.headers, _SET_BY_LIBRARY | _SET_HERE)
+    passed = without_hop_by_hop(
+        request.headers, _SET_BY_LIBRARY | _SET_HERE | _KEY_HEADERS
+    )
     added = [
         (TIMEOUT_HEADER, str(max(1, int(request.timeout_s * 1000)))),
         (PRIORITY_HEADER, str(request.priority)),
--- a/src/dogwoodpost/ports/endpoint_client.py
+++ b/src/dogwoodpost/ports/endpoint_client.py
@@ -27,6 +27,22 @@
     priority: int = 0
 
 
+class EndpointCacheEvents(msgspec.Struct, frozen=True, kw_only=True):
+    """Prefix cache changes that follow a number.
+
+    ``first_sequence`` is higher than the number after the one asked for if
+    events were lost. Stored blocks apply before evicted ones. The next call
+    asks for what follows ``last_sequence``. With ``cleared``, all that was
+    known is void and ``stored`` holds all blocks.
+    """
+
+    first_sequence: int
+    last_sequence: int
+    stored: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    cleared: bool = False
+
+
 class EndpointResponse(abc.ABC):
     """An answer that is being received."""
 
@@ -64,6 +80,13 @@
         :raises EndpointError: the endpoint did not answer.
         """
 
+    async def cache_events(self, after: int) -> EndpointCacheEvents | None:
+        """Return cache events after a number; None if there is no cache.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        return None
+
     @abc.abstractmethod
     async def command(
         self,
--- a/src/dogwoodpost/standins/engine/batch.py
+++ b/src/dogwoodpost/standins/engine/batch.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Sequence
 
     from dogwoodpost.standins.engine.generation import Generation
     from dogwoodpost.standins.engine.prefix_cache import PrefixCache
@@ -31,6 +32,7 @@
         self._arrival_count = 0
         self._budget = 0.0
         self.role = settings.role
+        self.weight_version = settings.weight_version
 
     @property
     def running_count(self) -> int:
@@ -75,14 +77,14 @@
         )
         self._admit()
 
-    def advance(self, work_tokens: float, weight_version: int) -> None:
+    def advance(self, work_tokens: float) -> None:
         """Do the work of a number of tokens."""
         self.remove_over()
         self._budget += work_tokens
         while self._running and self._budget >= 1.0:
             self._budget -= 1.0
             generation = self._running.popleft()
-            self._work(generation, weight_version)
+            self._work(generation)
             if generation.is_over:
                 self._admit()
             else:
@@ -91,22 +93,28 @@
             # Time without work can't be made up for later.
             self._budget = 0.0
 
-    def _work(self, generation: Generation, weight_version: int) -> None:
+    def _work(self, generation: Generation) -> None:
+        generation.computed_by.add(self.weight_version)
         if generation.prefill_left > 0:
             generation.prefill_left -= self._prefill_tokens_per_turn()
             if generation.prefill_left > 0:
                 return
-            self._cache.store(generation.hashes)
+            self._store(generation, generation.hashes)
             if self.role == 'prefill':
                 generation.finish_reason = 'prefilled'
         else:
             generation.produce(
-                weight_version, self._settings.mean_completion_tokens
+                self.weight_version, self._settings.mean_completion_tokens
             )
             if generation.is_over:
-                self._cache.store(generation.full_hashes())
+                self._store(generation, generation.full_hashes())
         generation.changed.set()
 
+    def _store(self, generation: Generation, hashes: Sequence[int]) -> None:
+        """Cache blocks unless other weights computed a part of them."""
+        if generation.computed_by == {self.weight_version}:
+            self._cache.store(hashes)
+
     def _prefill_tokens_per_turn(self) -> int:
         cost = self._settings.prefill_cost
         return max(1, int(1 / cost)) if cost > 0 else 1_000_000
@@ -118,4 +126,6 @@
             generation.match_cache(
                 self._cache.matched_count(generation.hashes), BLOCK_BYTES
             )
+            if generation.cached_tokens:
+                generation.computed_by.add(self.weight_version)
             self._running.append(generation)
--- a/src/dogwoodpost/standins/engine/cache_event_log.py
+++ b/src/dogwoodpost/standins/engine/cache_event_log.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from dogwoodpost.ports.endpoint_client import EndpointCacheEvents
+
 
 class CacheEvent(msgspec.Struct, frozen=True):
     """One block that was stored or evicted."""
@@ -15,30 +17,15 @@
     is_stored: bool
 
 
-class CacheEventPage(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer of ``GET /control/cache_events``.
-
-    Stored blocks apply before evicted ones. The reader goes on with
-    ``after=last_sequence``. With ``cleared``, the reader forgets what it
-    knows and ``stored`` holds all blocks.
-    """
-
-    first_sequence: int
-    last_sequence: int
-    stored: tuple[int, ...] = ()
-    evicted: tuple[int, ...] = ()
-    cleared: bool = False
-
-
 class CacheEventLog:
     """Keeps the latest events; a reader that is too far behind starts anew."""
 
-    def __init__(self, max_count: int) -> None:
+    def __init__(self, max_count: int, first_sequence: int = 0) -> None:
         self._max_count = max_count
         self._events: deque[CacheEvent] = deque()
-        self._last_sequence = 0
+        self._last_sequence = first_sequence
         # A reader that has this number or a later one needs no snapshot.
-        self._complete_after = 0
+        self._complete_after = first_sequence
 
     def append(self, block: int, *, is_stored: bool) -> None:
         """Number an event and keep it."""
@@ -57,10 +44,12 @@
         self._complete_after = self._last_sequence
         self._events.clear()
 
-    def page(self, after: int, snapshot: tuple[int, ...]) -> CacheEventPage:
+    def page(
+        self, after: int, snapshot: tuple[int, ...]
+    ) -> EndpointCacheEvents:
         """Return the next events without a gap, or a snapshot."""
         if not self._complete_after <= after <= self._last_sequence:
-            return CacheEventPage(
+            return EndpointCacheEvents(
                 first_sequence=self._last_sequence + 1,
                 last_sequence=self._last_sequence,
                 stored=snapshot,
@@ -68,7 +57,7 @@
             )
         run = self._run_after(after)
         first = run[0].sequence if run else after + 1
-        return CacheEventPage(
+        return EndpointCacheEvents(
             first_sequence=first,
             last_sequence=run[-1].sequence if run else after,
             stored=tuple(item.block for item in run if item.is_stored),
--- a/src/dogwoodpost/standins/engine/completions.py
+++ b/src/dogwoodpost/standins/engine/completions.py
@@ -11,7 +11,6 @@
 from aiohttp import web
 
 from dogwoodpost.standins.engine.completion_request import read_completion
-from dogwoodpost.standins.engine.engine import CRASHED
 from dogwoodpost.standins.engine.engine import DEADLINE_PASSED
 
 if TYPE_CHECKING:
@@ -27,7 +26,8 @@
 _KEEP_ALIVE_EVENT = b': keep-alive\n\n'
 # JSON allows white space before the document.
 _KEEP_ALIVE_SPACE = b'\n'
-_FAILURE_STATUS = {DEADLINE_PASSED: 504}
+# Not 504, which would tell of a failed engine.
+_FAILURE_STATUS = {DEADLINE_PASSED: 408}
 _CANCELLED_STATUS = 499
 # A partial answer has to arrive before the caller's own time limit.
 _PARTIAL_MARGIN = 0.1
@@ -74,6 +74,7 @@
         self._request = request
         self._completion = completion
         self._generation = engine.start(completion)
+        self._crash_count = engine.crash_count
         self._deadline_s: float | None = None
         if completion.timeout_s is not None:
             margin = _PARTIAL_MARGIN if completion.partial_on_timeout else 0.0
@@ -87,7 +88,8 @@
                 return await self._stream()
             return await self._whole()
         finally:
-            self._engine.finish(self._generation)
+            if not self._crashed():
+                self._engine.finish(self._generation)
 
     async def _stream(self) -> web.StreamResponse:
         generation = self._generation
@@ -95,7 +97,7 @@
         broken_after = self._break_after()
         sent_count = 0
         while not generation.is_over or sent_count < len(generation.tokens):
-            if not await self._wait():
+            if sent_count == len(generation.tokens) and not await self._wait():
                 await response.write(_KEEP_ALIVE_EVENT)
             while sent_count < len(generation.tokens):
                 if broken_after is not None and sent_count >= broken_after:
@@ -103,7 +105,7 @@
                 end = _run_end(generation.versions, sent_count, broken_after)
                 await response.write(_event(self._chunk(sent_count, end)))
                 sent_count = end
-        if generation.failure == CRASHED:
+        if self._crashed() or broken_after is not None:
             return _abort(self._request, response)
         if generation.failure is not None and not self._ends_partially():
             error = {'code': generation.failure, 'message': 'not completed'}
@@ -124,7 +126,7 @@
                 response = await self._open_response('application/json')
             await response.write(_KEEP_ALIVE_SPACE)
         failed = generation.failure is not None and not self._ends_partially()
-        if generation.failure == CRASHED or (failed and response is not None):
+        if self._crashed() or (failed and response is not None):
             return _abort(self._request, response)
         if failed:
             return self._failure_response()
@@ -150,6 +152,8 @@
             generation.changed.clear()
         except TimeoutError:
             await self._engine.responsive.wait()
+            if self._crashed():
+                return True
             if not self._deadline_passed():
                 return False
             generation.fail(DEADLINE_PASSED)
@@ -162,6 +166,9 @@
             and time.monotonic() >= self._deadline_s
         )
 
+    def _crashed(self) -> bool:
+        return self._engine.crash_count != self._crash_count
+
     def _ends_partially(self) -> bool:
         return (
             self._completion.partial_on_timeout
--- a/src/dogwoodpost/standins/engine/engine.py
+++ b/src/dogwoodpost/standins/engine/engine.py
@@ -40,6 +40,9 @@
             settings.cache_block_count,
             settings.max_cache_event_count,
             self.faults,
+            # A restarted process goes on above its earlier numbers, so that
+            # its readers start anew.
+            first_sequence=time.time_ns() // 1000,
         )
         self.batch = Batch(settings, self.cache)
         self.kv_store = KvStore(settings.retained_kv_count)
@@ -79,10 +82,7 @@
             self.counters.completed_count += 1
         elif generation.failure == CANCELLED:
             self.counters.cancelled_count += 1
-        if generation.failure != CRASHED:
-            self.kv_store.keep(
-                export_of(generation, self.orders.weight_version)
-            )
+        self.kv_store.keep(export_of(generation, self.orders.weight_version))
 
     def cancel(self, request_id: str) -> bool:
         """Cancel a request; return whether it was known."""
@@ -118,6 +118,7 @@
         :raises EngineRefusal: the version is not loaded.
         """
         if self.orders.switch(version):
+            self.batch.weight_version = version
             self.cache.clear()
             self.kv_store.clear()
 
@@ -144,9 +145,7 @@
             now_s = time.monotonic()
             if not self.faults.hang:
                 rate = self.settings.token_rate_per_s / self.faults.slow_factor
-                self.batch.advance(
-                    (now_s - last_s) * rate, self.orders.weight_version
-                )
+                self.batch.advance((now_s - last_s) * rate)
             last_s = now_s
 
     def _crash(self) -> None:
@@ -165,6 +164,7 @@
         self.orders = OrderBook(self.settings)
         self.orders.highest_fencing_number = fencing_number
         self.batch.role = self.orders.role
+        self.batch.weight_version = self.orders.weight_version
 
     def _find(self, request_id: str) -> list[Generation]:
         return [
--- a/src/dogwoodpost/standins/engine/generation.py
+++ b/src/dogwoodpost/standins/engine/generation.py
@@ -27,7 +27,8 @@
     """Progress of one request.
 
     ``finish_reason`` is set at the end; ``failure`` is the code of an end
-    that is no completion.
+    that is no completion. ``computed_by`` holds the weight versions that
+    computed the KV cache.
     """
 
     def __init__(self, request: CompletionRequest, max_tokens: int) -> None:
@@ -38,6 +39,7 @@
         self.prefill_left = self.prompt_tokens
         self.max_tokens = max_tokens
         self.tokens: list[str] = []
+        self.computed_by: set[int] = set()
         self.versions: list[int] = []
         self.finish_reason: str | None = None
         self.failure: str | None = None
--- a/src/dogwoodpost/standins/engine/kv_store.py
+++ b/src/dogwoodpost/standins/engine/kv_store.py
@@ -48,9 +48,13 @@
 
 
 def export_of(generation: Generation, weight_version: int) -> KvExport:
-    """Return the cache of a request as far as it has run."""
+    """Return the cache of a request as far as it has run.
+
+    It has no blocks if other weights computed a part of them.
+    """
     hashes: tuple[int, ...] = ()
-    if generation.prefill_left <= 0:
+    is_read = generation.prefill_left <= 0
+    if is_read and generation.computed_by == {weight_version}:
         hashes = generation.full_hashes()
     return KvExport(
         request_id=generation.request.request_id,
--- a/src/dogwoodpost/standins/engine/prefix_cache.py
+++ b/src/dogwoodpost/standins/engine/prefix_cache.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.standins.engine.cache_event_log import CacheEventLog
-from dogwoodpost.standins.engine.cache_event_log import CacheEventPage
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dogwoodpost.ports.endpoint_client import EndpointCacheEvents
     from dogwoodpost.standins.engine.faults import EngineFaults
 
 
@@ -18,11 +18,15 @@
     """Least recently used blocks, each named by the hash of its chain."""
 
     def __init__(
-        self, block_count: int, max_event_count: int, faults: EngineFaults
+        self,
+        block_count: int,
+        max_event_count: int,
+        faults: EngineFaults,
+        first_sequence: int = 0,
     ) -> None:
         self._block_count = block_count
         self._blocks: OrderedDict[int, None] = OrderedDict()
-        self._log = CacheEventLog(max_event_count)
+        self._log = CacheEventLog(max_event_count, first_sequence)
         self.faults = faults
 
     def __len__(self) -> int:
@@ -56,7 +60,7 @@
         self._blocks.clear()
         self._log.reset()
 
-    def events(self, after: int) -> CacheEventPage:
+    def events(self, after: int) -> EndpointCacheEvents:
         """Return the changes after a number."""
         return self._log.page(after, tuple(self._blocks))
 
--- a/src/dogwoodpost/standins/plain_service.py
+++ b/src/dogwoodpost/standins/plain_service.py
@@ -29,6 +29,7 @@
 
     method: str
     path: str
+    raw_path: str
     query: str
     headers: tuple[tuple[str, str], ...]
     body: str
@@ -61,6 +62,11 @@
                 request.transport.abort()
             return web.Response(status=500)
 
+    async def unknown(self, request: web.Request) -> web.StreamResponse:
+        """Refuse the control paths of engines."""
+        del request
+        raise web.HTTPNotFound
+
     async def load(self, request: web.Request) -> web.StreamResponse:
         """Serve ``GET /control/load``."""
         del request
@@ -98,7 +104,8 @@
             EchoDocument(
                 method=request.method,
                 path=request.path,
-                query=request.query_string,
+                raw_path=request.raw_path,
+                query=request.rel_url.raw_query_string,
                 headers=_harmless(request.headers.items()),
                 body=body.decode('utf-8', 'replace'),
             )
@@ -127,6 +134,8 @@
     app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.router.add_get('/control/load', service.load)
     app.router.add_get('/control/counters', service.counters)
+    # Plain services know no orders; an echo would look like a success.
+    app.router.add_route('*', '/control/{path:.*}', service.unknown)
     app.router.add_route('*', r'/slow/{ms:\d+}', service.slow)
     app.router.add_route('*', '/drop', service.drop)
     app.router.add_route('*', '/{path:.*}', service.echo)
@@ -137,7 +146,7 @@
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in headers
         if name.lower() not in _SENSITIVE
     )
