Tell silence from the request's time limit

Both ended in the same message, so a client without the limit on silence passed the tests. The tests now name the limit that has to apply, and the cache event tests name the blocks; changed code that ignored either passed before and fails now.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -14,6 +14,7 @@
 import yarl
 
 from dogwoodpost.adapters.http.endpoint_response import HttpEndpointResponse
+from dogwoodpost.adapters.http.endpoint_response import timeout_detail
 from dogwoodpost.adapters.http.hop_by_hop import without_hop_by_hop
 from dogwoodpost.core.messages import EndpointAction
 from dogwoodpost.core.messages import EndpointLoad
@@ -97,7 +98,8 @@
         try:
             yield HttpEndpointResponse(response, self._silence_timeout_s)
         finally:
-            _leave(response)
+            # Closes the connection unless the body was read to its end.
+            response.release()
 
     async def cancel(self, request_id: str) -> None:
         """Cancel a request; an unknown id has no effect."""
@@ -204,7 +206,8 @@
                 if len(body) > MAX_CONTROL_BODY_BYTES:
                     raise EndpointError(f'{path}: the response is too large')
         finally:
-            _leave(response)
+            # Closes the connection unless the body was read to its end.
+            response.release()
         return response.status, bytes(body)
 
     async def _open(
@@ -219,10 +222,9 @@
     ) -> aiohttp.ClientResponse:
         if not path.startswith('/'):
             raise EndpointError(f'not a path: {path!r}')
+        silence = asyncio.timeout(silence_timeout_s or self._silence_timeout_s)
         try:
-            async with asyncio.timeout(
-                silence_timeout_s or self._silence_timeout_s
-            ):
+            async with silence:
                 return await self._session.request(
                     method,
                     yarl.URL(self._base_url + path, encoded=True),
@@ -235,7 +237,7 @@
                     middlewares=(_send_once,),
                 )
         except TimeoutError as error:
-            raise EndpointError('no response within the time limit') from error
+            raise EndpointError(timeout_detail(silence)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise EndpointError(f'no response: {error!r}') from error
 
@@ -246,14 +248,6 @@
         raise EndpointError(f'{path}: status {status}: {detail}')
 
 
-def _leave(response: aiohttp.ClientResponse) -> None:
-    """Keep the connection only if the body was read to its end."""
-    if response.content.at_eof():
-        response.release()
-    else:
-        response.close()
-
-
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/src/dogwoodpost/adapters/http/endpoint_response.py
+++ b/src/dogwoodpost/adapters/http/endpoint_response.py
@@ -17,6 +17,13 @@
 MAX_CHUNK_BYTES = 64 * 1024
 
 
+def timeout_detail(silence: asyncio.Timeout) -> str:
+    """Return which of the two time limits has passed."""
+    if silence.expired():
+        return 'the endpoint fell silent'
+    return 'the time limit of the request has passed'
+
+
 class HttpEndpointResponse(EndpointResponse):
     """Reads the body in chunks of at most ``MAX_CHUNK_BYTES``."""
 
@@ -40,10 +47,11 @@
             yield chunk
 
     async def _read(self) -> bytes:
+        silence = asyncio.timeout(self._silence_timeout_s)
         try:
-            async with asyncio.timeout(self._silence_timeout_s):
+            async with silence:
                 return await self._response.content.read(MAX_CHUNK_BYTES)
         except TimeoutError as error:
-            raise EndpointError('no bytes within the time limit') from error
+            raise EndpointError(timeout_detail(silence)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise EndpointError(f'the body broke off: {error!r}') from error
--- a/tests/adapters/http/test_endpoint_client.py
+++ b/tests/adapters/http/test_endpoint_client.py
@@ -40,7 +40,7 @@
     ('kind', 'path', 'body', 'faults', 'error'),
     [
         ('engine', PATH, COMPLETION, {'crashed': True}, 'no response'),
-        ('engine', PATH, STREAM, {'hang': True}, 'time limit'),
+        ('engine', PATH, STREAM, {'hang': True}, 'silent'),
         ('engine', PATH, STREAM, {'break_stream_count': 1}, 'broke off'),
         (
             'engine',
@@ -50,7 +50,7 @@
             'broke off',
         ),
         ('plain', '/drop', b'a', None, 'no response'),
-        ('plain', '/slow/60000', b'a', None, 'time limit'),
+        ('plain', '/slow/60000', b'a', None, 'silent'),
         ('plain', '@127.0.0.2/', b'a', None, 'not a path'),
     ],
 )
@@ -71,9 +71,11 @@
             await caller.call(path, body)
 
 
-@pytest.mark.parametrize('fault', ['crashed', 'hang'])
+@pytest.mark.parametrize(
+    ('fault', 'error'), [('crashed', 'broke off'), ('hang', 'silent')]
+)
 async def test_a_fault_within_a_stream_is_an_endpoint_error(
-    fault: str,
+    fault: str, error: str
 ) -> None:
     """Guards against a stream that ends cleanly or never."""
     app = make_app('engine')
@@ -86,7 +88,7 @@
             body=STREAM,
             timeout_s=30.0,
         )
-        with pytest.raises(EndpointError):
+        with pytest.raises(EndpointError, match=error):
             async with caller.client.call(request) as response:
                 chunks = response.chunks()
                 first = await anext(chunks)
@@ -140,7 +142,7 @@
     """Guards against keep-alives that outlast the deadline."""
     settings = EngineSettings(token_rate_per_s=0.01, keep_alive_s=0.05)
     async with serve(engine.create_app(settings)) as caller:
-        with pytest.raises(EndpointError):
+        with pytest.raises(EndpointError, match='of the request'):
             await caller.call(PATH, STREAM, timeout_s=0.5)
         await caller.wait_for_load(running_count=0)
 
--- a/tests/standins/engine/test_batch.py
+++ b/tests/standins/engine/test_batch.py
@@ -159,7 +159,7 @@
     """Guards against events that leave a reader with other blocks."""
     log = CacheEventLog(max_count)
     held: set[int] = set()
-    for step in range(40):
+    for step in range(41):
         block = step * step % 5
         is_stored = block not in held
         log.append(block, is_stored=is_stored)
@@ -168,12 +168,17 @@
 
 
 @pytest.mark.parametrize(
-    ('after', 'first', 'cleared'),
-    [(0, 1, False), (1, 4, False), (3, 4, False), (5, 6, True)],
+    ('after', 'first', 'stored', 'cleared'),
+    [
+        (0, 1, (10,), False),
+        (1, 4, (40,), False),
+        (3, 4, (40,), False),
+        (5, 5, (10, 30, 20, 40), True),
+    ],
     ids=['before the gap', 'gap', 'inside the gap', 'from the future'],
 )
 def test_lost_events_show_as_a_gap(
-    after: int, first: int, cleared: bool
+    after: int, first: int, stored: tuple[int, ...], cleared: bool
 ) -> None:
     """Guards against a reader that takes lost events for none."""
     cache = PrefixCache(10, 10, EngineFaults())
@@ -182,9 +187,8 @@
     cache.store((20, 30))
     cache.store((40,))
     page = cache.events(after)
-    assert (page.first_sequence, page.cleared) == (
-        (5, True) if cleared else (first, False)
-    )
+    assert (page.first_sequence, page.cleared) == (first, cleared)
+    assert page.stored == stored
 
 
 def test_block_hashes_are_those_of_the_router() -> None:
