--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from http import HTTPStatus
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -16,18 +15,18 @@
 from dogwoodpost.adapters.http.endpoint_response import HttpEndpointResponse
 from dogwoodpost.adapters.http.endpoint_response import timeout_detail
 from dogwoodpost.adapters.http.hop_by_hop import without_hop_by_hop
+from dogwoodpost.core import ids
 from dogwoodpost.core.messages import EndpointAction
 from dogwoodpost.core.messages import EndpointLoad
 from dogwoodpost.errors import EndpointError
-from dogwoodpost.ports.endpoint_client import EndpointCacheEvents
+from dogwoodpost.errors import EndpointUnsupportedError
+from dogwoodpost.ports.endpoint_client import CacheEventBatch
 from dogwoodpost.ports.endpoint_client import EndpointClient
 from dogwoodpost.ports.endpoint_client import EndpointRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from dogwoodpost.core import ids
-
 # Engines send a keep-alive every few seconds while a request waits.
 SILENCE_TIMEOUT_S = 15.0
 CONTROL_TIMEOUT_S = 5.0
@@ -50,6 +49,8 @@
     'User-Agent',
 )
 
+_UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
+
 _log = structlog.get_logger(__name__)
 
 
@@ -58,6 +59,7 @@
     waiting_count: int
     running_tokens: int = 0
     age_ms: int = 0
+    weight_version: ids.WeightVersion | None = None
 
 
 class HttpEndpointClient(EndpointClient):
@@ -130,29 +132,32 @@
             waiting_count=document.waiting_count,
             running_tokens=document.running_tokens,
             age_ms=document.age_ms,
+            weight_version=document.weight_version,
         )
 
-    async def cache_events(self, after: int) -> EndpointCacheEvents | None:
-        """Return cache events; None if the endpoint has no such path.
+    async def cache_events(self, after: int) -> CacheEventBatch | None:
+        """Return the cache events after a number, None without any.
 
+        :raises EndpointUnsupportedError: the endpoint has no prefix cache.
         :raises EndpointError: the endpoint did not answer.
         """
-        status, body = await self._exchange(
+        body = await self._control(
             'GET', f'/control/cache_events?after={after}'
         )
-        if status == HTTPStatus.NOT_FOUND:
-            return None
-        _check_status('/control/cache_events', status, body)
         try:
-            return msgspec.json.decode(body, type=EndpointCacheEvents)
+            batch = msgspec.json.decode(body, type=CacheEventBatch)
         except msgspec.MsgspecError as error:
             raise EndpointError(f'malformed cache events: {error}') from error
+        if batch.cleared or batch.stored or batch.evicted:
+            return batch
+        return None
 
     async def command(
         self,
         action: EndpointAction,
         argument: str,
         fencing_number: ids.FencingNumber,
+        fetch_from: tuple[str, ...] = (),
     ) -> None:
         """Carry out an order to load, switch or change role.
 
@@ -162,7 +167,11 @@
         await self._control(
             'POST',
             path,
-            {**document, 'fencing_number': fencing_number},
+            {
+                **document,
+                'fencing_number': fencing_number,
+                'fetch_from': fetch_from,
+            },
             timeout_s=COMMAND_TIMEOUT_S,
         )
 
@@ -175,21 +184,6 @@
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> bytes:
         """Call a control path and require success."""
-        status, body = await self._exchange(
-            method, path, document, timeout_s=timeout_s
-        )
-        _check_status(path, status, body)
-        return body
-
-    async def _exchange(
-        self,
-        method: str,
-        path: str,
-        document: dict[str, Any] | None = None,
-        *,
-        timeout_s: float = CONTROL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
-        """Return the status and the body of a control path's response."""
         response = await self._open(
             method,
             path,
@@ -208,7 +202,8 @@
         finally:
             # Closes the connection unless the body was read to its end.
             response.release()
-        return response.status, bytes(body)
+        _check_status(path, response.status, bytes(body))
+        return bytes(body)
 
     async def _open(
         self,
@@ -243,6 +238,8 @@
 
 
 def _check_status(path: str, status: int, body: bytes) -> None:
+    if status in _UNSUPPORTED_STATUSES:
+        raise EndpointUnsupportedError(f'{path}: status {status}')
     if not 200 <= status < 300:
         detail = body[:MAX_DETAIL_BYTES].decode('utf-8', 'replace')
         raise EndpointError(f'{path}: status {status}: {detail}')
--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -83,7 +83,11 @@
 
 
 class StartAttempt(Message, frozen=True, kw_only=True):
-    """Asks an agent to run one attempt at one of its endpoints."""
+    """Asks an agent to run one attempt at one of its endpoints.
+
+    ``hello_sequence`` is that of the last ``AgentHello`` that the sender had
+    received; it tells the agent how old a late copy can be at most.
+    """
 
     attempt_id: ids.AttemptId
     agent_incarnation: ids.Incarnation
@@ -96,6 +100,7 @@
     remaining_ms: int
     idempotent: bool
     priority: int = 0
+    hello_sequence: int = 0
 
 
 class FetchAttempt(Message, frozen=True, kw_only=True):
@@ -104,6 +109,7 @@
     attempt_id: ids.AttemptId
     remaining_ms: int
     next_index: int
+    agent_incarnation: ids.Incarnation = ids.Incarnation('')
 
 
 class CancelAttempt(Message, frozen=True, kw_only=True):
@@ -174,6 +180,7 @@
     waiting_count: int
     running_tokens: int = 0
     age_ms: int = 0
+    weight_version: ids.WeightVersion | None = None
 
 
 class LoadReport(Message, frozen=True, kw_only=True):
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -77,6 +77,10 @@
     """An endpoint failed or broke its protocol."""
 
 
+class EndpointUnsupportedError(EndpointError):
+    """An endpoint has no such control path; a plain service has none."""
+
+
 class PlatformError(DogwoodpostError):
     """An interface of the platform refused or failed a call."""
 
--- a/src/dogwoodpost/ports/endpoint_client.py
+++ b/src/dogwoodpost/ports/endpoint_client.py
@@ -27,20 +27,17 @@
     priority: int = 0
 
 
-class EndpointCacheEvents(msgspec.Struct, frozen=True, kw_only=True):
-    """Prefix cache changes that follow a number.
+class CacheEventBatch(msgspec.Struct, frozen=True, kw_only=True):
+    """Cache events of an engine; each block counts as one number.
 
-    ``first_sequence`` is higher than the number after the one asked for if
-    events were lost. Stored blocks apply before evicted ones. The next call
-    asks for what follows ``last_sequence``. With ``cleared``, all that was
-    known is void and ``stored`` holds all blocks.
+    ``last_sequence`` is what the next call passes as ``after``.
     """
 
     first_sequence: int
-    last_sequence: int
     stored: tuple[int, ...] = ()
     evicted: tuple[int, ...] = ()
     cleared: bool = False
+    last_sequence: int = 0
 
 
 class EndpointResponse(abc.ABC):
@@ -80,21 +77,24 @@
         :raises EndpointError: the endpoint did not answer.
         """
 
-    async def cache_events(self, after: int) -> EndpointCacheEvents | None:
-        """Return cache events after a number; None if there is no cache.
-
-        :raises EndpointError: the endpoint did not answer.
-        """
-        return None
-
     @abc.abstractmethod
     async def command(
         self,
         action: messages.EndpointAction,
         argument: str,
         fencing_number: ids.FencingNumber,
+        fetch_from: tuple[str, ...] = (),
     ) -> None:
         """Carry out an order to load, switch or change role.
 
+        ``fetch_from`` are URLs to try before the weight store.
+
         :raises EndpointError: the endpoint refused or failed the order.
         """
+
+    async def cache_events(self, after: int) -> CacheEventBatch | None:
+        """Return the cache events after a number, None without any.
+
+        :raises EndpointError: the endpoint did not answer.
+        """
+        return None
--- a/src/dogwoodpost/standins/engine/control.py
+++ b/src/dogwoodpost/standins/engine/control.py
@@ -26,9 +26,12 @@
 
 
 class WeightOrder(msgspec.Struct):
-    """Body of the orders to load and to switch weights."""
+    """Body of the orders to load and to switch weights.
 
-    weight_version: int
+    The version may be a number or its digits.
+    """
+
+    weight_version: int | str
     fencing_number: int | None = None
 
 
@@ -96,30 +99,33 @@
         """Load a version beside the one in use."""
         order = await _body(request, WeightOrder)
         self._check_swap(order.fencing_number)
+        version = _version(order)
+        orders = self._engine.orders
         await asyncio.sleep(self._engine.settings.load_s)
-        self._engine.orders.add_version(order.weight_version)
-        return web.Response(status=204)
+        # A crash in the meantime has replaced the orders.
+        orders.add_version(version)
+        return _json({})
 
     async def switch_weights(self, request: web.Request) -> web.Response:
         """Switch to a loaded version."""
         order = await _body(request, WeightOrder)
         self._check_swap(order.fencing_number)
-        self._engine.switch_weights(order.weight_version)
-        return web.Response(status=204)
+        self._engine.switch_weights(_version(order))
+        return _json({})
 
     async def load_model(self, request: web.Request) -> web.Response:
         """Load a model beside the others."""
         order = await _body(request, ModelOrder)
         self._engine.orders.check_fencing(order.fencing_number)
         self._engine.orders.models.add(order.model)
-        return web.Response(status=204)
+        return _json({})
 
     async def load_adapter(self, request: web.Request) -> web.Response:
         """Load an adapter."""
         order = await _body(request, AdapterOrder)
         self._engine.orders.check_fencing(order.fencing_number)
         self._engine.orders.adapters.add(order.adapter)
-        return web.Response(status=204)
+        return _json({})
 
     async def set_role(self, request: web.Request) -> web.Response:
         """Change the role."""
@@ -127,7 +133,7 @@
         self._engine.orders.check_fencing(order.fencing_number)
         self._engine.orders.set_role(order.role)
         self._engine.batch.role = order.role
-        return web.Response(status=204)
+        return _json({})
 
     async def export_kv(self, request: web.Request) -> web.Response:
         """Return the KV cache of a request."""
@@ -142,12 +148,12 @@
         if export.request_id != request.match_info['request_id']:
             raise _malformed('the path names another request')
         self._engine.import_kv(export)
-        return web.Response(status=204)
+        return _json({})
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Set all faults at once."""
         self._engine.set_faults(await _body(request, EngineFaults))
-        return web.Response(status=204)
+        return _json({})
 
     async def counters(self, request: web.Request) -> web.Response:
         """Return the counters."""
@@ -158,6 +164,7 @@
         self._engine.orders.check_fencing(fencing_number)
         if self._engine.faults.take('refuse_swap_count'):
             raise EngineRefusal(503, 'swap_refused', 'refused by a fault')
+        self._engine.counters.order_count += 1
 
 
 async def _body(request: web.Request, body_type: type[_Body]) -> _Body:
@@ -167,6 +174,13 @@
         raise _malformed(str(error)) from error
 
 
+def _version(order: WeightOrder) -> int:
+    try:
+        return int(order.weight_version)
+    except ValueError as error:
+        raise _malformed('weight_version is not a number') from error
+
+
 def _malformed(message: str) -> EngineRefusal:
     return EngineRefusal(400, 'malformed_request', message)
 
--- a/src/dogwoodpost/standins/engine/prefix_cache.py
+++ b/src/dogwoodpost/standins/engine/prefix_cache.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from dogwoodpost.ports.endpoint_client import EndpointCacheEvents
+    from dogwoodpost.ports.endpoint_client import CacheEventBatch
     from dogwoodpost.standins.engine.faults import EngineFaults
 
 
@@ -60,7 +60,7 @@
         self._blocks.clear()
         self._log.reset()
 
-    def events(self, after: int) -> EndpointCacheEvents:
+    def events(self, after: int) -> CacheEventBatch:
         """Return the changes after a number."""
         return self._log.page(after, tuple(self._blocks))
 
--- a/src/dogwoodpost/standins/engine/request_counters.py
+++ b/src/dogwoodpost/standins/engine/request_counters.py
@@ -20,13 +20,15 @@
     """Body of ``GET /control/counters``.
 
     ``secret_count`` counts requests that carried a caller's key;
-    ``executions`` maps a request id to how often it was started.
+    ``executions`` maps a request id to how often it was started;
+    ``order_count`` counts weight orders that were not refused.
     """
 
     secret_count: int = 0
     started_count: int = 0
     completed_count: int = 0
     cancelled_count: int = 0
+    order_count: int = 0
     executions: Counter[str] = msgspec.field(default_factory=Counter)
 
 
--- a/src/dogwoodpost/standins/plain_service.py
+++ b/src/dogwoodpost/standins/plain_service.py
@@ -112,6 +112,9 @@
         )
 
 
+STATE = web.AppKey('state', PlainService)
+
+
 class _Execution:
     """Counts a request while it runs."""
 
@@ -132,6 +135,7 @@
     """Return an application that serves one plain service."""
     service = PlainService(settings or PlainServiceSettings())
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app[STATE] = service
     app.router.add_get('/control/load', service.load)
     app.router.add_get('/control/counters', service.counters)
     # Plain services know no orders; an echo would look like a success.
