Give header names of responses as plain strings

aiohttp's header names are a subclass of str that msgspec does not encode, so an agent could not have sent the head of any response. A test encodes the headers of both stand-ins; it failed before the change.

--- a/src/dogwoodpost/adapters/http/hop_by_hop.py
+++ b/src/dogwoodpost/adapters/http/hop_by_hop.py
@@ -42,5 +42,7 @@
     }
     excluded = _HOP_BY_HOP | listed | dropped
     return tuple(
-        (name, value) for name, value in items if name.lower() not in excluded
+        (str(name), value)
+        for name, value in items
+        if name.lower() not in excluded
     )
--- a/tests/adapters/http/test_endpoint_client.py
+++ b/tests/adapters/http/test_endpoint_client.py
@@ -170,6 +170,16 @@
     assert sum(sizes) > len(body)
 
 
+@pytest.mark.parametrize('kind', ['engine', 'plain'])
+async def test_a_head_can_be_sent_to_an_entry(kind: str) -> None:
+    """Guards against header names of a type that messages do not take."""
+    async with serve(make_app(kind)) as caller:
+        async with caller.client.call(request_to(PATH, STREAM)) as response:
+            encoded = msgspec.msgpack.encode(response.headers)
+    names = {name.lower() for name, _ in msgspec.msgpack.decode(encoded)}
+    assert 'content-type' in names
+
+
 @pytest.mark.parametrize(('kind', 'version'), [('engine', 1), ('plain', None)])
 async def test_load_of_both_kinds(kind: str, version: int | None) -> None:
     """Guards against plain services that look overloaded or dead."""
