--- a/src/dogwoodpost/services/entry/http/header_filter.py
+++ b/src/dogwoodpost/services/entry/http/header_filter.py
@@ -8,24 +8,13 @@
 from urllib.parse import unquote_plus
 
 from dogwoodpost.core.configuration import ServiceKind
+from dogwoodpost.core.http_headers import end_to_end_headers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_HOP_BY_HOP = frozenset(
-    {
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'trailers',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
+    from dogwoodpost.core.http_headers import Headers
+
 _CALLERS_ONLY = frozenset(
     {
         'authorization',
@@ -39,8 +28,6 @@
 _ENGINE_ONLY = frozenset({'x-request-id'})
 _OWN_PREFIX = 'dogwoodpost-'
 
-Headers = tuple[tuple[str, str], ...]
-
 
 def request_headers(
     headers: Iterable[tuple[str, str]], key: str | None, kind: ServiceKind
@@ -49,27 +36,20 @@
 
     Headers that carry the key in any common encoding are dropped.
     """
-    # aiohttp's names are a subclass of str that messages cannot carry.
-    items = [(str(name), value) for name, value in headers]
-    dropped = _HOP_BY_HOP | _CALLERS_ONLY | _listed_in_connection(items)
+    dropped = _CALLERS_ONLY
     if kind is ServiceKind.ENGINE:
         dropped |= _ENGINE_ONLY
     return tuple(
         (name, value)
-        for name, value in items
-        if name.lower() not in dropped
-        and not name.lower().startswith(_OWN_PREFIX)
+        for name, value in end_to_end_headers(headers, dropped)
+        if not name.lower().startswith(_OWN_PREFIX)
         and not carries_key(f'{name}: {value}', key)
     )
 
 
 def response_headers(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of a response that the caller sees."""
-    items = list(headers)
-    dropped = _HOP_BY_HOP | _listed_in_connection(items)
-    return tuple(
-        (name, value) for name, value in items if name.lower() not in dropped
-    )
+    return end_to_end_headers(headers)
 
 
 def carries_key(text: str, key: str | None) -> bool:
@@ -88,14 +68,3 @@
     except (binascii.Error, ValueError):
         return ''
     return raw.decode('utf-8', 'replace')
-
-
-def _listed_in_connection(
-    headers: Iterable[tuple[str, str]],
-) -> frozenset[str]:
-    return frozenset(
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == 'connection'
-        for token in value.split(',')
-    )
