--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 binary: setup
 	mkdir -p dist
-	$(BIN)/pex --quiet . --sh-boot --venv --script dogwoodpost \
+	$(BIN)/pex . --sh-boot --venv --script dogwoodpost \
 		--output-file dist/dogwoodpost
 
 proto: setup
