--- a/measurements/requests/case.py
+++ b/measurements/requests/case.py
@@ -5,6 +5,8 @@
 import msgspec
 
 DURATION_S = 100.0
+# Until the engines and queues have filled.
+WARM_UP_S = 10.0
 BURST_START_S = 30.0
 BURST_END_S = 50.0
 
--- a/measurements/requests/entry_base.py
+++ b/measurements/requests/entry_base.py
@@ -101,8 +101,10 @@
             attempt, failed=not ok, cached_tokens=cached_tokens
         )
         if ok:
-            started_s = attempt.started_s or attempt.sent_s
-            record.wait_s = started_s - record.request.arrival_s
+            # All that the caller waits beside the endpoint's work, with the
+            # way there and back.
+            elapsed_s = self.world.loop.now_s - record.request.arrival_s
+            record.wait_s = elapsed_s - attempt.served_s
             record.wait_s += 2 * self.world.user.client_delay_s
             self.close(record, 'ok')
         elif attempt.request.idempotent:
--- a/measurements/requests/world.py
+++ b/measurements/requests/world.py
@@ -52,6 +52,7 @@
     entry: Entry
     sent_s: float
     started_s: float | None = None
+    served_s: float = 0.0
     done: bool = False
     work: Work | None = None
 
@@ -152,6 +153,8 @@
                 self.started.append(attempt.request)
 
         def ended(ok: bool, cached_tokens: int) -> None:
+            if attempt.started_s is not None:
+                attempt.served_s = self.loop.now_s - attempt.started_s
             size_bytes = (
                 attempt.request.completion_tokens * _RESPONSE_BYTES_PER_TOKEN
             )
