--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -77,6 +77,10 @@
     """An endpoint failed or broke its protocol."""
 
 
+class EndpointUnsupportedError(EndpointError):
+    """An endpoint has no such control path; a plain service has none."""
+
+
 class PlatformError(DogwoodpostError):
     """An interface of the platform refused or failed a call."""
 
@@ -92,6 +96,8 @@
     :param status: HTTP status code.
     :param not_run: true only if no copy of the request can still run.
     :param retry_after_s: when the caller may try again, in seconds.
+
+    ``counted`` tells whether the refusal counter contains the error.
     """
 
     def __init__(
@@ -107,6 +113,7 @@
         self.status = status
         self.not_run = not_run
         self.retry_after_s = retry_after_s
+        self.counted = False
         super().__init__(message)
 
 
--- a/src/dogwoodpost/services/control/order_controller.py
+++ b/src/dogwoodpost/services/control/order_controller.py
@@ -255,6 +255,8 @@
     async def _advance_stops(self) -> None:
         """Order the stops of endpoints that have drained."""
         self._start_drains()
+        if not self.accepts_orders:
+            return
         drained: list[OrderIntent] = []
         for intent in self._ledger.unsettled(IntentState.DRAINING):
             task = self._drains[intent.number]
@@ -262,11 +264,13 @@
                 continue
             del self._drains[intent.number]
             if task.exception() is None:
-                drained.append(intent.moved(IntentState.OPEN))
+                drained.append(intent.opened_by(self._fencing_number))
             else:
                 await self._cancel_stop(intent, str(task.exception()))
         await self._write_results()
         for first in range(0, len(drained), self.batch_count):
+            if not self.accepts_orders:
+                return
             batch = drained[first : first + self.batch_count]
             await self._open_drained(batch)
             await self._send(batch)
