Spread leases by rendezvous rank and measure control work

Freshness queries ask three entries before they ask all: with a store that took up to 2 s, 100 entries sent about 48,000 messages in 4 s.

--- a/measurements/control/fleet.py
+++ b/measurements/control/fleet.py
@@ -13,6 +13,7 @@
 from dogwoodpost.core.configuration import ClientAccount
 from dogwoodpost.core.configuration.known_entries import EntryRow
 from dogwoodpost.core.configuration.known_entries import KnownEntries
+from dogwoodpost.core.configuration.records import REVISION_PREFIX
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.errors import TransportError
@@ -39,6 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from dogwoodpost.core.messages import AnyMessage
@@ -121,11 +123,35 @@
         self._network.disconnect(self._address)
 
 
+class TimedTableStore(MemoryTableStore):
+    """Notes the true time at which each revision became durable."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.durable_s: dict[int, float] = {}
+
+    async def commit(
+        self,
+        operation_id: ids.OperationId,
+        checks: Sequence[Check],
+        writes: Sequence[Write],
+    ) -> dict[str, int]:
+        """Apply a transaction."""
+        versions = await super().commit(operation_id, checks, writes)
+        now_s = asyncio.get_running_loop().time()
+        for key in versions:
+            if key.startswith(REVISION_PREFIX):
+                revision = int(key.removeprefix(REVISION_PREFIX))
+                self.durable_s.setdefault(revision, now_s)
+        return versions
+
+
 class StoreLink(TableStore):
     """One process's path to the table service, with faults of its own.
 
     ``cut`` refuses all calls, ``loss`` is the share of commits whose response
-    is lost, ``latency_s`` the longest delay of each direction.
+    is lost, ``latency_s`` the longest delay of each direction. ``byte_count``
+    holds the sizes of keys and values in both directions.
     """
 
     def __init__(self, store: TableStore, rng: random.Random) -> None:
@@ -134,15 +160,18 @@
         self.latency_s = 0.005
         self.read_count = 0
         self.write_count = 0
+        self.byte_count = 0
         self._store = store
         self._rng = rng
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         """Return the rows that exist."""
         self.read_count += 1
+        self.byte_count += sum(len(key) for key in keys)
         await self._travel()
         rows = await self._store.read(keys)
         await self._travel()
+        self.byte_count += _size(rows.values())
         return rows
 
     async def scan(
@@ -153,6 +182,7 @@
         await self._travel()
         rows = await self._store.scan(prefix, after=after, limit=limit)
         await self._travel()
+        self.byte_count += len(prefix) + _size(rows)
         return rows
 
     async def commit(
@@ -163,6 +193,9 @@
     ) -> dict[str, int]:
         """Apply a transaction; its response may be lost."""
         self.write_count += 1
+        self.byte_count += sum(
+            len(write.key) + len(write.value or b'') for write in writes
+        )
         await self._travel()
         versions = await self._store.commit(operation_id, checks, writes)
         await asyncio.sleep(self._rng.uniform(0, self.latency_s))
@@ -238,7 +271,7 @@
         self, count: int, seed: int, rates: Sequence[float] = (1.0,)
     ) -> None:
         self.rng = random.Random(seed)
-        self.tables = MemoryTableStore()
+        self.tables = TimedTableStore()
         self.objects = MemoryObjectStore()
         self.hosts = MemoryHostList()
         self.network = Network(self.rng)
@@ -275,6 +308,10 @@
         return entry
 
 
+def _size(rows: Iterable[Row]) -> int:
+    return sum(len(row.key) + len(row.value) for row in rows)
+
+
 def create_account(name: str) -> changes.CreateClientAccount:
     """Return a change that adds a client account."""
     account = ClientAccount(client_account_id=ids.ClientAccountId(name))
--- a/src/dogwoodpost/core/leases/__init__.py
+++ b/src/dogwoodpost/core/leases/__init__.py
@@ -5,6 +5,7 @@
 from dogwoodpost.core.leases.lease import Lease
 from dogwoodpost.core.leases.lease import LeaseAction
 from dogwoodpost.core.leases.lease import LeaseOperation
+from dogwoodpost.core.leases.ranking import lease_rank
 from dogwoodpost.core.leases.records import fence_key
 from dogwoodpost.core.leases.records import FenceRecord
 from dogwoodpost.core.leases.records import renewal_key
@@ -19,5 +20,6 @@
     'LeaseTerms',
     'RenewalRecord',
     'fence_key',
+    'lease_rank',
     'renewal_key',
 )
--- a/src/dogwoodpost/core/leases/lease.py
+++ b/src/dogwoodpost/core/leases/lease.py
@@ -68,10 +68,9 @@
 class Lease:
     """State of one lease at one process.
 
-    Times are seconds of the process's ``CLOCK_BOOTTIME``.
-
-    :param take_delay_s: extra wait before a takeover, so that the leases
-        spread over the entries.
+    Times are seconds of the process's ``CLOCK_BOOTTIME``. ``take_delay_s`` is
+    an extra wait before a takeover, so that the leases spread over the
+    processes; it may change at any time.
     """
 
     def __init__(
@@ -80,14 +79,12 @@
         process_id: ids.ProcessId,
         incarnation: ids.Incarnation,
         terms: LeaseTerms,
-        *,
-        take_delay_s: float = 0.0,
     ) -> None:
         self.shard = shard
         self._process_id = process_id
         self._incarnation = incarnation
         self._terms = terms
-        self._take_delay_s = take_delay_s
+        self.take_delay_s = 0.0
         self._held: _Held | None = None
         self._observed: _Observed | None = None
         self._last_tick_s: float | None = None
@@ -285,7 +282,7 @@
         wait_s = 0.0
         if not observed.released:
             wait_s = self._terms.successor_wait_s(observed.duration_s)
-        return observed.first_seen_s + wait_s + self._take_delay_s
+        return observed.first_seen_s + wait_s + self.take_delay_s
 
     def _renewal_write(
         self,
--- a/src/dogwoodpost/services/control/lease_manager.py
+++ b/src/dogwoodpost/services/control/lease_manager.py
@@ -30,6 +30,9 @@
 
 TICK_S = 0.25
 READ_INTERVAL_S = 1.0
+# Processes that are not next in line read this many times less often. With 20
+# processes that all read 30 leases each second, a node spent 6.8 KB/s.
+MAX_INTERVAL_FACTOR = 8
 MAX_RETRY_DELAY_S = 0.5
 # A lower-ranked process leaves the others this much time per rank.
 RANK_DELAY_S = 0.5
@@ -94,6 +97,7 @@
         self._rank = rank or _first
         self._leases: dict[ids.ShardName, Lease] = {}
         self._guards: dict[ids.ShardName, ManagedLeaseGuard] = {}
+        self._read_due_s: dict[ids.ShardName, float] = {}
         self._busy: dict[ids.ShardName, asyncio.Task[None]] = {}
 
     def guard(self, shard: ids.ShardName) -> ManagedLeaseGuard:
@@ -104,7 +108,6 @@
                 self._process_id,
                 self._incarnation,
                 self._terms,
-                take_delay_s=self._rank(shard) * RANK_DELAY_S,
             )
             self._leases[shard] = lease
             self._guards[shard] = ManagedLeaseGuard(lease, self._clock)
@@ -133,6 +136,7 @@
         """
         lease = self._leases.pop(shard, None)
         self._guards.pop(shard, None)
+        self._read_due_s.pop(shard, None)
         if lease is None:
             return
         lease.retire()
@@ -173,9 +177,12 @@
             lease
             for lease in self._leases.values()
             if lease.next_action(now_s) is LeaseAction.READ
+            and now_s >= self._read_due_s.get(lease.shard, now_s)
         ]
         if not wanted:
             return
+        for lease in wanted:
+            self._plan_next_read(lease, now_s)
         keys: list[str] = []
         for lease in wanted:
             keys += [fence_key(lease.shard), renewal_key(lease.shard)]
@@ -185,9 +192,18 @@
             return
         now_s = self._clock.monotonic_s()
         for lease in wanted:
-            if lease.shard not in self._busy:
+            # A takeover may have ended while the read was under way.
+            if lease.shard not in self._busy and not lease.may_release():
                 lease.observe(rows, now_s)
 
+    def _plan_next_read(self, lease: Lease, now_s: float) -> None:
+        rank = self._rank(lease.shard)
+        lease.take_delay_s = rank * RANK_DELAY_S
+        factor = 1 if rank <= 1 else MAX_INTERVAL_FACTOR
+        # Half an interval early, so that the loop's own delay skips no turn.
+        due_s = now_s + READ_INTERVAL_S * (factor - 0.5)
+        self._read_due_s[lease.shard] = due_s
+
     def _act(self, lease: Lease, now_s: float) -> None:
         if lease.shard in self._busy:
             return
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -17,6 +17,7 @@
 from dogwoodpost.core.configuration.freshness import Freshness
 from dogwoodpost.core.configuration.known_entries import member_key
 from dogwoodpost.core.configuration.spread import Spread
+from dogwoodpost.core.leases import lease_rank
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.configuration_source import ConfigurationSource
 from dogwoodpost.services.entry.freshness import FreshnessQueries
@@ -83,7 +84,7 @@
             maxlen=RELAYED_COUNT
         )
         self._spread = Spread()
-        self._freshness = FreshnessQueries(peers, clock)
+        self._freshness = FreshnessQueries(peers, clock, rng)
         self._ready = asyncio.Event()
         self._is_registered = False
         self._is_superseded = False
@@ -127,6 +128,11 @@
         while not self.accepts_changes():  # noqa: ASYNC110
             await self._clock.sleep(TICK_S)
 
+    def lease_rank(self, shard: ids.ShardName) -> int:
+        """Return this entry's place among the live entries for a lease."""
+        others = self._peers.known.required(self._clock.monotonic_s())
+        return lease_rank(shard, self._peers.own.process_id, others)
+
     def spread(self, revision: ids.Revision) -> SpreadReport:
         """Return which entries have a revision in force."""
         now_s = self._clock.monotonic_s()
--- a/src/dogwoodpost/services/entry/freshness.py
+++ b/src/dogwoodpost/services/entry/freshness.py
@@ -11,14 +11,20 @@
 from dogwoodpost.core.configuration.freshness import PeerAnswer
 
 if TYPE_CHECKING:
+    import random
+
     from dogwoodpost.core import ids
     from dogwoodpost.core import messages
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.services.entry.entry_peers import EntryPeers
 
-# Two polls have failed by then, and the answers come before the last read
-# loses its freshness.
-QUERY_AHEAD_S = 1.5
+# A poll has failed by then. A few entries are asked for a fresh read first:
+# with a slow store, 100 entries that always asked all the others sent 12,000
+# messages a second.
+ASK_SOME_AHEAD_S = 1.5
+ASKED_COUNT = 3
+# Early enough for all answers to come before freshness expires.
+ASK_ALL_AHEAD_S = 0.75
 QUERY_INTERVAL_S = 1.0
 
 
@@ -29,14 +35,17 @@
     queries knows that it must ask this one before it finds the store down.
     """
 
-    def __init__(self, peers: EntryPeers, clock: Clock) -> None:
+    def __init__(
+        self, peers: EntryPeers, clock: Clock, rng: random.Random
+    ) -> None:
         self.tracker = FreshnessTracker()
         self._peers = peers
         self._clock = clock
+        self._rng = rng
         self._known_by: set[ids.ProcessId] = set()
         self._is_announced = False
         self._last_query_s = -math.inf
-        self._query_id = ''
+        self._last_full_query_s = -math.inf
 
     def state(self) -> Freshness:
         """Return whether and why keyed routes may be served."""
@@ -61,22 +70,30 @@
         await self._peers.query(uuid.uuid4().hex, revision, sorted(missing))
 
     async def keep_fresh(self, revision: ids.Revision) -> None:
-        """Ask the required entries if freshness is about to expire."""
+        """Ask other entries if freshness is about to expire."""
         now_s = self._clock.monotonic_s()
-        if self.tracker.valid_until_s() - now_s >= QUERY_AHEAD_S:
-            return
-        if now_s - self._last_query_s < QUERY_INTERVAL_S:
+        remaining_s = self.tracker.valid_until_s() - now_s
+        if remaining_s >= ASK_SOME_AHEAD_S:
             return
+        required = sorted(self._peers.known.required(now_s))
+        if remaining_s < ASK_ALL_AHEAD_S:
+            if now_s - self._last_full_query_s < QUERY_INTERVAL_S:
+                return
+            self._last_full_query_s = now_s
+            asked = required
+        else:
+            if now_s - self._last_query_s < QUERY_INTERVAL_S:
+                return
+            asked = self._rng.sample(required, min(ASKED_COUNT, len(required)))
         self._last_query_s = now_s
-        self._query_id = uuid.uuid4().hex
-        required = self._peers.known.required(now_s)
+        query_id = uuid.uuid4().hex
         self.tracker.start_query(
-            self._query_id,
-            required,
+            query_id,
+            frozenset(required),
             now_s,
             last_drop_s=self._peers.known.last_drop_s,
         )
-        await self._peers.query(self._query_id, revision, sorted(required))
+        await self._peers.query(query_id, revision, asked)
 
     def record_reply(
         self, reply: messages.FreshnessReply, own_revision: ids.Revision
--- a/src/dogwoodpost/services/entry/process.py
+++ b/src/dogwoodpost/services/entry/process.py
@@ -103,6 +103,7 @@
             self._rng,
             process_id=identity.process_id,
             incarnation=identity.incarnation,
+            rank=configuration.service.lease_rank,
         )
         router = Router(
             ids.AvailabilityZone(settings.availability_zone),
