Announce an entry only after a scan that follows its registration

A failed first scan left the list of entries empty, and the new entry accepted changes although no other entry knew it. A dropped entry now needs a store read begun after the scan has ended, and a change is awaited from each registered entry, also from one whose host the list does not show.

--- a/src/dogwoodpost/core/configuration/known_entries.py
+++ b/src/dogwoodpost/core/configuration/known_entries.py
@@ -50,7 +50,7 @@
         self._first_scan_s: float | None = None
         self._last_scan_s: float | None = None
         self._last_drop_s: float | None = None
-        self._vanished: dict[ids.ProcessId, tuple[str, float]] = {}
+        self._vanished: dict[ids.ProcessId, float] = {}
         self._announced: dict[ids.ProcessId, tuple[str, float]] = {}
         self._heard_s: dict[ids.ProcessId, float] = {}
         self._listed_hosts: frozenset[ids.HostId] | None = None
@@ -58,12 +58,12 @@
 
     @property
     def last_scan_s(self) -> float | None:
-        """Start of the last successful scan."""
+        """Return the start of the last successful scan."""
         return self._last_scan_s
 
     @property
     def last_drop_s(self) -> float | None:
-        """Start of the last scan that no longer showed an entry."""
+        """Return the end of the last scan that no longer showed an entry."""
         return self._last_drop_s
 
     def row(self, process_id: ids.ProcessId) -> EntryRow | None:
@@ -81,22 +81,26 @@
             for row in rows
             if row.process_id != self._own_id
         }
-        for process_id, row in self._rows.items():
+        for process_id in self._rows:
             if process_id not in new:
-                self._vanished[process_id] = (row.peer_address, now_s)
-                self._last_drop_s = start_s
+                self._vanished[process_id] = now_s
+                self._last_drop_s = now_s
+        self._vanished = {
+            process_id: vanished_s
+            for process_id, vanished_s in self._vanished.items()
+            if process_id not in new and now_s < vanished_s + LINGER_S
+        }
         for process_id in new:
-            self._vanished.pop(process_id, None)
             self._heard_s.setdefault(process_id, now_s)
         for process_id, (_, heard_s) in tuple(self._announced.items()):
             if heard_s < start_s:
                 del self._announced[process_id]
                 if process_id not in new:
-                    self._last_drop_s = start_s
+                    self._last_drop_s = now_s
         self._rows = new
         self._last_scan_s = start_s
         if self._first_scan_s is None:
-            self._first_scan_s = start_s
+            self._first_scan_s = now_s
 
     def record_hosts(self, host_ids: Iterable[ids.HostId]) -> None:
         """Take the live and leaving hosts."""
@@ -149,15 +153,14 @@
             return None
         lingering = {
             process_id
-            for process_id, (_, vanished_s) in self._vanished.items()
+            for process_id, vanished_s in self._vanished.items()
             if now_s < vanished_s + LINGER_S
         }
-        live = {
-            process_id
-            for process_id, row in self._rows.items()
-            if self._is_live(row, now_s)
-        }
-        return frozenset(live | lingering | self._announced.keys())
+        # Also those whose host is not listed: waiting for a dead entry costs
+        # the freshness time at most, and a wrong list then does no harm.
+        return frozenset(
+            self._rows.keys() | lingering | self._announced.keys()
+        )
 
     def removable(self, now_s: float) -> list[EntryRow]:
         """Return registrations of dead entries."""
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -88,6 +89,7 @@
         self._ready = asyncio.Event()
         self._is_registered = False
         self._is_superseded = False
+        self._registered_s = math.inf
         self._told: dict[ids.Incarnation, ids.Revision] = {}
         self._open_reads = 0
         self._read_again = False
@@ -247,7 +249,6 @@
 
     async def _run(self) -> None:
         await self._register()
-        await self._registration.scan()
         await self._registration.read_hosts()
         self.add_future(self._poll())
         self.add_future(self._tick())
@@ -262,6 +263,7 @@
                 delay_s = self._rng.uniform(0, POLL_INTERVAL_S)
                 await self._clock.sleep(delay_s)
             else:
+                self._registered_s = self._clock.monotonic_s()
                 return
 
     async def _poll(self) -> None:
@@ -292,9 +294,16 @@
             if not self._is_registered and self._ready.is_set():
                 await self._register_again()
             elif not self._freshness.is_announced() and self._is_registered:
-                await self._freshness.announce(revision)
+                await self._announce(revision)
             await self._clock.sleep(TICK_S)
 
+    async def _announce(self, revision: ids.Revision) -> None:
+        # Entries that register later find this one's row themselves.
+        scan_s = self._peers.known.last_scan_s
+        is_after = scan_s is not None and scan_s >= self._registered_s
+        if is_after or await self._registration.scan():
+            await self._freshness.announce(revision)
+
     async def _register_again(self) -> None:
         if self._is_superseded:
             return
@@ -303,7 +312,7 @@
         except StoreError as error:
             _logger.warning('not_registered', error=str(error))
             return
-        await self._registration.scan()
+        self._registered_s = self._clock.monotonic_s()
         self._request_read()
 
     async def _push_to_all(self) -> None:
--- a/tests/core/configuration/test_spread.py
+++ b/tests/core/configuration/test_spread.py
@@ -104,7 +104,7 @@
     assert known.required(36.2) == {B, 'new'}, 'it may be newer than the scan'
     known.record_scan([row('b')], 36.3, 36.4)
     assert known.required(36.5) == {B}
-    assert known.last_drop_s == 36.3
+    assert known.last_drop_s == 36.4
 
 
 def test_a_removed_entry_is_awaited_while_its_read_is_fresh() -> None:
--- a/tests/services/entry/test_configuration_service.py
+++ b/tests/services/entry/test_configuration_service.py
@@ -233,6 +233,29 @@
     with_fleet(2, program)
 
 
+def test_a_new_entry_needs_a_scan_after_its_registration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry that takes an unread list for an empty one."""
+
+    async def program(fleet: Fleet) -> None:
+        late = fleet.add('late')
+
+        async def fail() -> bool:
+            return False
+
+        monkeypatch.setattr(late.registration, 'scan', fail)
+        await late.start()
+        await asyncio.sleep(3.0)
+        assert late.service.is_ready()
+        assert not late.service.accepts_changes()
+        monkeypatch.undo()
+        await asyncio.sleep(1.0)
+        assert late.service.accepts_changes()
+
+    with_fleet(1, program)
+
+
 def test_a_revocation_names_the_entries_it_waits_for() -> None:
     """Guards against a revocation that hides an unreachable entry."""
 
