--- a/measurements/control/__init__.py
+++ b/measurements/control/__init__.py
@@ -1,1 +1,1 @@
-"""Cases of measure-control."""
+"""Measurements of control work on virtual time."""
