Add the scaling service and loads by availability zone

Runs the scaler for each holding of orders/{region}/{service}, stores the learnt profile for a successor, and pauses 60 s before it asks a refusing zone again. OrderController.start now returns the refusing zones.

--- a/src/dogwoodpost/services/control/order_controller.py
+++ b/src/dogwoodpost/services/control/order_controller.py
@@ -129,14 +129,19 @@
         await self._advance_stops()
         return listing
 
-    async def start(self, zones: Sequence[ids.AvailabilityZone]) -> None:
+    async def start(
+        self, zones: Sequence[ids.AvailabilityZone]
+    ) -> set[ids.AvailabilityZone]:
         """Order one endpoint per named availability zone.
 
+        Returns the zones that refused an order.
+
         :raises LeaseLostError: the lease is lost.
         """
+        refusing: set[ids.AvailabilityZone] = set()
         for first in range(0, len(zones), self.batch_count):
             if not self.accepts_orders:
-                return
+                break
             intents = [
                 self._ledger.plan_start(
                     self._service, zone, self._fencing_number
@@ -144,7 +149,13 @@
                 for zone in zones[first : first + self.batch_count]
             ]
             await self._open(intents)
-            await self._send(intents)
+            results = await self._send(intents)
+            refusing.update(
+                intent.availability_zone
+                for intent in results
+                if intent.state is IntentState.REFUSED
+            )
+        return refusing
 
     async def stop(self, endpoints: Sequence[OrderedEndpoint]) -> None:
         """Begin to drain endpoints; each is ordered to stop when empty.
@@ -169,25 +180,27 @@
         await asyncio.gather(*drains, return_exceptions=True)
         self._drains.clear()
 
-    async def _open(self, intents: Sequence[OrderIntent]) -> None:
-        await self._commit(intents, is_new=True)
+    async def _open(
+        self, intents: Sequence[OrderIntent], *, is_new: bool = True
+    ) -> None:
+        await self._commit(intents, is_new=is_new)
         for intent in intents:
             self._ledger.put(intent, self._clock.monotonic_s())
 
-    async def _send(self, intents: Sequence[OrderIntent]) -> None:
+    async def _send(self, intents: Sequence[OrderIntent]) -> list[OrderIntent]:
+        """Send orders; return the intents in their new states."""
         results = await asyncio.gather(
             *(self._submit(intent) for intent in intents),
             return_exceptions=True,
         )
-        failures = [
-            result for result in results if isinstance(result, BaseException)
-        ]
+        sent = [item for item in results if isinstance(item, OrderIntent)]
+        for intent in sent:
+            self._put(intent)
         for result in results:
-            if isinstance(result, OrderIntent):
-                self._put(result)
-        if failures:
-            raise failures[0]
+            if isinstance(result, BaseException):
+                raise result
         await self._write_results()
+        return sent
 
     async def _submit(self, intent: OrderIntent) -> OrderIntent:
         """Send one order; return the intent in its new state."""
@@ -272,14 +285,9 @@
             if not self.accepts_orders:
                 return
             batch = drained[first : first + self.batch_count]
-            await self._open_drained(batch)
+            await self._open(batch, is_new=False)
             await self._send(batch)
 
-    async def _open_drained(self, intents: Sequence[OrderIntent]) -> None:
-        await self._commit(intents, is_new=False)
-        for intent in intents:
-            self._ledger.put(intent, self._clock.monotonic_s())
-
     async def _cancel_stop(self, intent: OrderIntent, detail: str) -> None:
         self._count('order_stop_cancelled')
         _log.warning(
--- /dev/null
+++ b/src/dogwoodpost/services/control/scaling_service.py
@@ -0,0 +1,189 @@
+"""Scales the endpoints of one (region, service) under its lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.scaling import DailyProfile
+from dogwoodpost.core.scaling import Scaler
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import StoreConflictError
+from dogwoodpost.ports.table_store import Write
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from dogwoodpost.core.scaling import ScalingSettings
+    from dogwoodpost.core.scaling import ZoneLoad
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.endpoint_orders import OrderedEndpoint
+    from dogwoodpost.ports.lease_guard import LeaseGuard
+    from dogwoodpost.ports.table_store import TableStore
+    from dogwoodpost.services.control.order_controller import OrderController
+
+_log = structlog.get_logger(__name__)
+_Profiles = dict[ids.AvailabilityZone, DailyProfile]
+
+
+class ScalingService:
+    """Compares the wanted endpoints with the platform's list and orders.
+
+    A new one is made for each holding. ``observe`` returns the loads of the
+    service in all zones, also those of other regions; orders go out only for
+    the zones in ``own_zones``.
+    """
+
+    # A successor starts from a profile that lacks at most this much.
+    save_interval_s = 900.0
+    # A zone that refuses orders is asked again after this time.
+    refusal_pause_s = 60.0
+
+    def __init__(
+        self,
+        *,
+        shard: ids.ShardName,
+        controller: OrderController,
+        guard: LeaseGuard,
+        store: TableStore,
+        clock: Clock,
+        settings: ScalingSettings,
+        own_zones: Collection[ids.AvailabilityZone],
+        observe: Callable[[], Sequence[ZoneLoad]],
+    ) -> None:
+        self._shard = shard
+        self._controller = controller
+        self._guard = guard
+        self._store = store
+        self._clock = clock
+        self._settings = settings
+        self._own_zones = frozenset(own_zones)
+        self._observe = observe
+        self._fencing_number = guard.fencing_number()
+        self._scaler = Scaler(settings, {})
+        self._saved_s = clock.monotonic_s()
+        self._save_count = 0
+        self._retry_at_s: dict[ids.AvailabilityZone, float] = {}
+
+    async def open(self) -> None:
+        """Read the predecessor's orders and profile; to be called first.
+
+        :raises StoreError: the store did not answer.
+        """
+        await self._controller.take_over()
+        rows = await self._store.read([self._profile_key])
+        if self._profile_key in rows:
+            profiles = msgspec.json.decode(
+                rows[self._profile_key].value, type=_Profiles
+            )
+            self._scaler = Scaler(self._settings, profiles)
+
+    async def run_once(self) -> None:
+        """Settle, observe, and order what is missing or too much.
+
+        :raises LeaseLostError: the lease is lost; nothing more may be done.
+        :raises PlatformError: the platform did not answer.
+        """
+        listing = await self._controller.reconcile()
+        loads = self._observe()
+        now_s = self._clock.monotonic_s()
+        wall_s = self._clock.wall_s()
+        self._scaler.observe(loads, now_s, wall_s)
+        current = self._current(listing, loads)
+        wanted = self._scaler.plan(current, now_s, wall_s)
+        if self._controller.accepts_orders:
+            await self._stop_surplus(listing, current, wanted)
+            await self._start_missing(current, wanted, now_s)
+        await self._save_profiles(now_s)
+
+    async def close(self) -> None:
+        """End running drains; the next holder takes them up again."""
+        await self._controller.close()
+
+    @property
+    def _profile_key(self) -> str:
+        return f'scaling/{self._shard}'
+
+    def _current(
+        self, listing: Sequence[OrderedEndpoint], loads: Sequence[ZoneLoad]
+    ) -> dict[ids.AvailabilityZone, int]:
+        """Count own endpoints by the list, those of other regions by load."""
+        leaving = self._controller.leaving
+        current = {
+            load.availability_zone: load.live_endpoint_count
+            for load in loads
+            if load.availability_zone not in self._own_zones
+        }
+        for zone in self._own_zones:
+            current[zone] = sum(
+                endpoint.availability_zone == zone
+                and endpoint.endpoint_id not in leaving
+                for endpoint in listing
+            )
+        return current
+
+    async def _stop_surplus(
+        self,
+        listing: Sequence[OrderedEndpoint],
+        current: Mapping[ids.AvailabilityZone, int],
+        wanted: Mapping[ids.AvailabilityZone, int],
+    ) -> None:
+        """Stop endpoints that still start first, then the youngest."""
+        leaving = self._controller.leaving
+        for zone in sorted(self._own_zones):
+            surplus = current[zone] - wanted.get(zone, current[zone])
+            candidates = [
+                endpoint
+                for endpoint in listing
+                if endpoint.availability_zone == zone
+                and endpoint.endpoint_id not in leaving
+            ]
+            candidates.sort(key=lambda endpoint: endpoint.running)
+            if surplus > 0:
+                _log.info('scaling_down', zone=zone, count=surplus)
+                await self._controller.stop(candidates[:surplus])
+
+    async def _start_missing(
+        self,
+        current: Mapping[ids.AvailabilityZone, int],
+        wanted: Mapping[ids.AvailabilityZone, int],
+        now_s: float,
+    ) -> None:
+        missing: list[ids.AvailabilityZone] = []
+        for zone in sorted(self._own_zones):
+            if now_s >= self._retry_at_s.get(zone, now_s):
+                count = wanted.get(zone, 0) - current[zone]
+                missing += [zone] * max(0, count)
+        if not missing:
+            return
+        _log.info('scaling_up', zones=missing)
+        for zone in await self._controller.start(missing):
+            self._retry_at_s[zone] = now_s + self.refusal_pause_s
+
+    async def _save_profiles(self, now_s: float) -> None:
+        """Write the profiles from time to time.
+
+        :raises LeaseLostError: the lease was lost.
+        """
+        if now_s - self._saved_s < self.save_interval_s:
+            return
+        self._save_count += 1
+        operation_id = ids.OperationId(
+            f'{self._profile_key}/{self._fencing_number}/{self._save_count}'
+        )
+        value = msgspec.json.encode(self._scaler.profiles)
+        try:
+            await self._store.commit(
+                operation_id,
+                [self._guard.fence_check()],
+                [Write(self._profile_key, value)],
+            )
+        except StoreConflictError as error:
+            raise LeaseLostError(f'{self._shard}: {error}') from error
+        self._saved_s = now_s
--- /dev/null
+++ b/src/dogwoodpost/services/control/zone_loads.py
@@ -0,0 +1,95 @@
+"""Loads of services by availability zone, from the agents' reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.scaling import ZoneLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core import messages
+    from dogwoodpost.core.routing.endpoint import Endpoint
+
+
+class ZoneLoads:
+    """Keeps the last load of each endpoint; an ``EndpointListener``."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[ids.EndpointId, Endpoint] = {}
+        self._loads: dict[ids.EndpointId, messages.EndpointLoad] = {}
+
+    def upsert(self, endpoint: Endpoint, now_s: float) -> None:
+        """Add an endpoint, or replace what is known of it."""
+        self._endpoints[endpoint.endpoint_id] = endpoint
+
+    def remove(self, endpoint_id: ids.EndpointId, now_s: float) -> None:
+        """Forget an endpoint; an unknown id has no effect."""
+        self._endpoints.pop(endpoint_id, None)
+        self._loads.pop(endpoint_id, None)
+
+    def report_load(self, load: messages.EndpointLoad, now_s: float) -> None:
+        """Take a load report."""
+        if load.endpoint_id in self._endpoints:
+            self._loads[load.endpoint_id] = load
+
+    def record_cache_events(
+        self, events: messages.CacheEvents, now_s: float
+    ) -> None:
+        """Ignore cache events; they do not matter to scaling."""
+
+    def loads(
+        self,
+        service: ids.ServiceName,
+        zones: Collection[ids.AvailabilityZone],
+        queued_count: int = 0,
+    ) -> list[ZoneLoad]:
+        """Return the loads of a service, also for zones without endpoints.
+
+        :param queued_count: requests that wait at all entries together; they
+            are shared out by the running ones.
+        """
+        endpoints = [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.service == service
+        ]
+        all_zones = {*zones, *(item.availability_zone for item in endpoints)}
+        totals = [self._total(zone, endpoints) for zone in sorted(all_zones)]
+        running = sum(total.running_count for total in totals)
+        return [
+            ZoneLoad(
+                availability_zone=total.availability_zone,
+                running_count=total.running_count,
+                waiting_count=total.waiting_count
+                + round(
+                    queued_count * total.running_count / running
+                    if running
+                    else queued_count / len(totals)
+                ),
+                live_endpoint_count=total.live_endpoint_count,
+            )
+            for total in totals
+        ]
+
+    def _total(
+        self, zone: ids.AvailabilityZone, endpoints: list[Endpoint]
+    ) -> ZoneLoad:
+        in_zone = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.availability_zone == zone
+        ]
+        loads = [
+            self._loads[endpoint.endpoint_id]
+            for endpoint in in_zone
+            if endpoint.endpoint_id in self._loads
+        ]
+        return ZoneLoad(
+            availability_zone=zone,
+            running_count=sum(load.running_count for load in loads),
+            waiting_count=sum(load.waiting_count for load in loads),
+            live_endpoint_count=sum(endpoint.ready for endpoint in in_zone),
+        )
