--- a/src/dogwoodpost/core/usage/ledger.py
+++ b/src/dogwoodpost/core/usage/ledger.py
@@ -8,7 +8,6 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.usage.figures import add
-from dogwoodpost.core.usage.figures import merge
 from dogwoodpost.core.usage.figures import remainder_as_adjustment
 from dogwoodpost.core.usage.rows import OPEN_WINDOWS_KEY
 from dogwoodpost.core.usage.rows import OpenWindows
@@ -92,9 +91,14 @@
         return self._open_version > 0
 
     @property
-    def unwritten(self) -> dict[ids.ClientAccountId, UsageFigures]:
+    def unwritten_by_window(
+        self,
+    ) -> dict[ids.UsageWindow, dict[ids.ClientAccountId, UsageFigures]]:
         """Return what a crash of this process would lose."""
-        return merge(window.remainder() for window in self._windows.values())
+        return {
+            number: window.remainder()
+            for number, window in self._windows.items()
+        }
 
     def record(
         self,
--- a/src/dogwoodpost/services/entry/usage_totals.py
+++ b/src/dogwoodpost/services/entry/usage_totals.py
@@ -66,9 +66,11 @@
         self._flush_lock = asyncio.Lock()
 
     @property
-    def unwritten(self) -> dict[ids.ClientAccountId, UsageFigures]:
+    def unwritten_by_window(
+        self,
+    ) -> dict[ids.UsageWindow, dict[ids.ClientAccountId, UsageFigures]]:
         """Return what a crash of this process would lose."""
-        return self._ledger.unwritten
+        return self._ledger.unwritten_by_window
 
     def record(
         self,
