--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -13,6 +13,7 @@
 
 from dogwoodpost.adapters.http.send_once import SendOnce
 from dogwoodpost.core import messages
+from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
 from dogwoodpost.ports.endpoint_client import CacheEventBatch
@@ -37,18 +38,14 @@
 _SECRET_HEADERS = frozenset(
     {'authorization', 'proxy-authorization', 'cookie', 'x-api-key'}
 )
-# Apply to one connection only, or are written anew by the library.
-_CONNECTION_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
+# The library writes them anew.
+_WRITTEN_BY_LIBRARY = frozenset({'content-length', 'host'})
+# The library would add them to requests that do not have them.
+_ADDED_BY_LIBRARY = (
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+    'User-Agent',
 )
 _PRIORITY_HEADER = 'X-Request-Priority'
 _TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
@@ -82,10 +79,8 @@
         self._response = response
         self._idle_timeout_s = idle_timeout_s
         self.status = response.status
-        self.headers = tuple(
-            (str(name), value)
-            for name, value in response.headers.items()
-            if name.lower() not in _CONNECTION_HEADERS
+        self.headers = end_to_end_headers(
+            response.headers.items(), _WRITTEN_BY_LIBRARY
         )
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -208,6 +203,7 @@
                     headers=headers,
                     data=request.body or None,
                     allow_redirects=False,
+                    skip_auto_headers=_ADDED_BY_LIBRARY,
                     timeout=aiohttp.ClientTimeout(total=None),
                     middlewares=(SendOnce(),),
                 )
@@ -247,12 +243,8 @@
 
 
 def _request_headers(request: EndpointRequest) -> list[tuple[str, str]]:
-    dropped = _CONNECTION_HEADERS | _SECRET_HEADERS
-    headers = [
-        (name, value)
-        for name, value in request.headers
-        if name.lower() not in dropped
-    ]
+    dropped = _WRITTEN_BY_LIBRARY | _SECRET_HEADERS
+    headers = list(end_to_end_headers(request.headers, dropped))
     headers.append((_PRIORITY_HEADER, str(request.priority)))
     remaining_ms = max(1, int(request.timeout_s * 1000))
     headers.append((_TIMEOUT_HEADER, str(remaining_ms)))
--- /dev/null
+++ b/src/dogwoodpost/core/http_headers.py
@@ -0,0 +1,54 @@
+"""Header fields that apply to one HTTP connection only."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'trailers',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def end_to_end_headers(
+    headers: Iterable[tuple[str, str]],
+    also_dropped: frozenset[str] = frozenset(),
+) -> Headers:
+    """Return the headers that pass on to the next connection.
+
+    The names become plain strings, because those of aiohttp are a subclass
+    that messages cannot carry.
+
+    :param also_dropped: further names, in lower case.
+    """
+    items = [(str(name), value) for name, value in headers]
+    dropped = HOP_BY_HOP | also_dropped | _listed_in_connection(items)
+    return tuple(
+        (name, value) for name, value in items if name.lower() not in dropped
+    )
+
+
+def _listed_in_connection(
+    headers: Iterable[tuple[str, str]],
+) -> frozenset[str]:
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    )
