Withdraw endpoints of agents that do not hear the entry

An agent that is heard but receives nothing kept its endpoints in routing, so attempts were sent into a silent connection until their deadline. Both directions now count. The agent counts its refusals by reason.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -13,6 +13,7 @@
 
 from dogwoodpost.adapters.http.send_once import SendOnce
 from dogwoodpost.core import messages
+from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
@@ -26,8 +27,8 @@
     from dogwoodpost.core import ids
     from dogwoodpost.ports.endpoint_client import EndpointRequest
 
-# Between tokens. A queued request sends no bytes, so the wait for the head is
-# bounded by the request's own time limit only.
+# Engines send a keep-alive at least every 10 s; two may be late. Other
+# services may take all of the request's time limit for the head.
 IDLE_TIMEOUT_S = 20.0
 CONTROL_TIMEOUT_S = 5.0
 # Loading weights moves gigabytes; 17 s is the target for all samplers.
@@ -196,8 +197,11 @@
 
     async def _open(self, request: EndpointRequest) -> aiohttp.ClientResponse:
         headers = _request_headers(request)
+        timeout_s = request.timeout_s
+        if request.path.partition('?')[0] in ENGINE_PATHS:
+            timeout_s = min(timeout_s, self._idle_timeout_s)
         try:
-            async with asyncio.timeout(request.timeout_s):
+            async with asyncio.timeout(timeout_s):
                 return await self._session.request(
                     request.method,
                     yarl.URL(self._base_url + request.path, encoded=True),
@@ -210,7 +214,7 @@
                 )
         except TimeoutError:
             raise EndpointError(
-                f'no answer within {request.timeout_s:.3f} s'
+                f'no answer within {timeout_s:.3f} s'
             ) from None
         except _CALL_ERRORS as error:
             raise EndpointError(f'no answer: {error!r}') from error
--- a/src/dogwoodpost/core/membership/peer_link.py
+++ b/src/dogwoodpost/core/membership/peer_link.py
@@ -83,6 +83,15 @@
         """Return whether work with the peer is to be given up."""
         return self.silence_s(now_s) > GONE_S
 
+    def unconfirmed_s(self, now_s: float) -> float:
+        """Return for how long the peer has confirmed no new heartbeat."""
+        return now_s - self._confirmed_s
+
+    def is_reachable(self, now_s: float) -> bool:
+        """Return whether the peer is heard and hears this process."""
+        silence_s = max(self.silence_s(now_s), self.unconfirmed_s(now_s))
+        return silence_s <= SILENCE_S
+
     def take_reconnect(self, now_s: float) -> bool:
         """Return whether to reopen the connection, at most every 3 s."""
         last_s = min(self._heard_s, self._confirmed_s)
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -27,6 +27,7 @@
     from dogwoodpost.core.attempts import AgentAttempts
     from dogwoodpost.core.membership import FencingNumbers
     from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.peer_transport import PeerTransport
     from dogwoodpost.services.agent.attempt_worker import AttemptWorker
@@ -57,6 +58,7 @@
         numbers: FencingNumbers,
         commands: EndpointCommands,
         watches: Sequence[EndpointWatch],
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -69,6 +71,7 @@
         self._numbers = numbers
         self._commands = commands
         self._watches = tuple(watches)
+        self._metrics = metrics
         self._sequence = 0
         self._background = BackgroundTasks()
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -217,6 +220,7 @@
         if isinstance(result, AttemptRecord):
             self._worker.start(result, message)
         elif result is not None:
+            self._metrics.refusals.labels(result.reason.value).inc()
             self._worker.resend(message.sender_address, (result,))
 
     def _on_fetch(self, message: messages.FetchAttempt) -> None:
--- a/src/dogwoodpost/services/agent/application.py
+++ b/src/dogwoodpost/services/agent/application.py
@@ -122,6 +122,7 @@
             identity, clients, checks_fencing, attempts, numbers, metrics
         ),
         watches,
+        metrics,
     )
 
 
--- a/src/dogwoodpost/services/entry/agent_directory.py
+++ b/src/dogwoodpost/services/entry/agent_directory.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.membership import GONE_S
 from dogwoodpost.core.membership import HeartbeatResult
 from dogwoodpost.core.membership import PeerLink
 from dogwoodpost.core.routing.endpoint import Endpoint
@@ -58,7 +59,8 @@
         if result is HeartbeatResult.OUTDATED:
             return result
         agent.address = hello.sender_address
-        self._update(agent, hello, now_s)
+        if agent.liveness.is_reachable(now_s):
+            self._update(agent, hello, now_s)
         return result
 
     def record_load(self, report: messages.LoadReport, now_s: float) -> None:
@@ -75,15 +77,20 @@
             self._listener.record_cache_events(events, now_s)
 
     def remove_silent(self, now_s: float) -> list[KnownAgent]:
-        """Withdraw the endpoints of silent agents; return agents now gone."""
-        gone = []
+        """Withdraw the endpoints of agents that are not reachable.
+
+        Returns the agents whose attempts are to be given up.
+        """
+        given_up = []
         for agent in self.agents():
-            if agent.liveness.is_silent(now_s):
+            liveness = agent.liveness
+            if not liveness.is_reachable(now_s):
                 self._withdraw(agent, set(agent.endpoints), now_s)
-            if agent.liveness.is_gone(now_s):
-                gone.append(agent)
+            if liveness.unconfirmed_s(now_s) > GONE_S:
+                given_up.append(agent)
+            if liveness.is_gone(now_s):
                 del self._agents[agent.process_id]
-        return gone
+        return given_up
 
     def _update(
         self, agent: KnownAgent, hello: messages.AgentHello, now_s: float
--- a/src/dogwoodpost/services/entry/peer_service.py
+++ b/src/dogwoodpost/services/entry/peer_service.py
@@ -121,7 +121,8 @@
         self._sequence += 1
         for agent in self._directory.remove_silent(now_s):
             self._runner.agent_gone(agent)
-            self._transport.reconnect(agent.address)
+            if self._directory.find(agent.process_id) is None:
+                self._transport.reconnect(agent.address)
         for agent in self._directory.agents():
             if agent.liveness.take_reconnect(now_s):
                 self._transport.reconnect(agent.address)
--- a/tests/adapters/http/test_endpoint_client.py
+++ b/tests/adapters/http/test_endpoint_client.py
@@ -111,6 +111,14 @@
     assert len(raw.requests) == 1
 
 
+async def test_silent_engine_is_found_before_the_time_limit() -> None:
+    """Guards against a silent connection that uses up the time limit."""
+    raw = RawServer(b'', silent=True)
+    async with connected(raw) as client:
+        with pytest.raises(EndpointError, match=r'no answer within 0\.2'):
+            await call(client, path='/v1/completions', timeout_s=3_600.0)
+
+
 async def test_refused_connection_is_an_error() -> None:
     """Guards against an unhandled error when the endpoint is down."""
     async with endpoint_session() as session:
--- a/tests/services/entry/test_agent_directory.py
+++ b/tests/services/entry/test_agent_directory.py
@@ -40,13 +40,26 @@
     assert set(listener.endpoints) == {'e1', 'e2'}
     assert directory.remove_silent(3.1) == []
     assert listener.endpoints == {}
-    directory.record_hello(hello('a', 2, 'e1'), 3.5)
+    directory.record_hello(hello('a', 2, 'e1', echo_sequence=1), 3.5)
     assert set(listener.endpoints) == {'e1'}
     (gone,) = directory.remove_silent(9.6)
     assert gone.process_id == 'a'
     assert directory.find('a') is None
 
 
+def test_agent_that_does_not_hear_the_entry_gets_no_work() -> None:
+    """Guards against attempts over a connection that is silent one way."""
+    directory, listener = make()
+    given_up = []
+    for second in range(8):
+        directory.record_hello(hello('a', second + 1, 'e1'), second)
+        given_up += directory.remove_silent(second + 0.1)
+        assert set(listener.endpoints) == ({'e1'} if second < 3 else set())
+    assert {agent.process_id for agent in given_up} == {'a'}
+    directory.record_hello(hello('a', 9, 'e1', echo_sequence=1), 8.0)
+    assert set(listener.endpoints) == {'e1'}
+
+
 def test_restart_and_leaving_replace_what_is_known() -> None:
     """Guards against attempts addressed to an agent's earlier run."""
     directory, listener = make()
