--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 from dogwoodpost.core.configuration.freshness import Freshness
 from dogwoodpost.core.configuration.known_entries import member_key
 from dogwoodpost.core.configuration.spread import Spread
+from dogwoodpost.core.leases import lease_rank
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.configuration_source import ConfigurationSource
 from dogwoodpost.services.entry.freshness import FreshnessQueries
@@ -83,10 +85,11 @@
             maxlen=RELAYED_COUNT
         )
         self._spread = Spread()
-        self._freshness = FreshnessQueries(peers, clock)
+        self._freshness = FreshnessQueries(peers, clock, rng)
         self._ready = asyncio.Event()
         self._is_registered = False
         self._is_superseded = False
+        self._registered_s = math.inf
         self._told: dict[ids.Incarnation, ids.Revision] = {}
         self._open_reads = 0
         self._read_again = False
@@ -127,6 +130,11 @@
         while not self.accepts_changes():  # noqa: ASYNC110
             await self._clock.sleep(TICK_S)
 
+    def lease_rank(self, shard: ids.ShardName) -> int:
+        """Return this entry's place among the live entries for a lease."""
+        others = self._peers.known.required(self._clock.monotonic_s())
+        return lease_rank(shard, self._peers.own.process_id, others)
+
     def spread(self, revision: ids.Revision) -> SpreadReport:
         """Return which entries have a revision in force."""
         now_s = self._clock.monotonic_s()
@@ -241,7 +249,6 @@
 
     async def _run(self) -> None:
         await self._register()
-        await self._registration.scan()
         await self._registration.read_hosts()
         self.add_future(self._poll())
         self.add_future(self._tick())
@@ -256,6 +263,7 @@
                 delay_s = self._rng.uniform(0, POLL_INTERVAL_S)
                 await self._clock.sleep(delay_s)
             else:
+                self._registered_s = self._clock.monotonic_s()
                 return
 
     async def _poll(self) -> None:
@@ -286,9 +294,16 @@
             if not self._is_registered and self._ready.is_set():
                 await self._register_again()
             elif not self._freshness.is_announced() and self._is_registered:
-                await self._freshness.announce(revision)
+                await self._announce(revision)
             await self._clock.sleep(TICK_S)
 
+    async def _announce(self, revision: ids.Revision) -> None:
+        # Entries that register later find this one's row themselves.
+        scan_s = self._peers.known.last_scan_s
+        is_after = scan_s is not None and scan_s >= self._registered_s
+        if is_after or await self._registration.scan():
+            await self._freshness.announce(revision)
+
     async def _register_again(self) -> None:
         if self._is_superseded:
             return
@@ -297,7 +312,7 @@
         except StoreError as error:
             _logger.warning('not_registered', error=str(error))
             return
-        await self._registration.scan()
+        self._registered_s = self._clock.monotonic_s()
         self._request_read()
 
     async def _push_to_all(self) -> None:
