--- a/measurements/control/usage.py
+++ b/measurements/control/usage.py
@@ -6,6 +6,7 @@
 import concurrent.futures
 import random
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -17,8 +18,6 @@
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.observability import Metrics
-from dogwoodpost.ports.usage_reports import UsageFigures
-from dogwoodpost.ports.usage_reports import UsageReport
 from dogwoodpost.services.control.lease_manager import LeaseManager
 from dogwoodpost.services.control.usage_reporter import UsageReporter
 from dogwoodpost.services.entry.usage_totals import UsageTotals
@@ -28,6 +27,10 @@
 from dogwoodpost.standins.usage_reports import UsageBook
 from dogwoodpost.standins.virtual_clock import VirtualClock
 
+if TYPE_CHECKING:
+    from dogwoodpost.ports.usage_reports import UsageFigures
+    from dogwoodpost.ports.usage_reports import UsageReport
+
 WINDOW_S = 60
 ENTRY_COUNT = 20
 # Enough for takeovers; lease managers tick four times a second each.
