--- a/tests/fakes/endpoint_caller.py
+++ b/tests/fakes/endpoint_caller.py
@@ -11,9 +11,9 @@
 from aiohttp.test_utils import TestServer
 
 from dogwoodpost.adapters.http import HttpEndpointClient
+from dogwoodpost.adapters.http.endpoint_session import endpoint_session
 from dogwoodpost.core import ids
 from dogwoodpost.ports.endpoint_client import EndpointRequest
-from dogwoodpost.services.agent.application import open_endpoint_session
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -96,6 +96,6 @@
 async def serve(
     app: web.Application, silence_s: float = 30.0
 ) -> AsyncIterator[Caller]:
-    async with TestServer(app) as server, open_endpoint_session() as session:
+    async with TestServer(app) as server, endpoint_session() as session:
         url = str(server.make_url('')).rstrip('/')
         yield Caller(session, url, silence_s)
