Give accounts that are behind more room at endpoints

Cause: an entry with one nearby endpoint out of five got too few places for its accounts, although they had had less than others.

--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -134,6 +134,11 @@
         )
         return list(itertools.islice(heads, count))
 
+    def lag_tokens(self, ticket: Ticket) -> float:
+        """Return how far a waiting request's account is behind the mean."""
+        queue = self._services[ticket.service].queue
+        return queue.lag_tokens(ticket.client_account_id)
+
     def start(self, ticket: Ticket, now_s: float) -> None:
         """Start a request that :meth:`heads` returned."""
         account = self._accounts[ticket.client_account_id]
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -20,6 +20,8 @@
 # the work for each place that becomes free.
 _MAX_CONSIDERED_COUNT = 16
 _ACCOUNT_DEPTH = 4
+# A few typical requests; smaller differences come and go.
+_BEHIND_TOKENS = 500.0
 
 
 class Started(msgspec.Struct, frozen=True):
@@ -100,6 +102,7 @@
                 waiting.query,
                 waiting_count=waiting_count - 1,
                 passed_over_s=0.0 if since_s is None else now_s - since_s,
+                behind=self._admission.lag_tokens(ticket) > _BEHIND_TOKENS,
             )
             endpoint = self._router.choose(query, now_s)
             if endpoint is None:
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -124,6 +124,14 @@
                 ahead += max(lead, 0.0) * weight_of(other_id)
         return ahead
 
+    def lag_tokens(self, account_id: ids.ClientAccountId) -> float:
+        """Return how far an account is behind the mean of all accounts.
+
+        The accounts include those that are served at other entries only.
+        """
+        mean = sum(self._virtual.values()) / len(self._virtual)
+        return mean - self._virtual[account_id]
+
     def charge_elsewhere(
         self, account_id: ids.ClientAccountId, tokens: float, weight: float
     ) -> None:
--- a/src/dogwoodpost/core/routing/route_query.py
+++ b/src/dogwoodpost/core/routing/route_query.py
@@ -17,6 +17,7 @@
     :param needs_room: refuse full endpoints, because the request can wait.
     :param passed_over_s: how long the request has been passed over in favour
         of others, while it waited for a better endpoint.
+    :param behind: the client account has had less than others elsewhere.
     :param waiting_count: requests of the service that wait before this one.
     :param may_probe: may be sent to an endpoint whose recovery is uncertain;
         false for work that must not run twice.
@@ -31,6 +32,7 @@
     excluded: frozenset[ids.EndpointId] = frozenset()
     needs_room: bool = True
     passed_over_s: float = 0.0
+    behind: bool = False
     waiting_count: int = 0
     may_probe: bool = True
 
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -300,7 +300,11 @@
 
     def _room(self, query: RouteQuery) -> float:
         """Return how many requests an endpoint may hold."""
-        return query.concurrency * self._settings.room_share
+        settings = self._settings
+        share = settings.room_share
+        if query.behind:
+            share = settings.behind_room_share
+        return query.concurrency * share
 
     def _score_s(
         self,
