--- a/measurements/requests/policy_entry.py
+++ b/measurements/requests/policy_entry.py
@@ -162,7 +162,7 @@
         del self._record_by_ticket[id(ticket)]
         if ticket.state is TicketState.WAITING:
             self._dispatcher.withdraw(ticket, now_s)
-        else:
+        elif ticket.state is TicketState.RUNNING:
             self.admission.finish(ticket, open_request.cost_tokens, now_s)
         self._start_ready(record.request.service)
 
@@ -194,6 +194,8 @@
     def _start_ready(self, service: str) -> None:
         now_s = self.world.loop.now_s
         name = ids.ServiceName(service)
+        for ticket in self._dispatcher.give_up_late(name, now_s):
+            self.close(self._record_by_ticket[id(ticket)], 'expired')
         for started in self._dispatcher.start_ready(name, now_s):
             record = self._record_by_ticket[id(started.ticket)]
             attempt_id = self._attempt_ids.pop(id(started.ticket))
--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -134,6 +134,25 @@
         )
         return list(itertools.islice(heads, count))
 
+    def late(
+        self, service: ids.ServiceName, needed_s: float, now_s: float
+    ) -> list[Ticket]:
+        """Return first requests of accounts that can hardly end in time.
+
+        They have waited for longer than expected at their arrival, and less
+        than ``needed_s`` is left.
+        """
+        state = self._services.get(service)
+        if state is None:
+            return []
+        return [
+            ticket
+            for ticket in state.queue.firsts()
+            if ticket.deadline_s - now_s < needed_s
+            and self._waited_share(ticket, now_s)
+            > self._settings.max_wait_share
+        ]
+
     def lag_tokens(self, ticket: Ticket) -> float:
         """Return how far a waiting request's account is behind the mean."""
         queue = self._services[ticket.service].queue
@@ -316,6 +335,10 @@
         key = (ticket.service, ticket.client_account_id)
         self._to_share[key] = self._to_share.get(key, 0.0) + tokens
 
+    def _waited_share(self, ticket: Ticket, now_s: float) -> float:
+        limit_s = ticket.deadline_s - ticket.enqueued_s
+        return (now_s - ticket.enqueued_s) / limit_s if limit_s > 0 else 1.0
+
     def _weight(self, client_account_id: ids.ClientAccountId) -> float:
         return self._accounts[client_account_id].limits.weight
 
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -74,6 +74,20 @@
         del self._waiting[id(ticket)]
         self._admission.withdraw(ticket, now_s)
 
+    def give_up_late(
+        self, service: ids.ServiceName, now_s: float
+    ) -> list[Ticket]:
+        """Withdraw and return requests that would probably not end in time.
+
+        They would take places from requests that can. A request that has not
+        waited for long is tried however short its time limit is.
+        """
+        needed_s = self._router.duration_s(service)
+        late = self._admission.late(service, needed_s, now_s)
+        for ticket in late:
+            self.withdraw(ticket, now_s)
+        return late
+
     def start_ready(
         self, service: ids.ServiceName, now_s: float
     ) -> list[Started]:
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -66,6 +66,10 @@
         for account_id in order:
             yield from itertools.islice(self._queues[account_id], depth)
 
+    def firsts(self) -> list[Ticket]:
+        """Return the first waiting request of each account."""
+        return [queue[0] for queue in self._queues.values()]
+
     def start(self, ticket: Ticket, weight: float) -> None:
         """Take a request off its account's queue to run it."""
         account_id = ticket.client_account_id
--- a/src/dogwoodpost/services/entry/request_queue.py
+++ b/src/dogwoodpost/services/entry/request_queue.py
@@ -65,6 +65,8 @@
 
     def _start_ready(self, service: ids.ServiceName) -> None:
         now_s = self._clock.monotonic_s()
+        for ticket in self._dispatcher.give_up_late(service, now_s):
+            self._futures[id(ticket)].set_exception(self._expired(ticket))
         for started in self._dispatcher.start_ready(service, now_s):
             self._futures[id(started.ticket)].set_result(started.endpoint)
         waiting = self._admission.waiting_count(service) > 0
@@ -84,17 +86,21 @@
             async with asyncio.timeout(ticket.deadline_s - start_s):
                 return await asyncio.shield(future)
         except TimeoutError:
-            now_s = self._clock.monotonic_s()
-            wait_s = self._admission.expected_wait_s(
-                ticket.client_account_id, ticket.service, now_s
-            )
-            raise RequestError(
-                'expired_in_queue',
-                'the time limit passed while the request was waiting',
-                status=504,
-                not_run=True,
-                retry_after_s=self._admission.retry_after_s(wait_s),
-            ) from None
+            raise self._expired(ticket) from None
+
+    def _expired(self, ticket: Ticket) -> RequestError:
+        wait_s = self._admission.expected_wait_s(
+            ticket.client_account_id,
+            ticket.service,
+            self._clock.monotonic_s(),
+        )
+        return RequestError(
+            'expired_in_queue',
+            'the request waited too long to end within its time limit',
+            status=504,
+            not_run=True,
+            retry_after_s=self._admission.retry_after_s(wait_s),
+        )
 
     def _give_up(
         self,
