--- a/src/dogwoodpost/services/entry/configuration_repository.py
+++ b/src/dogwoodpost/services/entry/configuration_repository.py
@@ -62,7 +62,12 @@
             older revision than the known one.
         """
         start_s = self._clock.monotonic_s()
-        rows = await self.tables.read([records.HEAD_KEY, *extra_keys])
+        # The next revision comes with the head, so that following one change
+        # takes one call; with a slow store two calls outlast the freshness.
+        next_key = records.revision_key(known.revision + 1)
+        rows = await self.tables.read(
+            [records.HEAD_KEY, next_key, *extra_keys]
+        )
         head_row = rows.pop(records.HEAD_KEY, None)
         head = records.HeadRecord()
         if head_row is not None:
@@ -72,7 +77,9 @@
                 f'the store shows revision {head.revision}, which is older '
                 f'than revision {known.revision} in force here'
             )
-        configuration, applied = await self._follow(known, head)
+        configuration, applied = await self._follow(
+            known, head, rows.get(next_key)
+        )
         return RepositoryRead(
             configuration=configuration,
             applied=tuple(applied),
@@ -124,10 +131,16 @@
         await self._objects.delete(records.snapshot_name(revision))
 
     async def _follow(
-        self, known: Configuration, head: records.HeadRecord
+        self,
+        known: Configuration,
+        head: records.HeadRecord,
+        next_row: Row | None,
     ) -> tuple[Configuration, list[records.RevisionRecord]]:
         if head.revision == known.revision:
             return known, []
+        if head.revision == known.revision + 1 and next_row is not None:
+            record = _RECORD.decode(next_row.value)
+            return apply_delta(known, record.delta), [record]
         base = known
         if head.snapshot_revision > known.revision + SCAN_LIMIT or (
             known.revision + 1 < head.oldest_revision
