Tell quiet entries from silent ones, and read less

Silence was the time since the last message, but entries that have nothing to say send none: after 30 s a live entry on a host that the lagging list does not show was no longer asked, and its row was removed. Now only unanswered queries count as silence, and unlisted entries are queried every 5 s. A dead entry's row is removed within 170 s instead of 45 s after its host leaves the list, because the list, 25 KB at 340 hosts, is read every 120 s; it is read at once when a query to all stays unanswered.

Scans go from every 5 s to every 10 s, and the fence row of a lease is read only when the fencing number has changed.

--- a/measurements/control/configuration.py
+++ b/measurements/control/configuration.py
@@ -9,6 +9,8 @@
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.ports.host_list import HostState
+from dogwoodpost.ports.host_list import ListedHost
 from dogwoodpost.standins.virtual_time import run_virtual
 from measurements.control.fleet import create_account
 from measurements.control.fleet import Fleet
@@ -27,6 +29,7 @@
 # The design page plans 20 entries for the target size, and 8,300 changes a
 # day.
 TARGET_ENTRY_COUNT = 20
+TARGET_HOST_COUNT = 340
 TARGET_CHANGE_INTERVAL_S = 86_400 / 8_300
 TRAFFIC_S = 300.0
 BYTES_TARGET_PER_S = 3_000.0
@@ -89,6 +92,7 @@
     def _totals(self) -> tuple[float, float, float, float]:
         links = [entry.link for entry in self._fleet.entries]
         size = sum(link.byte_count for link in links)
+        size += self._fleet.hosts.byte_count
         # Each message is sent by one node and received by another.
         size += 2 * sum(self._fleet.network.bytes_sent.values())
         return (
@@ -171,6 +175,13 @@
 
 async def _run_traffic() -> ConfigurationResult:
     fleet = Fleet(TARGET_ENTRY_COUNT, SEED)
+    for index in range(TARGET_HOST_COUNT):
+        host = ListedHost(
+            host_id=ids.HostId(f'host-{index}'),
+            availability_zone=ids.AvailabilityZone('minas-a'),
+            state=HostState.LIVE,
+        )
+        fleet.hosts.listed[host.host_id] = host
     await fleet.start()
     await asyncio.sleep(5.0)
     meter = _Meter(fleet)
--- a/measurements/control/fleet.py
+++ b/measurements/control/fleet.py
@@ -123,6 +123,20 @@
         self._network.disconnect(self._address)
 
 
+class CountedHostList(MemoryHostList):
+    """Counts the JSON bytes of the lists that were read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.byte_count = 0
+
+    async def hosts(self) -> Sequence[ListedHost]:
+        """Return the current list."""
+        hosts = await super().hosts()
+        self.byte_count += len(msgspec.json.encode(hosts))
+        return hosts
+
+
 class TimedTableStore(MemoryTableStore):
     """Notes the true time at which each revision became durable."""
 
@@ -273,7 +287,7 @@
         self.rng = random.Random(seed)
         self.tables = TimedTableStore()
         self.objects = MemoryObjectStore()
-        self.hosts = MemoryHostList()
+        self.hosts = CountedHostList()
         self.network = Network(self.rng)
         self.entries = [
             Entry(self, f'entry-{index}', rates[index % len(rates)])
--- a/src/dogwoodpost/core/configuration/known_entries.py
+++ b/src/dogwoodpost/core/configuration/known_entries.py
@@ -13,8 +13,8 @@
 
 MEMBER_PREFIX = 'members/entry/'
 
-# An unlisted entry counts as dead only after this silence. The host list
-# lags, so a new host may be missing from it for a while.
+# An unlisted entry counts as dead only if it has left queries unanswered for
+# this long. The host list lags, so a new host may be missing from it.
 SILENCE_S = 30.0
 
 # A vanished entry may serve what it read before for as long as a read is
@@ -52,7 +52,7 @@
         self._last_drop_s: float | None = None
         self._vanished: dict[ids.ProcessId, float] = {}
         self._announced: dict[ids.ProcessId, tuple[str, float]] = {}
-        self._heard_s: dict[ids.ProcessId, float] = {}
+        self._unanswered_s: dict[ids.ProcessId, float] = {}
         self._listed_hosts: frozenset[ids.HostId] | None = None
         self._once_listed: set[ids.HostId] = set()
 
@@ -90,13 +90,16 @@
             for process_id, vanished_s in self._vanished.items()
             if process_id not in new and now_s < vanished_s + LINGER_S
         }
-        for process_id in new:
-            self._heard_s.setdefault(process_id, now_s)
         for process_id, (_, heard_s) in tuple(self._announced.items()):
             if heard_s < start_s:
                 del self._announced[process_id]
                 if process_id not in new:
                     self._last_drop_s = now_s
+        self._unanswered_s = {
+            process_id: asked_s
+            for process_id, asked_s in self._unanswered_s.items()
+            if process_id in new or process_id in self._announced
+        }
         self._rows = new
         self._last_scan_s = start_s
         if self._first_scan_s is None:
@@ -113,11 +116,32 @@
         """Note a message from another entry."""
         if process_id == self._own_id:
             return
-        self._heard_s[process_id] = now_s
+        self._unanswered_s.pop(process_id, None)
         row = self._rows.get(process_id)
         if row is None or row.peer_address != address:
             self._announced[process_id] = (address, now_s)
 
+    def record_asked(self, process_id: ids.ProcessId, now_s: float) -> None:
+        """Note a query to another entry; any message from it answers it."""
+        self._unanswered_s.setdefault(process_id, now_s)
+
+    def unlisted(self) -> list[ids.ProcessId]:
+        """Return the registered entries whose host the list does not show."""
+        if self._listed_hosts is None:
+            return []
+        return sorted(
+            process_id
+            for process_id, row in self._rows.items()
+            if row.host_id not in self._listed_hosts
+        )
+
+    def has_silent(self, now_s: float) -> bool:
+        """Return whether a registered entry has long been silent."""
+        return any(
+            self._silence_s(process_id, now_s) >= SILENCE_S
+            for process_id in self._rows
+        )
+
     def addresses(self) -> dict[ids.ProcessId, str]:
         """Return where the other entries are reached."""
         addresses = {
@@ -181,4 +205,4 @@
         return self._silence_s(row.process_id, now_s) < SILENCE_S
 
     def _silence_s(self, process_id: ids.ProcessId, now_s: float) -> float:
-        return now_s - self._heard_s.get(process_id, now_s)
+        return now_s - self._unanswered_s.get(process_id, now_s)
--- a/src/dogwoodpost/core/leases/lease.py
+++ b/src/dogwoodpost/core/leases/lease.py
@@ -143,32 +143,43 @@
             return None
         return self._held.fencing_number
 
+    def keys_to_read(self) -> list[str]:
+        """Return the keys of the rows that :meth:`observe` needs.
+
+        The fence row changes only together with the fencing number, which the
+        renewal row has as well.
+        """
+        if self._observed is not None and self._observed.fence_version > 0:
+            return [renewal_key(self.shard)]
+        return [fence_key(self.shard), renewal_key(self.shard)]
+
     def observe(self, rows: Mapping[str, Row], read_end_s: float) -> None:
         """Take the lease's rows as they were read.
 
         :param read_end_s: when the read returned. The rows may have been
             written while it was under way, so its start is too early.
         """
-        fence = rows.get(fence_key(self.shard))
         renewal = rows.get(renewal_key(self.shard))
-        if self._held is not None and (
-            fence is None or fence.version != self._held.fence_version
-        ):
-            self._held = None
-        if fence is None or renewal is None:
+        previous = self._observed
+        if renewal is None:
             self._observed = _Observed(
                 0, 0, ids.FencingNumber(0), 0.0, True, read_end_s
             )
             return
-        previous = self._observed
-        if previous is not None and (
-            previous.fence_version == fence.version
-            and previous.renewal_version == renewal.version
-        ):
+        if previous and previous.renewal_version == renewal.version:
             return
         record = msgspec.json.decode(renewal.value, type=RenewalRecord)
+        fence = rows.get(fence_key(self.shard))
+        if fence is not None:
+            fence_version = fence.version
+        elif previous and previous.fencing_number == record.fencing_number:
+            fence_version = previous.fence_version
+        else:
+            # There was a takeover; the next read includes the fence row.
+            self._observed = None
+            return
         self._observed = _Observed(
-            fence.version,
+            fence_version,
             renewal.version,
             record.fencing_number,
             record.duration_s,
--- a/src/dogwoodpost/services/control/lease_manager.py
+++ b/src/dogwoodpost/services/control/lease_manager.py
@@ -10,11 +10,9 @@
 from mode import Service
 
 from dogwoodpost.core import ids
-from dogwoodpost.core.leases import fence_key
 from dogwoodpost.core.leases import Lease
 from dogwoodpost.core.leases import LeaseAction
 from dogwoodpost.core.leases import LeaseTerms
-from dogwoodpost.core.leases import renewal_key
 from dogwoodpost.errors import StoreConflictError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.lease_guard import LeaseGuard
@@ -185,7 +183,7 @@
             self._plan_next_read(lease, now_s)
         keys: list[str] = []
         for lease in wanted:
-            keys += [fence_key(lease.shard), renewal_key(lease.shard)]
+            keys += lease.keys_to_read()
         try:
             rows = await self._tables.read(keys)
         except StoreError:
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -48,6 +48,7 @@
 MAX_OPEN_READS = 3
 TICK_S = 0.25
 REPEAT_PUSH_S = 1.0
+PROBE_INTERVAL_S = 5.0
 # Id of queries that ask for the revision only.
 SPREAD_QUERY = 'spread'
 # An entry that learns of a change by polling tells a few others, in case the
@@ -253,6 +254,7 @@
         self.add_future(self._poll())
         self.add_future(self._tick())
         self.add_future(self._registration.follow())
+        self.add_future(self._probe())
 
     async def _register(self) -> None:
         while not self.should_stop:
@@ -291,6 +293,9 @@
         while not self.should_stop:
             revision = self._configuration.revision
             await self._freshness.keep_fresh(revision)
+            if self._freshness.is_unanswered():
+                # The silent entry's host may have failed.
+                self._start(self._registration.read_hosts())
             if not self._is_registered and self._ready.is_set():
                 await self._register_again()
             elif not self._freshness.is_announced() and self._is_registered:
@@ -304,6 +309,16 @@
         if is_after or await self._registration.scan():
             await self._freshness.announce(revision)
 
+    async def _probe(self) -> None:
+        """Ask the entries that the host list does not show."""
+        while not self.should_stop:
+            await self._clock.sleep(PROBE_INTERVAL_S)
+            await self._peers.query(
+                SPREAD_QUERY,
+                self._configuration.revision,
+                self._peers.known.unlisted(),
+            )
+
     async def _register_again(self) -> None:
         if self._is_superseded:
             return
--- a/src/dogwoodpost/services/entry/entry_peers.py
+++ b/src/dogwoodpost/services/entry/entry_peers.py
@@ -66,7 +66,11 @@
             query_id=query_id,
             revision=revision,
         )
-        await self._send_all(message, to)
+        asked = tuple(to)
+        now_s = self._clock.monotonic_s()
+        for process_id in asked:
+            self.known.record_asked(process_id, now_s)
+        await self._send_all(message, asked)
 
     async def reply(
         self,
--- a/src/dogwoodpost/services/entry/freshness.py
+++ b/src/dogwoodpost/services/entry/freshness.py
@@ -26,6 +26,8 @@
 # Early enough for all answers to come before freshness expires.
 ASK_ALL_AHEAD_S = 0.75
 QUERY_INTERVAL_S = 1.0
+# Answers between regions come within a tenth of this.
+ANSWER_TIME_S = 0.5
 
 
 class FreshnessQueries:
@@ -95,6 +97,11 @@
         )
         await self._peers.query(query_id, revision, asked)
 
+    def is_unanswered(self) -> bool:
+        """Return whether a query to all has not been answered by all."""
+        age_s = self._clock.monotonic_s() - self._last_full_query_s
+        return bool(self.tracker.unanswered()) and age_s >= ANSWER_TIME_S
+
     def record_reply(
         self, reply: messages.FreshnessReply, own_revision: ids.Revision
     ) -> None:
--- a/src/dogwoodpost/services/entry/registration.py
+++ b/src/dogwoodpost/services/entry/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import uuid
 from typing import TYPE_CHECKING
 
@@ -28,7 +29,11 @@
     from dogwoodpost.ports.table_store import Row
     from dogwoodpost.ports.table_store import TableStore
 
-SCAN_INTERVAL_S = 5.0
+# A scan of 20 rows has about 5 KB, the list of 340 hosts about 25 KB; both are
+# read at once when something depends on them.
+SCAN_INTERVAL_S = 10.0
+HOSTS_INTERVAL_S = 120.0
+HOSTS_MIN_INTERVAL_S = 2.0
 RETRY_DELAY_S = 1.0
 SCAN_LIMIT = 1000
 REMOVE_TRIES = 3
@@ -60,6 +65,7 @@
         self._clock = clock
         self._rng = rng
         self._operation_id = _new_operation_id()
+        self._hosts_read_s = -math.inf
 
     async def on_stop(self) -> None:
         """Remove the own row, so that the others no longer ask this entry."""
@@ -85,7 +91,10 @@
             delay_s = SCAN_INTERVAL_S * self._rng.uniform(0.8, 1.2)
             await self._clock.sleep(delay_s)
             await self.scan()
-            await self.read_hosts()
+            now_s = self._clock.monotonic_s()
+            is_due = now_s - self._hosts_read_s >= HOSTS_INTERVAL_S
+            if is_due or self._known.has_silent(now_s):
+                await self.read_hosts()
             await self._remove_dead()
 
     async def scan(self) -> bool:
@@ -110,8 +119,12 @@
 
     async def read_hosts(self) -> None:
         """Read the host list; on a failure the last one stays in use."""
+        now_s = self._clock.monotonic_s()
         if self._host_list is None:
             return
+        if now_s - self._hosts_read_s < HOSTS_MIN_INTERVAL_S:
+            return
+        self._hosts_read_s = now_s
         try:
             hosts = await self._host_list.hosts()
         except PlatformError:
--- a/tests/core/configuration/test_spread.py
+++ b/tests/core/configuration/test_spread.py
@@ -89,6 +89,12 @@
     assert known.required(1.0) == {A, B}
     known.record_hosts([ids.HostId('host-a')])
     # The list lags, so a host that it never showed may be new.
+    assert known.required(99.0) == {A, B}, 'it was not asked'
+    assert known.removable(99.0) == []
+    assert known.unlisted() == [B]
+    known.record_asked(A, 1.0)
+    known.record_asked(B, 1.0)
+    known.record_asked(B, 20.0)
     assert known.required(29.0) == {A, B}
     assert known.required(31.0) == {A}
     assert [dead.process_id for dead in known.removable(31.0)] == [B]
