--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -13,6 +13,8 @@
 
 from dogwoodpost.adapters.http.send_once import SendOnce
 from dogwoodpost.core import messages
+from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
+from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
 from dogwoodpost.ports.endpoint_client import CacheEventBatch
@@ -25,8 +27,8 @@
     from dogwoodpost.core import ids
     from dogwoodpost.ports.endpoint_client import EndpointRequest
 
-# Between tokens. A queued request sends no bytes, so the wait for the head is
-# bounded by the request's own time limit only.
+# Engines send a keep-alive at least every 10 s; two may be late. Other
+# services may take all of the request's time limit for the head.
 IDLE_TIMEOUT_S = 20.0
 CONTROL_TIMEOUT_S = 5.0
 # Loading weights moves gigabytes; 17 s is the target for all samplers.
@@ -37,21 +39,18 @@
 _SECRET_HEADERS = frozenset(
     {'authorization', 'proxy-authorization', 'cookie', 'x-api-key'}
 )
-# Apply to one connection only, or are written anew by the library.
-_CONNECTION_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
+# The library writes them anew.
+_WRITTEN_BY_LIBRARY = frozenset({'content-length', 'host'})
+# The library would add them to requests that do not have them.
+_ADDED_BY_LIBRARY = (
+    'Accept',
+    'Accept-Encoding',
+    'Content-Type',
+    'User-Agent',
 )
 _PRIORITY_HEADER = 'X-Request-Priority'
 _TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
+_SUCCESS_STATUSES = frozenset({200, 204})
 _UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
 _Action = messages.EndpointAction
 # The path of an order, and the field that holds its argument.
@@ -82,10 +81,8 @@
         self._response = response
         self._idle_timeout_s = idle_timeout_s
         self.status = response.status
-        self.headers = tuple(
-            (str(name), value)
-            for name, value in response.headers.items()
-            if name.lower() not in _CONNECTION_HEADERS
+        self.headers = end_to_end_headers(
+            response.headers.items(), _WRITTEN_BY_LIBRARY
         )
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -179,7 +176,7 @@
             raise EndpointError(f'{action.value} is no order to an endpoint')
         path, field = _COMMANDS[action]
         body = {
-            field: argument,
+            field: _typed(field, argument),
             'fencing_number': fencing_number,
             'fetch_from': list(fetch_from),
         }
@@ -200,20 +197,24 @@
 
     async def _open(self, request: EndpointRequest) -> aiohttp.ClientResponse:
         headers = _request_headers(request)
+        timeout_s = request.timeout_s
+        if request.path.partition('?')[0] in ENGINE_PATHS:
+            timeout_s = min(timeout_s, self._idle_timeout_s)
         try:
-            async with asyncio.timeout(request.timeout_s):
+            async with asyncio.timeout(timeout_s):
                 return await self._session.request(
                     request.method,
                     yarl.URL(self._base_url + request.path, encoded=True),
                     headers=headers,
                     data=request.body or None,
                     allow_redirects=False,
+                    skip_auto_headers=_ADDED_BY_LIBRARY,
                     timeout=aiohttp.ClientTimeout(total=None),
                     middlewares=(SendOnce(),),
                 )
         except TimeoutError:
             raise EndpointError(
-                f'no answer within {request.timeout_s:.3f} s'
+                f'no answer within {timeout_s:.3f} s'
             ) from None
         except _CALL_ERRORS as error:
             raise EndpointError(f'no answer: {error!r}') from error
@@ -240,19 +241,15 @@
             raise EndpointError(f'{path}: {error!r}') from error
         if response.status in _UNSUPPORTED_STATUSES:
             raise EndpointUnsupportedError(f'{path}: no such path')
-        if response.status != 200:
+        if response.status not in _SUCCESS_STATUSES:
             text = body[:200].decode(errors='replace')
             raise EndpointError(f'{path}: status {response.status}: {text}')
         return body
 
 
 def _request_headers(request: EndpointRequest) -> list[tuple[str, str]]:
-    dropped = _CONNECTION_HEADERS | _SECRET_HEADERS
-    headers = [
-        (name, value)
-        for name, value in request.headers
-        if name.lower() not in dropped
-    ]
+    dropped = _WRITTEN_BY_LIBRARY | _SECRET_HEADERS
+    headers = list(end_to_end_headers(request.headers, dropped))
     headers.append((_PRIORITY_HEADER, str(request.priority)))
     remaining_ms = max(1, int(request.timeout_s * 1000))
     headers.append((_TIMEOUT_HEADER, str(remaining_ms)))
@@ -262,6 +259,15 @@
     return headers
 
 
+def _typed(field: str, argument: str) -> str | int:
+    if field != 'weight_version':
+        return argument
+    try:
+        return int(argument)
+    except ValueError:
+        raise EndpointError(f'{argument!r} is no weight version') from None
+
+
 def _decode(body: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/dogwoodpost/adapters/http/endpoint_session.py
+++ b/src/dogwoodpost/adapters/http/endpoint_session.py
@@ -14,5 +14,7 @@
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
         cookie_jar=aiohttp.DummyCookieJar(),
+        # Requests and responses pass as they are.
         auto_decompress=False,
+        skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Content-Type'),
     )
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -27,6 +27,7 @@
     from dogwoodpost.core.attempts import AgentAttempts
     from dogwoodpost.core.membership import FencingNumbers
     from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.peer_transport import PeerTransport
     from dogwoodpost.services.agent.attempt_worker import AttemptWorker
@@ -57,11 +58,12 @@
         numbers: FencingNumbers,
         commands: EndpointCommands,
         watches: Sequence[EndpointWatch],
+        metrics: Metrics,
     ) -> None:
         super().__init__()
         self._settings = settings
         self.identity = identity
-        self._transport = transport
+        self.transport = transport
         self._clock = clock
         self._links = links
         self._attempts = attempts
@@ -69,6 +71,7 @@
         self._numbers = numbers
         self._commands = commands
         self._watches = tuple(watches)
+        self._metrics = metrics
         self._sequence = 0
         self._background = BackgroundTasks()
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -109,7 +112,7 @@
     async def on_shutdown(self) -> None:
         """Close the connections after all tasks have ended."""
         await self._background.cancel()
-        await self._transport.close()
+        await self.transport.close()
 
     def _is_drained(self) -> bool:
         if self._attempts.running_count() > 0:
@@ -125,7 +128,7 @@
 
     async def _receive(self) -> None:
         while True:
-            message = await self._transport.receive()
+            message = await self.transport.receive()
             handler = self._handlers.get(type(message))
             if handler is not None:
                 handler(message)
@@ -217,6 +220,7 @@
         if isinstance(result, AttemptRecord):
             self._worker.start(result, message)
         elif result is not None:
+            self._metrics.refusals.labels(result.reason.value).inc()
             self._worker.resend(message.sender_address, (result,))
 
     def _on_fetch(self, message: messages.FetchAttempt) -> None:
@@ -240,7 +244,7 @@
     async def _send(self, address: str, message: messages.AnyMessage) -> None:
         # Heartbeats repeat; a lost result of an order is asked for again.
         with contextlib.suppress(TransportError):
-            await self._transport.send(address, message)
+            await self.transport.send(address, message)
 
     def _now_s(self) -> float:
         return self._clock.monotonic_s()
--- a/src/dogwoodpost/services/agent/endpoint_watch.py
+++ b/src/dogwoodpost/services/agent/endpoint_watch.py
@@ -38,7 +38,6 @@
         self._sender = identity.sender_fields()
         self._failure_count = 0
         self._weight_version: ids.WeightVersion | None = None
-        self._has_cache_events = True
         self._last_sequence = SNAPSHOT
 
     def state(self) -> messages.EndpointState:
@@ -72,7 +71,7 @@
 
     async def poll_cache(self) -> messages.CacheEvents | None:
         """Return the cache events since the last call."""
-        if not self._has_cache_events:
+        if not self._is_engine():
             return None
         batch = await self._fetch(self._last_sequence)
         if batch is None:
@@ -82,7 +81,7 @@
 
     async def snapshot(self) -> messages.CacheEvents | None:
         """Return all cached blocks, for an entry that has none of them."""
-        if not self._has_cache_events:
+        if not self._is_engine():
             return None
         batch = await self._fetch(SNAPSHOT)
         return None if batch is None else self._message(batch)
@@ -90,11 +89,13 @@
     async def _fetch(self, after: int) -> CacheEventBatch | None:
         try:
             return await self._client.cache_events(after)
-        except EndpointUnsupportedError:
-            self._has_cache_events = False
         except EndpointError:
-            pass
-        return None
+            return None
+
+    def _is_engine(self) -> bool:
+        # A plain service might run a request to any path, so it is asked for
+        # nothing but its load.
+        return self._weight_version is not None
 
     def _message(self, batch: CacheEventBatch) -> messages.CacheEvents:
         return messages.CacheEvents(
