Survive malformed rows and report failed background work

A malformed row or relayed revision ended a background task without a trace; a malformed registration ended the service. Malformed configuration rows now count as an outage, malformed registrations are logged and left out. A watch on a revision that does not exist answers NOT_FOUND instead of waiting.

--- a/src/dogwoodpost/admin/servicer.py
+++ b/src/dogwoodpost/admin/servicer.py
@@ -18,6 +18,7 @@
 from dogwoodpost.core.configuration import changes
 from dogwoodpost.core.configuration import field_differences
 from dogwoodpost.core.keys import key_digest
+from dogwoodpost.errors import RevisionNotKeptError
 from dogwoodpost.services.entry.configuration_editor import ChangeRequest
 from dogwoodpost.services.entry.configuration_editor import fingerprint_of
 
@@ -226,6 +227,8 @@
         revision = ids.Revision(
             request.revision or self._service.current().revision
         )
+        with grpc_errors('WatchSpread'):
+            await self._require_known(revision)
         last: pb.Spread | None = None
         while last is None or not last.in_force:
             report = await self._service.ask_spread(revision)
@@ -236,6 +239,12 @@
             if not spread.in_force:
                 await self._clock.sleep(WATCH_INTERVAL_S)
 
+    async def _require_known(self, revision: ids.Revision) -> None:
+        if revision > self._service.current().revision:
+            await self._service.refresh()
+        if revision > self._service.current().revision:
+            raise RevisionNotKeptError(f'there is no revision {revision}')
+
     async def _serve_change(
         self, stream: Stream[Any, pb.ChangeResult]
     ) -> None:
--- a/src/dogwoodpost/services/entry/configuration_repository.py
+++ b/src/dogwoodpost/services/entry/configuration_repository.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import msgspec
 
@@ -23,9 +24,7 @@
 
 SCAN_LIMIT = 500
 
-_HEAD = msgspec.json.Decoder(records.HeadRecord)
-_RECORD = msgspec.json.Decoder(records.RevisionRecord)
-_SNAPSHOT = msgspec.json.Decoder(Configuration)
+_Record = TypeVar('_Record')
 
 
 class RepositoryRead(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,7 +70,7 @@
         head_row = rows.pop(records.HEAD_KEY, None)
         head = records.HeadRecord()
         if head_row is not None:
-            head = _HEAD.decode(head_row.value)
+            head = _decode(head_row.value, records.HeadRecord)
         if head.revision < known.revision:
             raise StoreUnavailableError(
                 f'the store shows revision {head.revision}, which is older '
@@ -100,7 +99,9 @@
         row = (await self.tables.read([key])).get(key)
         if row is None:
             raise _not_kept(revision)
-        snapshot_revision = _RECORD.decode(row.value).snapshot_revision
+        snapshot_revision = _decode(
+            row.value, records.RevisionRecord
+        ).snapshot_revision
         base = await self._snapshot(snapshot_revision)
         if base is None:
             raise _not_kept(revision)
@@ -118,7 +119,7 @@
             after=records.revision_key(after),
             limit=limit,
         )
-        return [_RECORD.decode(row.value) for row in rows]
+        return [_decode(row.value, records.RevisionRecord) for row in rows]
 
     async def store_snapshot(self, configuration: Configuration) -> None:
         """Store a committed revision; a repeat stores the same bytes."""
@@ -139,7 +140,7 @@
         if head.revision == known.revision:
             return known, []
         if head.revision == known.revision + 1 and next_row is not None:
-            record = _RECORD.decode(next_row.value)
+            record = _decode(next_row.value, records.RevisionRecord)
             return apply_delta(known, record.delta), [record]
         base = known
         if head.snapshot_revision > known.revision + SCAN_LIMIT or (
@@ -158,7 +159,7 @@
         if revision == 0:
             return Configuration()
         data = await self._objects.get(records.snapshot_name(revision))
-        return None if data is None else _SNAPSHOT.decode(data)
+        return None if data is None else _decode(data, Configuration)
 
     async def _replay(
         self, base: Configuration, last: ids.Revision
@@ -180,3 +181,11 @@
 
 def _not_kept(revision: ids.Revision) -> RevisionNotKeptError:
     return RevisionNotKeptError(f'revision {revision} is not kept')
+
+
+def _decode(data: bytes, record_type: type[_Record]) -> _Record:
+    try:
+        return msgspec.json.decode(data, type=record_type)
+    except msgspec.MsgspecError as error:
+        # Treated like an outage: nothing can be known from such a store.
+        raise StoreUnavailableError(f'malformed row: {error}') from error
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -395,7 +395,12 @@
         configuration = self._configuration
         applied = []
         for data in relayed:
-            record = msgspec.json.decode(data, type=records.RevisionRecord)
+            try:
+                record = msgspec.json.decode(data, type=records.RevisionRecord)
+            except msgspec.MsgspecError:
+                # The entry then stays behind, which its freshness shows.
+                _logger.warning('malformed_relayed_revision')
+                break
             if record.revision == configuration.revision + 1:
                 configuration = apply_delta(configuration, record.delta)
                 applied.append(record)
@@ -404,4 +409,9 @@
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(coroutine)
         self._open_tasks.add(task)
-        task.add_done_callback(self._open_tasks.discard)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._open_tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _logger.error('background_task_failed', exc_info=task.exception())
--- a/src/dogwoodpost/services/entry/registration.py
+++ b/src/dogwoodpost/services/entry/registration.py
@@ -21,7 +21,6 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
 
     from dogwoodpost.core.configuration.known_entries import KnownEntries
     from dogwoodpost.ports.clock import Clock
@@ -112,9 +111,8 @@
                     break
         except StoreError:
             return False
-        self._known.record_scan(
-            _decode_rows(rows), start_s, self._clock.monotonic_s()
-        )
+        entries = [entry for row in rows if (entry := _decode(row))]
+        self._known.record_scan(entries, start_s, self._clock.monotonic_s())
         return True
 
     async def read_hosts(self) -> None:
@@ -161,12 +159,12 @@
         )
 
 
-def _decode(row: Row) -> EntryRow:
-    return msgspec.json.decode(row.value, type=EntryRow)
-
-
-def _decode_rows(rows: Sequence[Row]) -> list[EntryRow]:
-    return [_decode(row) for row in rows]
+def _decode(row: Row) -> EntryRow | None:
+    try:
+        return msgspec.json.decode(row.value, type=EntryRow)
+    except msgspec.MsgspecError as error:
+        _logger.error('malformed_entry_row', key=row.key, error=str(error))
+        return None
 
 
 def _new_operation_id() -> ids.OperationId:
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -169,6 +169,16 @@
     (detail,) = caught.value.details
     assert detail.current_revision == 2
     assert 'client_accounts.other.enabled' in detail.differing_fields
+    for call, missing in (
+        (running.stub.WatchSpread, pb.WatchSpreadRequest(revision=9)),
+        (
+            running.stub.ReadConfiguration,
+            pb.ReadConfigurationRequest(revision=9),
+        ),
+    ):
+        with pytest.raises(GRPCError) as caught:
+            await call(missing, metadata=METADATA)
+        assert caught.value.status is Status.NOT_FOUND
     request.context.base_revision = 2
     await running.stub.UpdateLimits(request, metadata=METADATA)
     account = running.service.current().client_accounts['acme']
--- a/tests/services/entry/test_configuration_machine.py
+++ b/tests/services/entry/test_configuration_machine.py
@@ -58,6 +58,8 @@
         )
         self.loop = VirtualTimeLoop()
         asyncio.set_event_loop(self.loop)
+        self.loop.set_exception_handler(self.record_failure)
+        self.failures: list[dict[str, Any]] = []
         self.fleet = Fleet(COUNT, 1, RATES)
         self.live: list[Entry] = list(self.fleet.entries)
         self.tasks: set[asyncio.Task[None]] = set()
@@ -71,6 +73,11 @@
         self.run(self.fleet.start())
         self.run(self.live[0].change(create_account(ACCOUNT), 'first'))
 
+    def record_failure(
+        self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        self.failures.append(context)
+
     def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
         return self.loop.run_until_complete(coroutine)
 
@@ -215,6 +222,7 @@
                 report = entry.service.spread(ids.Revision(revision))
                 if report.in_force:
                     self.in_force.add(key_id)
+        assert self.failures == []
         for entry in self.live:
             assert entry.service.crash_reason is None
             if not entry.service.is_fresh():
--- a/tests/services/entry/test_configuration_service.py
+++ b/tests/services/entry/test_configuration_service.py
@@ -17,6 +17,7 @@
 from dogwoodpost.errors import InvalidInputError
 from dogwoodpost.errors import RequestIdReusedError
 from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.ports.table_store import Row
 from dogwoodpost.services.entry.configuration_editor import ChangeRequest
 from dogwoodpost.services.entry.configuration_repository import (
     ConfigurationRepository,
@@ -256,6 +257,27 @@
     with_fleet(1, program)
 
 
+@pytest.mark.parametrize(
+    'key', ['config/head', 'config/rev/000000000001', 'members/entry/odd']
+)
+def test_malformed_rows_stop_no_service(key: str) -> None:
+    """Guards against a row that ends an entry's background work."""
+
+    async def program(fleet: Fleet) -> None:
+        first, second = fleet.entries
+        second.link.cut = True
+        fleet.network.cut.add(second.row.peer_address)
+        await first.change(create_account('a'), 'a')
+        fleet.tables.rows[key] = Row(key, b'{"revision": "odd"}', 10**6)
+        second.link.cut = False
+        await asyncio.sleep(15.0)
+        assert second.service.crash_reason is None
+        assert first.service.current().revision == 1
+        assert second.service.is_fresh() is key.startswith('members/')
+
+    with_fleet(2, program)
+
+
 def test_a_revocation_names_the_entries_it_waits_for() -> None:
     """Guards against a revocation that hides an unreachable entry."""
 
