Let no slow peer or store hold up messages

handle() waited for a store read, and one silent peer held up the queries to the others and with them the freshness tick. Messages now go out side by side and handle() returns at once.

--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -17,10 +17,10 @@
 from dogwoodpost.core.configuration import records
 from dogwoodpost.core.configuration.freshness import Freshness
 from dogwoodpost.core.configuration.known_entries import member_key
-from dogwoodpost.core.configuration.spread import Spread
 from dogwoodpost.core.leases import lease_rank
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.configuration_source import ConfigurationSource
+from dogwoodpost.services.entry.change_spread import ChangeSpread
 from dogwoodpost.services.entry.freshness import FreshnessQueries
 
 if TYPE_CHECKING:
@@ -47,17 +47,8 @@
 # answer still keeps the configuration fresh.
 MAX_OPEN_READS = 3
 TICK_S = 0.25
-REPEAT_PUSH_S = 1.0
 PROBE_INTERVAL_S = 5.0
-# Id of queries that ask for the revision only.
-SPREAD_QUERY = 'spread'
-# An entry that learns of a change by polling tells a few others, in case the
-# entry that accepted it has died. The others learn of it by polling as well.
-FANOUT_AFTER_POLL = 8
 RELAYED_COUNT = 64
-# More than the entries of the target size; restarts leave old ones behind.
-MAX_TOLD_COUNT = 1024
-PUSH_TRIES = 3
 
 _logger = structlog.get_logger(__name__)
 
@@ -85,13 +76,12 @@
         self._recent: deque[records.RevisionRecord] = deque(
             maxlen=RELAYED_COUNT
         )
-        self._spread = Spread()
+        self._spread = ChangeSpread(peers, registration, clock, rng)
         self._freshness = FreshnessQueries(peers, clock, rng)
         self._ready = asyncio.Event()
         self._is_registered = False
         self._is_superseded = False
         self._registered_s = math.inf
-        self._told: dict[ids.Incarnation, ids.Revision] = {}
         self._open_reads = 0
         self._read_again = False
         self._open_tasks: set[asyncio.Task[None]] = set()
@@ -138,27 +128,14 @@
 
     def spread(self, revision: ids.Revision) -> SpreadReport:
         """Return which entries have a revision in force."""
-        now_s = self._clock.monotonic_s()
-        known = self._peers.known
-        return self._spread.report(
-            revision,
-            now_s,
-            awaited=known.awaited(now_s),
-            scan_start_s=known.last_scan_s,
-            announced=self.accepts_changes(),
-        )
+        return self._spread.report(revision, announced=self.accepts_changes())
 
     async def ask_spread(self, revision: ids.Revision) -> SpreadReport:
         """Ask the entries that have not confirmed a revision."""
         report = self.spread(revision)
         if report.in_force:
             return report
-        await self._registration.scan()
-        await self._peers.query(
-            SPREAD_QUERY,
-            self._configuration.revision,
-            self._behind(revision),
-        )
+        await self._spread.ask(revision)
         return self.spread(revision)
 
     async def on_start(self) -> None:
@@ -171,14 +148,19 @@
             task.cancel()
 
     async def handle(self, message: messages.AnyMessage) -> None:
-        """Take a message of another entry."""
+        """Take a message of another entry.
+
+        Returns without waiting for the store or for a peer, because the
+        caller receives all messages of the process.
+        """
         match message:
             case messages.ConfigurationPush():
                 self._peers.hear(message)
-                await self._handle_push(message)
+                self._spread.confirm(message.sender_id, message.revision)
+                self._start(self._handle_push(message))
             case messages.FreshnessQuery():
                 self._peers.hear(message)
-                await self._handle_query(message)
+                self._start(self._handle_query(message))
             case messages.FreshnessReply():
                 self._peers.hear(message)
                 self._handle_reply(message)
@@ -192,14 +174,15 @@
             self._freshness.tracker.record_read(read.start_s)
             self._ready.set()
         if is_new and self._ready.is_set() and not pushed:
-            self._start(self._push_to_some())
+            revision = read.configuration.revision
+            self._start(self._spread.push_to_some(revision))
 
     def adopt_own(
         self, configuration: Configuration, record: records.RevisionRecord
     ) -> None:
         """Put a revision in force that was accepted here."""
         self._put_in_force(configuration, [record])
-        self._start(self._push_to_all())
+        self._start(self._spread.push_to_all(configuration.revision))
 
     async def refresh(self, *, pushed: bool = False) -> bool:
         """Read the store once; return whether it answered.
@@ -230,9 +213,7 @@
             self._recent.append(record)
         for listener in self._listeners:
             listener(configuration)
-        self._spread.record_own(
-            configuration.revision, self._clock.monotonic_s()
-        )
+        self._spread.record_own(configuration.revision)
 
     def _check_registration(self, read: RepositoryRead) -> None:
         row = read.rows.get(self._member_key)
@@ -253,6 +234,7 @@
         await self._registration.read_hosts()
         self.add_future(self._poll())
         self.add_future(self._tick())
+        self.add_future(self._keep_registered())
         self.add_future(self._registration.follow())
         self.add_future(self._probe())
 
@@ -292,32 +274,32 @@
     async def _tick(self) -> None:
         while not self.should_stop:
             revision = self._configuration.revision
-            await self._freshness.keep_fresh(revision)
+            # A peer may be slow to take a message, so nothing waits for it.
+            self._start(self._freshness.keep_fresh(revision))
             if self._freshness.is_unanswered():
                 # The silent entry's host may have failed.
                 self._start(self._registration.read_hosts())
+            await self._clock.sleep(TICK_S)
+
+    async def _keep_registered(self) -> None:
+        while not self.should_stop:
             if not self._is_registered and self._ready.is_set():
                 await self._register_again()
             elif not self._freshness.is_announced() and self._is_registered:
-                await self._announce(revision)
+                await self._announce()
             await self._clock.sleep(TICK_S)
 
-    async def _announce(self, revision: ids.Revision) -> None:
+    async def _announce(self) -> None:
         # Entries that register later find this one's row themselves.
         scan_s = self._peers.known.last_scan_s
         is_after = scan_s is not None and scan_s >= self._registered_s
         if is_after or await self._registration.scan():
-            await self._freshness.announce(revision)
+            await self._freshness.announce(self._configuration.revision)
 
     async def _probe(self) -> None:
-        """Ask the entries that the host list does not show."""
         while not self.should_stop:
             await self._clock.sleep(PROBE_INTERVAL_S)
-            await self._peers.query(
-                SPREAD_QUERY,
-                self._configuration.revision,
-                self._peers.known.unlisted(),
-            )
+            await self._spread.probe_unlisted()
 
     async def _register_again(self) -> None:
         if self._is_superseded:
@@ -330,43 +312,10 @@
         self._registered_s = self._clock.monotonic_s()
         self._request_read()
 
-    async def _push_to_all(self) -> None:
-        revision = self._configuration.revision
-        await self._peers.push(revision, self._behind(revision))
-        # The scan shows entries that were registered meanwhile.
-        await self._registration.scan()
-        for _ in range(PUSH_TRIES):
-            await self._clock.sleep(REPEAT_PUSH_S)
-            behind = self._behind(revision)
-            if not behind or self._configuration.revision != revision:
-                return
-            # A query is answered even if the answer to a push was lost.
-            await self._peers.query(SPREAD_QUERY, revision, behind)
-
-    def _behind(self, revision: ids.Revision) -> list[ids.ProcessId]:
-        return self._spread.behind(revision, self._peers.known.addresses())
-
-    async def _push_to_some(self) -> None:
-        revision = self._configuration.revision
-        behind = self._behind(revision)
-        count = min(len(behind), FANOUT_AFTER_POLL)
-        await self._peers.push(revision, self._rng.sample(behind, count))
-
     async def _handle_push(self, push: messages.ConfigurationPush) -> None:
-        self._spread.confirm(push.sender_id, push.revision)
         if push.revision > self._configuration.revision:
             await self.refresh(pushed=True)
-        revision = self._configuration.revision
-        if push.revision > revision:
-            return
-        # Confirms the pushed revision, or tells the sender of a higher one.
-        # Each side tells the other of a revision once, which ends the
-        # exchange.
-        if self._told.get(push.sender_incarnation, -1) < revision:
-            self._told[push.sender_incarnation] = revision
-            while len(self._told) > MAX_TOLD_COUNT:
-                del self._told[next(iter(self._told))]
-            await self._peers.push(revision, [push.sender_id])
+        await self._spread.answer_push(push, self._configuration.revision)
 
     async def _handle_query(self, query: messages.FreshnessQuery) -> None:
         await self._peers.reply(
--- a/src/dogwoodpost/services/entry/entry_peers.py
+++ b/src/dogwoodpost/services/entry/entry_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core import messages
@@ -95,10 +96,14 @@
         self, message: messages.AnyMessage, to: Iterable[ids.ProcessId]
     ) -> None:
         addresses = self.known.addresses()
-        for process_id in to:
-            address = addresses.get(process_id)
-            if address is not None:
-                await self._send(address, message)
+        # One slow peer does not hold up the messages to the others.
+        await asyncio.gather(
+            *(
+                self._send(addresses[process_id], message)
+                for process_id in to
+                if process_id in addresses
+            )
+        )
 
     async def _send(self, address: str, message: messages.AnyMessage) -> None:
         try:
