--- a/measurements/control/fleet.py
+++ b/measurements/control/fleet.py
@@ -51,16 +51,19 @@
 # One-way delays in seconds, within a region and between regions.
 NEAR_DELAY_S = 0.001
 FAR_DELAY_S = 0.02
+SEND_TIMEOUT_S = 5.0
 
 
 class Network:
     """Delivers messages between addresses, with delays and cuts.
 
-    ``cut`` holds addresses that neither send nor receive.
+    ``cut`` holds addresses that neither send nor receive, ``blocked`` those
+    that take no message until the sender's time-out.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.cut: set[str] = set()
+        self.blocked: set[str] = set()
         self.message_count = 0
         self.bytes_sent: dict[str, int] = {}
         self._rng = rng
@@ -109,6 +112,9 @@
 
     async def send(self, address: str, message: AnyMessage) -> None:
         """Hand a message to the network."""
+        if address in self._network.blocked:
+            await asyncio.sleep(SEND_TIMEOUT_S)
+            raise TransportError('the peer takes no messages')
         self._network.send(self._address, address, message)
 
     async def receive(self) -> AnyMessage:
--- a/tests/services/entry/test_configuration_service.py
+++ b/tests/services/entry/test_configuration_service.py
@@ -215,6 +215,23 @@
     with_fleet(2, program)
 
 
+def test_a_blocked_peer_holds_up_no_other() -> None:
+    """Guards against queries that wait behind a peer that takes none."""
+
+    async def program(fleet: Fleet) -> None:
+        blocked, cut_off, helper = fleet.entries
+        fleet.network.blocked.add(blocked.row.peer_address)
+        cut_off.link.cut = True
+        for _ in range(100):
+            await asyncio.sleep(0.2)
+            assert cut_off.service.is_fresh()
+        revision = ids.Revision(await helper.change(create_account('a'), 'a'))
+        await asyncio.sleep(3.5)
+        assert cut_off.service.current().revision == revision
+
+    with_fleet(3, program)
+
+
 def test_a_new_entry_accepts_changes_once_all_know_it() -> None:
     """Guards against an entry that is not asked before the store is down."""
 
