--- a/src/dogwoodpost/adapters/platform/guarded_http.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http.py
@@ -25,9 +25,9 @@
 class GuardedBody:
     """Request body that asks a guard directly before it is sent.
 
-    The connection stands and the headers have been handed over when the body
-    is asked for, so nothing that can wait lies between the guard and the
-    send. The platform cannot act on an order without its body.
+    The connection stands when the body is asked for, and the headers are
+    held back to go out with it, so nothing that can wait lies between the
+    guard and the send.
     """
 
     def __init__(
