--- a/src/dogwoodpost/core/usage/__init__.py
+++ b/src/dogwoodpost/core/usage/__init__.py
@@ -6,6 +6,8 @@
 from dogwoodpost.core.usage.ledger import decode_open_windows
 from dogwoodpost.core.usage.ledger import UsageFlush
 from dogwoodpost.core.usage.ledger import UsageLedger
+from dogwoodpost.core.usage.rows import decode_part
+from dogwoodpost.core.usage.rows import encode_part
 from dogwoodpost.core.usage.rows import frozen_key
 from dogwoodpost.core.usage.rows import OPEN_WINDOWS_KEY
 from dogwoodpost.core.usage.rows import OpenWindows
@@ -26,6 +28,8 @@
     'UsageLedger',
     'UsagePart',
     'decode_open_windows',
+    'decode_part',
+    'encode_part',
     'first_window_to_keep_open',
     'frozen_key',
     'merge',
--- a/src/dogwoodpost/core/usage/ledger.py
+++ b/src/dogwoodpost/core/usage/ledger.py
@@ -9,6 +9,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.usage.figures import add
 from dogwoodpost.core.usage.figures import remainder_as_adjustment
+from dogwoodpost.core.usage.rows import encode_part
 from dogwoodpost.core.usage.rows import OPEN_WINDOWS_KEY
 from dogwoodpost.core.usage.rows import OpenWindows
 from dogwoodpost.core.usage.rows import part_key
@@ -149,7 +150,7 @@
         for number, window in dirty.items():
             key = part_key(number, self._host_id, self._incarnation)
             checks.append(Check(key, window.version))
-            value = msgspec.json.encode(UsagePart(figures=window.totals))
+            value = encode_part(UsagePart(figures=window.totals))
             writes.append(Write(key, value))
             window.is_dirty = False
         return UsageFlush(
--- a/src/dogwoodpost/core/usage/rows.py
+++ b/src/dogwoodpost/core/usage/rows.py
@@ -12,6 +12,9 @@
 OPEN_WINDOWS_KEY = 'usage/open'
 REPORTED_WINDOWS_KEY = 'usage/reported'
 
+_FIELDS = UsageFigures.__struct_fields__
+_CompactFigures = dict[ids.ClientAccountId, list[int]]
+
 
 class OpenWindows(msgspec.Struct, frozen=True, kw_only=True):
     """Which windows still grow.
@@ -36,6 +39,42 @@
     figures: dict[ids.ClientAccountId, UsageFigures]
 
 
+def encode_part(part: UsagePart) -> bytes:
+    """Return the row value of a part.
+
+    An entry rewrites its part every few seconds, so figures are written as
+    MessagePack arrays without trailing zeros instead of JSON objects.
+    """
+    compact = {
+        client_account_id: _without_trailing_zeros(figures)
+        for client_account_id, figures in part.figures.items()
+    }
+    return msgspec.msgpack.encode(compact)
+
+
+def decode_part(value: bytes) -> UsagePart:
+    """Return the part of a row value.
+
+    :raises msgspec.DecodeError: the value is not a part.
+    """
+    compact = msgspec.msgpack.decode(value, type=_CompactFigures)
+    return UsagePart(
+        figures={
+            client_account_id: UsageFigures(
+                **dict(zip(_FIELDS, numbers, strict=False))
+            )
+            for client_account_id, numbers in compact.items()
+        }
+    )
+
+
+def _without_trailing_zeros(figures: UsageFigures) -> list[int]:
+    numbers = list(msgspec.structs.astuple(figures))
+    while numbers and numbers[-1] == 0:
+        numbers.pop()
+    return numbers
+
+
 def part_prefix(window: ids.UsageWindow) -> str:
     """Return the prefix of the keys of a window's parts."""
     return f'usage/part/{window:012d}/'
--- a/src/dogwoodpost/services/control/usage_reporter.py
+++ b/src/dogwoodpost/services/control/usage_reporter.py
@@ -9,6 +9,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.usage import decode_open_windows
+from dogwoodpost.core.usage import decode_part
 from dogwoodpost.core.usage import first_window_to_keep_open
 from dogwoodpost.core.usage import frozen_key
 from dogwoodpost.core.usage import merge
@@ -17,7 +18,6 @@
 from dogwoodpost.core.usage import part_prefix
 from dogwoodpost.core.usage import REPORTED_WINDOWS_KEY
 from dogwoodpost.core.usage import ReportedWindows
-from dogwoodpost.core.usage import UsagePart
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import StoreConflictError
 from dogwoodpost.errors import StoreError
@@ -144,9 +144,7 @@
     async def _freeze(
         self, window: ids.UsageWindow, parts: Sequence[Row]
     ) -> UsageReport:
-        decoded = (
-            msgspec.json.decode(row.value, type=UsagePart) for row in parts
-        )
+        decoded = (decode_part(row.value) for row in parts)
         report = UsageReport(
             window=window, figures=merge(part.figures for part in decoded)
         )
--- a/tests/services/control/test_usage_machine.py
+++ b/tests/services/control/test_usage_machine.py
@@ -9,15 +9,14 @@
 from typing import TYPE_CHECKING
 
 import hypothesis
-import msgspec
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.usage import decode_part
 from dogwoodpost.core.usage import merge
 from dogwoodpost.core.usage import part_prefix
-from dogwoodpost.core.usage import UsagePart
 from dogwoodpost.core.usage import window_at
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import LeaseLostError
@@ -39,6 +38,7 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
+    from dogwoodpost.core.usage import UsagePart
     from dogwoodpost.ports.table_store import Check
     from dogwoodpost.ports.table_store import Write
     from dogwoodpost.ports.usage_reports import UsageFigures
@@ -111,7 +111,7 @@
     def _apply(self, writes: Sequence[Write]) -> dict[str, int]:
         for write in writes:
             if write.key.startswith('usage/part/') and write.value:
-                part = msgspec.json.decode(write.value, type=UsagePart)
+                part = decode_part(write.value)
                 self.parts[write.key] = part
         return super()._apply(writes)
 
