--- a/measurements/control/slopes.py
+++ b/measurements/control/slopes.py
@@ -277,7 +277,11 @@
     """Return the costs of counting and of one write of all totals."""
     ledger = UsageLedger(ids.HostId('host'), ids.Incarnation('1' * 32), 60)
     ledger.learn_open_windows(ids.UsageWindow(0), 1, 0.0)
-    figures = UsageFigures(request_count=1, completion_tokens=100)
+    figures = UsageFigures(
+        request_count=1_000,
+        prompt_tokens=2_000_000,
+        completion_tokens=500_000,
+    )
     accounts = [ids.ClientAccountId(f'acct-{n}') for n in range(ACCOUNT_COUNT)]
     sizes = []
 
