--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -13,6 +13,7 @@
 
 from dogwoodpost.adapters.http.send_once import SendOnce
 from dogwoodpost.core import messages
+from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
@@ -26,8 +27,8 @@
     from dogwoodpost.core import ids
     from dogwoodpost.ports.endpoint_client import EndpointRequest
 
-# Between tokens. A queued request sends no bytes, so the wait for the head is
-# bounded by the request's own time limit only.
+# Engines send a keep-alive at least every 10 s; two may be late. Other
+# services may take all of the request's time limit for the head.
 IDLE_TIMEOUT_S = 20.0
 CONTROL_TIMEOUT_S = 5.0
 # Loading weights moves gigabytes; 17 s is the target for all samplers.
@@ -49,6 +50,7 @@
 )
 _PRIORITY_HEADER = 'X-Request-Priority'
 _TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
+_SUCCESS_STATUSES = frozenset({200, 204})
 _UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
 _Action = messages.EndpointAction
 # The path of an order, and the field that holds its argument.
@@ -174,7 +176,7 @@
             raise EndpointError(f'{action.value} is no order to an endpoint')
         path, field = _COMMANDS[action]
         body = {
-            field: argument,
+            field: _typed(field, argument),
             'fencing_number': fencing_number,
             'fetch_from': list(fetch_from),
         }
@@ -195,8 +197,11 @@
 
     async def _open(self, request: EndpointRequest) -> aiohttp.ClientResponse:
         headers = _request_headers(request)
+        timeout_s = request.timeout_s
+        if request.path.partition('?')[0] in ENGINE_PATHS:
+            timeout_s = min(timeout_s, self._idle_timeout_s)
         try:
-            async with asyncio.timeout(request.timeout_s):
+            async with asyncio.timeout(timeout_s):
                 return await self._session.request(
                     request.method,
                     yarl.URL(self._base_url + request.path, encoded=True),
@@ -209,7 +214,7 @@
                 )
         except TimeoutError:
             raise EndpointError(
-                f'no answer within {request.timeout_s:.3f} s'
+                f'no answer within {timeout_s:.3f} s'
             ) from None
         except _CALL_ERRORS as error:
             raise EndpointError(f'no answer: {error!r}') from error
@@ -236,7 +241,7 @@
             raise EndpointError(f'{path}: {error!r}') from error
         if response.status in _UNSUPPORTED_STATUSES:
             raise EndpointUnsupportedError(f'{path}: no such path')
-        if response.status != 200:
+        if response.status not in _SUCCESS_STATUSES:
             text = body[:200].decode(errors='replace')
             raise EndpointError(f'{path}: status {response.status}: {text}')
         return body
@@ -254,6 +259,15 @@
     return headers
 
 
+def _typed(field: str, argument: str) -> str | int:
+    if field != 'weight_version':
+        return argument
+    try:
+        return int(argument)
+    except ValueError:
+        raise EndpointError(f'{argument!r} is no weight version') from None
+
+
 def _decode(body: bytes, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/src/dogwoodpost/services/agent/attempt_worker.py
+++ b/src/dogwoodpost/services/agent/attempt_worker.py
@@ -33,6 +33,8 @@
     from dogwoodpost.ports.peer_transport import PeerTransport
 
 _log = structlog.get_logger(__name__)
+# Endpoints that know the time limit give up shortly before it.
+_DEADLINE_MARGIN_S = 0.05
 _MAX_JSON_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -104,7 +106,7 @@
             'agent_attempt', self._clock.monotonic_s() - start_s
         )
         await self._send(record, end)
-        if end.outcome is not AttemptOutcome.COMPLETED:
+        if end.outcome is not AttemptOutcome.COMPLETED and _is_engine(message):
             client = self._clients[message.endpoint_id]
             await client.cancel(message.attempt_id)
 
@@ -124,6 +126,9 @@
             usage = relay.result().fields()
             return finish(record, AttemptOutcome.COMPLETED, usage=usage)
         detail = str(error)
+        left_s = record.deadline_s - self._clock.monotonic_s()
+        if left_s <= _DEADLINE_MARGIN_S:
+            return finish(record, AttemptOutcome.DEADLINE_PASSED, detail)
         if not isinstance(error, EndpointError | ResponseTooLargeError):
             _log.error('attempt_failed', exc_info=error)
             detail = 'internal error of the agent'
@@ -147,8 +152,9 @@
                 record, response.status, response.headers
             )
             await self._send(record, head)
-            is_engine = message.path.partition('?')[0] in ENGINE_PATHS
-            return await self._relay_body(record, response, is_engine)
+            return await self._relay_body(
+                record, response, _is_engine(message)
+            )
 
     async def _relay_body(
         self,
@@ -193,3 +199,7 @@
                 await self._transport.send(address, part)
             except TransportError:
                 return
+
+
+def _is_engine(message: messages.StartAttempt) -> bool:
+    return message.path.partition('?')[0] in ENGINE_PATHS
--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -122,6 +122,16 @@
         self._urls = {'engine-1': engine, 'plain-1': plain}
         self.agent = self.build_agent()
 
+    @property
+    def plain_executions(self) -> dict[str, int]:
+        """How often the plain service has run each request."""
+        return self.plain._executions
+
+    @property
+    def plain_secret_count(self) -> int:
+        """How many requests to the plain service carried a key."""
+        return self.plain._secret_count
+
     def build_agent(self, **changes: object) -> mode.Service:
         endpoints = [
             {
