Start measurement workers as fresh processes

nng aborts in a forked child: measure-control ended with 'nng is not fork-reentrant safe' when its pools were opened after the transport slopes.

--- a/measurements/control/scaling.py
+++ b/measurements/control/scaling.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import bisect
-import concurrent.futures
 import itertools
 import math
 import random
@@ -17,6 +16,7 @@
 from dogwoodpost.core.scaling import Scaler
 from dogwoodpost.core.scaling import ScalingSettings
 from dogwoodpost.core.scaling import ZoneLoad
+from measurements.control.workers import open_workers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -471,6 +471,6 @@
 
 def run_scaling_cases() -> list[ScalingResult]:
     """Return all results of all sites, one process per site."""
-    with concurrent.futures.ProcessPoolExecutor(len(SITES)) as executor:
+    with open_workers(len(SITES)) as executor:
         by_site = list(executor.map(run_site, SITES))
     return [result for results in by_site for result in results]
--- a/measurements/control/usage.py
+++ b/measurements/control/usage.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import concurrent.futures
 import random
 from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
+import structlog
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.leases import LeaseTerms
@@ -26,6 +26,7 @@
 from dogwoodpost.standins.usage_reports import DirectUsageReports
 from dogwoodpost.standins.usage_reports import UsageBook
 from dogwoodpost.standins.virtual_clock import VirtualClock
+from measurements.control.workers import open_workers
 
 if TYPE_CHECKING:
     from dogwoodpost.ports.usage_reports import UsageFigures
@@ -296,10 +297,13 @@
         ('outage, then death', True, DEATH_S),
         ('death during the outage', True, DEATH_IN_OUTAGE_S),
     ]
-    with concurrent.futures.ProcessPoolExecutor(len(cases)) as executor:
+    with open_workers(len(cases)) as executor:
         return list(executor.map(_run_case, cases))
 
 
 def _run_case(case: tuple[str, bool, int | None]) -> UsageResult:
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50)
+    )
     name, has_outage, death_s = case
     return asyncio.run(_run(name, has_outage=has_outage, death_s=death_s))
--- a/measurements/measure_control.py
+++ b/measurements/measure_control.py
@@ -20,6 +20,7 @@
 from measurements.control.slopes import measure_slopes
 from measurements.control.usage import run_usage_cases
 from measurements.control.usage import UsageResult
+from measurements.control.workers import open_workers
 
 
 class ControlReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -121,13 +122,18 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(50)
     )
-    report = ControlReport(
-        configuration=run_configuration_cases(),
-        leases=run_lease_cases(),
-        node_costs=node_costs(measure_slopes()),
-        scaling=run_scaling_cases(),
-        usage=run_usage_cases(),
-    )
+    # Slopes are measured before the other cases load the machine.
+    costs = node_costs(measure_slopes())
+    with open_workers(2) as executor:
+        configuration = executor.submit(run_configuration_cases)
+        leases = executor.submit(run_lease_cases)
+        report = ControlReport(
+            node_costs=costs,
+            scaling=run_scaling_cases(),
+            usage=run_usage_cases(),
+            configuration=configuration.result(),
+            leases=leases.result(),
+        )
     _print_configuration(report)
     _print_overhead(report)
     _print_scaling(report)
