--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -24,6 +24,7 @@
     UNKNOWN_ENDPOINT = 'unknown_endpoint'
     DUPLICATE = 'duplicate'
     OUT_OF_ROTATION = 'out_of_rotation'
+    STALE = 'stale'
 
 
 class AttemptOutcome(Enum):
@@ -83,7 +84,11 @@
 
 
 class StartAttempt(Message, frozen=True, kw_only=True):
-    """Asks an agent to run one attempt at one of its endpoints."""
+    """Asks an agent to run one attempt at one of its endpoints.
+
+    ``heard_sequence`` is that of the newest ``AgentHello`` that the entry had
+    received; it bounds the age of the message without a shared clock.
+    """
 
     attempt_id: ids.AttemptId
     agent_incarnation: ids.Incarnation
@@ -96,14 +101,19 @@
     remaining_ms: int
     idempotent: bool
     priority: int = 0
+    heard_sequence: int = 0
 
 
 class FetchAttempt(Message, frozen=True, kw_only=True):
-    """Asks for the answer of an attempt from a chunk index on."""
+    """Asks for the answer of an attempt from a chunk index on.
+
+    ``agent_incarnation`` is the one that the attempt is addressed to.
+    """
 
     attempt_id: ids.AttemptId
     remaining_ms: int
     next_index: int
+    agent_incarnation: ids.Incarnation = ids.Incarnation('')
 
 
 class CancelAttempt(Message, frozen=True, kw_only=True):
