--- a/src/dogwoodpost/adapters/nng/peer_transport.py
+++ b/src/dogwoodpost/adapters/nng/peer_transport.py
@@ -53,7 +53,7 @@
         self._metrics = metrics
         self._send_timeout_ms = send_timeout_ms
         self._max_message_bytes = max_message_bytes
-        self._encoder = msgspec.msgpack.Encoder()
+        self._encoder = msgspec.msgpack.Encoder(enc_hook=_plain)
         self._decoder = msgspec.msgpack.Decoder(messages.AnyMessage)
         self._push_sockets: dict[str, pynng.Push0] = {}
         self._closed = False
@@ -168,3 +168,10 @@
             push.close()
             raise TransportError(f'{address}: {error}') from error
         return push
+
+
+def _plain(value: object) -> str:
+    """Encode subclasses of str, such as header names of aiohttp."""
+    if isinstance(value, str):
+        return str.__str__(value)
+    raise TypeError(f'{type(value).__name__} is no part of a message')
--- a/src/dogwoodpost/core/attempts/entry_attempt.py
+++ b/src/dogwoodpost/core/attempts/entry_attempt.py
@@ -63,6 +63,7 @@
         self._chunks: dict[int, messages.ResponseChunk] = {}
         self._end: messages.ResponseEnd | None = None
         self._seen_count = 0
+        self._is_probing = True
 
     def handle(self, message: messages.Message, now_s: float) -> None:
         """Take a message of the agent; late and repeated ones do no harm."""
@@ -71,12 +72,12 @@
         if now_s >= self.deadline_s:
             self.give_up('the deadline has passed')
             return
-        was_waiting = self._is_waiting()
         self._handle(message)
-        if self._is_waiting() and not was_waiting:
-            self.fetch_due_s = now_s + GAP_DELAY_S
-        elif not self._is_waiting():
+        if not self._is_waiting():
+            self._is_probing = True
             self.fetch_due_s = now_s + PROBE_S
+        else:
+            self._fetch_gap(now_s)
 
     def take(self) -> list[Output]:
         """Return the output that is next in order."""
@@ -102,16 +103,23 @@
         """Return whether to fetch from ``next_index`` on now."""
         if self.state is not EntryAttemptState.OPEN:
             return False
+        is_waiting = self._is_waiting()
+        if is_waiting:
+            # The caller may have made room for chunks dropped before.
+            self._fetch_gap(now_s)
         if now_s < self.fetch_due_s:
             return False
-        delay_s = REPEAT_FETCH_S if self._is_waiting() else PROBE_S
-        self.fetch_due_s = now_s + delay_s
+        self.fetch_due_s = now_s + (REPEAT_FETCH_S if is_waiting else PROBE_S)
         return True
 
     def fetch_soon(self, now_s: float) -> None:
         """Make a fetch due after the connection was opened again."""
         self.fetch_due_s = now_s
 
+    def not_sent(self) -> None:
+        """Note that the request was never handed to the transport."""
+        self.state = EntryAttemptState.NOT_RUN
+
     def give_up(self, detail: str) -> None:
         """End an open attempt whose outcome can't be learned."""
         if self.state is EntryAttemptState.OPEN:
@@ -122,6 +130,11 @@
         """Return the time to the deadline in ms, 0 if it has passed."""
         return max(int((self.deadline_s - now_s) * 1000), 0)
 
+    def _fetch_gap(self, now_s: float) -> None:
+        if self._is_probing:
+            self._is_probing = False
+            self.fetch_due_s = min(self.fetch_due_s, now_s + GAP_DELAY_S)
+
     def _is_waiting(self) -> bool:
         """Return whether output is missing that the agent has."""
         end = self._end
--- a/src/dogwoodpost/core/membership/peer_liveness.py
+++ b/src/dogwoodpost/core/membership/peer_liveness.py
@@ -24,6 +24,11 @@
         self._unechoed: deque[tuple[int, float]] = deque()
         self._reconnected_s = now_s
 
+    @property
+    def echoed_sequence(self) -> int:
+        """Return the newest heartbeat that the peer has echoed."""
+        return self._echoed
+
     def record_sent(self, sequence: int, now_s: float) -> None:
         """Note a heartbeat sent to the peer."""
         # The oldest one decides, so a long silence needs no more of them.
@@ -67,3 +72,8 @@
             return False
         self._reconnected_s = now_s
         return True
+
+    def take_over_sent(self, other: PeerLiveness) -> None:
+        """Keep the heartbeats sent to an earlier incarnation of the peer."""
+        self._unechoed = other._unechoed
+        self._reconnected_s = other._reconnected_s
--- a/src/dogwoodpost/services/entry/attempt_runner.py
+++ b/src/dogwoodpost/services/entry/attempt_runner.py
@@ -149,6 +149,7 @@
         try:
             await self._transport.send(endpoint.agent_address, start)
         except TransportError as error:
+            attempt.state.not_sent()
             raise AttemptNotRunError(None, str(error)) from error
         attempt.was_sent = True
 
