--- a/src/dogwoodpost/core/attempts/agent_attempts.py
+++ b/src/dogwoodpost/core/attempts/agent_attempts.py
@@ -1,296 +1,381 @@
-"""The attempts of one agent."""
+"""Attempts as their agent sees them."""
 
 from __future__ import annotations
 
-import heapq
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from dogwoodpost.core import ids
 from dogwoodpost.core import messages
-from dogwoodpost.core.attempts.attempt_record import AttemptRecord
-from dogwoodpost.core.attempts.attempt_record import AttemptState
-from dogwoodpost.core.messages import AttemptOutcome
-from dogwoodpost.core.messages import RefusalReason
+from dogwoodpost.core.attempts.agent_record import AttemptKey
+from dogwoodpost.core.attempts.agent_record import AttemptRecord
+from dogwoodpost.core.attempts.agent_record import RecordState
+from dogwoodpost.core.attempts.hello_times import HelloTimes
 
 if TYPE_CHECKING:
-    from dogwoodpost.core.attempts.hello_times import HelloTimes
-    from dogwoodpost.core.attempts.sender import Sender
+    from collections.abc import Iterator
+    from collections.abc import Sequence
 
-# A full table takes about 100 MB at 1 kB per id.
-MAX_ID_COUNT = 100_000
-NOT_RETAINED = 'the response is no longer retained'
+    from dogwoodpost.core.membership.identity import ProcessIdentity
 
+# Copies of StartAttempt that can be older than this do not run. Ids are
+# remembered for this long after their deadline, so each copy either finds
+# its id or is refused for its age.
+MAX_START_AGE_S = 10.0
+_OVERLOAD_RETRY_MS = 500
+_RECORD_OVERHEAD_BYTES = 256
 
-class StartDecision(msgspec.Struct, frozen=True):
-    """Whether to run an attempt, and what to send."""
+Reason = messages.RefusalReason
+Outcome = messages.AttemptOutcome
 
-    run: bool
-    replies: tuple[messages.AnyMessage, ...] = ()
 
+class AgentAttemptLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on an agent's memory."""
 
-IGNORED = StartDecision(False)
+    retained_bytes: int = 64 * 1024 * 1024
+    # About 4 attempts/s per sampler for 11 samplers, remembered for 5 min.
+    remembered_count: int = 50_000
 
 
-class AgentAttempts:
-    """Runs each attempt id at most once and keeps its output.
+class ResponseTooLargeError(Exception):
+    """A running response does not fit into the retained bytes."""
+
 
-    An id is remembered until no copy of its request can be accepted any more:
-    until its deadline, and at least until copies are too old. Times are
-    seconds of the caller's monotonic clock.
-    """
+class AgentAttempts:
+    """Decides which attempts run, and retains responses and refused ids."""
 
     def __init__(
         self,
-        sender: Sender,
-        hello_times: HelloTimes,
-        *,
-        retained_bytes: int,
-        max_id_count: int = MAX_ID_COUNT,
+        identity: ProcessIdentity,
+        endpoint_concurrency: dict[ids.EndpointId, int],
+        limits: AgentAttemptLimits,
+        now_s: float,
     ) -> None:
-        self._sender = sender
-        self._hello_times = hello_times
-        self._max_retained_bytes = retained_bytes
-        self._max_id_count = max_id_count
-        self._records: dict[ids.AttemptId, AttemptRecord] = {}
-        self._expiries: list[tuple[float, ids.AttemptId]] = []
-        self._retained_bytes = 0
-        # Requests that name an older heartbeat are refused: one of them may
-        # be a copy of a request whose refusal could not be remembered.
-        self._first_sequence = 1
-
-    @property
-    def id_count(self) -> int:
-        """Return the number of remembered ids."""
+        self._sender = identity.sender_fields()
+        self._incarnation = identity.incarnation
+        self._concurrency = dict(endpoint_concurrency)
+        self._limits = limits
+        self._records: dict[AttemptKey, AttemptRecord] = {}
+        self._hellos = HelloTimes(now_s)
+        self._first_accepted_hello = 0
+        self._running = dict.fromkeys(endpoint_concurrency, 0)
+        self._out_of_rotation: set[ids.EndpointId] = set()
+        self.retained_bytes = 0
+        self.draining = False
+
+    # Heartbeats and rotation
+
+    def record_hello(self, sequence: int, now_s: float) -> None:
+        """Note that a heartbeat is being sent to the entries."""
+        self._hellos.record(sequence, now_s)
+
+    def set_rotation(self, endpoint_id: ids.EndpointId, serving: bool) -> None:
+        """Take an endpoint out of rotation, or back into it."""
+        if serving:
+            self._out_of_rotation.discard(endpoint_id)
+        else:
+            self._out_of_rotation.add(endpoint_id)
+
+    def is_out_of_rotation(self, endpoint_id: ids.EndpointId) -> bool:
+        """Return whether an endpoint takes no new work."""
+        return endpoint_id in self._out_of_rotation
+
+    def running_count(self, endpoint_id: ids.EndpointId | None = None) -> int:
+        """Return the number of running attempts, of one endpoint or all."""
+        if endpoint_id is None:
+            return sum(self._running.values())
+        return self._running.get(endpoint_id, 0)
+
+    def known_count(self) -> int:
+        """Return how many ids are remembered."""
         return len(self._records)
 
-    @property
-    def retained_bytes(self) -> int:
-        """Return the size of the kept output."""
-        return self._retained_bytes
-
-    def record(self, attempt_id: ids.AttemptId) -> AttemptRecord | None:
-        """Return what is remembered of an id."""
-        return self._records.get(attempt_id)
+    def unacknowledged_count(self) -> int:
+        """Return how many responses have not been taken as a whole."""
+        states = (RecordState.RUNNING, RecordState.FINISHED)
+        return sum(r.state in states for r in self._records.values())
 
-    def held(self) -> list[AttemptRecord]:
-        """Return the attempts whose entry may still want output."""
-        return [record for record in self._records.values() if record.is_held]
+    # Messages from entries
 
     def start(
-        self,
-        message: messages.StartAttempt,
-        now_s: float,
-        refusal: RefusalReason | None = None,
-    ) -> StartDecision:
-        """Decide on a request to run an attempt.
+        self, message: messages.StartAttempt, now_s: float
+    ) -> AttemptRecord | messages.AttemptRefused | None:
+        """Take a start; return the record to run, a refusal or nothing.
 
-        :param refusal: why the caller can't run a new attempt now.
+        Nothing is returned for a copy of an attempt that runs or has run.
         """
-        if not self._is_own(message):
-            return self._refusal(
-                message.attempt_id, RefusalReason.WRONG_INCARNATION
-            )
-        known = self._records.get(message.attempt_id)
+        key = AttemptKey(message.sender_id, message.attempt_id)
+        known = self._records.get(key)
         if known is not None:
-            return self._repeat(known)
-        reason = self._own_refusal(message, now_s) or refusal
-        if len(self._records) >= self._max_id_count:
-            return self._refuse_unremembered(message)
-        record = self._remember(
-            message,
-            AttemptState.RUNNING if reason is None else AttemptState.REFUSED,
-            now_s,
+            if known.state is not RecordState.REFUSED:
+                return None
+            return self._refused(key, known.reason or Reason.DUPLICATE)
+        reason = self._refusal_reason(message, now_s)
+        state = RecordState.RUNNING if reason is None else RecordState.REFUSED
+        record = AttemptRecord(
+            key,
+            state,
+            owner_address=message.sender_address,
+            owner_incarnation=message.sender_incarnation,
+            deadline_s=now_s + message.remaining_ms / 1000,
+            endpoint_id=message.endpoint_id,
+            reason=reason,
         )
+        self._remember(record)
         if reason is not None:
-            record.refusal = reason
-            return self._refusal(message.attempt_id, reason)
-        record.idempotent = message.idempotent
-        record.endpoint_id = message.endpoint_id
-        return StartDecision(True)
+            return self._refused(key, reason)
+        self._running[message.endpoint_id] += 1
+        return record
 
     def fetch(
         self, message: messages.FetchAttempt, now_s: float
-    ) -> tuple[messages.AnyMessage, ...]:
-        """Return the reply to a fetch."""
-        record = self._records.get(message.attempt_id)
+    ) -> Sequence[messages.AnyMessage]:
+        """Return what there is of a response from an index on."""
+        key = AttemptKey(message.sender_id, message.attempt_id)
+        record = self._records.get(key)
         if record is None:
-            return (self._missing(message, now_s),)
-        record.entry_address = message.sender_address
-        if record.state is AttemptState.MISSING:
-            return (self._missing_reply(message),)
-        if record.state is AttemptState.ACKNOWLEDGED:
-            return (self._lost_response(record),)
-        if not record.is_held:
-            reason = record.refusal or RefusalReason.CANCELLED
-            return self._refusal(message.attempt_id, reason).replies
-        if not record.response.has_from(message.next_index):
-            return (self._lost_response(record),)
-        return tuple(record.response.output_from(message.next_index))
-
-    def cancel(self, message: messages.CancelAttempt, now_s: float) -> bool:
-        """Return whether a running attempt has to be cancelled.
-
-        The id of an attempt that has not come yet will not run.
+            record = self._refuse_future(message, Reason.DUPLICATE, now_s)
+            return (self._missing(message),)
+        if record.state is RecordState.REFUSED:
+            return (self._refused(key, record.reason or Reason.DUPLICATE),)
+        if record.state is RecordState.FORGOTTEN:
+            detail = 'the response is no longer retained'
+            return (self._end(key, 0, Outcome.ENDPOINT_FAILED, detail),)
+        record.owner_address = message.sender_address
+        record.connected = True
+        return tuple(_response_from(record, message.next_index))
+
+    def cancel(
+        self, message: messages.CancelAttempt, now_s: float
+    ) -> AttemptRecord | messages.AttemptRefused | None:
+        """Take a cancellation; return the running record to stop.
+
+        A refusal is returned if the attempt has not run and never will.
         """
-        record = self._records.get(message.attempt_id)
-        if record is not None:
-            record.is_wanted = False
-            if record.state is AttemptState.ENDED:
-                self._drop_output(record)
-            return record.state is AttemptState.RUNNING
-        if len(self._records) >= self._max_id_count:
-            self._bar_earlier_requests()
-            return False
-        self._remember(message, AttemptState.CANCELLED, now_s)
-        return False
-
-    def acknowledge(self, attempt_id: ids.AttemptId) -> None:
-        """Drop the output of an attempt that has ended."""
-        record = self._records.get(attempt_id)
-        if record is not None and record.state is AttemptState.ENDED:
-            self._drop_output(record)
-
-    def add_head(self, head: messages.ResponseHead) -> None:
-        """Keep the head of a running attempt."""
-        record = self._records.get(head.attempt_id)
-        if record is not None and record.state is AttemptState.RUNNING:
-            record.response.head = head
-
-    def add_chunk(self, chunk: messages.ResponseChunk) -> None:
-        """Keep a chunk of a running attempt."""
-        record = self._records.get(chunk.attempt_id)
-        if record is None or record.state is not AttemptState.RUNNING:
-            return
-        record.response.add_chunk(chunk)
-        self._retained_bytes += len(chunk.data)
-        if self._retained_bytes > self._max_retained_bytes:
-            self._free_memory()
-
-    def end(self, end: messages.ResponseEnd) -> None:
-        """Keep the end mark of a running attempt."""
-        record = self._records.get(end.attempt_id)
-        if record is not None and record.state is AttemptState.RUNNING:
-            record.response.end = end
-            record.state = AttemptState.ENDED
-            if not record.is_wanted:
-                self._drop_output(record)
+        key = AttemptKey(message.sender_id, message.attempt_id)
+        record = self._records.get(key)
+        if record is None:
+            self._refuse_future(message, Reason.CANCELLED, now_s)
+            return self._refused(key, Reason.CANCELLED)
+        if record.state is RecordState.RUNNING:
+            record.cancelled = True
+            record.abandoned = True
+            return record
+        if record.state is RecordState.REFUSED:
+            return self._refused(key, record.reason or Reason.CANCELLED)
+        self._drop_response(record)
+        return None
+
+    def acknowledge(self, message: messages.AcknowledgeAttempt) -> None:
+        """Drop a finished response; its id stays known."""
+        key = AttemptKey(message.sender_id, message.attempt_id)
+        record = self._records.get(key)
+        if record is not None and record.state is RecordState.FINISHED:
+            self._drop_response(record)
+
+    # Progress at the endpoint
+
+    def add_head(
+        self,
+        record: AttemptRecord,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+    ) -> messages.ResponseHead:
+        """Retain the head of a response; return the message to send."""
+        record.head = messages.ResponseHead(
+            **self._sender,
+            attempt_id=record.key.attempt_id,
+            status=status,
+            headers=headers,
+        )
+        return record.head
+
+    def add_chunk(
+        self, record: AttemptRecord, data: bytes
+    ) -> messages.ResponseChunk:
+        """Retain a piece of a response; return the message to send.
+
+        :raises ResponseTooLargeError: there is no room for it.
+        """
+        size = len(data) + _RECORD_OVERHEAD_BYTES
+        self._make_room(size)
+        record.retained_bytes += size
+        self.retained_bytes += size
+        chunk = messages.ResponseChunk(
+            **self._sender,
+            attempt_id=record.key.attempt_id,
+            index=len(record.chunks),
+            data=data,
+        )
+        record.chunks.append(chunk)
+        return chunk
+
+    def finish(
+        self,
+        record: AttemptRecord,
+        outcome: messages.AttemptOutcome,
+        detail: str = '',
+        usage: dict[str, Any] | None = None,
+    ) -> messages.ResponseEnd:
+        """End a running attempt; return the end mark to send."""
+        count = len(record.chunks)
+        end = self._end(record.key, count, outcome, detail)
+        if usage is not None:
+            end = msgspec.structs.replace(end, **usage)
+        record.end = end
+        record.state = RecordState.FINISHED
+        if record.endpoint_id is not None:
+            self._running[record.endpoint_id] -= 1
+        if record.abandoned:
+            self._drop_response(record)
+        return end
+
+    # Time
 
     def expire(self, now_s: float) -> None:
-        """Forget ids that are no longer needed; running ones are kept."""
-        while self._expiries and self._expiries[0][0] <= now_s:
-            _, attempt_id = heapq.heappop(self._expiries)
-            record = self._records[attempt_id]
-            if record.state is AttemptState.RUNNING:
-                expiry_s = now_s + self._hello_times.max_age_s
-                heapq.heappush(self._expiries, (expiry_s, attempt_id))
+        """Forget ids and responses whose time has passed."""
+        for key, record in list(self._records.items()):
+            if record.state is RecordState.RUNNING:
                 continue
-            self._retained_bytes -= record.response.drop_chunks()
-            del self._records[attempt_id]
+            if now_s > record.deadline_s + MAX_START_AGE_S:
+                self._drop_response(record)
+                del self._records[key]
 
-    def _own_refusal(
+    def owned_by(
+        self,
+        entry_id: ids.ProcessId,
+        except_incarnation: ids.Incarnation | None = None,
+    ) -> list[AttemptRecord]:
+        """Return an entry's running attempts, of earlier runs of it or all."""
+        return [
+            record
+            for record in self._records.values()
+            if record.state is RecordState.RUNNING
+            and record.key.entry_id == entry_id
+            and record.owner_incarnation != except_incarnation
+        ]
+
+    def _refusal_reason(
         self, message: messages.StartAttempt, now_s: float
-    ) -> RefusalReason | None:
-        if message.remaining_ms <= 0:
-            return RefusalReason.DEADLINE_PASSED
-        sequence = message.heard_sequence
-        if sequence < self._first_sequence:
-            return RefusalReason.OVERLOADED
-        if self._hello_times.is_stale(sequence, now_s):
-            return RefusalReason.STALE
+    ) -> messages.RefusalReason | None:
+        if message.agent_incarnation != self._incarnation:
+            return Reason.WRONG_INCARNATION
+        if message.remaining_ms <= 0 or self._is_too_old(message, now_s):
+            return Reason.DEADLINE_PASSED
+        if self.draining:
+            return Reason.DRAINING
+        limit = self._concurrency.get(message.endpoint_id)
+        if limit is None:
+            return Reason.UNKNOWN_ENDPOINT
+        if message.endpoint_id in self._out_of_rotation:
+            return Reason.OUT_OF_ROTATION
+        if self._running[message.endpoint_id] >= limit or self._is_full():
+            return Reason.OVERLOADED
         return None
 
-    def _repeat(self, record: AttemptRecord) -> StartDecision:
-        """Answer a copy: the refusal again, or nothing if it has run."""
-        if record.is_held or record.state is AttemptState.ACKNOWLEDGED:
-            return IGNORED
-        reason = record.refusal or RefusalReason.CANCELLED
-        return self._refusal(record.attempt_id, reason)
+    def _is_too_old(
+        self, message: messages.StartAttempt, now_s: float
+    ) -> bool:
+        sequence = message.hello_sequence
+        if sequence < self._first_accepted_hello:
+            return True
+        sent_s = self._hellos.oldest_sent_s(sequence)
+        return sent_s is None or now_s - sent_s > MAX_START_AGE_S
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._records) >= self._limits.remembered_count
+            or self.retained_bytes >= self._limits.retained_bytes
+        )
+
+    def _remember(self, record: AttemptRecord) -> None:
+        if len(self._records) < self._limits.remembered_count:
+            self._records[record.key] = record
+            return
+        # The id cannot be kept. Starts that may have been sent before now
+        # are refused instead, until their sender has heard a newer heartbeat.
+        self._first_accepted_hello = self._hellos.last_sequence + 1
 
-    def _remember(
+    def _refuse_future(
         self,
-        message: messages.StartAttempt
-        | messages.FetchAttempt
-        | messages.CancelAttempt,
-        state: AttemptState,
+        message: messages.FetchAttempt | messages.CancelAttempt,
+        reason: messages.RefusalReason,
         now_s: float,
     ) -> AttemptRecord:
-        deadline_s = now_s + max(message.remaining_ms, 0) / 1000
         record = AttemptRecord(
-            message.attempt_id,
-            state,
-            deadline_s,
-            deadline_s + self._hello_times.max_age_s,
-            message.sender_id,
-            message.sender_address,
+            AttemptKey(message.sender_id, message.attempt_id),
+            RecordState.REFUSED,
+            owner_address=message.sender_address,
+            owner_incarnation=message.sender_incarnation,
+            deadline_s=now_s + max(message.remaining_ms, 0) / 1000,
+            reason=reason,
         )
-        self._records[message.attempt_id] = record
-        heapq.heappush(self._expiries, (record.expiry_s, record.attempt_id))
+        self._remember(record)
         return record
 
+    def _make_room(self, size: int) -> None:
+        limit = self._limits.retained_bytes
+        if self.retained_bytes + size <= limit:
+            return
+        finished = (
+            record
+            for record in self._records.values()
+            if record.state is RecordState.FINISHED
+        )
+        for record in finished:
+            self._drop_response(record)
+            if self.retained_bytes + size <= limit:
+                return
+        raise ResponseTooLargeError('the response does not fit into memory')
+
+    def _drop_response(self, record: AttemptRecord) -> None:
+        self.retained_bytes -= record.retained_bytes
+        if record.state is RecordState.FINISHED:
+            record.drop_response()
+
+    def _refused(
+        self, key: AttemptKey, reason: messages.RefusalReason
+    ) -> messages.AttemptRefused:
+        retry_ms = _OVERLOAD_RETRY_MS if reason is Reason.OVERLOADED else None
+        return messages.AttemptRefused(
+            **self._sender,
+            attempt_id=key.attempt_id,
+            reason=reason,
+            retry_after_ms=retry_ms,
+        )
+
     def _missing(
-        self, message: messages.FetchAttempt, now_s: float
-    ) -> messages.AttemptMissing:
-        if self._is_own(message):
-            if len(self._records) >= self._max_id_count:
-                self._bar_earlier_requests()
-            else:
-                self._remember(message, AttemptState.MISSING, now_s)
-        return self._missing_reply(message)
-
-    def _missing_reply(
         self, message: messages.FetchAttempt
     ) -> messages.AttemptMissing:
         return messages.AttemptMissing(
-            **self._sender.fields(),
+            **self._sender,
             attempt_id=message.attempt_id,
-            restarted=not self._is_own(message),
-        )
-
-    def _is_own(
-        self, message: messages.StartAttempt | messages.FetchAttempt
-    ) -> bool:
-        return message.agent_incarnation == self._sender.incarnation
-
-    def _refuse_unremembered(
-        self, message: messages.StartAttempt
-    ) -> StartDecision:
-        sequence = min(
-            message.heard_sequence, self._hello_times.latest_sequence
-        )
-        self._first_sequence = max(self._first_sequence, sequence + 1)
-        return self._refusal(message.attempt_id, RefusalReason.OVERLOADED)
-
-    def _bar_earlier_requests(self) -> None:
-        self._first_sequence = self._hello_times.latest_sequence + 1
-
-    def _refusal(
-        self, attempt_id: ids.AttemptId, reason: RefusalReason
-    ) -> StartDecision:
-        refused = messages.AttemptRefused(
-            **self._sender.fields(), attempt_id=attempt_id, reason=reason
+            restarted=message.agent_incarnation != self._incarnation,
         )
-        return StartDecision(False, (refused,))
 
-    def _lost_response(self, record: AttemptRecord) -> messages.ResponseEnd:
+    def _end(
+        self,
+        key: AttemptKey,
+        chunk_count: int,
+        outcome: messages.AttemptOutcome,
+        detail: str,
+    ) -> messages.ResponseEnd:
         return messages.ResponseEnd(
-            **self._sender.fields(),
-            attempt_id=record.attempt_id,
-            chunk_count=record.response.chunk_count,
-            outcome=AttemptOutcome.ENDPOINT_FAILED,
-            detail=NOT_RETAINED,
+            **self._sender,
+            attempt_id=key.attempt_id,
+            chunk_count=chunk_count,
+            outcome=outcome,
+            detail=detail,
         )
 
-    def _drop_output(self, record: AttemptRecord) -> None:
-        record.state = AttemptState.ACKNOWLEDGED
-        self._retained_bytes -= record.response.drop_chunks()
 
-    def _free_memory(self) -> None:
-        """Drop the oldest output, ended attempts first."""
-        held = self.held()
-        held.sort(key=lambda record: record.state is AttemptState.RUNNING)
-        for record in held:
-            if self._retained_bytes <= self._max_retained_bytes * 3 // 4:
-                return
-            self._retained_bytes -= record.response.drop_chunks()
+def _response_from(
+    record: AttemptRecord, next_index: int
+) -> Iterator[messages.AnyMessage]:
+    if record.head is not None:
+        yield record.head
+    yield from record.chunks[max(next_index, 0) :]
+    if record.end is not None:
+        yield record.end
--- a/src/dogwoodpost/core/attempts/hello_times.py
+++ b/src/dogwoodpost/core/attempts/hello_times.py
@@ -1,41 +1,36 @@
-"""When an agent sent its recent heartbeats."""
+"""When an agent sent its heartbeats."""
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict
 
-# An entry that hears nothing for 3 s drops the agent, so a request that is
-# older than this has been held up on its way.
-MAX_START_AGE_S = 5.0
+_KEPT_COUNT = 64
 
 
 class HelloTimes:
-    """Bounds the age of a message by the newest heartbeat that it names.
+    """Bounds the age of messages without a clock shared by the hosts.
 
-    The message was sent after that heartbeat was received, so its age is at
-    most the heartbeat's. This needs no clock that hosts share.
+    A message that names heartbeat N was sent after N was sent, so it is at
+    most as old as N.
     """
 
-    def __init__(self, max_age_s: float = MAX_START_AGE_S) -> None:
-        self.max_age_s = max_age_s
-        self._times: deque[tuple[int, float]] = deque()
-        self._latest = 0
+    def __init__(self, now_s: float) -> None:
+        self._sent_s: OrderedDict[int, float] = OrderedDict({0: now_s})
 
     @property
-    def latest_sequence(self) -> int:
-        """Return the sequence of the newest heartbeat."""
-        return self._latest
+    def last_sequence(self) -> int:
+        """Return the sequence of the last heartbeat."""
+        return next(reversed(self._sent_s))
 
     def record(self, sequence: int, now_s: float) -> None:
-        """Note a heartbeat directly before it is sent."""
-        self._latest = sequence
-        self._times.append((sequence, now_s))
-        while self._times and self._times[0][1] < now_s - self.max_age_s:
-            self._times.popleft()
-
-    def is_stale(self, sequence: int, now_s: float) -> bool:
-        """Return whether a message that names a heartbeat may be too old."""
-        for known, sent_s in self._times:
-            if known == sequence:
-                return now_s - sent_s > self.max_age_s
-        return True
+        """Note that a heartbeat is being sent."""
+        self._sent_s[sequence] = now_s
+        if len(self._sent_s) > _KEPT_COUNT:
+            self._sent_s.popitem(last=False)
+
+    def oldest_sent_s(self, sequence: int) -> float | None:
+        """Return the earliest time at which the message can have been sent.
+
+        None if the heartbeat is unknown.
+        """
+        return self._sent_s.get(sequence)
--- a/src/dogwoodpost/adapters/http/hop_by_hop.py
+++ b/src/dogwoodpost/core/http_headers.py
@@ -1,4 +1,4 @@
-"""Headers that concern one connection only."""
+"""Header fields that apply to one HTTP connection only."""
 
 from __future__ import annotations
 
@@ -7,10 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-Headers = tuple[tuple[str, str], ...]
-
-# RFC 9110, section 7.6.1.
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     {
         'connection',
         'keep-alive',
@@ -25,22 +22,33 @@
     }
 )
 
+Headers = tuple[tuple[str, str], ...]
+
 
-def without_hop_by_hop(
-    headers: Iterable[tuple[str, str]], dropped: frozenset[str] = frozenset()
+def end_to_end_headers(
+    headers: Iterable[tuple[str, str]],
+    also_dropped: frozenset[str] = frozenset(),
 ) -> Headers:
     """Return the headers that pass on to the next connection.
 
-    :param dropped: names in lower case that are dropped as well.
+    The names become plain strings, because those of aiohttp are a subclass
+    that messages cannot carry.
+
+    :param also_dropped: further names, in lower case.
     """
-    items = list(headers)
-    listed = {
+    items = [(str(name), value) for name, value in headers]
+    dropped = HOP_BY_HOP | also_dropped | _listed_in_connection(items)
+    return tuple(
+        (name, value) for name, value in items if name.lower() not in dropped
+    )
+
+
+def _listed_in_connection(
+    headers: Iterable[tuple[str, str]],
+) -> frozenset[str]:
+    return frozenset(
         token.strip().lower()
-        for name, value in items
+        for name, value in headers
         if name.lower() == 'connection'
         for token in value.split(',')
-    }
-    excluded = _HOP_BY_HOP | listed | dropped
-    return tuple(
-        (name, value) for name, value in items if name.lower() not in excluded
     )
--- a/src/dogwoodpost/core/attempts/sender.py
+++ b/src/dogwoodpost/core/membership/identity.py
@@ -1,4 +1,4 @@
-"""The process that a message comes from."""
+"""What a process says of itself in every message."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 from dogwoodpost.core import ids
 
 
-class Sender(msgspec.Struct, frozen=True, kw_only=True):
-    """Fills the sender's fields of messages."""
+class ProcessIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """A process, this run of it, and where it listens for peers."""
 
     process_id: ids.ProcessId
     incarnation: ids.Incarnation
     address: str
 
-    def fields(self) -> dict[str, Any]:
-        """Return the fields that all messages have."""
+    def sender_fields(self) -> dict[str, Any]:
+        """Return the sender's fields of a message."""
         return {
             'sender_id': self.process_id,
             'sender_incarnation': self.incarnation,
--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -24,7 +24,6 @@
     UNKNOWN_ENDPOINT = 'unknown_endpoint'
     DUPLICATE = 'duplicate'
     OUT_OF_ROTATION = 'out_of_rotation'
-    STALE = 'stale'
 
 
 class AttemptOutcome(Enum):
@@ -86,8 +85,8 @@
 class StartAttempt(Message, frozen=True, kw_only=True):
     """Asks an agent to run one attempt at one of its endpoints.
 
-    ``heard_sequence`` is that of the newest ``AgentHello`` that the entry had
-    received; it bounds the age of the message without a shared clock.
+    ``hello_sequence`` is that of the last ``AgentHello`` that the sender had
+    received; it tells the agent how old a late copy can be at most.
     """
 
     attempt_id: ids.AttemptId
@@ -101,14 +100,11 @@
     remaining_ms: int
     idempotent: bool
     priority: int = 0
-    heard_sequence: int = 0
+    hello_sequence: int = 0
 
 
 class FetchAttempt(Message, frozen=True, kw_only=True):
-    """Asks for the answer of an attempt from a chunk index on.
-
-    ``agent_incarnation`` is the one that the attempt is addressed to.
-    """
+    """Asks for the answer of an attempt from a chunk index on."""
 
     attempt_id: ids.AttemptId
     remaining_ms: int
@@ -184,6 +180,7 @@
     waiting_count: int
     running_tokens: int = 0
     age_ms: int = 0
+    weight_version: ids.WeightVersion | None = None
 
 
 class LoadReport(Message, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -1,155 +1,246 @@
-"""The agent beside the endpoints of one host."""
+"""The agent process: the only one that talks to its endpoints."""
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
-import random
+from typing import Any
 from typing import TYPE_CHECKING
 
+import mode
 import structlog
 
 from dogwoodpost.core import ids
 from dogwoodpost.core import messages
-from dogwoodpost.core.attempts.agent_attempts import AgentAttempts
-from dogwoodpost.core.attempts.hello_times import HelloTimes
-from dogwoodpost.core.membership.entry_registry import EntryRegistry
-from dogwoodpost.core.membership.fencing_guard import FencingGuard
-from dogwoodpost.services.agent.attempt_executor import AttemptExecutor
-from dogwoodpost.services.agent.command_runner import CommandRunner
-from dogwoodpost.services.agent.endpoint_reports import EndpointReports
-from dogwoodpost.services.agent.entry_follower import EntryFollower
-from dogwoodpost.services.agent.peer_service import AgentPeerService
-from dogwoodpost.services.composite_service import CompositeService
+from dogwoodpost.core.attempts import AttemptRecord
+from dogwoodpost.core.membership import HEARTBEAT_PERIOD_S
+from dogwoodpost.core.membership import HeartbeatResult
+from dogwoodpost.errors import TransportError
+from dogwoodpost.services.background_tasks import BackgroundTasks
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from dogwoodpost.config import AgentSettings
-    from dogwoodpost.core.attempts.sender import Sender
-    from dogwoodpost.observability import Metrics
+    from dogwoodpost.core.attempts import AgentAttempts
+    from dogwoodpost.core.membership import FencingNumbers
+    from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.peer_transport import PeerTransport
-    from dogwoodpost.ports.table_store import TableStore
-    from dogwoodpost.services.agent.command_runner import WeightHandler
-    from dogwoodpost.services.agent.endpoint_slot import EndpointSlot
+    from dogwoodpost.services.agent.attempt_worker import AttemptWorker
+    from dogwoodpost.services.agent.endpoint_commands import EndpointCommands
+    from dogwoodpost.services.agent.endpoint_watch import EndpointWatch
+    from dogwoodpost.services.agent.entry_links import EntryLink
+    from dogwoodpost.services.agent.entry_links import EntryLinks
 
-DRAIN_POLL_S = 0.05
+REGISTRATION_PERIOD_S = 5.0
+LOAD_PERIOD_S = 1.0
+_DRAIN_POLL_S = 0.05
 
-_logger = structlog.get_logger(__name__)
+_log = structlog.get_logger(__name__)
 
 
-class Agent(CompositeService):
-    """Runs attempts and orders at its endpoints.
-
-    The transport, the store and the endpoint clients are opened and closed by
-    the caller.
-
-    :param weights_url: where other agents fetch weights from this one.
-    """
+class Agent(mode.Service):
+    """Runs attempts and orders of the entries at its endpoints."""
 
     def __init__(
         self,
         settings: AgentSettings,
-        *,
-        slots: Sequence[EndpointSlot],
+        identity: ProcessIdentity,
         transport: PeerTransport,
-        tables: TableStore,
-        sender: Sender,
         clock: Clock,
-        metrics: Metrics,
-        weight_handler: WeightHandler | None = None,
-        weights_url: str = '',
+        links: EntryLinks,
+        attempts: AgentAttempts,
+        worker: AttemptWorker,
+        numbers: FencingNumbers,
+        commands: EndpointCommands,
+        watches: Sequence[EndpointWatch],
     ) -> None:
         super().__init__()
         self._settings = settings
-        self._slots = slots
-        self._sender = sender
+        self.identity = identity
+        self.transport = transport
         self._clock = clock
-        self._weights_url = weights_url
-        self._entries = EntryRegistry(
-            settings.seed_entry_addresses, clock.monotonic_s()
-        )
-        hello_times = HelloTimes()
-        by_id = {slot.endpoint_id: slot for slot in slots}
-        self._executor = AttemptExecutor(
-            attempts=AgentAttempts(
-                sender,
-                hello_times,
-                retained_bytes=settings.retained_answer_bytes,
-            ),
-            slots=by_id,
-            entries=self._entries,
-            transport=transport,
-            sender=sender,
-            clock=clock,
-            metrics=metrics,
-        )
-        guard = FencingGuard()
-        self._commands = CommandRunner(
-            slots=by_id,
-            guard=guard,
-            transport=transport,
-            sender=sender,
-            weight_handler=weight_handler,
-        )
-        self._reports = EndpointReports(slots, sender, clock)
-        self._peers = AgentPeerService(
-            transport=transport,
-            entries=self._entries,
-            executor=self._executor,
-            commands=self._commands,
-            guard=guard,
-            hello_times=hello_times,
-            reports=self._reports,
-            clock=clock,
-            hello=self._hello,
-        )
-        self._follower = EntryFollower(
-            tables, self._entries, transport, clock, random.Random()
+        self._links = links
+        self._attempts = attempts
+        self._worker = worker
+        self._numbers = numbers
+        self._commands = commands
+        self._watches = tuple(watches)
+        self._sequence = 0
+        self._background = BackgroundTasks()
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            messages.EntryHeartbeat: self._on_heartbeat,
+            messages.StartAttempt: self._on_start_attempt,
+            messages.FetchAttempt: self._on_fetch,
+            messages.CancelAttempt: self._on_cancel,
+            messages.AcknowledgeAttempt: self._attempts.acknowledge,
+            messages.EndpointCommand: self._on_command,
+        }
+
+    async def on_start(self) -> None:
+        """Read the entries, then start to serve them."""
+        await self._links.read_registrations(self._now_s())
+        for watch in self._watches:
+            await watch.poll_load()
+        self.add_future(self._receive())
+        self.add_future(self._every(HEARTBEAT_PERIOD_S, self._beat))
+        self.add_future(self._every(LOAD_PERIOD_S, self._report))
+        self.add_future(self._every(REGISTRATION_PERIOD_S, self._register))
+
+    async def on_stop(self) -> None:
+        """Drain: announce, refuse new work, let the rest finish."""
+        self._attempts.draining = True
+        deadline_s = self._now_s() + self._settings.drain_timeout_s
+        await self._beat()
+        announced = self._sequence
+        while self._now_s() < deadline_s:
+            if self._is_drained() and self._is_confirmed(announced):
+                break
+            await asyncio.sleep(_DRAIN_POLL_S)
+        else:
+            _log.warning(
+                'drain_timeout', running=self._attempts.running_count()
+            )
+        await self._worker.close()
+
+    async def on_shutdown(self) -> None:
+        """Close the connections after all tasks have ended."""
+        await self._background.cancel()
+        await self.transport.close()
+
+    def _is_drained(self) -> bool:
+        if self._attempts.running_count() > 0:
+            return False
+        live = self._links.live(self._now_s())
+        return not live or self._attempts.unacknowledged_count() == 0
+
+    def _is_confirmed(self, sequence: int) -> bool:
+        return all(
+            link.liveness.confirmed_sequence >= sequence
+            for link in self._links.live(self._now_s())
         )
 
-    def is_ready(self) -> bool:
-        """Return whether an entry hears this agent and may send work."""
-        now_s = self._clock.monotonic_s()
-        return not self._executor.leaving and self._entries.has_live(now_s)
-
-    async def open_parts(self) -> None:
-        """Start to follow the entries, then to receive from them."""
-        await self.run_part(self._reports)
-        await self._follower.scan()
-        await self.run_part(self._follower)
-        await self.run_part(self._peers)
-        await self.open_part(self._drained_at_end())
-
-    @contextlib.asynccontextmanager
-    async def _drained_at_end(self) -> AsyncIterator[None]:
-        yield
-        end_s = self._clock.monotonic_s() + self._settings.drain_timeout_s
-        self._executor.leaving = True
-        sequence = self._peers.beat()
-        _logger.info('agent_draining')
-        # An entry that has echoed the heartbeat sends no new attempts, and
-        # those that it sent before have arrived.
-        while not self._entries.all_echoed(
-            sequence, self._clock.monotonic_s()
-        ):
-            if self._clock.monotonic_s() >= end_s:
-                break
-            await self._clock.sleep(DRAIN_POLL_S)
-        await self._executor.drain(end_s)
-        await self._commands.close()
+    async def _receive(self) -> None:
+        while True:
+            message = await self.transport.receive()
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(message)
 
-    def _hello(self, sequence: int, echo_sequence: int) -> messages.AgentHello:
+    async def _every(
+        self, period_s: float, action: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await action()
+            await asyncio.sleep(period_s)
+
+    # Periodic work
+
+    async def _beat(self) -> None:
+        now_s = self._now_s()
+        self._sequence += 1
+        self._attempts.record_hello(self._sequence, now_s)
+        self._links.reopen_silent(now_s)
+        for process_id in self._links.take_gone(now_s):
+            for record in self._attempts.owned_by(process_id):
+                self._worker.cancel(record)
+        self._attempts.expire(now_s)
+        for link in self._links.all():
+            # A blocked peer gets no second heartbeat on top of the first.
+            if not link.sending:
+                self._background.spawn(self._send_hello(link))
+
+    async def _send_hello(self, link: EntryLink) -> None:
         settings = self._settings
-        return messages.AgentHello(
-            **self._sender.fields(),
+        hello = messages.AgentHello(
+            **self.identity.sender_fields(),
             host_id=ids.HostId(settings.host_id),
             availability_zone=ids.AvailabilityZone(settings.availability_zone),
             region=ids.Region(settings.region),
-            sequence=sequence,
-            echo_sequence=echo_sequence,
-            endpoints=tuple(slot.state for slot in self._slots),
-            leaving=self._executor.leaving,
-            weights_url=self._weights_url,
+            sequence=self._sequence,
+            echo_sequence=link.liveness.received_sequence,
+            endpoints=tuple(watch.state() for watch in self._watches),
+            leaving=self._attempts.draining,
+        )
+        link.sending = True
+        try:
+            await self._send(link.address, hello)
+        finally:
+            link.sending = False
+
+    async def _report(self) -> None:
+        loads = await asyncio.gather(
+            *(watch.poll_load() for watch in self._watches)
+        )
+        report = messages.LoadReport(
+            **self.identity.sender_fields(),
+            loads=tuple(load for load in loads if load is not None),
+        )
+        events = await asyncio.gather(
+            *(watch.poll_cache() for watch in self._watches)
         )
+        news: list[messages.AnyMessage] = [report]
+        news += [event for event in events if event is not None]
+        for link in self._links.live(self._now_s()):
+            self._worker.resend(link.address, news)
+
+    async def _register(self) -> None:
+        await self._links.read_registrations(self._now_s())
+
+    # Messages
+
+    def _on_heartbeat(self, message: messages.EntryHeartbeat) -> None:
+        result = self._links.record_heartbeat(message, self._now_s())
+        if result is HeartbeatResult.OUTDATED:
+            return
+        self._numbers.record_read_back(message.fencing_numbers)
+        if result is HeartbeatResult.RESTARTED:
+            for record in self._attempts.owned_by(
+                message.sender_id, message.sender_incarnation
+            ):
+                self._worker.cancel(record)
+            self._background.spawn(
+                self._send_snapshots(message.sender_address)
+            )
+
+    async def _send_snapshots(self, address: str) -> None:
+        for watch in self._watches:
+            events = await watch.snapshot()
+            if events is not None:
+                await self._send(address, events)
+
+    def _on_start_attempt(self, message: messages.StartAttempt) -> None:
+        result = self._attempts.start(message, self._now_s())
+        if isinstance(result, AttemptRecord):
+            self._worker.start(result, message)
+        elif result is not None:
+            self._worker.resend(message.sender_address, (result,))
+
+    def _on_fetch(self, message: messages.FetchAttempt) -> None:
+        parts = self._attempts.fetch(message, self._now_s())
+        self._worker.resend(message.sender_address, parts)
+
+    def _on_cancel(self, message: messages.CancelAttempt) -> None:
+        result = self._attempts.cancel(message, self._now_s())
+        if isinstance(result, AttemptRecord):
+            self._worker.cancel(result)
+        elif result is not None:
+            self._worker.resend(message.sender_address, (result,))
+
+    def _on_command(self, message: messages.EndpointCommand) -> None:
+        self._background.spawn(self._execute(message))
+
+    async def _execute(self, command: messages.EndpointCommand) -> None:
+        result = await self._commands.execute(command)
+        await self._send(command.sender_address, result)
+
+    async def _send(self, address: str, message: messages.AnyMessage) -> None:
+        # Heartbeats repeat; a lost result of an order is asked for again.
+        with contextlib.suppress(TransportError):
+            await self.transport.send(address, message)
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic_s()
--- a/src/dogwoodpost/services/entry/agent_directory.py
+++ b/src/dogwoodpost/services/entry/agent_directory.py
@@ -1,73 +1,130 @@
-"""Follows the agents and feeds the router."""
+"""The agents that an entry hears, and their endpoints."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-import structlog
-
-from dogwoodpost.core.membership.agent_registry import AgentRegistry
+from dogwoodpost.core.membership import HeartbeatResult
+from dogwoodpost.core.membership import PeerLink
+from dogwoodpost.core.routing.endpoint import Endpoint
 
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
     from dogwoodpost.core import messages
-    from dogwoodpost.core.membership.agent_registry import Agent
-    from dogwoodpost.core.membership.agent_registry import LostAgent
     from dogwoodpost.core.routing.endpoint import EndpointListener
-    from dogwoodpost.ports.clock import Clock
 
-_logger = structlog.get_logger(__name__)
+
+class KnownAgent:
+    """One agent, as of its last heartbeat."""
+
+    def __init__(self, hello: messages.AgentHello, now_s: float) -> None:
+        self.process_id = hello.sender_id
+        self.address = hello.sender_address
+        self.liveness = PeerLink(hello.sender_incarnation, now_s)
+        self.endpoints: dict[ids.EndpointId, Endpoint] = {}
+        self.sending = False
 
 
 class AgentDirectory:
-    """The agents that this entry hears of."""
+    """Tells a listener which endpoints can be reached."""
 
-    def __init__(self, listener: EndpointListener, clock: Clock) -> None:
+    def __init__(self, listener: EndpointListener) -> None:
         self._listener = listener
-        self._clock = clock
-        self._registry = AgentRegistry(listener)
+        self._agents: dict[ids.ProcessId, KnownAgent] = {}
+        self._owners: dict[ids.EndpointId, ids.ProcessId] = {}
 
-    def agents(self) -> list[Agent]:
+    def agents(self) -> list[KnownAgent]:
         """Return all known agents."""
-        return self._registry.agents()
-
-    def agent(self, agent_id: ids.ProcessId) -> Agent | None:
-        """Return what is known of an agent."""
-        return self._registry.agent(agent_id)
-
-    def heard_sequence(self, agent_id: ids.ProcessId) -> int:
-        """Return the sequence of the agent's newest heartbeat, or 0."""
-        agent = self._registry.agent(agent_id)
-        return 0 if agent is None else agent.liveness.last_sequence
-
-    def record_sent(self, sequence: int) -> None:
-        """Note the sequence of this entry's newest heartbeat."""
-        self._registry.record_sent(sequence)
-
-    def hear(self, hello: messages.AgentHello) -> LostAgent | None:
-        """Take a heartbeat; return the incarnation that it replaces."""
-        lost = self._registry.hear(hello, self._clock.monotonic_s())
-        if lost is not None:
-            _logger.info('agent_restarted', agent=lost.agent_id)
-        return lost
-
-    def report_load(self, report: messages.LoadReport) -> None:
-        """Pass on the loads of endpoints that the sender owns."""
-        now_s = self._clock.monotonic_s()
+        return list(self._agents.values())
+
+    def find(self, process_id: ids.ProcessId) -> KnownAgent | None:
+        """Return an agent, None if it is unknown or gone."""
+        return self._agents.get(process_id)
+
+    def record_hello(
+        self, hello: messages.AgentHello, now_s: float
+    ) -> HeartbeatResult:
+        """Take a heartbeat of an agent."""
+        agent = self._agents.get(hello.sender_id)
+        if agent is None:
+            agent = KnownAgent(hello, now_s)
+            self._agents[hello.sender_id] = agent
+        result = agent.liveness.record_heartbeat(
+            hello.sender_incarnation,
+            hello.sequence,
+            hello.echo_sequence,
+            now_s,
+        )
+        if result is HeartbeatResult.OUTDATED:
+            return result
+        agent.address = hello.sender_address
+        self._update(agent, hello, now_s)
+        return result
+
+    def record_load(self, report: messages.LoadReport, now_s: float) -> None:
+        """Pass on the loads of the endpoints that the sender owns."""
         for load in report.loads:
-            if self._registry.owns(report.sender_id, load.endpoint_id):
+            if self._owners.get(load.endpoint_id) == report.sender_id:
                 self._listener.report_load(load, now_s)
 
-    def record_cache_events(self, events: messages.CacheEvents) -> None:
-        """Pass on cache events of an endpoint that the sender owns."""
-        if self._registry.owns(events.sender_id, events.endpoint_id):
-            self._listener.record_cache_events(
-                events, self._clock.monotonic_s()
-            )
-
-    def remove_silent(self) -> list[Agent]:
-        """Stop routing to silent agents; return those to connect anew."""
-        due = self._registry.remove_silent(self._clock.monotonic_s())
-        for agent in due:
-            _logger.warning('agent_silent', agent=agent.agent_id)
-        return due
+    def record_cache_events(
+        self, events: messages.CacheEvents, now_s: float
+    ) -> None:
+        """Pass on the cache events of an endpoint that the sender owns."""
+        if self._owners.get(events.endpoint_id) == events.sender_id:
+            self._listener.record_cache_events(events, now_s)
+
+    def remove_silent(self, now_s: float) -> list[KnownAgent]:
+        """Withdraw the endpoints of silent agents; return agents now gone."""
+        gone = []
+        for agent in self.agents():
+            if agent.liveness.is_silent(now_s):
+                self._withdraw(agent, set(agent.endpoints), now_s)
+            if agent.liveness.is_gone(now_s):
+                gone.append(agent)
+                del self._agents[agent.process_id]
+        return gone
+
+    def _update(
+        self, agent: KnownAgent, hello: messages.AgentHello, now_s: float
+    ) -> None:
+        listed = {state.endpoint_id for state in hello.endpoints}
+        self._withdraw(agent, set(agent.endpoints) - listed, now_s)
+        for state in hello.endpoints:
+            endpoint = _endpoint(hello, state)
+            self._owners[state.endpoint_id] = agent.process_id
+            if agent.endpoints.get(state.endpoint_id) != endpoint:
+                agent.endpoints[state.endpoint_id] = endpoint
+                self._listener.upsert(endpoint, now_s)
+
+    def _withdraw(
+        self,
+        agent: KnownAgent,
+        endpoint_ids: set[ids.EndpointId],
+        now_s: float,
+    ) -> None:
+        for endpoint_id in sorted(endpoint_ids):
+            del agent.endpoints[endpoint_id]
+            # Another agent may have taken over the endpoint's id.
+            if self._owners.get(endpoint_id) == agent.process_id:
+                del self._owners[endpoint_id]
+                self._listener.remove(endpoint_id, now_s)
+
+
+def _endpoint(
+    hello: messages.AgentHello, state: messages.EndpointState
+) -> Endpoint:
+    return Endpoint(
+        endpoint_id=state.endpoint_id,
+        service=state.service,
+        host_id=hello.host_id,
+        availability_zone=hello.availability_zone,
+        region=hello.region,
+        agent_id=hello.sender_id,
+        agent_incarnation=hello.sender_incarnation,
+        agent_address=hello.sender_address,
+        weight_version=state.weight_version,
+        ready=state.ready,
+        draining=state.draining or hello.leaving,
+        weights_url=hello.weights_url,
+    )
--- a/src/dogwoodpost/services/entry/peer_service.py
+++ b/src/dogwoodpost/services/entry/peer_service.py
@@ -1,181 +1,168 @@
-"""Receives the messages of agents and other entries."""
+"""The entry's side of the connections to agents and other entries."""
 
 from __future__ import annotations
 
 import asyncio
-from functools import singledispatchmethod
+import contextlib
 from typing import Any
 from typing import TYPE_CHECKING
 
-from mode import Service
+import mode
 
 from dogwoodpost.core import messages
-from dogwoodpost.core.membership.peer_liveness import HEARTBEAT_INTERVAL_S
+from dogwoodpost.core.membership import HEARTBEAT_PERIOD_S
+from dogwoodpost.core.membership import HeartbeatResult
 from dogwoodpost.errors import TransportError
+from dogwoodpost.services.background_tasks import BackgroundTasks
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Mapping
 
     from dogwoodpost.core import ids
-    from dogwoodpost.core.attempts.sender import Sender
-    from dogwoodpost.core.membership.agent_registry import Agent
+    from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.peer_transport import PeerTransport
     from dogwoodpost.services.entry.agent_directory import AgentDirectory
-    from dogwoodpost.services.entry.attempt_runner import PeerAttemptRunner
+    from dogwoodpost.services.entry.agent_directory import KnownAgent
     from dogwoodpost.services.entry.endpoint_commander import EndpointCommander
+    from dogwoodpost.services.entry.peer_attempt_runner import (
+        PeerAttemptRunner,
+    )
 
-TICK_INTERVAL_S = 0.1
+_POLL_PERIOD_S = 0.1
 
+RESPONSE_PARTS = (
+    messages.AttemptRefused,
+    messages.AttemptMissing,
+    messages.ResponseHead,
+    messages.ResponseChunk,
+    messages.ResponseEnd,
+)
 
-class PeerService(Service):
-    """Receive loop, heartbeats and the detection of silent agents.
 
-    :param fencing_numbers: returns the highest number per shard as read from
-        the store by reads that began after a time of the clock, in seconds.
-    :param handle_entry_message: takes ``ConfigurationPush``,
-        ``FreshnessQuery`` and ``FreshnessReply`` messages.
+class PeerService(mode.Service):
+    """Receives messages, sends heartbeats and notices silent agents.
+
+    ``fencing_numbers`` is called with a time and returns the numbers, by
+    shard, that this process has read from the store since that time.
+    ``handle_other`` takes the messages of other entries.
     """
 
     def __init__(
         self,
-        *,
+        identity: ProcessIdentity,
         transport: PeerTransport,
+        clock: Clock,
         directory: AgentDirectory,
         runner: PeerAttemptRunner,
         commander: EndpointCommander,
-        sender: Sender,
-        clock: Clock,
-        current_revision: Callable[[], ids.Revision],
+        *,
+        revision: Callable[[], ids.Revision],
         fencing_numbers: Callable[[float], Mapping[str, int]],
-        handle_entry_message: Callable[
-            [messages.AnyMessage], Awaitable[object]
+        handle_other: Callable[
+            [messages.AnyMessage], Coroutine[Any, Any, None]
         ],
     ) -> None:
         super().__init__()
+        self._sender = identity.sender_fields()
         self._transport = transport
+        self._clock = clock
         self._directory = directory
         self._runner = runner
         self._commander = commander
-        self._sender = sender
-        self._clock = clock
-        self._current_revision = current_revision
+        self._revision = revision
         self._fencing_numbers = fencing_numbers
-        self._handle_entry_message = handle_entry_message
+        self._handle_other = handle_other
         self._sequence = 0
-        self._open_tasks: set[asyncio.Task[None]] = set()
-        self._heartbeats: dict[ids.ProcessId, asyncio.Task[None]] = {}
+        self._background = BackgroundTasks()
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            messages.AgentHello: self._on_hello,
+            messages.LoadReport: self._on_load,
+            messages.CacheEvents: self._on_cache_events,
+            messages.EndpointCommandResult: commander.receive,
+            **dict.fromkeys(RESPONSE_PARTS, runner.receive),
+        }
 
     async def on_start(self) -> None:
-        """Start receiving."""
+        """Start to receive and to send heartbeats."""
         self.add_future(self._receive())
-        self.add_future(self._send_heartbeats())
-        self.add_future(self._tick())
+        self.add_future(self._beat_forever())
+        self.add_future(self._poll_forever())
 
-    async def on_stop(self) -> None:
-        """Wait for the messages that are being sent."""
+    async def on_shutdown(self) -> None:
+        """Send the last messages and close the connections."""
         await self._runner.close()
-        for task in self._open_tasks:
-            task.cancel()
-        if self._open_tasks:
-            await asyncio.wait(self._open_tasks)
+        await self._background.cancel()
+        await self._transport.close()
 
     async def _receive(self) -> None:
-        while not self.should_stop:
-            self._handle(await self._transport.receive())
-
-    async def _send_heartbeats(self) -> None:
-        while not self.should_stop:
-            self._sequence += 1
-            self._directory.record_sent(self._sequence)
-            for agent in self._directory.agents():
-                self._send_heartbeat(agent)
-            await self._clock.sleep(HEARTBEAT_INTERVAL_S)
-
-    async def _tick(self) -> None:
-        while not self.should_stop:
-            for agent in self._directory.remove_silent():
+        while True:
+            message = await self._transport.receive()
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(message)
+            else:
+                self._background.spawn(self._handle_other(message))
+
+    async def _beat_forever(self) -> None:
+        while True:
+            self._beat()
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    async def _poll_forever(self) -> None:
+        while True:
+            self._runner.poll()
+            await asyncio.sleep(_POLL_PERIOD_S)
+
+    def _beat(self) -> None:
+        now_s = self._clock.monotonic_s()
+        self._sequence += 1
+        for agent in self._directory.remove_silent(now_s):
+            self._runner.agent_gone(agent)
+            self._transport.reconnect(agent.address)
+        for agent in self._directory.agents():
+            if agent.liveness.take_reconnect(now_s):
                 self._transport.reconnect(agent.address)
-                self._runner.fetch_from_agent(agent.agent_id)
-            self._runner.tick()
-            await self._clock.sleep(TICK_INTERVAL_S)
+                self._runner.agent_reconnected(agent)
+            # A blocked peer gets no second heartbeat on top of the first.
+            if not agent.sending:
+                self._background.spawn(self._send_heartbeat(agent))
 
-    def _send_heartbeat(self, agent: Agent) -> None:
+    async def _send_heartbeat(self, agent: KnownAgent) -> None:
+        since_s = agent.liveness.incarnation_since_s
         heartbeat = messages.EntryHeartbeat(
-            **self._sender.fields(),
+            **self._sender,
             sequence=self._sequence,
-            echo_sequence=agent.liveness.last_sequence,
-            revision=self._current_revision(),
-            fencing_numbers=dict(self._fencing_numbers(agent.first_heard_s)),
+            echo_sequence=agent.liveness.received_sequence,
+            revision=self._revision(),
+            fencing_numbers=dict(self._fencing_numbers(since_s)),
         )
-        agent.liveness.record_sent(self._sequence, self._clock.monotonic_s())
-        # A blocked agent gets no second heartbeat behind the first.
-        previous = self._heartbeats.get(agent.agent_id)
-        if previous is None or previous.done():
-            self._heartbeats[agent.agent_id] = self._start(
-                self._send(agent.address, heartbeat)
-            )
-
-    async def _send(self, address: str, message: messages.AnyMessage) -> None:
+        agent.sending = True
         try:
-            await self._transport.send(address, message)
-        except TransportError:
-            # The missing echo shows the peer as silent.
+            # The next period repeats it.
+            with contextlib.suppress(TransportError):
+                await self._transport.send(agent.address, heartbeat)
+        finally:
+            agent.sending = False
+
+    def _on_hello(self, hello: messages.AgentHello) -> None:
+        now_s = self._clock.monotonic_s()
+        is_new = self._directory.find(hello.sender_id) is None
+        result = self._directory.record_hello(hello, now_s)
+        agent = self._directory.find(hello.sender_id)
+        if agent is None or result is HeartbeatResult.OUTDATED:
             return
-
-    @singledispatchmethod
-    def _handle(self, message: messages.Message) -> None:
-        """Ignore messages that are meant for agents."""
-
-    @_handle.register
-    def _(self, message: messages.AgentHello) -> None:
-        agent = self._directory.agent(message.sender_id)
-        was_routed = agent is not None and agent.is_routed
-        lost = self._directory.hear(message)
-        if lost is not None:
-            self._runner.lose_agent(lost)
-            if lost.address != message.sender_address:
-                self._transport.reconnect(lost.address)
-        agent = self._directory.agent(message.sender_id)
-        if agent is not None and agent.is_routed and not was_routed:
-            self._runner.fetch_from_agent(agent.agent_id)
-
-    @_handle.register
-    def _(self, message: messages.LoadReport) -> None:
-        self._directory.report_load(message)
-
-    @_handle.register
-    def _(self, message: messages.CacheEvents) -> None:
-        self._directory.record_cache_events(message)
-
-    @_handle.register
-    def _(self, message: messages.EndpointCommandResult) -> None:
-        self._commander.handle(message)
-
-    @_handle.register(messages.AttemptRefused)
-    @_handle.register(messages.AttemptMissing)
-    @_handle.register(messages.ResponseHead)
-    @_handle.register(messages.ResponseChunk)
-    @_handle.register(messages.ResponseEnd)
-    def _(self, message: messages.Message) -> None:
-        self._runner.handle(message)
-
-    @_handle.register(messages.ConfigurationPush)
-    @_handle.register(messages.FreshnessQuery)
-    @_handle.register(messages.FreshnessReply)
-    def _(self, message: messages.AnyMessage) -> None:
-        self._start(self._pass_on(message))
-
-    async def _pass_on(self, message: messages.AnyMessage) -> None:
-        await self._handle_entry_message(message)
-
-    def _start(
-        self, coroutine: Coroutine[Any, Any, None]
-    ) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(coroutine)
-        self._open_tasks.add(task)
-        task.add_done_callback(self._open_tasks.discard)
-        return task
+        if result is HeartbeatResult.RESTARTED:
+            self._runner.agent_restarted(agent)
+        if is_new or hello.leaving or result is HeartbeatResult.RESTARTED:
+            # The agent waits for the echo.
+            if not agent.sending:
+                self._background.spawn(self._send_heartbeat(agent))
+
+    def _on_load(self, report: messages.LoadReport) -> None:
+        self._directory.record_load(report, self._clock.monotonic_s())
+
+    def _on_cache_events(self, events: messages.CacheEvents) -> None:
+        self._directory.record_cache_events(events, self._clock.monotonic_s())
--- a/tests/core/attempts/test_entry_attempt.py
+++ b/tests/core/attempts/test_entry_attempt.py
@@ -1,145 +1,121 @@
-"""Order, gaps and outcome of an attempt at the entry."""
+"""What an entry concludes from parts of a response and their absence."""
 
 from __future__ import annotations
 
 import pytest
 
-from dogwoodpost.core import ids
 from dogwoodpost.core import messages
-from dogwoodpost.core.attempts.entry_attempt import EntryAttempt
-from dogwoodpost.core.attempts.entry_attempt import EntryAttemptState
-from dogwoodpost.core.messages import AttemptOutcome
-from dogwoodpost.core.messages import RefusalReason
-
-ID = ids.AttemptId('attempt')
-OPEN = EntryAttemptState.OPEN
-ENDED = EntryAttemptState.ENDED
-NOT_RUN = EntryAttemptState.NOT_RUN
-UNKNOWN = EntryAttemptState.UNKNOWN
-
-
-def sender(incarnation='agent-1'):
-    return {
-        'sender_id': ids.ProcessId('agent'),
-        'sender_incarnation': ids.Incarnation(incarnation),
-        'sender_address': 'agent:1',
-        'attempt_id': ID,
-    }
-
-
-HEAD = messages.ResponseHead(**sender(), status=200, headers=())
-CHUNKS = [
-    messages.ResponseChunk(**sender(), index=index, data=b'%d' % index)
-    for index in range(3)
-]
+from dogwoodpost.core.attempts import EntryAttempt
+from dogwoodpost.core.attempts.entry_attempt import MAX_BUFFERED_COUNT
+from dogwoodpost.ports.attempt_runner import AttemptData
+from dogwoodpost.ports.attempt_runner import AttemptEnd
+from dogwoodpost.ports.attempt_runner import AttemptNotRunError
+from dogwoodpost.ports.attempt_runner import AttemptOutcomeUnknownError
+
+AGENT = {
+    'sender_id': 'agent',
+    'sender_incarnation': 'a1',
+    'sender_address': 'agent',
+    'attempt_id': 'x',
+}
+RESTARTED = {**AGENT, 'sender_incarnation': 'a2'}
+HEAD = messages.ResponseHead(**AGENT, status=200, headers=())
+END = messages.ResponseEnd(
+    **AGENT, chunk_count=2, outcome=messages.AttemptOutcome.COMPLETED
+)
+DRAINING = messages.RefusalReason.DRAINING
+REFUSED = messages.AttemptRefused(**AGENT, reason=DRAINING)
 
 
-def end(outcome=AttemptOutcome.COMPLETED, count=3):
-    return messages.ResponseEnd(
-        **sender(), chunk_count=count, outcome=outcome
+def piece(index: int) -> messages.ResponseChunk:
+    return messages.ResponseChunk(
+        **AGENT, index=index, data=str(index).encode()
     )
 
 
-def refused(incarnation='agent-1'):
-    return messages.AttemptRefused(
-        **sender(incarnation), reason=RefusalReason.DRAINING
-    )
+def make() -> EntryAttempt:
+    return EntryAttempt('x', 'a1', 5.0, 0.0)
 
 
-def missing(incarnation='agent-1', restarted=False):
-    return messages.AttemptMissing(**sender(incarnation), restarted=restarted)
+NOT_RUN = AttemptNotRunError
+UNKNOWN = AttemptOutcomeUnknownError
+CONCLUSIONS = [
+    ([REFUSED], NOT_RUN),
+    ([messages.AttemptMissing(**AGENT, restarted=False)], NOT_RUN),
+    ([messages.AttemptMissing(**AGENT, restarted=True)], UNKNOWN),
+    ([messages.AttemptMissing(**RESTARTED, restarted=False)], UNKNOWN),
+    ([messages.AttemptRefused(**RESTARTED, reason=DRAINING)], UNKNOWN),
+    ([HEAD, messages.AttemptMissing(**RESTARTED, restarted=False)], UNKNOWN),
+    ([HEAD, REFUSED], type(None)),
+    ([piece(1), REFUSED], type(None)),
+]
 
 
-def new_attempt(max_buffered_bytes=100):
-    return EntryAttempt(
-        ID,
-        ids.Incarnation('agent-1'),
-        deadline_s=10.0,
-        now_s=0.0,
-        max_buffered_bytes=max_buffered_bytes,
+@pytest.mark.parametrize(('parts', 'error'), CONCLUSIONS)
+def test_conclusion(parts: list[object], error: type) -> None:
+    """Guards against "not run" for an attempt that may have run."""
+    attempt = make()
+    for part in parts:
+        attempt.receive(part, 0.1)
+    assert type(attempt.error) is error
+
+
+def test_refusal_after_the_deadline_proves_nothing() -> None:
+    """Guards against belief in an agent that has forgotten the attempt."""
+    attempt = make()
+    attempt.receive(REFUSED, 60.0)
+    assert type(attempt.error) is UNKNOWN
+
+
+def test_reordered_and_repeated_parts() -> None:
+    """Guards against a body that is out of order or ends too early."""
+    attempt = make()
+    events = []
+    for part in (END, piece(1), piece(1), HEAD, piece(0), piece(0)):
+        assert not attempt.done
+        attempt.receive(part, 0.1)
+        events += attempt.take_events()
+        if attempt.done:
+            break
+    data = [e.data for e in events if isinstance(e, AttemptData)]
+    assert data == [b'0', b'1']
+    assert isinstance(events[-1], AttemptEnd)
+
+
+def test_gap_is_fetched_once_per_period() -> None:
+    """Guards against lost chunks, and against a flood of fetches."""
+    attempt = make()
+    for part in (HEAD, piece(1), END):
+        attempt.receive(part, 1.0)
+    attempt.take_events()
+    times = [1.0 + tenth / 10 for tenth in range(15)]
+    assert sum(attempt.poll(now_s) for now_s in times) == 2
+    assert attempt.next_index == 0
+
+
+def test_slow_consumer_bounds_the_buffer() -> None:
+    """Guards against unbounded memory, and loss of what did not fit."""
+    attempt = make()
+    attempt.receive(HEAD, 0.1)
+    count = MAX_BUFFERED_COUNT + 10
+    for index in range(count):
+        attempt.receive(piece(index), 0.1)
+    assert not attempt.poll(1.0)
+    assert len(attempt.take_events()) == MAX_BUFFERED_COUNT + 1
+    for index in range(count):
+        attempt.receive(piece(index), 1.1)
+    assert len(attempt.take_events()) == 10
+
+
+def test_dropped_response_ends_in_a_failure() -> None:
+    """Guards against an endless wait for chunks the agent has dropped."""
+    attempt = make()
+    attempt.receive(END, 0.1)
+    lost = messages.ResponseEnd(
+        **AGENT,
+        chunk_count=0,
+        outcome=messages.AttemptOutcome.ENDPOINT_FAILED,
     )
-
-
-@pytest.mark.parametrize(
-    'order',
-    [
-        [HEAD, *CHUNKS, end()],
-        [end(), *reversed(CHUNKS), HEAD],
-        [CHUNKS[1], HEAD, CHUNKS[0], CHUNKS[0], end(), CHUNKS[1], CHUNKS[2]],
-        [HEAD, HEAD, *CHUNKS, *CHUNKS, end(), end()],
-    ],
-)
-def test_output_is_put_in_order(order):
-    """Guards against a response with repeated or swapped pieces."""
-    attempt = new_attempt()
-    output = []
-    for message in order:
-        attempt.handle(message, 1.0)
-        output += attempt.take()
-    assert output == [HEAD, *CHUNKS, end()]
-    assert attempt.state is ENDED
-
-
-FAILED = end(AttemptOutcome.ENDPOINT_FAILED, 0)
-
-
-@pytest.mark.parametrize(
-    ('order', 'now_s', 'expected'),
-    [
-        ([HEAD, CHUNKS[0], CHUNKS[1], end()], 1.0, OPEN),
-        ([*CHUNKS, end()], 1.0, OPEN),
-        ([HEAD, CHUNKS[0], FAILED], 1.0, ENDED),
-        ([HEAD, CHUNKS[0], end(), FAILED], 1.0, ENDED),
-        ([refused()], 1.0, NOT_RUN),
-        ([refused('agent-2')], 1.0, UNKNOWN),
-        ([missing()], 1.0, NOT_RUN),
-        ([missing('agent-2')], 1.0, UNKNOWN),
-        ([missing(restarted=True)], 1.0, UNKNOWN),
-        ([HEAD, missing()], 1.0, UNKNOWN),
-        ([HEAD, refused()], 1.0, UNKNOWN),
-        ([missing()], 10.0, UNKNOWN),
-        ([refused()], 10.0, UNKNOWN),
-    ],
-)
-def test_outcome(order, now_s, expected):
-    """Guards against false ends and against a false "not run"."""
-    attempt = new_attempt()
-    for message in order:
-        attempt.handle(message, now_s)
-        attempt.take()
-    assert attempt.state is expected
-
-
-@pytest.mark.parametrize(
-    ('order', 'fetches_s'),
-    [
-        ([], [3.0, 6.0]),
-        ([HEAD], [3.0, 6.0]),
-        ([HEAD, CHUNKS[1]], [0.1, 0.6]),
-        ([CHUNKS[0]], [0.1, 0.6]),
-        ([HEAD, CHUNKS[0], end()], [0.1, 0.6]),
-        ([HEAD, *CHUNKS, end()], []),
-    ],
-)
-def test_missing_output_is_fetched(order, fetches_s):
-    """Guards against waiting for ever, and against needless fetches."""
-    attempt = new_attempt()
-    for message in order:
-        attempt.handle(message, 0.0)
-    attempt.take()
-    times_s = [step / 20 for step in range(130)]
-    fetched_s = [now_s for now_s in times_s if attempt.fetch_if_due(now_s)]
-    assert fetched_s[:2] == pytest.approx(fetches_s, abs=0.051)
-
-
-def test_slow_caller_costs_bounded_memory():
-    """Guards against a buffer that grows while the caller doesn't read."""
-    attempt = new_attempt(max_buffered_bytes=2)
-    for message in [HEAD, *CHUNKS, end()]:
-        attempt.handle(message, 0.0)
-    assert not attempt.fetch_if_due(0.2)
-    assert attempt.take() == [HEAD, *CHUNKS[:2]]
-    assert not attempt.fetch_if_due(0.3)
-    assert attempt.fetch_if_due(0.5)
-    attempt.handle(CHUNKS[2], 0.6)
-    assert attempt.take() == [CHUNKS[2], end()]
+    attempt.receive(lost, 0.2)
+    (end,) = attempt.take_events()
+    assert end.outcome is messages.AttemptOutcome.ENDPOINT_FAILED
