--- /dev/null
+++ b/measurements/path/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes on loopback, and load on them."""
--- /dev/null
+++ b/measurements/path/processes.py
@@ -0,0 +1,230 @@
+"""Starts dogwoodpost's processes on loopback and ends them by their ids."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+from typing import TYPE_CHECKING
+
+import psutil
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
+
+SOURCE = Path(__file__).parent.parent.parent / 'src'
+REGION = 'minas'
+AVAILABILITY_ZONE = 'minas-a'
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+_POLL_S = 0.05
+
+
+class ProcessFailedError(Exception):
+    """A process ended early or did not start in time."""
+
+
+class Process:
+    """One process, with its output in files."""
+
+    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+        self.name = name
+        self._output = folder / f'{name}.out'
+        self._log = folder / f'{name}.log'
+        environment = {**os.environ, 'PYTHONPATH': str(SOURCE)}
+        with self._output.open('wb') as output, self._log.open('wb') as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', 'dogwoodpost', *arguments],
+                stdout=output,
+                stderr=log,
+                env=environment,
+            )
+        self.control = psutil.Process(self._popen.pid)
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, None while the process runs."""
+        return self._popen.poll()
+
+    def output_lines(self) -> list[str]:
+        """Return the complete lines of the standard output."""
+        return self._output.read_text().splitlines()
+
+    def log_event(self, event: str) -> dict[str, Any] | None:
+        """Return the fields of a log line, None if it was not written."""
+        for line in self._log.read_text().splitlines():
+            if line.startswith('{'):
+                fields: dict[str, Any] = json.loads(line)
+                if fields.get('event') == event:
+                    return fields
+        return None
+
+    def cpu_s(self) -> float:
+        """Return the CPU time used so far in seconds."""
+        times = self.control.cpu_times()
+        return float(times.user + times.system)
+
+    async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end; return the exit code.
+
+        :raises ProcessFailedError: the process still runs.
+        """
+        try:
+            return await asyncio.to_thread(self._popen.wait, timeout_s)
+        except subprocess.TimeoutExpired:
+            raise ProcessFailedError(f'{self.name} still runs') from None
+
+    async def stop(self) -> None:
+        """End the process, gracefully if it lets itself."""
+        if self.exit_code is not None:
+            return
+        self.control.resume()
+        self._popen.terminate()
+        try:
+            await self.wait()
+        except ProcessFailedError:
+            self._popen.kill()
+            self._popen.wait()
+
+    def tail(self) -> str:
+        """Return the end of the log."""
+        return self._log.read_text()[-2_000:]
+
+
+class ProcessSystem:
+    """A platform of stand-ins, entries and agents."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: list[Process] = []
+        self._platform: dict[str, Any] = {}
+
+    async def start_platform(self) -> None:
+        """Start the stand-ins that all processes need."""
+        _, store_url = await self.start_standin('store')
+        self._platform = {
+            'table_store_url': store_url,
+            'object_store_url': store_url,
+        }
+
+    async def start_standin(
+        self, system: str, name: str = ''
+    ) -> tuple[Process, str]:
+        """Start a stand-in; return it and its URL."""
+        process = self._start(name or system, ['standin', system])
+        async with _limit(process.name, START_TIMEOUT_S):
+            while not process.output_lines():
+                await self._check(process)
+        return process, process.output_lines()[0]
+
+    async def start_entry(self, name: str, **settings: Any) -> Entry:
+        """Start an entry; it serves when this returns."""
+        process = self._start_with_settings('entry', name, settings)
+        async with _limit(name, START_TIMEOUT_S):
+            while (fields := process.log_event('entry started')) is None:
+                await self._check(process)
+        return Entry(process, fields['http_port'], fields['admin_port'])
+
+    async def start_agent(
+        self, name: str, service: str, url: str, **settings: Any
+    ) -> Process:
+        """Start an agent beside one endpoint; entries hear it soon after."""
+        endpoint = {
+            'endpoint_id': f'{name}-endpoint',
+            'service': service,
+            'url': url,
+        }
+        return self._start_with_settings(
+            'agent', name, {'endpoints': [endpoint], **settings}
+        )
+
+    async def stop(self) -> None:
+        """End all processes, the last one first."""
+        for process in reversed(self._processes):
+            await process.stop()
+
+    def _start_with_settings(
+        self, role: str, name: str, settings: dict[str, Any]
+    ) -> Process:
+        path = self._folder / f'{name}.json'
+        document = {
+            'process_id': name,
+            'host_id': f'host-{name}',
+            'region': REGION,
+            'availability_zone': AVAILABILITY_ZONE,
+            'platform': self._platform,
+            'log': {'json_output': True},
+            'drain_timeout_s': 10.0,
+            **settings,
+        }
+        path.write_text(json.dumps(document))
+        return self._start(name, [role, str(path)])
+
+    def _start(self, name: str, arguments: list[str]) -> Process:
+        process = Process(name, arguments, self._folder)
+        self._processes.append(process)
+        return process
+
+    async def _check(self, process: Process) -> None:
+        if process.exit_code is not None:
+            raise ProcessFailedError(f'{process.name}: {process.tail()}')
+        await asyncio.sleep(_POLL_S)
+
+
+class Entry:
+    """An entry process and its ports."""
+
+    def __init__(
+        self, process: Process, http_port: int, admin_port: int
+    ) -> None:
+        self.process = process
+        self.url = f'http://127.0.0.1:{http_port}'
+        self.admin_port = admin_port
+
+
+@asynccontextmanager
+async def process_system() -> AsyncIterator[ProcessSystem]:
+    """Run processes during the block; all are ended after it."""
+    with tempfile.TemporaryDirectory(prefix='dogwoodpost-') as folder:
+        system = ProcessSystem(Path(folder))
+        try:
+            await system.start_platform()
+            yield system
+        finally:
+            await system.stop()
+
+
+async def wait_for_status(
+    session: aiohttp.ClientSession, url: str, key: str, status: int = 200
+) -> None:
+    """Repeat a GET until it has a status.
+
+    :raises ProcessFailedError: it did not within the time to start.
+    """
+    headers = {'Authorization': f'Bearer {key}'}
+    async with _limit(url, START_TIMEOUT_S):
+        while True:
+            async with session.get(url, headers=headers) as response:
+                await response.read()
+                if response.status == status:
+                    return
+            await asyncio.sleep(_POLL_S)
+
+
+@asynccontextmanager
+async def _limit(what: str, timeout_s: float) -> AsyncIterator[None]:
+    try:
+        async with asyncio.timeout(timeout_s):
+            yield
+    except TimeoutError:
+        raise ProcessFailedError(
+            f'{what}: not ready within {timeout_s} s'
+        ) from None
