Send and receive without a thread switch where possible

Cause: asend and arecv pass each message through nng's threads and back to the event loop. Change: the non-blocking calls are tried first; after 32 receives in a row the other tasks get a turn.

--- a/src/dogwoodpost/adapters/nng/transport.py
+++ b/src/dogwoodpost/adapters/nng/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,9 @@
 _SEND_TIMEOUT_MS = 1_000
 _SEND_BUFFER_COUNT = 64
 _RECEIVE_BUFFER_COUNT = 256
+# Receives that find a message don't wait; after so many in a row the other
+# tasks of the event loop get a turn.
+_BURST_COUNT = 32
 
 
 class NngPeerTransport(PeerTransport):
@@ -41,6 +45,7 @@
         self._decoder = msgspec.msgpack.Decoder(AnyMessage)
         self._peers: dict[str, Any] = {}
         self._closed = False
+        self._burst_count = 0
         self._pull = _listen(ip, port, max_message_bytes)
         self._address = f'tcp://{self._pull.listeners[0].local_address}'
 
@@ -60,7 +65,7 @@
             self._count_failure(name)
             raise TransportError(f'{name} of {len(data)} bytes is too large')
         try:
-            await self._peer(address).asend(data)
+            await _push(self._peer(address), data)
         except pynng.NNGException as error:
             self._count_failure(name)
             raise TransportError(f'{name} to {address}: {error}') from error
@@ -74,7 +79,7 @@
         """
         while True:
             try:
-                data = await self._pull.arecv()
+                data = await self._next()
             except pynng.NNGException as error:
                 raise TransportError(f'receive: {error}') from error
             self._metrics.peer_bytes.labels('received').inc(len(data))
@@ -102,6 +107,19 @@
             socket.close()
         self._pull.close()
 
+    async def _next(self) -> bytes:
+        self._burst_count += 1
+        if self._burst_count >= _BURST_COUNT:
+            self._burst_count = 0
+            await asyncio.sleep(0)
+        try:
+            message = self._pull.recv_msg(block=False)
+        except pynng.TryAgain:
+            self._burst_count = 0
+            message = await self._pull.arecv_msg()
+        data: bytes = message.bytes
+        return data
+
     def _peer(self, address: str) -> Any:
         if self._closed:
             raise TransportError('the transport is closed')
@@ -115,6 +133,14 @@
         self._metrics.peer_messages.labels('failed', name).inc()
 
 
+async def _push(socket: Any, data: bytes) -> None:
+    # Most sends find room; only the others pay for a switch of threads.
+    try:
+        socket.send(data, block=False)
+    except pynng.TryAgain:
+        await socket.asend(data)
+
+
 def _listen(ip: str, port: int, max_message_bytes: int) -> Any:
     try:
         return pynng.Pull0(
