--- /dev/null
+++ b/src/dogwoodpost/adapters/platform/scorer.py
@@ -0,0 +1,79 @@
+"""HTTP client of a scoring service."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.ports.scorer import Scorer
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+
+
+class ScoreRequest(msgspec.Struct, frozen=True):
+    """Body of a call; the scorer treats a known sample id as a repeat."""
+
+    sample_id: str
+    prompt: str
+    completion: str
+
+
+class ScoreReply(msgspec.Struct, frozen=True):
+    """Body of a reply."""
+
+    sample_id: str
+    score: float
+
+
+class HttpScorer(Scorer):
+    """Calls ``POST {base}/score``."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        *,
+        timeout_s: float,
+        token: str | None = None,
+    ) -> None:
+        self._session = session
+        self._url = base_url.rstrip('/') + '/score'
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._headers = {'Authorization': f'Bearer {token}'} if token else {}
+
+    async def score(
+        self, sample_id: ids.SampleId, prompt: str, completion: str
+    ) -> float:
+        """Return the score of a sample."""
+        body = ScoreRequest(sample_id, prompt, completion)
+        try:
+            async with self._session.post(
+                self._url,
+                data=msgspec.json.encode(body),
+                headers=self._headers,
+                timeout=self._timeout,
+            ) as response:
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            message = f'the scorer did not answer: {error!r}'
+            raise PlatformError(message) from None
+        if response.status != 200:
+            raise PlatformError(f'scorer: HTTP status {response.status}')
+        return _score(data, sample_id)
+
+
+def _score(data: bytes, sample_id: ids.SampleId) -> float:
+    try:
+        reply = msgspec.json.decode(data, type=ScoreReply)
+    except msgspec.DecodeError as error:
+        raise PlatformError(
+            f'malformed reply of the scorer: {error}'
+        ) from None
+    if reply.sample_id != sample_id or not math.isfinite(reply.score):
+        raise PlatformError('the scorer answered for another sample')
+    return reply.score
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -81,6 +81,14 @@
     """An interface of the platform refused or failed a call."""
 
 
+class PlatformRateLimitError(PlatformError):
+    """The platform refused a call because of its rate limit."""
+
+    def __init__(self, message: str, retry_after_s: float) -> None:
+        self.retry_after_s = retry_after_s
+        super().__init__(message)
+
+
 class PlatformOutcomeUnknownError(PlatformError):
     """The platform's answer was lost; the call may have taken effect."""
 
