Count only claimable samples against the memory bound

With the bound on all finished samples a step stopped for good once samples of incomplete groups alone had reached it; the new outage test showed this. A void batch now stays until a later one is acknowledged, so that a contradicting acknowledgement is refused.

--- a/src/dogwoodpost/core/rollouts/batch_log.py
+++ b/src/dogwoodpost/core/rollouts/batch_log.py
@@ -114,7 +114,10 @@
         return BatchVerdict.ASK_TRAINER
 
     def settled_after(self, changed: BatchRecord) -> list[BatchRecord]:
-        """Return the leading batches that a change lets be removed."""
+        """Return the leading batches that a change lets be removed.
+
+        A void batch stays until a later one is acknowledged.
+        """
         settled = []
         for entry in self.entries():
             record = entry.record
@@ -123,6 +126,8 @@
             if record.state not in (BatchState.ACKNOWLEDGED, BatchState.VOID):
                 break
             settled.append(record)
+        while settled and settled[-1].state is BatchState.VOID:
+            settled.pop()
         return settled
 
     def remove_settled(self, sequence: int) -> None:
--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -58,17 +58,19 @@
         if step in steps:
             steps.remove(step)
 
-    def pending_count(self) -> int:
-        """Return how many samples wait in memory for score or claim."""
+    def claimable_count(self) -> int:
+        """Return how many samples of complete groups wait for a claim."""
         return sum(
-            step.pending_count
+            step.claimable_count
             for steps in self._steps.values()
             for step in steps
         )
 
     def next_dispatch(self, now_s: float) -> Dispatch | None:
         """Return the next sample to run, or None if there is none."""
-        if self.pending_count() >= self.policy.max_pending_count:
+        # Samples of incomplete groups do not count: they cannot be claimed
+        # before the rest of their group has run.
+        if self.claimable_count() >= self.policy.max_claimable_count:
             return None
         best: tuple[tuple[bool, float], StepState, Sample] | None = None
         for steps in self._steps.values():
--- a/src/dogwoodpost/core/rollouts/scheduling_policy.py
+++ b/src/dogwoodpost/core/rollouts/scheduling_policy.py
@@ -21,7 +21,7 @@
     avoid_slow: bool = True
     batch_sample_count: int = 64
     flush_after_s: float = 10.0
-    max_pending_count: int = 4_096
+    max_claimable_count: int = 4_096
     retry_base_s: float = 0.5
     retry_cap_s: float = 15.0
 
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -66,7 +66,6 @@
         self.waiting = WaitingSamples(
             len(spec.prompts), self.lengths, long_first=policy.long_first
         )
-        self.pending_count = 0
         self.unclaimed_count = spec.slot_count
         # Set by the owner; lag is counted from it.
         self.current_version = ids.WeightVersion(0)
@@ -79,6 +78,11 @@
         for sample in self.samples:
             self.waiting.push(sample)
 
+    @property
+    def claimable_count(self) -> int:
+        """Return the number of samples in complete, unclaimed groups."""
+        return len(self._ready_since_s) * self.spec.samples_per_group
+
     def remaining_tokens(self) -> float:
         """Return the expected work that is left, in tokens.
 
@@ -137,7 +141,6 @@
         self.lengths.observe(sample, finished=finished)
         if finished:
             sample.phase = SamplePhase.SCORING
-            self.pending_count += 1
             return ResultOutcome.FINISHED
         sample.phase = SamplePhase.WAITING
         self.waiting.push(sample)
@@ -191,8 +194,6 @@
     def _replace(self, sample: Sample) -> None:
         if sample.phase is SamplePhase.CLAIMED:
             self.unclaimed_count += 1
-        if sample.phase in (SamplePhase.SCORING, SamplePhase.SCORED):
-            self.pending_count -= 1
         if sample.phase is SamplePhase.SCORED:
             self._scored_by_group[sample.group] -= 1
             self._ready_since_s.pop(sample.group, None)
@@ -216,7 +217,7 @@
             return []
         oldest_s = min(self._ready_since_s.values())
         per_group = self.spec.samples_per_group
-        count = len(self._ready_since_s) * per_group
+        count = self.claimable_count
         is_due = now_s - oldest_s >= self._policy.flush_after_s
         is_full = count >= self._policy.batch_sample_count
         if not (is_due or is_full or count == self.unclaimed_count):
@@ -237,8 +238,6 @@
             sample = self.samples[slot]
             if sample.phase is SamplePhase.CLAIMED:
                 continue
-            if sample.phase in (SamplePhase.SCORING, SamplePhase.SCORED):
-                self.pending_count -= 1
             if sample.phase is SamplePhase.SCORED:
                 self._scored_by_group[sample.group] -= 1
             self._ready_since_s.pop(sample.group, None)
@@ -256,7 +255,6 @@
             return
         self.samples[slot] = sample
         self.unclaimed_count += 1
-        self.pending_count += 1
         self._mark_scored(sample, now_s)
 
     def _group(self, group: int) -> list[Sample]:
--- /dev/null
+++ b/tests/services/rollouts/test_rollout_routes.py
@@ -0,0 +1,207 @@
+"""Contract of the trainers' HTTP interface and its client library."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from rollout_fakes import ACCOUNT
+from rollout_fakes import World
+
+from dogwoodpost.client import TrainerClient
+from dogwoodpost.core import ids
+from dogwoodpost.errors import RequestError
+from dogwoodpost.services.rollouts.routes import add_rollout_routes
+from dogwoodpost.standins.trainer import StandinTrainer
+from dogwoodpost.standins.trainer import TrainerState
+from dogwoodpost.standins.virtual_loop import LoopClock
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+KEYS = {'Bearer key-1': ACCOUNT, 'Bearer key-2': ids.ClientAccountId('other')}
+STEP = {
+    'step_id': 'step-0',
+    'service': 'slate-lm',
+    'prompts': ['p'],
+    'samples_per_group': 1,
+    'max_tokens': 4,
+    'max_version_lag': 1,
+    'deadline_s': 60.0,
+}
+
+
+def authenticate(request: web.Request) -> ids.ClientAccountId:
+    account = KEYS.get(request.headers.get('Authorization', ''))
+    if account is None:
+        raise RequestError('bad_key', 'unknown key', status=401, not_run=True)
+    return account
+
+
+class Served:
+    """A served entry whose coming responses can be dropped."""
+
+    def __init__(self) -> None:
+        self.world = World(seed=3)
+        self.world.dispatcher.token_s = 0.0
+        self.lost_count = 0
+        self.url = ''
+        self.session: aiohttp.ClientSession
+
+    @web.middleware
+    async def lose(self, request: web.Request, handler: Any) -> Any:
+        response = await handler(request)
+        if self.lost_count > 0 and request.transport is not None:
+            self.lost_count -= 1
+            request.transport.close()
+        return response
+
+    def client(self, cursor: str = '0', key: str = 'key-1') -> TrainerClient:
+        return TrainerClient(
+            self.session,
+            [self.url],
+            trainer_id=ids.TrainerId('trainer-1'),
+            key=key,
+            cursor=cursor,
+            wait_s=0.2,
+            rng=random.Random(1),
+        )
+
+    async def call(self, method: str, path: str, **options: Any) -> Any:
+        url = f'{self.url}/rollouts/v1/trainers/trainer-1/{path}'
+        options.setdefault('headers', {'Authorization': 'Bearer key-1'})
+        async with self.session.request(method, url, **options) as response:
+            return response.status, await response.json()
+
+
+@pytest_asyncio.fixture
+async def served() -> AsyncIterator[Served]:
+    served = Served()
+    service = served.world.service()
+    app = web.Application(middlewares=[served.lose])
+    add_rollout_routes(
+        app, service=service, clock=LoopClock(), authenticate=authenticate
+    )
+    server = TestServer(app, host='127.0.0.1')
+    async with service, server, aiohttp.ClientSession() as session:
+        served.session = session
+        served.url = str(server.make_url('')).rstrip('/')
+        yield served
+
+
+async def test_a_trainer_gets_each_slot_once_over_lost_responses(
+    served: Served,
+) -> None:
+    """Guards against repeats, and against batches lost with a response."""
+    served.lost_count = 3
+    state = TrainerState()
+    await StandinTrainer(served.client(), state).run(2)
+    assert len(state.scores) == 16
+    assert state.repeated_count == 0
+
+
+async def test_a_resumed_trainer_continues_after_its_cursor(
+    served: Served,
+) -> None:
+    """Guards against batches that a crash makes a trainer see again."""
+    state = TrainerState()
+    client = served.client()
+    await StandinTrainer(client, state).run(1)
+    resumed = TrainerState(cursor=state.cursor, scores=dict(state.scores))
+    await StandinTrainer(served.client(state.cursor), resumed).run(2)
+    assert len(resumed.scores) == 16
+    assert resumed.repeated_count == 0
+
+
+async def test_a_repeated_fetch_returns_the_same_batch(
+    served: Served,
+) -> None:
+    """Guards against a batch that changes its id or content."""
+    await served.call('POST', 'steps', json=STEP)
+    path = 'batches?after=0&wait_ms=5000'
+    first = await served.call('GET', path)
+    again = await served.call('GET', path)
+    assert first[1]['batch']['samples']
+    for field in ('batch_id', 'cursor', 'samples'):
+        assert first[1]['batch'][field] == again[1]['batch'][field]
+
+
+async def test_a_stale_issued_batch_is_asked_about_and_replaced(
+    served: Served,
+) -> None:
+    """Guards against stale samples, and against a slot delivered twice."""
+    await served.call('POST', 'steps', json=STEP)
+    path = 'batches?after=0&wait_ms=5000'
+    _, first = await served.call('GET', path)
+    served.world.current_version = ids.WeightVersion(3)
+    served.world.dispatcher.version = ids.WeightVersion(3)
+    _, stale = await served.call('GET', path)
+    assert stale['batch']['batch_id'] == first['batch']['batch_id']
+    assert stale['batch']['samples'] is None
+    ack = f'batches/{first["batch"]["batch_id"]}/ack'
+    assert (await served.call('POST', ack, json={'received': False}))[0] == 200
+    _, fresh = await served.call('GET', path)
+    assert fresh['batch']['batch_id'] != first['batch']['batch_id']
+    assert fresh['batch']['samples'][0]['segments'][0]['weight_version'] == 3
+    assert (await served.call('POST', ack, json={'received': True}))[0] == 409
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'options', 'status', 'code'),
+    [
+        ('POST', 'steps', {'data': b'{'}, 400, 'bad_request'),
+        (
+            'POST',
+            'steps',
+            {'json': {**STEP, 'prompts': []}},
+            400,
+            'bad_request',
+        ),
+        (
+            'POST',
+            'steps',
+            {'json': {**STEP, 'prompts': ['q']}},
+            409,
+            'step_conflict',
+        ),
+        ('GET', 'batches?after=-1', {}, 400, 'bad_request'),
+        ('GET', 'batches?after=x', {}, 400, 'bad_request'),
+        ('GET', 'batches', {'headers': {}}, 401, 'bad_key'),
+        (
+            'GET',
+            'batches',
+            {'headers': {'Authorization': 'Bearer key-2'}},
+            403,
+            'forbidden_trainer',
+        ),
+        ('GET', 'steps/none', {}, 404, 'unknown_step'),
+        ('POST', 'batches/step-0.9/ack', {'json': {}}, 404, 'unknown_batch'),
+        ('POST', 'batches/x/ack', {'json': {}}, 404, 'unknown_batch'),
+    ],
+)
+async def test_bad_calls_get_typed_errors(
+    served: Served,
+    method: str,
+    path: str,
+    options: dict[str, Any],
+    status: int,
+    code: str,
+) -> None:
+    """Guards against a caller's mistake that ends in HTTP status 500."""
+    assert (await served.call('POST', 'steps', json=STEP))[0] == 201
+    assert (await served.call('POST', 'steps', json=STEP))[0] == 201
+    found = await served.call(method, path, **options)
+    assert (found[0], found[1]['error']['code']) == (status, code)
+
+
+async def test_another_entry_is_named_as_the_owner(served: Served) -> None:
+    """Guards against an entry that serves a trainer it does not own."""
+    served.world.holder = object()
+    status, body = await served.call('GET', 'batches')
+    assert (status, body['error']['code']) == (503, 'not_owner')
--- a/tests/services/rollouts/test_rollout_service.py
+++ b/tests/services/rollouts/test_rollout_service.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
 from rollout_fakes import ACCOUNT
 from rollout_fakes import STEP
 from rollout_fakes import step_spec
@@ -11,6 +13,8 @@
 from rollout_fakes import World
 
 from dogwoodpost.core import ids
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import RequestError
 from dogwoodpost.standins.virtual_loop import run_virtually
 
 if TYPE_CHECKING:
@@ -74,3 +78,107 @@
         for sample in batch.samples or ():
             assert sample.score == len(sample.completion)
             assert sample.segments
+
+
+async def first_batch(service: RolloutService, cursor: int = 0) -> BatchView:
+    """Fetch until a batch comes."""
+    while True:
+        trainer = await service.trainer(TRAINER)
+        batch = await trainer.fetch(ACCOUNT, cursor, NO_VERSION)
+        if batch is not None:
+            return batch
+        await trainer.wait_for_batch(1.0)
+
+
+def test_an_old_owner_that_believes_in_its_lease_delivers_nothing() -> None:
+    """Guards against two entries that both deliver a batch."""
+
+    async def scenario() -> None:
+        world = World()
+        old, new = world.service(), world.service()
+        async with old, new:
+            owner = await old.trainer(TRAINER)
+            await owner.submit(step_spec())
+            await first_batch(old)
+            world.holder = None
+            await new.trainer(TRAINER)
+            for call in (
+                owner.fetch(ACCOUNT, 0, NO_VERSION),
+                owner.submit(step_spec('step-2')),
+            ):
+                with pytest.raises((LeaseLostError, RequestError)):
+                    await call
+            assert 'rollout/trainer-1/step/step-2' not in world.table.rows
+
+    run_virtually(scenario())
+
+
+@pytest.mark.parametrize(
+    ('max_age_s', 'is_kept'), [(600.0, False), (None, True)]
+)
+def test_claimed_batches_at_a_takeover(
+    max_age_s: float | None, is_kept: bool
+) -> None:
+    """Guards against samples whose age the new owner cannot know."""
+
+    async def scenario() -> None:
+        world = World()
+        async with world.service() as old:
+            trainer = await old.trainer(TRAINER)
+            await trainer.submit(step_spec(max_age_s=max_age_s))
+            await asyncio.sleep(300.0)
+        claimed = {name for name in world.objects.objects if '/batch-' in name}
+        world.holder = None
+        before = set(world.dispatcher.truth)
+        async with world.service() as new:
+            batch = await first_batch(new)
+        assert claimed
+        found = {sample.sample_id in before for sample in batch.samples or ()}
+        assert found == {is_kept}
+
+    run_virtually(scenario())
+
+
+def test_finished_samples_wait_in_bounded_memory_during_an_outage() -> None:
+    """Guards against an outage that fills memory or loses samples."""
+
+    async def scenario() -> None:
+        world = World(max_claimable_count=4)
+        async with world.service() as service:
+            trainer = await service.trainer(TRAINER)
+            await trainer.submit(
+                step_spec(prompts=tuple(f'p{n}' for n in range(30)))
+            )
+            world.faults.down = True
+            await asyncio.sleep(300.0)
+            # Those that run when the bound is reached may still finish.
+            assert service.scheduler.claimable_count() <= 4 + 16
+            world.faults.down = False
+            batches = [batch async for batch in drain(service)]
+        assert len(slots(batches)) == 60
+
+    run_virtually(scenario())
+
+
+def test_a_step_ends_at_its_deadline() -> None:
+    """Guards against a trainer that waits for a step for ever."""
+    world = World()
+    world.dispatcher.token_s = 100.0
+    assert run(world, {'deadline_s': 50.0}) == []
+
+
+@pytest.mark.parametrize(
+    ('field', 'reason'),
+    [('uncertain_count', 'uncertain_version'), ('failing_count', None)],
+)
+def test_failed_and_uncertain_samples_are_replaced(
+    field: str, reason: str | None
+) -> None:
+    """Guards against a slot that stays empty after a fault."""
+    world = World()
+    setattr(world.dispatcher, field, 3)
+    world.scorer.failing_count = 2
+    assert slots(run(world, {})) == EVERY_SLOT
+    counter = world.metrics.discarded_samples
+    if reason is not None:
+        assert counter.labels(reason)._value.get() == 3
