--- /dev/null
+++ b/src/dogwoodpost/services/agent/weights/weight_holder.py
@@ -0,0 +1,171 @@
+"""Weight versions of one host, fetched once for all its endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+
+from dogwoodpost.core.weights.weight_plan import FROM_WEIGHT_STORE
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.services.agent.weights.weight_copy import CHUNK_BYTES
+from dogwoodpost.services.agent.weights.weight_copy import weight_digest
+from dogwoodpost.services.agent.weights.weight_copy import WeightCopy
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.ports.weight_store import WeightStore
+
+_LOG = structlog.get_logger()
+
+# The version in use and the one that is loaded beside it.
+KEPT_VERSION_COUNT = 2
+LENGTH_HEADER = 'Dogwoodpost-Weight-Length'
+DIGEST_HEADER = 'Dogwoodpost-Weight-Digest'
+
+
+class WeightHolder:
+    """Fetches a version from other agents or from the weight store.
+
+    A version is passed on while it is still arriving. When a source fails,
+    the next one continues at the byte that was reached.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        store: WeightStore,
+        *,
+        source_timeout_s: float = 10.0,
+    ) -> None:
+        self._session = session
+        self._store = store
+        self._timeout = aiohttp.ClientTimeout(
+            sock_connect=source_timeout_s, sock_read=source_timeout_s
+        )
+        self._added = asyncio.Event()
+        self._copies: dict[
+            tuple[ids.ModelName, ids.WeightVersion], WeightCopy
+        ] = {}
+        self._fetches: dict[
+            tuple[ids.ModelName, ids.WeightVersion], asyncio.Task[None]
+        ] = {}
+
+    async def arriving(
+        self, model: ids.ModelName, version: ids.WeightVersion
+    ) -> WeightCopy:
+        """Return a version once its first byte is here."""
+        while (copy := self._copies.get((model, version))) is None:
+            self._added.clear()
+            await self._added.wait()
+        await copy.wait_until_begun()
+        return copy
+
+    async def ensure(
+        self,
+        model: ids.ModelName,
+        version: ids.WeightVersion,
+        sources: Sequence[str],
+    ) -> bytes:
+        """Return a version; all endpoints of the host share one fetch.
+
+        :raises PlatformError: no source gave the whole version.
+        """
+        key = (model, version)
+        if key not in self._fetches:
+            self._copies[key] = WeightCopy()
+            self._added.set()
+            fetch = asyncio.ensure_future(self._fetch(key, list(sources)))
+            self._fetches[key] = fetch
+            self._drop_old(model)
+        copy = self._copies[key]
+        await asyncio.shield(self._fetches[key])
+        return bytes(copy.data)
+
+    async def close(self) -> None:
+        """Cancel fetches that are under way."""
+        fetches = list(self._fetches.values())
+        for fetch in fetches:
+            fetch.cancel()
+        await asyncio.gather(*fetches, return_exceptions=True)
+
+    async def _fetch(
+        self,
+        key: tuple[ids.ModelName, ids.WeightVersion],
+        sources: list[str],
+    ) -> None:
+        copy = self._copies[key]
+        try:
+            await self._fetch_from_any(key, copy, sources)
+        except PlatformError as error:
+            # A later order starts again with sources of its own.
+            self._fetches.pop(key, None)
+            if self._copies.get(key) is copy:
+                del self._copies[key]
+            copy.fail(error)
+            raise
+
+    async def _fetch_from_any(
+        self,
+        key: tuple[ids.ModelName, ids.WeightVersion],
+        copy: WeightCopy,
+        sources: list[str],
+    ) -> None:
+        last_error = PlatformError('no source was named')
+        for source in sources:
+            try:
+                if source == FROM_WEIGHT_STORE:
+                    await self._fetch_from_store(key, copy)
+                else:
+                    await self._fetch_from_agent(key, copy, source)
+                copy.finish()
+            except (PlatformError, aiohttp.ClientError, TimeoutError) as error:
+                _LOG.info('weight_source_failed', source=source, error=error)
+                last_error = PlatformError(f'{source}: {error!r}')
+            else:
+                return
+        raise last_error
+
+    async def _fetch_from_store(
+        self,
+        key: tuple[ids.ModelName, ids.WeightVersion],
+        copy: WeightCopy,
+    ) -> None:
+        data = await self._store.fetch(*key)
+        copy.begin(len(data), weight_digest(data))
+        copy.append(data[len(copy.data) :])
+
+    async def _fetch_from_agent(
+        self,
+        key: tuple[ids.ModelName, ids.WeightVersion],
+        copy: WeightCopy,
+        source: str,
+    ) -> None:
+        model, version = key
+        url = f'{source.rstrip("/")}/weights/{model}/{version}'
+        async with self._session.get(
+            url,
+            params={'offset': str(len(copy.data))},
+            timeout=self._timeout,
+        ) as response:
+            if response.status != 200:
+                raise PlatformError(f'HTTP status {response.status}')
+            length = response.headers.get(LENGTH_HEADER, '')
+            if not length.isdecimal():
+                raise PlatformError('the length of the version is missing')
+            digest = response.headers.get(DIGEST_HEADER, '')
+            copy.begin(int(length), digest)
+            async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+                copy.append(chunk)
+
+    def _drop_old(self, model: ids.ModelName) -> None:
+        versions = sorted(key[1] for key in self._copies if key[0] == model)
+        for version in versions[:-KEPT_VERSION_COUNT]:
+            self._copies.pop((model, version), None)
+            fetch = self._fetches.pop((model, version), None)
+            if fetch is not None:
+                fetch.cancel()
--- /dev/null
+++ b/tests/services/agent/weights/test_weight_holder.py
@@ -0,0 +1,154 @@
+"""Weights pass between agents over failing sources."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.weights.weight_plan import FROM_WEIGHT_STORE
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.ports.weight_store import WeightStore
+from dogwoodpost.services.agent.weights import add_weight_routes
+from dogwoodpost.services.agent.weights import WeightHolder
+from dogwoodpost.services.agent.weights.weight_holder import DIGEST_HEADER
+from dogwoodpost.services.agent.weights.weight_holder import LENGTH_HEADER
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MODEL = ids.ModelName('slate')
+ONE = ids.WeightVersion(1)
+DATA = bytes(range(256)) * 20_000
+
+
+class FakeStore(WeightStore):
+    """Counts the copies that cross the billed link."""
+
+    def __init__(self) -> None:
+        self.fetch_count = 0
+        self.is_failing = False
+
+    async def latest_version(
+        self, model: ids.ModelName
+    ) -> ids.WeightVersion | None:
+        return ONE
+
+    async def fetch(
+        self, model: ids.ModelName, version: ids.WeightVersion
+    ) -> bytes:
+        self.fetch_count += 1
+        if self.is_failing:
+            raise PlatformError('down')
+        return DATA
+
+
+class Agents:
+    """Holders that serve each other on loopback."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack) -> None:
+        self.store = FakeStore()
+        self._stack = stack
+
+    async def add(self) -> tuple[WeightHolder, str]:
+        session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        holder = WeightHolder(session, self.store, source_timeout_s=2.0)
+        self._stack.push_async_callback(holder.close)
+        app = web.Application()
+        add_weight_routes(app, holder)
+        return holder, await self.serve(app)
+
+    async def serve(self, app: web.Application) -> str:
+        server = TestServer(app, host='127.0.0.1')
+        await self._stack.enter_async_context(server)
+        return str(server.make_url('')).rstrip('/')
+
+
+@pytest_asyncio.fixture
+async def agents() -> AsyncIterator[Agents]:
+    async with contextlib.AsyncExitStack() as stack:
+        yield Agents(stack)
+
+
+async def test_a_chain_of_agents_takes_one_copy_from_the_store(
+    agents: Agents,
+) -> None:
+    """Guards against volume on the billed link that grows with the fleet."""
+    chain = [await agents.add() for _ in range(4)]
+    orders = []
+    for place, (holder, _) in enumerate(chain):
+        source = chain[place - 1][1] if place else FROM_WEIGHT_STORE
+        for _ in range(2):
+            orders.append(holder.ensure(MODEL, ONE, [source]))
+    # The last agents are asked first, before their sources have anything.
+    copies = await asyncio.gather(*reversed(orders))
+    assert set(copies) == {DATA}
+    assert agents.store.fetch_count == 1
+
+
+def broken_source(kind: str) -> web.Application:
+    async def serve(request: web.Request) -> web.StreamResponse:
+        offset = int(request.query['offset'])
+        response = web.StreamResponse()
+        if kind == 'refuses':
+            raise web.HTTPNotFound
+        if kind != 'no length':
+            response.headers[LENGTH_HEADER] = str(len(DATA))
+        response.headers[DIGEST_HEADER] = 'wrong' if kind == 'digest' else ''
+        response.content_length = len(DATA) - offset
+        await response.prepare(request)
+        if kind == 'breaks off':
+            await response.write(DATA[offset : offset + 1000])
+            assert request.transport is not None
+            request.transport.close()
+        else:
+            await response.write(DATA[offset:])
+        return response
+
+    app = web.Application()
+    app.router.add_get('/weights/{model}/{version}', serve)
+    return app
+
+
+@pytest.mark.parametrize('kind', ['refuses', 'no length', 'digest'])
+async def test_only_whole_weights_are_loaded(
+    agents: Agents, kind: str
+) -> None:
+    """Guards against damaged weights in an engine."""
+    url = await agents.serve(broken_source(kind))
+    holder, _ = await agents.add()
+    with pytest.raises(PlatformError):
+        await holder.ensure(MODEL, ONE, [url])
+    # A later order starts anew.
+    assert await holder.ensure(MODEL, ONE, [FROM_WEIGHT_STORE]) == DATA
+
+
+async def test_the_next_source_continues(agents: Agents) -> None:
+    """Guards against a failed parent that costs a whole branch."""
+    root, root_url = await agents.add()
+    await root.ensure(MODEL, ONE, [FROM_WEIGHT_STORE])
+    gone = await agents.serve(broken_source('refuses'))
+    holder, _ = await agents.add()
+    assert await holder.ensure(MODEL, ONE, [gone, root_url]) == DATA
+    assert agents.store.fetch_count == 1
+
+
+async def test_two_versions_are_kept(agents: Agents) -> None:
+    """Guards against host memory that fills with old versions."""
+    holder, url = await agents.add()
+    for version in (1, 2, 3):
+        await holder.ensure(
+            MODEL, ids.WeightVersion(version), [FROM_WEIGHT_STORE]
+        )
+    reader, _ = await agents.add()
+    assert await reader.ensure(MODEL, ids.WeightVersion(3), [url]) == DATA
+    assert len(holder._copies) == 2
