--- a/measurements/measure_rollouts.py
+++ b/measurements/measure_rollouts.py
@@ -17,6 +17,7 @@
 from measurements.rollouts.report import summarize
 from measurements.rollouts.simulation import Outcome
 from measurements.rollouts.simulation import Simulation
+from measurements.rollouts.weight_hops import measure_hops
 from measurements.rollouts.workload import Case
 from measurements.rollouts.workload import CASES
 from measurements.rollouts.workload import Workload
@@ -58,11 +59,14 @@
 
 def _finish(reports: list[CaseReport]) -> int:
     print_table(reports)
+    hops = measure_hops()
+    print(f'weight hop {hops.hop_ms:.2f} ms, depth {hops.depth}')
     missed = [text for report in reports for text in missed_targets(report)]
     result = {
         'seeds': SEEDS,
         'workload': msgspec.to_builtins(Workload()),
         'cases': msgspec.to_builtins(reports),
+        'weight_hops': msgspec.to_builtins(hops),
         'missed': missed,
     }
     print(json.dumps(result))
--- /dev/null
+++ b/measurements/rollouts/weight_hops.py
@@ -0,0 +1,106 @@
+"""Measures what a hop between agents costs, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.weights.fan_out import depth
+from dogwoodpost.core.weights.fan_out import spread_s
+from dogwoodpost.core.weights.weight_plan import FROM_WEIGHT_STORE
+from dogwoodpost.ports.weight_store import WeightStore
+from dogwoodpost.services.agent.weights import add_weight_routes
+from dogwoodpost.services.agent.weights import WeightHolder
+
+MODEL = ids.ModelName('slate')
+CHAIN_LENGTH = 8
+ROUND_COUNT = 5
+SMALL_BYTES = 64 * 1024
+# 3,700 samplers, 11 to a host, in 2 regions.
+TARGET_HOSTS_PER_REGION = 170
+TARGET_S = 17.0
+FAN_OUT = 2
+
+
+class HopReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Cost of a hop here, and what it leaves of the target time.
+
+    ``copy_budget_s`` is how long one copy may take over a host's link, if
+    nothing else took time.
+    """
+
+    hop_ms: float
+    hosts_per_region: int
+    fan_out: int
+    depth: int
+    hops_s: float
+    copy_budget_s: float
+
+
+class _Store(WeightStore):
+    async def latest_version(
+        self, model: ids.ModelName
+    ) -> ids.WeightVersion | None:
+        return None
+
+    async def fetch(
+        self, model: ids.ModelName, version: ids.WeightVersion
+    ) -> bytes:
+        return bytes(SMALL_BYTES)
+
+
+async def _chain_s(length: int, version: int) -> float:
+    """Return how long a small version takes through a chain of agents."""
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        sources = [FROM_WEIGHT_STORE]
+        holders = []
+        for _ in range(length):
+            holder = WeightHolder(session, _Store())
+            stack.push_async_callback(holder.close)
+            app = web.Application()
+            add_weight_routes(app, holder)
+            runner = web.AppRunner(app)
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            site = web.TCPSite(runner, '127.0.0.1', 0)
+            await site.start()
+            host, port = runner.addresses[0][:2]
+            holders.append(holder)
+            sources.append(f'http://{host}:{port}')
+        number = ids.WeightVersion(version)
+        begun_s = time.perf_counter()
+        # Each agent gets its order when the one before it is done, so that
+        # the fixed costs of all hops add up.
+        for holder, source in zip(holders, sources, strict=False):
+            await holder.ensure(MODEL, number, [source])
+        return time.perf_counter() - begun_s
+
+
+async def _measure() -> HopReport:
+    best_s = []
+    for length in (1, CHAIN_LENGTH):
+        times = [await _chain_s(length, n) for n in range(ROUND_COUNT)]
+        best_s.append(sorted(times)[ROUND_COUNT // 2])
+    hop_s = (best_s[1] - best_s[0]) / (CHAIN_LENGTH - 1)
+    hosts = TARGET_HOSTS_PER_REGION
+    hops_s = spread_s(hosts, FAN_OUT, copy_s=0.0, hop_s=hop_s)
+    return HopReport(
+        hop_ms=hop_s * 1000,
+        hosts_per_region=hosts,
+        fan_out=FAN_OUT,
+        depth=depth(hosts, FAN_OUT),
+        hops_s=hops_s,
+        copy_budget_s=(TARGET_S - hops_s) / FAN_OUT,
+    )
+
+
+def measure_hops() -> HopReport:
+    """Return the cost of a hop."""
+    return asyncio.run(_measure())
--- a/src/dogwoodpost/core/weights/weight_plan.py
+++ b/src/dogwoodpost/core/weights/weight_plan.py
@@ -88,6 +88,10 @@
             if host not in live_hosts:
                 del self._roots[region]
 
+    def block_store_fetches(self, now_s: float, duration_s: float) -> None:
+        """Fetch nothing from the weight store for a duration."""
+        self._bucket.block(now_s, duration_s)
+
     def next_actions(self, now_s: float) -> list[SwapAction]:
         """Return the orders to send now; each is answered by a result."""
         target = self.target
--- a/src/dogwoodpost/services/rollouts/weight_rollout.py
+++ b/src/dogwoodpost/services/rollouts/weight_rollout.py
@@ -15,6 +15,7 @@
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import PlatformError
+from dogwoodpost.errors import PlatformRateLimitError
 
 if TYPE_CHECKING:
     import random
@@ -107,6 +108,9 @@
         while not self.should_stop:
             try:
                 latest = await self._store.latest_version(self._model)
+            except PlatformRateLimitError as error:
+                now_s = self._clock.monotonic_s()
+                self._plan.block_store_fetches(now_s, error.retry_after_s)
             except PlatformError as error:
                 self._metrics.events.labels('weight_store_failed').inc()
                 _LOG.warning('weight_store_failed', error=str(error))
