--- a/src/dogwoodpost/core/rollouts/batch_log.py
+++ b/src/dogwoodpost/core/rollouts/batch_log.py
@@ -12,9 +12,14 @@
 from dogwoodpost.core.rollouts.records import BatchState
 
 if TYPE_CHECKING:
+    from dogwoodpost.core.rollouts.records import BatchBody
     from dogwoodpost.core.rollouts.staleness_bound import StalenessBound
 
 
+# States in which a batch may still be delivered.
+OPEN_STATES = (BatchState.READY, BatchState.ISSUED)
+
+
 class SampleFacts(msgspec.Struct, frozen=True, kw_only=True):
     """What decides whether a claimed sample is stale.
 
@@ -41,6 +46,21 @@
         )
 
 
+def inherited_facts(
+    record: BatchRecord, body: BatchBody
+) -> tuple[SampleFacts, ...]:
+    """Return the facts of a batch that another owner has claimed."""
+    return tuple(
+        SampleFacts(
+            slot=slot,
+            oldest_version=min(
+                segment.weight_version for segment in sample.segments
+            ),
+        )
+        for slot, sample in zip(record.slots, body.samples, strict=True)
+    )
+
+
 class BatchEntry(msgspec.Struct, kw_only=True):
     """A batch, its row version and the facts of its samples."""
 
@@ -98,9 +118,8 @@
 
     def next_after(self, cursor: int) -> BatchEntry | None:
         """Return the first batch after a cursor that may be delivered."""
-        open_states = (BatchState.READY, BatchState.ISSUED)
         for entry in self.entries():
-            is_open = entry.record.state in open_states
+            is_open = entry.record.state in OPEN_STATES
             if entry.record.sequence > cursor and is_open:
                 return entry
         return None
--- a/src/dogwoodpost/core/rollouts/records.py
+++ b/src/dogwoodpost/core/rollouts/records.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.rollouts import slot_bits
 from dogwoodpost.ports.sample_dispatcher import TokenSegment
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class StepStatus(Enum):
     """State of a step."""
@@ -35,6 +40,18 @@
     remaining_s: float
     status: StepStatus = StepStatus.OPEN
 
+    def with_claims(
+        self, slots: Iterable[int], *, claimed: bool
+    ) -> StepRecord:
+        """Return the row with slots claimed or released."""
+        claims = slot_bits.with_slots(self.claims, slots, claimed=claimed)
+        status = self.status
+        if status is not StepStatus.EXPIRED:
+            count = sum(1 for _ in slot_bits.claimed_slots(claims))
+            is_complete = count == self.slot_count
+            status = StepStatus.COMPLETE if is_complete else StepStatus.OPEN
+        return msgspec.structs.replace(self, claims=claims, status=status)
+
 
 class BatchState(Enum):
     """State of a batch.
--- a/src/dogwoodpost/core/rollouts/step_spec.py
+++ b/src/dogwoodpost/core/rollouts/step_spec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import xxhash
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.findings import Finding
@@ -36,6 +37,11 @@
         """Return the number of samples of the step."""
         return len(self.prompts) * self.samples_per_group
 
+    @property
+    def digest(self) -> str:
+        """Return what tells a repeated submission from a different one."""
+        return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(self))
+
     @property
     def bound(self) -> StalenessBound:
         """Return the staleness bound of the samples."""
--- a/src/dogwoodpost/services/rollouts/trainer_ledger.py
+++ b/src/dogwoodpost/services/rollouts/trainer_ledger.py
@@ -13,6 +13,8 @@
 from dogwoodpost.core.rollouts import slot_bits
 from dogwoodpost.core.rollouts.batch_log import BatchEntry
 from dogwoodpost.core.rollouts.batch_log import BatchLog
+from dogwoodpost.core.rollouts.batch_log import inherited_facts
+from dogwoodpost.core.rollouts.batch_log import OPEN_STATES
 from dogwoodpost.core.rollouts.batch_log import SampleFacts
 from dogwoodpost.core.rollouts.records import BatchBody
 from dogwoodpost.core.rollouts.records import BatchRecord
@@ -25,18 +27,16 @@
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.ports.table_store import Check
 from dogwoodpost.ports.table_store import Write
+from dogwoodpost.services.rollouts.trainer_rows import TrainerRows
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from dogwoodpost.ports.lease_guard import LeaseGuard
     from dogwoodpost.ports.object_store import ObjectStore
-    from dogwoodpost.ports.table_store import Row
     from dogwoodpost.ports.table_store import TableStore
     from dogwoodpost.services.rollouts.store_retrier import StoreRetrier
 
-SCAN_LIMIT = 1000
 # A submission may be repeated for as long as the step is among these.
 KEPT_STEP_COUNT = 32
 
@@ -74,31 +74,18 @@
         self._table = table
         self._objects = objects
         self._retrier = retrier
+        self._rows = TrainerRows(trainer_id, table, objects, retrier)
         # Facts of batches that this process claims; they hold the ages, which
         # cannot be read back from the table.
         self._claimed_facts: dict[str, tuple[SampleFacts, ...]] = {}
 
     async def load(self) -> None:
         """Read all rows of the trainer."""
-        rows = await self._scan()
-        self.cursor = None
-        self._cursor_version = 0
-        steps: list[tuple[StepRecord, int]] = []
-        batches: list[tuple[BatchRecord, int]] = []
-        for row in rows:
-            if row.key.startswith(records.step_prefix(self.trainer_id)):
-                step = msgspec.msgpack.decode(row.value, type=StepRecord)
-                steps.append((step, row.version))
-            elif row.key.startswith(records.batch_prefix(self.trainer_id)):
-                batch = msgspec.msgpack.decode(row.value, type=BatchRecord)
-                batches.append((batch, row.version))
-            elif row.key == records.cursor_key(self.trainer_id):
-                self.cursor = msgspec.msgpack.decode(
-                    row.value, type=CursorRecord
-                )
-                self._cursor_version = row.version
-        await self._load_steps(steps)
-        await self._load_batches(batches)
+        loaded = await self._rows.load()
+        self.cursor = loaded.cursor
+        self._cursor_version = loaded.cursor_version
+        await self._take_steps(loaded.steps)
+        await self._take_batches(loaded.batches)
         self.is_current = True
 
     async def create_step(self, spec: StepSpec) -> None:
@@ -106,7 +93,7 @@
 
         :raises StoreConflictError: the rows have changed; load again.
         """
-        digest = spec_digest(spec)
+        digest = spec.digest
         name = records.spec_object(self.trainer_id, spec.step_id, digest)
         data = msgspec.msgpack.encode(spec)
         await self._retrier.run('put', lambda: self._objects.put(name, data))
@@ -171,7 +158,7 @@
         await self._retrier.run(
             'put', lambda: self._objects.put(record.object_name, data)
         )
-        changed = _with_claims(step.record, record.slots, claimed=True)
+        changed = step.record.with_claims(record.slots, claimed=True)
         changed = msgspec.structs.replace(changed, remaining_s=remaining_s)
         batch_key = self._batch_key(sequence)
         versions = await self._commit(
@@ -225,8 +212,8 @@
         """Take back a batch and release its slots, in one transaction."""
         record = msgspec.structs.replace(entry.record, state=BatchState.VOID)
         step_id = record.step_id
-        step = _with_claims(
-            self.steps[step_id].record, record.slots, claimed=False
+        step = self.steps[step_id].record.with_claims(
+            record.slots, claimed=False
         )
         versions = await self._settle(
             entry,
@@ -238,11 +225,7 @@
 
     async def body(self, record: BatchRecord) -> BatchBody:
         """Return the samples of a batch."""
-        name = record.object_name
-        data = await self._retrier.run('get', lambda: self._objects.get(name))
-        if data is None:
-            raise LookupError(f'object {name} is missing')
-        return msgspec.msgpack.decode(data, type=BatchBody)
+        return await self._rows.body(record)
 
     async def _settle(
         self,
@@ -323,41 +306,17 @@
         self.is_current = True
         return versions
 
-    async def _scan(self) -> list[Row]:
-        prefix = f'rollout/{self.trainer_id}/'
-        rows: list[Row] = []
-        while True:
-            after = rows[-1].key if rows else ''
-            page = await self._retrier.run(
-                'scan',
-                lambda after=after: self._table.scan(  # type: ignore[misc]
-                    prefix, after=after, limit=SCAN_LIMIT
-                ),
-            )
-            rows.extend(page)
-            if len(page) < SCAN_LIMIT:
-                return rows
-
-    async def _load_steps(self, found: list[tuple[StepRecord, int]]) -> None:
+    async def _take_steps(self, found: list[tuple[StepRecord, int]]) -> None:
         steps = {}
         for record, version in found:
             known = self.steps.get(record.step_id)
-            spec = known.spec if known else await self._load_spec(record)
+            spec = known.spec if known else await self._rows.spec(record)
             steps[record.step_id] = StepEntry(
                 record=record, row_version=version, spec=spec
             )
         self.steps = steps
 
-    async def _load_spec(self, record: StepRecord) -> StepSpec:
-        name = records.spec_object(
-            self.trainer_id, record.step_id, record.digest
-        )
-        data = await self._retrier.run('get', lambda: self._objects.get(name))
-        if data is None:
-            raise LookupError(f'object {name} is missing')
-        return msgspec.msgpack.decode(data, type=StepSpec)
-
-    async def _load_batches(
+    async def _take_batches(
         self, found: list[tuple[BatchRecord, int]]
     ) -> None:
         log = BatchLog(self.cursor.settled_sequence if self.cursor else 0)
@@ -423,38 +382,3 @@
     ) -> None:
         self.cursor = record
         self._cursor_version = versions[records.cursor_key(self.trainer_id)]
-
-
-OPEN_STATES = (BatchState.READY, BatchState.ISSUED)
-
-
-def spec_digest(spec: StepSpec) -> str:
-    """Return the digest that identifies a specification."""
-    return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(spec))
-
-
-def inherited_facts(
-    record: BatchRecord, body: BatchBody
-) -> tuple[SampleFacts, ...]:
-    """Return the facts of a batch that another owner has claimed."""
-    return tuple(
-        SampleFacts(
-            slot=slot,
-            oldest_version=min(
-                segment.weight_version for segment in sample.segments
-            ),
-        )
-        for slot, sample in zip(record.slots, body.samples, strict=True)
-    )
-
-
-def _with_claims(
-    record: StepRecord, slots: Iterable[int], *, claimed: bool
-) -> StepRecord:
-    claims = slot_bits.with_slots(record.claims, slots, claimed=claimed)
-    status = record.status
-    if status is not StepStatus.EXPIRED:
-        count = sum(1 for _ in slot_bits.claimed_slots(claims))
-        is_complete = count == record.slot_count
-        status = StepStatus.COMPLETE if is_complete else StepStatus.OPEN
-    return msgspec.structs.replace(record, claims=claims, status=status)
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -13,17 +13,17 @@
 from dogwoodpost.core.rollouts.batch_log import SampleFacts
 from dogwoodpost.core.rollouts.records import BatchBody
 from dogwoodpost.core.rollouts.records import BatchState
-from dogwoodpost.core.rollouts.records import DeliveredSample
 from dogwoodpost.core.rollouts.records import StepStatus
-from dogwoodpost.core.rollouts.sample import Sample
 from dogwoodpost.core.rollouts.step_state import StepState
-from dogwoodpost.core.rollouts.trainer_api import BatchView
-from dogwoodpost.core.rollouts.trainer_api import StepView
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.errors import StoreConflictError
-from dogwoodpost.services.rollouts.trainer_ledger import OPEN_STATES
-from dogwoodpost.services.rollouts.trainer_ledger import spec_digest
+from dogwoodpost.services.rollouts.delivery import batch_view
+from dogwoodpost.services.rollouts.delivery import delivered_sample
+from dogwoodpost.services.rollouts.delivery import find_batch
+from dogwoodpost.services.rollouts.delivery import restored_sample
+from dogwoodpost.services.rollouts.delivery import settled_otherwise
+from dogwoodpost.services.rollouts.delivery import step_view
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -32,6 +32,8 @@
     from dogwoodpost.core.rollouts.batch_log import BatchEntry
     from dogwoodpost.core.rollouts.rollout_scheduler import RolloutScheduler
     from dogwoodpost.core.rollouts.step_spec import StepSpec
+    from dogwoodpost.core.rollouts.trainer_api import BatchView
+    from dogwoodpost.core.rollouts.trainer_api import StepView
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.lease_guard import LeaseGuard
@@ -87,7 +89,7 @@
                 await self._change(lambda: self._ledger.create_step(spec))
                 self._state(spec.step_id)
                 self.work_added()
-            elif known.record.digest != spec_digest(spec):
+            elif known.record.digest != spec.digest:
                 raise RequestError(
                     'step_conflict',
                     f'step {spec.step_id} exists with other content',
@@ -138,7 +140,7 @@
                     await self._replace(entry, stale)
                     continue
                 if verdict is BatchVerdict.ASK_TRAINER:
-                    return _batch_view(entry)
+                    return batch_view(entry)
                 return await self._issue(entry)
             return None
 
@@ -162,16 +164,16 @@
         async with self._lock:
             await self._ensure_current()
             self._authorize(client_account_id)
-            entry = self._find(batch_id)
+            entry = find_batch(self._ledger.log, self._ledger.cursor, batch_id)
             if entry is None:
                 return
             state = entry.record.state
             if state is BatchState.VOID:
                 if received:
-                    raise _settled_otherwise(batch_id)
+                    raise settled_otherwise(batch_id)
             elif state is BatchState.ACKNOWLEDGED:
                 if not received:
-                    raise _settled_otherwise(batch_id)
+                    raise settled_otherwise(batch_id)
             elif received:
                 await self._change(lambda: self._ledger.acknowledge(entry))
             else:
@@ -202,7 +204,7 @@
         if not samples:
             return False
         body = BatchBody(
-            samples=tuple(_delivered(step, sample) for sample in samples)
+            samples=tuple(delivered_sample(step, sample) for sample in samples)
         )
         facts = [
             SampleFacts(
@@ -245,9 +247,9 @@
         await self._change(lambda: self._ledger.issue(entry))
         # The store may have been slow, and another owner may have taken over.
         if self._stale_slots(entry):
-            return _batch_view(entry)
+            return batch_view(entry)
         self._ledger.guard.fencing_number()
-        return _batch_view(entry, body, self._valid_for_s(entry))
+        return batch_view(entry, body, self._valid_for_s(entry))
 
     async def _replace(self, entry: BatchEntry, stale: dict[int, str]) -> None:
         body = await self._ledger.body(entry.record)
@@ -258,7 +260,7 @@
             reason = stale.get(fact.slot)
             sample = None
             if reason is None:
-                sample = _restored(fact.slot, fact.begun_s, delivered)
+                sample = restored_sample(fact.slot, fact.begun_s, delivered)
             else:
                 self._count_discard(reason)
             step.release(fact.slot, sample, now_s)
@@ -382,38 +384,11 @@
                 status=410,
             )
 
-    def _find(self, batch_id: ids.BatchId) -> BatchEntry | None:
-        """Return a batch, or None if it is settled and removed."""
-        step_id, _, number = batch_id.rpartition('.')
-        sequence = int(number) if number.isdecimal() else 0
-        entry = self._ledger.log.get(sequence)
-        if entry is not None and entry.record.step_id == step_id:
-            return entry
-        cursor = self._ledger.cursor
-        if entry is None and cursor and 0 < sequence:
-            if sequence <= cursor.settled_sequence:
-                return None
-        message = f'batch {batch_id} does not exist'
-        raise RequestError('unknown_batch', message, status=404)
-
     def _view(self, step_id: ids.StepId) -> StepView:
-        record = self._ledger.steps[step_id].record
-        sequences = [
-            entry.record.sequence
-            for entry in self._ledger.log.entries()
-            if entry.record.step_id == step_id
-            and entry.record.state in OPEN_STATES
-        ]
-        is_open = record.status is StepStatus.OPEN or step_id in self.steps
-        return StepView(
-            step_id=step_id,
-            status=record.status,
-            slot_count=record.slot_count,
-            claimed_count=sum(
-                1 for _ in slot_bits.claimed_slots(record.claims)
-            ),
-            is_finished=not is_open,
-            last_cursor=str(max(sequences, default=0)),
+        return step_view(
+            self._ledger.steps[step_id].record,
+            self._ledger.log,
+            is_held=step_id in self.steps,
         )
 
 
@@ -423,51 +398,3 @@
     except LeaseLostError:
         return False
     return True
-
-
-def _settled_otherwise(batch_id: ids.BatchId) -> RequestError:
-    message = f'batch {batch_id} was settled otherwise'
-    return RequestError('batch_settled', message, status=409)
-
-
-def _delivered(step: StepState, sample: Sample) -> DeliveredSample:
-    assert sample.score is not None
-    return DeliveredSample(
-        sample_id=sample.sample_id,
-        group=sample.group,
-        index=sample.slot % step.spec.samples_per_group,
-        prompt=step.prompt(sample),
-        completion=sample.completion,
-        segments=sample.segments,
-        score=sample.score,
-    )
-
-
-def _restored(
-    slot: int, begun_s: float | None, delivered: DeliveredSample
-) -> Sample:
-    """Return a sample of a batch that was taken back before it was read."""
-    return Sample(
-        sample_id=delivered.sample_id,
-        slot=slot,
-        group=delivered.group,
-        completion=delivered.completion,
-        segments=delivered.segments,
-        token_count=sum(item.token_count for item in delivered.segments),
-        begun_s=begun_s,
-        score=delivered.score,
-    )
-
-
-def _batch_view(
-    entry: BatchEntry,
-    body: BatchBody | None = None,
-    valid_for_s: float | None = None,
-) -> BatchView:
-    return BatchView(
-        batch_id=entry.record.batch_id,
-        cursor=str(entry.record.sequence),
-        step_id=entry.record.step_id,
-        samples=body.samples if body is not None else None,
-        valid_for_s=valid_for_s,
-    )
