Order steps by their end under an even division

The target time of a step was taken from the number of trainers at its submission, so a large step that began alone kept its lead over later small ones. Steps are now ordered by a virtual finish tag. First slices of 3, 5 and 8 s and a long share of 0.06 to 0.2 change the mean by 2 s at most; 5 s and 0.2 are kept.

--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -16,8 +16,8 @@
 SAMPLE_PRIORITY = -1
 # Until an endpoint's pace is known.
 DEFAULT_TOKENS_PER_S = 50.0
-# From this share of the token limit on, a sample counts as long. With 0.1 and
-# 0.4 steps ended later in at least one of three measured mixes of trainers.
+# From this share of the token limit on, a sample counts as long. Step times
+# hardly differ between 0.06 and 0.2 (docs/rollouts.md).
 LONG_SHARE = 0.2
 
 
@@ -37,6 +37,8 @@
         self.pace = EndpointPace()
         # How many samples may run at once; set by the caller.
         self.slot_count = 1
+        self._virtual_tokens = 0.0
+        self._advanced_s = 0.0
         self._history: dict[ids.TrainerId, PromptLengths] = {}
         self._steps: dict[ids.TrainerId, list[StepState]] = {}
 
@@ -48,13 +50,16 @@
         """Let a step's samples run; steps run in order of deadline."""
         trainer_id = step.spec.trainer_id
         steps = self._steps.setdefault(trainer_id, [])
-        self._set_target(step, steps)
+        self._advance(step.submitted_s)
+        tags = [self._virtual_tokens, *(item.finish_tag for item in steps)]
+        step.finish_tag = max(tags) + step.remaining_tokens()
         steps.append(step)
         steps.sort(key=lambda step: step.deadline_s)
 
-    def remove_step(self, step: StepState) -> None:
+    def remove_step(self, step: StepState, now_s: float) -> None:
         """Stop running a step's samples."""
         steps = self._steps.get(step.spec.trainer_id, [])
+        self._advance(now_s)
         if step in steps:
             steps.remove(step)
 
@@ -72,7 +77,7 @@
         # before the rest of their group has run.
         if self.claimable_count() >= self.policy.max_claimable_count:
             return None
-        best: tuple[tuple[bool, float], StepState, Sample] | None = None
+        best: tuple[tuple[int, float], StepState, Sample] | None = None
         for steps in self._steps.values():
             for step in steps:
                 if step.deadline_s <= now_s:
@@ -100,33 +105,35 @@
         if endpoint_id is not None:
             self.pace.record(endpoint_id, token_count, duration_s)
 
-    def _urgency(self, step: StepState, sample: Sample) -> tuple[bool, float]:
+    def _urgency(self, step: StepState, sample: Sample) -> tuple[int, float]:
         """Return the rank of a step's first sample; the lowest goes first.
 
-        A sample that is known to be long never waits. Otherwise the step goes
-        first that has least time to spare until its target.
+        A sample that is known to be long never waits. The other samples go
+        in the order in which their steps would end if the capacity were
+        divided evenly among the trainers: then no step ends later than with
+        an even division, and most end earlier.
         """
         if not self.policy.long_first:
-            return False, step.submitted_s
-        is_long = sample.token_count >= LONG_SHARE * step.spec.max_tokens
-        rate = self._rate()
-        left_s = (step.spec.max_tokens - sample.token_count) / rate
-        work_s = step.remaining_tokens() / step.share_tokens_per_s
-        return not is_long, step.target_s - max(left_s, work_s)
+            return 0, step.submitted_s
+        if sample.token_count >= LONG_SHARE * step.spec.max_tokens:
+            return 0, step.finish_tag
+        return 1, step.finish_tag
 
     def _rate(self) -> float:
         return self.pace.typical_rate(DEFAULT_TOKENS_PER_S)
 
-    def _set_target(self, step: StepState, earlier: list[StepState]) -> None:
-        """Aim at the time at which the trainer's share would be enough."""
-        active_count = sum(1 for steps in self._steps.values() if steps) + (
-            not earlier
-        )
-        step.share_tokens_per_s = self.slot_count * self._rate() / active_count
-        work_s = step.remaining_tokens() / step.share_tokens_per_s
-        longest_s = step.spec.max_tokens / self._rate()
-        begin_s = max([step.submitted_s, *(item.target_s for item in earlier)])
-        step.target_s = begin_s + max(work_s, longest_s)
+    def _advance(self, now_s: float) -> None:
+        """Move virtual time on, which each open step's share keeps up with.
+
+        Its unit is tokens: if the capacity were divided evenly among the
+        trainers, each would have got this many since the start.
+        """
+        active_count = sum(1 for steps in self._steps.values() if steps)
+        if active_count:
+            capacity = self.slot_count * self._rate()
+            elapsed_s = now_s - self._advanced_s
+            self._virtual_tokens += elapsed_s * capacity / active_count
+        self._advanced_s = now_s
 
     def _dispatch(
         self, step: StepState, sample: Sample, now_s: float
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -57,9 +57,8 @@
         self.deadline_s = deadline_s
         self.bound = spec.bound
         self.submitted_s = now_s
-        # Set by the scheduler: when the step should be complete.
-        self.target_s = now_s
-        self.share_tokens_per_s = 1.0
+        # Set by the scheduler, which orders steps by it.
+        self.finish_tag = 0.0
         self._remaining_tokens = 0.0
         self._results_since_sum = RESULTS_PER_SUM
         self.lengths = GroupLengths(spec.prompts, spec.max_tokens, history)
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -72,9 +72,8 @@
 
     def close(self) -> None:
         """Stop running the trainer's samples."""
-        for step in self.steps.values():
-            self._scheduler.remove_step(step)
-        self.steps.clear()
+        for step_id in list(self.steps):
+            self._remove_state(step_id)
 
     async def submit(self, spec: StepSpec) -> StepView:
         """Create a step, or find the one that a repeat refers to.
@@ -358,7 +357,8 @@
         self._metrics.discarded_samples.labels(reason).inc()
 
     def _remove_state(self, step_id: ids.StepId) -> None:
-        self._scheduler.remove_step(self.steps.pop(step_id))
+        now_s = self._clock.monotonic_s()
+        self._scheduler.remove_step(self.steps.pop(step_id), now_s)
 
     def _version_for(self, spec: StepSpec) -> ids.WeightVersion:
         current = self._current_version(spec.service)
