Run scaling, endpoint orders and weight rollouts in entries

Cause: the controllers existed, but no process ran them. Change: ControlParts follows the configuration and runs the work of each shard (usage, weights per model, orders per region and service) under its lease. EndpointDrainer makes the agent refuse new attempts, then waits for a load report that is younger than the refusal and shows no request. The entry's composition is split into configuration, routing and control parts. Conclusion: all control work runs inside entry processes.

--- a/src/dogwoodpost/config/settings.py
+++ b/src/dogwoodpost/config/settings.py
@@ -83,6 +83,7 @@
     body_timeout_s: Annotated[float, pydantic.Field(gt=0)] = 30.0
     usage_window_s: Annotated[int, pydantic.Field(gt=0)] = 60
     control_enabled: bool = True
+    endpoint_start_up_s: Annotated[float, pydantic.Field(gt=0)] = 60.0
 
 
 class EndpointSettings(StrictModel):
--- /dev/null
+++ b/src/dogwoodpost/services/control/endpoint_drainer.py
@@ -0,0 +1,107 @@
+"""Takes an endpoint out of routing before it is stopped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from dogwoodpost.core.messages import EndpointAction
+from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import TransportError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.core import messages
+    from dogwoodpost.core.routing.endpoint import Endpoint
+    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.ports.lease_guard import LeaseGuard
+    from dogwoodpost.services.entry.endpoint_commander import EndpointCommander
+
+_log = structlog.get_logger(__name__)
+_POLL_INTERVAL_S = 0.5
+
+
+class EndpointDrainer:
+    """Drains endpoints for one holding of a shard's lease.
+
+    Once the agent has accepted DRAIN it refuses every new attempt for the
+    endpoint, whatever an entry still believes, so no confirmation of the
+    entries is needed beyond it.
+
+    :param find: returns an endpoint, None if no agent reports it.
+    :param load: returns its last load and when it was received, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: ids.ShardName,
+        guard: LeaseGuard,
+        commander: EndpointCommander,
+        clock: Clock,
+        find: Callable[[ids.EndpointId], Endpoint | None],
+        load: Callable[
+            [ids.EndpointId], tuple[messages.EndpointLoad, float] | None
+        ],
+    ) -> None:
+        self._shard = shard
+        self._guard = guard
+        self._commander = commander
+        self._clock = clock
+        self._find = find
+        self._load = load
+
+    async def drain(self, endpoint_id: ids.EndpointId) -> None:
+        """Return when the endpoint takes no attempts and runs none.
+
+        :raises LeaseLostError: the lease is lost.
+        """
+        while (endpoint := self._find(endpoint_id)) is not None:
+            if await self._command(endpoint, EndpointAction.DRAIN):
+                break
+            await self._clock.sleep(_POLL_INTERVAL_S)
+        drained_s = self._clock.monotonic_s()
+        while not self._is_empty(endpoint_id, drained_s):
+            await self._clock.sleep(_POLL_INTERVAL_S)
+
+    async def resume(self, endpoint_id: ids.EndpointId) -> None:
+        """Put an endpoint back; one that no agent reports has no effect.
+
+        :raises LeaseLostError: the lease is lost.
+        """
+        while (endpoint := self._find(endpoint_id)) is not None:
+            if await self._command(endpoint, EndpointAction.RESUME):
+                return
+            await self._clock.sleep(_POLL_INTERVAL_S)
+
+    async def _command(
+        self, endpoint: Endpoint, action: EndpointAction
+    ) -> bool:
+        try:
+            result = await self._commander.command(
+                endpoint, self._shard, self._guard.fencing_number(), action
+            )
+        except (EndpointError, TransportError) as error:
+            _log.warning(
+                'endpoint command failed',
+                endpoint_id=endpoint.endpoint_id,
+                action=action.value,
+                error=str(error),
+            )
+            return False
+        return result.accepted
+
+    def _is_empty(self, endpoint_id: ids.EndpointId, since_s: float) -> bool:
+        """Return whether a load that was measured since then shows none."""
+        if self._find(endpoint_id) is None:
+            return True
+        known = self._load(endpoint_id)
+        if known is None:
+            return False
+        load, received_s = known
+        if received_s - load.age_ms / 1000 < since_s:
+            return False
+        return load.running_count == 0 and load.waiting_count == 0
--- a/src/dogwoodpost/services/control/shard_runner.py
+++ b/src/dogwoodpost/services/control/shard_runner.py
@@ -20,7 +20,8 @@
     from dogwoodpost.services.control.lease_manager import ManagedLeaseGuard
 
     RunOnce = Callable[[], Awaitable[object]]
-    OpenWork = Callable[[], AbstractAsyncContextManager[RunOnce]]
+    Work = AbstractAsyncContextManager[RunOnce]
+    OpenWork = Callable[[ManagedLeaseGuard], Work]
 
 _log = structlog.get_logger(__name__)
 
@@ -37,7 +38,7 @@
     def __init__(
         self,
         guard: ManagedLeaseGuard,
-        open_work: OpenWork,
+        open_work: Callable[[], Work],
         clock: Clock,
         *,
         interval_s: float,
--- a/src/dogwoodpost/services/control/zone_loads.py
+++ b/src/dogwoodpost/services/control/zone_loads.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self._endpoints: dict[ids.EndpointId, Endpoint] = {}
         self._loads: dict[ids.EndpointId, messages.EndpointLoad] = {}
+        self._received_s: dict[ids.EndpointId, float] = {}
 
     def upsert(self, endpoint: Endpoint, now_s: float) -> None:
         """Add an endpoint, or replace what is known of it."""
@@ -29,11 +30,34 @@
         """Forget an endpoint; an unknown id has no effect."""
         self._endpoints.pop(endpoint_id, None)
         self._loads.pop(endpoint_id, None)
+        self._received_s.pop(endpoint_id, None)
 
     def report_load(self, load: messages.EndpointLoad, now_s: float) -> None:
         """Take a load report."""
         if load.endpoint_id in self._endpoints:
             self._loads[load.endpoint_id] = load
+            self._received_s[load.endpoint_id] = now_s
+
+    def endpoint(self, endpoint_id: ids.EndpointId) -> Endpoint | None:
+        """Return an endpoint, None if no live agent reports it."""
+        return self._endpoints.get(endpoint_id)
+
+    def last_load(
+        self, endpoint_id: ids.EndpointId
+    ) -> tuple[messages.EndpointLoad, float] | None:
+        """Return the last load report and when it came, in seconds."""
+        load = self._loads.get(endpoint_id)
+        if load is None:
+            return None
+        return load, self._received_s[endpoint_id]
+
+    def zones(self, region: ids.Region) -> set[ids.AvailabilityZone]:
+        """Return the availability zones of a region that have endpoints."""
+        return {
+            endpoint.availability_zone
+            for endpoint in self._endpoints.values()
+            if endpoint.region == region
+        }
 
     def record_cache_events(
         self, events: messages.CacheEvents, now_s: float
--- a/src/dogwoodpost/services/entry/control_parts.py
+++ b/src/dogwoodpost/services/entry/control_parts.py
@@ -2,94 +2,80 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
+import mode
+
 from dogwoodpost.core import ids
 from dogwoodpost.errors import LeaseLostError
-from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.control.shard_runner import ShardRunner
-from dogwoodpost.services.control.usage_reporter import UsageReporter
+from dogwoodpost.services.entry.control_shards import shards
 
 if TYPE_CHECKING:
-    import random
-    from collections.abc import AsyncIterator
-
-    from dogwoodpost.config import EntrySettings
-    from dogwoodpost.observability import Metrics
-    from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.core.configuration import Configuration
     from dogwoodpost.ports.lease_guard import LeaseGuard
-    from dogwoodpost.ports.usage_reports import UsageReports
-    from dogwoodpost.services.control.lease_manager import LeaseManager
-    from dogwoodpost.services.control.shard_runner import RunOnce
-    from dogwoodpost.services.entry.platform_clients import PlatformClients
+    from dogwoodpost.services.entry.control_context import ControlContext
 
-USAGE_SHARD = ids.ShardName('usage')
-_USAGE_INTERVAL_S = 2.0
+_RUN_INTERVAL_S = 2.0
 # Longer than a lease lasts, so that a takeover fits in one call.
 _ACQUIRE_TIMEOUT_S = 12.0
 _ACQUIRE_POLL_S = 0.1
 
 
-class ControlParts(CompositeService):
-    """Runs the control work under leases."""
+class ControlParts(mode.Service):
+    """Runs the control work of all shards that the configuration names."""
 
-    def __init__(
-        self,
-        *,
-        settings: EntrySettings,
-        platform: PlatformClients,
-        leases: LeaseManager,
-        clock: Clock,
-        rng: random.Random,
-        metrics: Metrics,
-    ) -> None:
+    def __init__(self, context: ControlContext) -> None:
         super().__init__()
-        self._settings = settings
-        self._platform = platform
-        self._leases = leases
-        self._clock = clock
-        self._rng = rng
-        self._metrics = metrics
+        self._context = context
+        self._runners: dict[ids.ShardName, ShardRunner] = {}
+        self._changed = asyncio.Event()
+        context.configuration.subscribe(lambda _: self._changed.set())
 
-    async def open_parts(self) -> None:
-        """Start the work of each shard."""
-        if self._platform.usage_reports is not None:
-            await self._run_usage(self._platform.usage_reports)
+    async def on_stop(self) -> None:
+        """Stop the work; the lease manager releases the leases."""
+        for runner in self._runners.values():
+            await runner.stop()
 
     async def acquire_trainer(self, trainer_id: ids.TrainerId) -> LeaseGuard:
         """Return the held lease of a trainer's steps.
 
         :raises LeaseLostError: another entry holds it.
         """
+        clock = self._context.clock
+        leases = self._context.leases
         shard = ids.ShardName(f'rollout/{trainer_id}')
-        guard = self._leases.guard(shard)
-        end_s = self._clock.monotonic_s() + _ACQUIRE_TIMEOUT_S
+        guard = leases.guard(shard)
+        end_s = clock.monotonic_s() + _ACQUIRE_TIMEOUT_S
         while not guard.is_held():
-            if self._clock.monotonic_s() > end_s:
-                await self._leases.release(shard)
+            if clock.monotonic_s() > end_s:
+                await leases.release(shard)
                 raise LeaseLostError(f'lease {shard} is held elsewhere')
-            await self._clock.sleep(_ACQUIRE_POLL_S)
+            await clock.sleep(_ACQUIRE_POLL_S)
         return guard
 
-    async def _run_usage(self, platform: UsageReports) -> None:
-        guard = self._leases.guard(USAGE_SHARD)
-
-        @asynccontextmanager
-        async def open_work() -> AsyncIterator[RunOnce]:
-            reporter = UsageReporter(
-                guard=guard,
-                store=self._platform.tables,
-                platform=platform,
-                clock=self._clock,
-                rng=self._rng,
-                metrics=self._metrics,
-                window_s=self._settings.usage_window_s,
-            )
-            yield reporter.run_once
+    @mode.Service.task
+    async def _follow_configuration(self) -> None:
+        while not self.should_stop:
+            self._changed.clear()
+            await self._adjust(self._context.configuration.current())
+            await self.wait(self._changed.wait())
 
-        await self.run_part(
-            ShardRunner(
-                guard, open_work, self._clock, interval_s=_USAGE_INTERVAL_S
-            )
-        )
+    async def _adjust(self, configuration: Configuration) -> None:
+        """Start the work of new shards and end that of removed ones."""
+        wanted = dict(shards(self._context, configuration))
+        for shard in self._runners.keys() - wanted.keys():
+            await self._runners.pop(shard).stop()
+            await self._context.leases.release(shard)
+        for shard, open_work in wanted.items():
+            if shard not in self._runners:
+                guard = self._context.leases.guard(shard)
+                self._runners[shard] = runner = ShardRunner(
+                    guard,
+                    partial(open_work, guard),
+                    self._context.clock,
+                    interval_s=_RUN_INTERVAL_S,
+                )
+                await runner.start()
--- a/src/dogwoodpost/services/entry/process.py
+++ b/src/dogwoodpost/services/entry/process.py
@@ -14,25 +14,21 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.membership import ProcessIdentity
-from dogwoodpost.core.routing.router import Router
 from dogwoodpost.observability import Metrics
 from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.control.lease_manager import LeaseManager
-from dogwoodpost.services.entry.agent_directory import AgentDirectory
 from dogwoodpost.services.entry.configuration_parts import administration
 from dogwoodpost.services.entry.configuration_parts import (
     compose_configuration,
 )
+from dogwoodpost.services.entry.control_context import ControlContext
 from dogwoodpost.services.entry.control_parts import ControlParts
-from dogwoodpost.services.entry.endpoint_commander import EndpointCommander
-from dogwoodpost.services.entry.fleet import Fleet
 from dogwoodpost.services.entry.http.app import authenticate
 from dogwoodpost.services.entry.http.app import create_app
 from dogwoodpost.services.entry.http.app import LIFECYCLE
-from dogwoodpost.services.entry.peer_attempt_runner import PeerAttemptRunner
-from dogwoodpost.services.entry.peer_service import PeerService
 from dogwoodpost.services.entry.platform_clients import open_platform
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+from dogwoodpost.services.entry.routing_parts import compose_routing
 from dogwoodpost.services.entry.sample_dispatcher import (
     PipelineSampleDispatcher,
 )
@@ -48,6 +44,11 @@
     from aiohttp import web
 
     from dogwoodpost.config import EntrySettings
+    from dogwoodpost.services.entry.configuration_parts import (
+        ConfigurationParts,
+    )
+    from dogwoodpost.services.entry.platform_clients import PlatformClients
+    from dogwoodpost.services.entry.routing_parts import RoutingParts
 
 _log = structlog.get_logger(__name__)
 _METRICS_SHUTDOWN_TIMEOUT_S = 1.0
@@ -88,15 +89,6 @@
         configuration = compose_configuration(
             settings, identity, platform, transport, self._clock, self._rng
         )
-        self.metrics_port = await self.open_part(
-            serving(
-                create_metrics_app(
-                    self.metrics, configuration.service.is_ready
-                ),
-                settings.metrics_listen,
-                shutdown_timeout_s=_METRICS_SHUTDOWN_TIMEOUT_S,
-            )
-        )
         leases = LeaseManager(
             platform.plain_tables,
             self._clock,
@@ -105,62 +97,31 @@
             incarnation=identity.incarnation,
             rank=configuration.service.lease_rank,
         )
-        router = Router(
-            ids.AvailabilityZone(settings.availability_zone),
-            ids.Region(settings.region),
-            self._rng,
-        )
-        directory = AgentDirectory(router)
-        runner = PeerAttemptRunner(identity, transport, directory, self._clock)
-        commander = EndpointCommander(identity, transport)
-        peers = PeerService(
+        routing = compose_routing(
+            settings,
             identity,
             transport,
+            configuration.service,
+            leases,
             self._clock,
-            directory,
-            runner,
-            commander,
-            revision=lambda: configuration.service.current().revision,
-            fencing_numbers=leases.fencing_numbers,
-            handle_other=configuration.service.handle,
-        )
-        await self.run_part(peers)
-        await self.run_part(configuration.registration)
-        await self.run_part(configuration.service)
-        await configuration.service.wait_ready()
-        self.admin_port = await self.open_part(
-            administration(configuration, settings, self._clock)
+            self._rng,
         )
+        await self._open_configuration(configuration, routing)
         await self.run_part(leases)
-        usage = await self.run_part(
-            UsageTotals(
-                host_id=ids.HostId(settings.host_id),
-                incarnation=identity.incarnation,
-                window_s=settings.usage_window_s,
-                store=platform.tables,
+        pipeline = await self._open_pipeline(platform, identity, routing)
+        control = ControlParts(
+            ControlContext(
+                settings=settings,
+                platform=platform,
+                leases=leases,
+                routing=routing,
+                admission=pipeline.admission,
+                configuration=configuration.service,
                 clock=self._clock,
                 rng=self._rng,
                 metrics=self.metrics,
             )
         )
-        pipeline = RequestPipeline(
-            runner=runner,
-            router=router,
-            admission=Admission(),
-            usage=usage,
-            metrics=self.metrics,
-            clock=self._clock,
-            rng=self._rng,
-        )
-        fleet = Fleet(directory, configuration.service)
-        control = ControlParts(
-            settings=settings,
-            platform=platform,
-            leases=leases,
-            clock=self._clock,
-            rng=self._rng,
-            metrics=self.metrics,
-        )
         if settings.control_enabled:
             await self.run_part(control)
         app = create_app(
@@ -178,16 +139,10 @@
                 rng=self._rng,
                 metrics=self.metrics,
                 acquire=control.acquire_trainer,
-                current_version=fleet.newest_version,
-                capacity=fleet.sample_capacity,
-            )
-            await self.run_part(rollouts)
-            add_rollout_routes(
-                app,
-                service=rollouts,
-                clock=self._clock,
-                authenticate=authenticate,
+                current_version=routing.fleet.newest_version,
+                capacity=routing.fleet.sample_capacity,
             )
+            await self._open_rollouts(app, rollouts)
         self.http_port = await self.open_part(self._serving_callers(app))
         _log.info(
             'entry started',
@@ -197,6 +152,65 @@
             peer_address=transport.address,
         )
 
+    async def _open_configuration(
+        self, configuration: ConfigurationParts, routing: RoutingParts
+    ) -> None:
+        """Serve nothing before the current revision has been read."""
+        self.metrics_port = await self.open_part(
+            serving(
+                create_metrics_app(
+                    self.metrics, configuration.service.is_ready
+                ),
+                self._settings.metrics_listen,
+                shutdown_timeout_s=_METRICS_SHUTDOWN_TIMEOUT_S,
+            )
+        )
+        await self.run_part(routing.peers)
+        await self.run_part(configuration.registration)
+        await self.run_part(configuration.service)
+        await configuration.service.wait_ready()
+        self.admin_port = await self.open_part(
+            administration(configuration, self._settings, self._clock)
+        )
+
+    async def _open_pipeline(
+        self,
+        platform: PlatformClients,
+        identity: ProcessIdentity,
+        routing: RoutingParts,
+    ) -> RequestPipeline:
+        usage = await self.run_part(
+            UsageTotals(
+                host_id=ids.HostId(self._settings.host_id),
+                incarnation=identity.incarnation,
+                window_s=self._settings.usage_window_s,
+                store=platform.tables,
+                clock=self._clock,
+                rng=self._rng,
+                metrics=self.metrics,
+            )
+        )
+        return RequestPipeline(
+            runner=routing.runner,
+            router=routing.router,
+            admission=Admission(),
+            usage=usage,
+            metrics=self.metrics,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    async def _open_rollouts(
+        self, app: web.Application, rollouts: RolloutService
+    ) -> None:
+        await self.run_part(rollouts)
+        add_rollout_routes(
+            app,
+            service=rollouts,
+            clock=self._clock,
+            authenticate=authenticate,
+        )
+
     @asynccontextmanager
     async def _transport(self) -> AsyncIterator[NngPeerTransport]:
         listen = self._settings.peer_listen
