--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 demo: setup
 	$(BIN)/dogwoodpost demo
 
-test: lint types unit
+test: lint types binary unit
 
 lint: setup
 	$(BIN)/ruff format --check src tests measurements
@@ -38,7 +38,9 @@
 fuzz: setup
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/pytest -m fuzz
 
-binary: setup
+binary: dist/dogwoodpost
+
+dist/dogwoodpost: .venv/.complete $(shell find src -name '*.py')
 	mkdir -p dist
 	$(BIN)/pex . --sh-boot --venv --script dogwoodpost \
 		--output-file dist/dogwoodpost
--- a/measurements/path/processes.py
+++ b/measurements/path/processes.py
@@ -17,10 +17,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Sequence
 
     import aiohttp
 
 SOURCE = Path(__file__).parent.parent.parent / 'src'
+MODULE_COMMAND = (sys.executable, '-m', 'dogwoodpost')
 REGION = 'minas'
 AVAILABILITY_ZONE = 'minas-a'
 START_TIMEOUT_S = 30.0
@@ -35,14 +37,16 @@
 class Process:
     """One process, with its output in files."""
 
-    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+    def __init__(
+        self, name: str, command: Sequence[str], folder: Path
+    ) -> None:
         self.name = name
         self._output = folder / f'{name}.out'
         self._log = folder / f'{name}.log'
         environment = {**os.environ, 'PYTHONPATH': str(SOURCE)}
         with self._output.open('wb') as output, self._log.open('wb') as log:
             self._popen = subprocess.Popen(
-                [sys.executable, '-m', 'dogwoodpost', *arguments],
+                command,
                 stdout=output,
                 stderr=log,
                 env=environment,
@@ -102,8 +106,9 @@
 class ProcessSystem:
     """A platform of stand-ins, entries and agents."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, command: Sequence[str]) -> None:
         self._folder = folder
+        self._command = command
         self._processes: list[Process] = []
         self._platform: dict[str, Any] = {}
 
@@ -169,7 +174,7 @@
         return self._start(name, [role, str(path)])
 
     def _start(self, name: str, arguments: list[str]) -> Process:
-        process = Process(name, arguments, self._folder)
+        process = Process(name, [*self._command, *arguments], self._folder)
         self._processes.append(process)
         return process
 
@@ -191,10 +196,12 @@
 
 
 @asynccontextmanager
-async def process_system() -> AsyncIterator[ProcessSystem]:
+async def process_system(
+    command: Sequence[str] = MODULE_COMMAND,
+) -> AsyncIterator[ProcessSystem]:
     """Run processes during the block; all are ended after it."""
     with tempfile.TemporaryDirectory(prefix='dogwoodpost-') as folder:
-        system = ProcessSystem(Path(folder))
+        system = ProcessSystem(Path(folder), command)
         try:
             await system.start_platform()
             yield system
--- a/src/dogwoodpost/standins/plain_service.py
+++ b/src/dogwoodpost/standins/plain_service.py
@@ -140,7 +140,7 @@
     app.router.add_get('/control/counters', service.counters)
     # Plain services know no orders; an echo would look like a success.
     app.router.add_route('*', '/control/{path:.*}', service.unknown)
-    app.router.add_route('*', r'/slow/{ms:\d+}', service.slow)
+    app.router.add_route('*', r'/{prefix:.*}slow/{ms:\d+}', service.slow)
     app.router.add_route('*', '/drop', service.drop)
     app.router.add_route('*', '/{path:.*}', service.echo)
     return app
