--- a/src/dogwoodpost/core/rollouts/batch_log.py
+++ b/src/dogwoodpost/core/rollouts/batch_log.py
@@ -82,6 +82,14 @@
                 stale[fact.slot] = reason
         return stale
 
+    def valid_for_s(self, bound: StalenessBound, now_s: float) -> float | None:
+        """Return how long the batch stays within its age bound."""
+        begun = [fact.begun_s for fact in self.facts]
+        known = [begun_s for begun_s in begun if begun_s is not None]
+        if bound.max_age_s is None or not known:
+            return None
+        return min(known) + bound.max_age_s - now_s
+
 
 class BatchVerdict(Enum):
     """What a fetch gets.
--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -47,14 +47,13 @@
         return self._history.setdefault(trainer_id, PromptLengths())
 
     def add_step(self, step: StepState) -> None:
-        """Let a step's samples run; steps run in order of deadline."""
+        """Let a step's samples run, after the trainer's earlier steps."""
         trainer_id = step.spec.trainer_id
         steps = self._steps.setdefault(trainer_id, [])
         self._advance(step.submitted_s)
         tags = [self._virtual_tokens, *(item.finish_tag for item in steps)]
         step.finish_tag = max(tags) + step.remaining_tokens()
         steps.append(step)
-        steps.sort(key=lambda step: step.deadline_s)
 
     def remove_step(self, step: StepState, now_s: float) -> None:
         """Stop running a step's samples."""
@@ -94,17 +93,6 @@
         step.take(sample, now_s)
         return self._dispatch(step, sample, now_s)
 
-    def settle(
-        self,
-        dispatch: Dispatch,
-        token_count: int,
-        duration_s: float,
-        endpoint_id: ids.EndpointId | None,
-    ) -> None:
-        """Take what a dispatch has generated; the endpoint may be unknown."""
-        if endpoint_id is not None:
-            self.pace.record(endpoint_id, token_count, duration_s)
-
     def _urgency(self, step: StepState, sample: Sample) -> tuple[int, float]:
         """Return the rank of a step's first sample; the lowest goes first.
 
@@ -161,8 +149,7 @@
             resume_text=sample.completion,
             avoid=avoid,
         )
-        dispatch = Dispatch(step, sample, request)
-        return dispatch
+        return Dispatch(step, sample, request)
 
 
 def _min_version(step: StepState) -> ids.WeightVersion:
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -22,9 +22,6 @@
     from dogwoodpost.ports.sample_dispatcher import SampleResult
 
 
-RESULTS_PER_SUM = 32
-
-
 class ResultOutcome(Enum):
     """What became of a dispatch."""
 
@@ -59,8 +56,6 @@
         self.submitted_s = now_s
         # Set by the scheduler, which orders steps by it.
         self.finish_tag = 0.0
-        self._remaining_tokens = 0.0
-        self._results_since_sum = RESULTS_PER_SUM
         self.lengths = GroupLengths(spec.prompts, spec.max_tokens, history)
         self.waiting = WaitingSamples(
             len(spec.prompts), self.lengths, long_first=policy.long_first
@@ -83,18 +78,12 @@
         return len(self._ready_since_s) * self.spec.samples_per_group
 
     def remaining_tokens(self) -> float:
-        """Return the expected work that is left, in tokens.
-
-        It is summed up again after a number of results only.
-        """
-        if self._results_since_sum >= RESULTS_PER_SUM:
-            self._results_since_sum = 0
-            self._remaining_tokens = sum(
-                self.lengths.remaining_tokens(sample)
-                for sample in self.samples
-                if sample.phase in (SamplePhase.WAITING, SamplePhase.RUNNING)
-            )
-        return self._remaining_tokens
+        """Return the expected work that is left, in tokens."""
+        return sum(
+            self.lengths.remaining_tokens(sample)
+            for sample in self.samples
+            if sample.phase is not SamplePhase.CLAIMED
+        )
 
     def prompt(self, sample: Sample) -> str:
         """Return the prompt of a sample's group."""
@@ -133,7 +122,6 @@
             return ResultOutcome.UNCERTAIN
         sample.extend(result.completion, result.segments)
         sample.run_s += duration_s
-        self._results_since_sum += 1
         sample.failure_count = 0
         is_full = sample.token_count >= self.spec.max_tokens
         finished = result.finished or is_full
@@ -180,27 +168,6 @@
         self._on_discard(reason)
         self._replace(sample)
 
-    def _discard_if_stale(self, sample: Sample, now_s: float) -> bool:
-        if not sample.segments or sample.begun_s is None:
-            return False
-        reason = self.bound.reason_if_stale(
-            sample.oldest_version, self.current_version, now_s - sample.begun_s
-        )
-        if reason is not None:
-            self.discard(sample, reason)
-        return reason is not None
-
-    def _replace(self, sample: Sample) -> None:
-        if sample.phase is SamplePhase.CLAIMED:
-            self.unclaimed_count += 1
-        if sample.phase is SamplePhase.SCORED:
-            self._scored_by_group[sample.group] -= 1
-            self._ready_since_s.pop(sample.group, None)
-        self._generation += 1
-        fresh = self._new_sample(sample.slot)
-        self.samples[sample.slot] = fresh
-        self.waiting.push(fresh)
-
     def discard_stale(self, now_s: float) -> bool:
         """Replace samples of complete groups that are over the bound."""
         found = [
@@ -256,6 +223,27 @@
         self.unclaimed_count += 1
         self._mark_scored(sample, now_s)
 
+    def _discard_if_stale(self, sample: Sample, now_s: float) -> bool:
+        if not sample.segments or sample.begun_s is None:
+            return False
+        reason = self.bound.reason_if_stale(
+            sample.oldest_version, self.current_version, now_s - sample.begun_s
+        )
+        if reason is not None:
+            self.discard(sample, reason)
+        return reason is not None
+
+    def _replace(self, sample: Sample) -> None:
+        if sample.phase is SamplePhase.CLAIMED:
+            self.unclaimed_count += 1
+        if sample.phase is SamplePhase.SCORED:
+            self._scored_by_group[sample.group] -= 1
+            self._ready_since_s.pop(sample.group, None)
+        self._generation += 1
+        fresh = self._new_sample(sample.slot)
+        self.samples[sample.slot] = fresh
+        self.waiting.push(fresh)
+
     def _group(self, group: int) -> list[Sample]:
         start = group * self.spec.samples_per_group
         return self.samples[start : start + self.spec.samples_per_group]
--- a/src/dogwoodpost/services/rollouts/rollout_service.py
+++ b/src/dogwoodpost/services/rollouts/rollout_service.py
@@ -170,18 +170,20 @@
         outcome = ResultOutcome.LATE
         try:
             result = await self._dispatcher.generate(dispatch.request)
-        except RequestError as error:
-            self._metrics.retries.labels(f'sample_{error.code}').inc()
-            now_s = self._clock.monotonic_s()
-            self.scheduler.settle(dispatch, 0, now_s - begun_s, None)
+        except DogwoodpostError as error:
+            code = error.code if isinstance(error, RequestError) else 'other'
+            self._metrics.retries.labels(f'sample_{code}').inc()
             step.record_failure(
-                sample, dispatch.request.sample_id, now_s, self._rng
+                sample,
+                dispatch.request.sample_id,
+                self._clock.monotonic_s(),
+                self._rng,
             )
         else:
             duration_s = self._clock.monotonic_s() - begun_s
             token_count = sum(part.token_count for part in result.segments)
-            self.scheduler.settle(
-                dispatch, token_count, duration_s, result.endpoint_id
+            self.scheduler.pace.record(
+                result.endpoint_id, token_count, duration_s
             )
             outcome = step.record_result(sample, result, duration_s)
         finally:
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -180,6 +180,9 @@
 
     async def claim_ready(self) -> bool:
         """Claim one batch of each step that has one; return if any had."""
+        async with self._lock:
+            # Also without a claim, so that a lost lease is noticed.
+            await self._ensure_current()
         claimed = False
         now_s = self._clock.monotonic_s()
         for step_id, step in list(self.steps.items()):
@@ -248,7 +251,9 @@
         if self._stale_slots(entry):
             return batch_view(entry)
         self._ledger.guard.fencing_number()
-        return batch_view(entry, body, self._valid_for_s(entry))
+        bound = self._ledger.steps[entry.record.step_id].spec.bound
+        valid_for_s = entry.valid_for_s(bound, self._clock.monotonic_s())
+        return batch_view(entry, body, valid_for_s)
 
     async def _replace(self, entry: BatchEntry, stale: dict[int, str]) -> None:
         body = await self._ledger.body(entry.record)
@@ -271,14 +276,6 @@
             spec.bound, self._version_for(spec), self._clock.monotonic_s()
         )
 
-    def _valid_for_s(self, entry: BatchEntry) -> float | None:
-        bound = self._ledger.steps[entry.record.step_id].spec.bound
-        begun = [fact.begun_s for fact in entry.facts]
-        known = [begun_s for begun_s in begun if begun_s is not None]
-        if bound.max_age_s is None or not known:
-            return None
-        return min(known) + bound.max_age_s - self._clock.monotonic_s()
-
     async def _change(self, change: Callable[[], Awaitable[object]]) -> None:
         """Apply one change of the ledger.
 
