Give every sample of an owner an id of its own

A step whose last batch had been claimed was dropped from memory; when a stale batch reopened it, its samples were numbered from 1 again and shared ids, and so scores, with earlier ones. Numbers now come from one counter of the scheduler.

--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import msgspec
 
 from dogwoodpost.core import ids
@@ -37,6 +39,7 @@
         self.pace = EndpointPace()
         # How many samples may run at once; set by the caller.
         self.slot_count = 1
+        self.sample_numbers = itertools.count()
         self._virtual_tokens = 0.0
         self._advanced_s = 0.0
         self._history: dict[ids.TrainerId, PromptLengths] = {}
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -15,6 +15,7 @@
     import random
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from dogwoodpost.core.rollouts.prompt_lengths import PromptLengths
     from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
@@ -34,8 +35,9 @@
 class StepState:
     """Samples of a step at its owner.
 
-    Ids of samples contain the owner's fencing number, so that a sample of an
-    earlier owner never shares an id, and a score, with one of this owner.
+    Ids of samples contain the owner's fencing number and a number from
+    ``sample_numbers``, which is shared by all steps of the owner and outlives
+    them. So no two samples share an id, and with it a score.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         policy: SchedulingPolicy,
         history: PromptLengths,
         on_discard: Callable[[str], None],
+        sample_numbers: Iterator[int],
     ) -> None:
         self.spec = spec
         self.fencing_number = fencing_number
@@ -65,7 +68,7 @@
         self.current_version = ids.WeightVersion(0)
         self._policy = policy
         self._on_discard = on_discard
-        self._generation = 0
+        self._sample_numbers = sample_numbers
         self._scored_by_group = [0] * len(spec.prompts)
         self._ready_since_s: dict[int, float] = {}
         self.samples = [self._new_sample(n) for n in range(spec.slot_count)]
@@ -239,7 +242,6 @@
         if sample.phase is SamplePhase.SCORED:
             self._scored_by_group[sample.group] -= 1
             self._ready_since_s.pop(sample.group, None)
-        self._generation += 1
         fresh = self._new_sample(sample.slot)
         self.samples[sample.slot] = fresh
         self.waiting.push(fresh)
@@ -258,7 +260,7 @@
         group, index = divmod(slot, self.spec.samples_per_group)
         name = (
             f'{self.spec.trainer_id}/{self.spec.step_id}/{group}/{index}/'
-            f'{self.fencing_number}.{self._generation}'
+            f'{self.fencing_number}.{next(self._sample_numbers)}'
         )
         return Sample(
             sample_id=ids.SampleId(name),
--- a/src/dogwoodpost/services/rollouts/trainer_rollouts.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rollouts.py
@@ -343,6 +343,7 @@
             policy=self._scheduler.policy,
             history=self._scheduler.history(self.trainer_id),
             on_discard=self._count_discard,
+            sample_numbers=self._scheduler.sample_numbers,
         )
         step.current_version = self._version_for(entry.spec)
         step.mark_claimed(slot_bits.claimed_slots(entry.record.claims))
--- a/tests/services/rollouts/test_rollout_service.py
+++ b/tests/services/rollouts/test_rollout_service.py
@@ -182,3 +182,25 @@
     counter = world.metrics.discarded_samples
     if reason is not None:
         assert counter.labels(reason)._value.get() == 3
+
+
+def test_no_sample_id_is_used_twice_by_a_reopened_step() -> None:
+    """Guards against two samples of a slot that share an id and a score."""
+
+    async def scenario() -> None:
+        world = World()
+        world.dispatcher.uncertain_count = 1
+        async with world.service() as service:
+            trainer = await service.trainer(TRAINER)
+            await trainer.submit(
+                step_spec(prompts=('p',), samples_per_group=1)
+            )
+            await asyncio.sleep(300.0)
+            world.current_version = ids.WeightVersion(3)
+            world.dispatcher.version = ids.WeightVersion(3)
+            batches = [batch async for batch in drain(service)]
+        assert slots(batches) == [(0, 0)]
+        found = [request.sample_id for request in world.dispatcher.requests]
+        assert len(found) == len(set(found))
+
+    run_virtually(scenario())
