--- a/src/dogwoodpost/client/trainer_client.py
+++ b/src/dogwoodpost/client/trainer_client.py
@@ -69,6 +69,8 @@
         self._rng = rng or random.Random()
         self._seen: set[ids.BatchId] = set()
         self._is_resumed = cursor != START_CURSOR
+        # Duration of the last answered call, without its failed attempts.
+        self._last_call_s = 0.0
 
     async def submit_step(self, submission: StepSubmission) -> StepView:
         """Submit a step; the same submission may be repeated.
@@ -107,13 +109,12 @@
             f'&weight_version={self.weight_version}'
             f'&resumed={int(self._is_resumed)}'
         )
-        begun_s = time.monotonic()
         reply = await self._call('GET', f'/batches{query}', FetchReply)
         self._is_resumed = False
         view = reply.batch
         if view is None:
             return None
-        transit_s = time.monotonic() - begun_s - reply.held_s
+        transit_s = self._last_call_s - reply.held_s
         if view.batch_id in self._seen:
             self.cursor = view.cursor
             return None
@@ -169,6 +170,7 @@
     async def _request(
         self, method: str, url: str, kind: type[_Reply], data: bytes | None
     ) -> _Reply:
+        begun_s = time.monotonic()
         async with self._session.request(
             method,
             url,
@@ -177,6 +179,7 @@
             timeout=self._timeout,
         ) as response:
             body = await response.read()
+            self._last_call_s = time.monotonic() - begun_s
             if response.status >= 400:
                 raise _error(response.status, body)
             return msgspec.json.decode(body, type=kind)
