--- a/src/dogwoodpost/core/usage/ledger.py
+++ b/src/dogwoodpost/core/usage/ledger.py
@@ -8,8 +8,8 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.usage.figures import add
-from dogwoodpost.core.usage.figures import merge
 from dogwoodpost.core.usage.figures import remainder_as_adjustment
+from dogwoodpost.core.usage.rows import encode_part
 from dogwoodpost.core.usage.rows import OPEN_WINDOWS_KEY
 from dogwoodpost.core.usage.rows import OpenWindows
 from dogwoodpost.core.usage.rows import part_key
@@ -92,9 +92,14 @@
         return self._open_version > 0
 
     @property
-    def unwritten(self) -> dict[ids.ClientAccountId, UsageFigures]:
+    def unwritten_by_window(
+        self,
+    ) -> dict[ids.UsageWindow, dict[ids.ClientAccountId, UsageFigures]]:
         """Return what a crash of this process would lose."""
-        return merge(window.remainder() for window in self._windows.values())
+        return {
+            number: window.remainder()
+            for number, window in self._windows.items()
+        }
 
     def record(
         self,
@@ -145,7 +150,7 @@
         for number, window in dirty.items():
             key = part_key(number, self._host_id, self._incarnation)
             checks.append(Check(key, window.version))
-            value = msgspec.json.encode(UsagePart(figures=window.totals))
+            value = encode_part(UsagePart(figures=window.totals))
             writes.append(Write(key, value))
             window.is_dirty = False
         return UsageFlush(
