--- a/src/dogwoodpost/services/entry/configuration_parts.py
+++ b/src/dogwoodpost/services/entry/configuration_parts.py
@@ -41,6 +41,7 @@
     registration: EntryRegistration
     repository: ConfigurationRepository
     editor: ConfigurationEditor
+    known: KnownEntries
 
 
 def compose_configuration(
@@ -77,6 +78,7 @@
         registration=registration,
         repository=repository,
         editor=editor,
+        known=known,
     )
 
 
--- a/src/dogwoodpost/services/entry/platform_clients.py
+++ b/src/dogwoodpost/services/entry/platform_clients.py
@@ -96,10 +96,15 @@
             ),
             weight_store=_optional(
                 settings.weight_store_url,
-                lambda url: HttpWeightStore(session, url),
+                lambda url: HttpWeightStore(
+                    session, url, timeout_s=timeout_s, token=token
+                ),
             ),
             scorer=_optional(
-                settings.scorer_url, lambda url: HttpScorer(session, url)
+                settings.scorer_url,
+                lambda url: HttpScorer(
+                    session, url, timeout_s=timeout_s, token=token
+                ),
             ),
         )
 
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -9,7 +9,7 @@
 
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.admission import AdmissionSettings
-from dogwoodpost.core.admission import Consumption
+from dogwoodpost.core.messages import Consumption
 from dogwoodpost.core.admission import Ticket
 from dogwoodpost.core.admission import TicketState
 from dogwoodpost.core.configuration import Limits
