--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from dogwoodpost.core import ids
 from dogwoodpost.core.admission.account_state import AccountState
 from dogwoodpost.core.admission.cost_forecast import CostForecast
 from dogwoodpost.core.admission.drain_rate import DrainRate
@@ -21,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from dogwoodpost.core import ids
     from dogwoodpost.core.admission.ticket import Ticket
 
 _TOO_MANY_REQUESTS = 429
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core.routing.cache_index import CacheIndex
+from dogwoodpost.core.routing.candidate_sampler import CandidateSampler
 from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.prefix import BLOCK_TOKENS
-from dogwoodpost.core.routing.rendezvous import Rendezvous
 from dogwoodpost.core.routing.service_group import Distance
 from dogwoodpost.core.routing.service_group import ServiceGroup
 from dogwoodpost.core.routing.settings import OutlierSettings
@@ -15,7 +15,6 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from dogwoodpost.core import ids
@@ -25,11 +24,6 @@
     from dogwoodpost.core.routing.route_query import RouteQuery
 
 _BYTES_PER_MIB = 1024 * 1024
-# Up to this size every endpoint of a service is compared.
-_COMPARE_ALL_COUNT = 16
-# Depth of the prefix that decides on a home while nobody is known to hold
-# any of it; entries that have seen nothing yet agree on it.
-_COLD_KEY_BLOCK = 3
 
 
 class Router:
@@ -45,15 +39,14 @@
     ) -> None:
         self._availability_zone = availability_zone
         self._region = region
-        self._rng = rng
         self._settings = settings or RouterSettings()
         self._outlier_settings = outlier_settings or OutlierSettings()
         self._groups: dict[ids.ServiceName, ServiceGroup] = {}
         self._service_by_endpoint: dict[ids.EndpointId, ids.ServiceName] = {}
-        self._rendezvous = Rendezvous()
         self._index = CacheIndex(
             self._settings.max_index_blocks, self._settings.presumed_weight
         )
+        self._sampler = CandidateSampler(self._settings, self._index, rng)
 
     def upsert(self, endpoint: Endpoint, now_s: float) -> None:
         """Add an endpoint, or replace what is known of it."""
@@ -67,7 +60,7 @@
             return
         self._service_by_endpoint[endpoint_id] = endpoint.service
         self._index.add(endpoint_id)
-        self._rendezvous.clear()
+        self._sampler.clear()
         if known is None:
             return
         if known.agent_incarnation != endpoint.agent_incarnation:
@@ -80,7 +73,7 @@
             return
         self._groups[service].remove(endpoint_id)
         self._index.remove(endpoint_id)
-        self._rendezvous.clear()
+        self._sampler.clear()
 
     def report_load(self, load: messages.EndpointLoad, now_s: float) -> None:
         """Take a load report, which lags by ``age_ms``."""
@@ -197,7 +190,7 @@
     ) -> list[ids.EndpointId]:
         allowed = [
             endpoint_id
-            for endpoint_id in self._sample(group, query)
+            for endpoint_id in self._sampler.sample(group, query)
             if self._is_allowed(group, query, endpoint_id)
         ]
         in_rotation = []
@@ -212,61 +205,6 @@
         # If all that is left has been ejected, trying beats refusing.
         return in_rotation or allowed
 
-    def _sample(
-        self, group: ServiceGroup, query: RouteQuery
-    ) -> Iterable[ids.EndpointId]:
-        eligible = group.eligible()
-        total_count = sum(len(members) for members in eligible.values())
-        if total_count <= _COMPARE_ALL_COUNT:
-            return [*eligible[Distance.ZONE], *eligible[Distance.REGION]] + (
-                eligible[Distance.REMOTE]
-            )
-        settings = self._settings
-        sample = dict.fromkeys(
-            endpoint_id
-            for endpoint_id in self._index.holders(
-                query.prefix, settings.index_count
-            )
-            if self._service_by_endpoint.get(endpoint_id) == query.service
-        )
-        near = True
-        for distance, members in eligible.items():
-            if not members:
-                continue
-            count = settings.random_count if near else settings.remote_count
-            sample.update(dict.fromkeys(self._draw(members, count)))
-            if near and query.prefix:
-                group_name = f'{query.service}/{distance.value}'
-                sample.update(
-                    dict.fromkeys(self._homes(group_name, query, members))
-                )
-            near = False
-        return sample
-
-    def _homes(
-        self,
-        group_name: str,
-        query: RouteQuery,
-        members: Sequence[ids.EndpointId],
-    ) -> tuple[ids.EndpointId, ...]:
-        return self._rendezvous.top(
-            group_name,
-            self._affinity_key(query.prefix),
-            members,
-            self._settings.rendezvous_count,
-        )
-
-    def _affinity_key(self, prefix: Sequence[int]) -> int:
-        known = self._index.deepest_known(prefix)
-        if known is not None:
-            return known
-        return prefix[min(_COLD_KEY_BLOCK, len(prefix) - 1)]
-
-    def _draw(
-        self, members: Sequence[ids.EndpointId], count: int
-    ) -> list[ids.EndpointId]:
-        return self._rng.sample(members, min(count, len(members)))
-
     def _is_allowed(
         self,
         group: ServiceGroup,
--- a/src/dogwoodpost/services/entry/consumption_exchange.py
+++ b/src/dogwoodpost/services/entry/consumption_exchange.py
@@ -70,4 +70,5 @@
 
     async def _send_forever(self) -> None:
         while True:
-            await asyncio.sleep(await self.send())
+            pause_s = await self.send()
+            await asyncio.sleep(pause_s)
--- a/src/dogwoodpost/services/entry/peer_service.py
+++ b/src/dogwoodpost/services/entry/peer_service.py
@@ -85,6 +85,12 @@
             **dict.fromkeys(RESPONSE_PARTS, runner.receive),
         }
 
+    def add_handler(
+        self, kind: type[Any], handler: Callable[[Any], None]
+    ) -> None:
+        """Pass messages of a kind to a handler."""
+        self._handlers[kind] = handler
+
     async def on_start(self) -> None:
         """Start to receive and to send heartbeats."""
         self.add_future(self._receive())
--- a/src/dogwoodpost/services/entry/process.py
+++ b/src/dogwoodpost/services/entry/process.py
@@ -12,6 +12,7 @@
 from dogwoodpost.adapters.clock import BoottimeClock
 from dogwoodpost.adapters.nng import NngPeerTransport
 from dogwoodpost.core import ids
+from dogwoodpost.core import messages
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.membership import ProcessIdentity
 from dogwoodpost.observability import Metrics
@@ -21,6 +22,7 @@
 from dogwoodpost.services.entry.configuration_parts import (
     compose_configuration,
 )
+from dogwoodpost.services.entry.consumption_exchange import ConsumptionExchange
 from dogwoodpost.services.entry.control_context import ControlContext
 from dogwoodpost.services.entry.control_parts import ControlParts
 from dogwoodpost.services.entry.http.app import authenticate
@@ -109,6 +111,16 @@
         await self._open_configuration(configuration, routing)
         await self.run_part(leases)
         pipeline = await self._open_pipeline(platform, identity, routing)
+        exchange = ConsumptionExchange(
+            identity,
+            transport,
+            pipeline.admission,
+            addresses=lambda: configuration.known.addresses().values(),
+        )
+        routing.peers.add_handler(
+            messages.AccountConsumption, exchange.receive
+        )
+        await self.run_part(exchange)
         control = ControlParts(
             ControlContext(
                 settings=settings,
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -9,10 +9,10 @@
 
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.admission import AdmissionSettings
-from dogwoodpost.core.messages import Consumption
 from dogwoodpost.core.admission import Ticket
 from dogwoodpost.core.admission import TicketState
 from dogwoodpost.core.configuration import Limits
+from dogwoodpost.core.messages import Consumption
 from dogwoodpost.errors import RequestError
 
 ACCOUNTS = ('a', 'b', 'c')
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -161,7 +161,9 @@
         router = Router('a', 'near', random.Random(seed))
         for name in names:
             router.upsert(endpoint(name), 0.0)
-        sample = router._sample(router._group(SERVICE), query(prefix=prefix))
+        sample = router._sampler.sample(
+            router._group(SERVICE), query(prefix=prefix)
+        )
         homes.append(set(sample))
     assert len(set.intersection(*homes)) >= 2
 
