--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -66,6 +66,10 @@
         for account_id in order:
             yield from itertools.islice(self._queues[account_id], depth)
 
+    def firsts(self) -> list[Ticket]:
+        """Return the first waiting request of each account."""
+        return [queue[0] for queue in self._queues.values()]
+
     def start(self, ticket: Ticket, weight: float) -> None:
         """Take a request off its account's queue to run it."""
         account_id = ticket.client_account_id
@@ -124,6 +128,14 @@
                 ahead += max(lead, 0.0) * weight_of(other_id)
         return ahead
 
+    def lag_tokens(self, account_id: ids.ClientAccountId) -> float:
+        """Return how far an account is behind the mean of all accounts.
+
+        The accounts include those that are served at other entries only.
+        """
+        mean = sum(self._virtual.values()) / len(self._virtual)
+        return mean - self._virtual[account_id]
+
     def charge_elsewhere(
         self, account_id: ids.ClientAccountId, tokens: float, weight: float
     ) -> None:
