Put an endpoint back within its drain, and follow no redirects

A resume that waits for its agent blocked the whole reconciliation, and a crash between the cancelled intent and the resume left an endpoint drained for good. The drain now resumes before its intent is cancelled. An HTTP redirect of an order would have been sent again without asking the guard; it counts as a refusal.

--- a/src/dogwoodpost/adapters/platform/guarded_http.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http.py
@@ -108,6 +108,8 @@
                 self._base_url + path,
                 data=body,
                 headers={'Content-Length': str(len(data))},
+                # A redirect would send the document again, unguarded.
+                allow_redirects=False,
             ) as response:
                 await response.read()
             self._check_status(path, response.status)
@@ -130,12 +132,12 @@
     def _check_status(self, path: str, status: int) -> None:
         """Tell a refusal from a failure that may have taken effect.
 
-        4xx is the platform's own refusal; any other failure may come from a
-        proxy in between, after the platform took the document.
+        A redirect or 4xx is the platform's own refusal; any other failure may
+        come from a proxy in between, after the platform took the document.
         """
         if 200 <= status < 300:
             return
-        if 400 <= status < 500 and status != 408:
+        if 300 <= status < 500 and status != 408:
             raise PlatformError(f'{path}: status {status}')
         raise PlatformOutcomeUnknownError(f'{path}: status {status}')
 
--- a/src/dogwoodpost/core/orders/ledger.py
+++ b/src/dogwoodpost/core/orders/ledger.py
@@ -96,6 +96,15 @@
             and intent.state is not IntentState.CANCELLED
         }
 
+    def stop_may_be_sent(self, endpoint_id: ids.EndpointId) -> bool:
+        """Return whether a stop may be on its way or have taken effect."""
+        return any(
+            intent.endpoint_id == endpoint_id
+            and intent.state
+            not in (IntentState.DRAINING, IntentState.CANCELLED)
+            for intent in self._intents.values()
+        )
+
     def stops_to_repeat(
         self, listing: Sequence[OrderedEndpoint]
     ) -> list[OrderedEndpoint]:
--- a/src/dogwoodpost/services/control/order_controller.py
+++ b/src/dogwoodpost/services/control/order_controller.py
@@ -14,7 +14,6 @@
 from dogwoodpost.core.orders import IntentState
 from dogwoodpost.core.orders import OrderIntent
 from dogwoodpost.core.orders import OrderLedger
-from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import PlatformOutcomeUnknownError
@@ -276,10 +275,13 @@
             if not task.done():
                 continue
             del self._drains[intent.number]
-            if task.exception() is None:
+            error = task.exception()
+            if isinstance(error, LeaseLostError):
+                raise error
+            if error is None:
                 drained.append(intent.opened_by(self._fencing_number))
             else:
-                await self._cancel_stop(intent, str(task.exception()))
+                self._cancel_stop(intent, str(error))
         await self._write_results()
         for first in range(0, len(drained), self.batch_count):
             if not self.accepts_orders:
@@ -288,7 +290,7 @@
             await self._open(batch, is_new=False)
             await self._send(batch)
 
-    async def _cancel_stop(self, intent: OrderIntent, detail: str) -> None:
+    def _cancel_stop(self, intent: OrderIntent, detail: str) -> None:
         self._count('order_stop_cancelled')
         _log.warning(
             'order_stop_cancelled',
@@ -296,9 +298,6 @@
             detail=detail,
         )
         self._put(intent.moved(IntentState.CANCELLED, detail))
-        endpoint_id = intent.endpoint_id
-        if endpoint_id and endpoint_id not in self._ledger.leaving():
-            await self._resume(endpoint_id)
 
     def _start_drains(self) -> None:
         for intent in self._ledger.unsettled(IntentState.DRAINING):
@@ -308,12 +307,17 @@
                 )
 
     async def _drain_endpoint(self, endpoint_id: ids.EndpointId) -> None:
+        """Drain an endpoint; on a failure, put it back and raise.
+
+        The intent stays ``DRAINING`` until then, so that a successor takes
+        up whatever is left unfinished here.
+        """
         try:
             await self._drain(endpoint_id)
-        except DogwoodpostError:
+        except Exception:
+            if not self._ledger.stop_may_be_sent(endpoint_id):
+                await self._resume(endpoint_id)
             raise
-        except Exception as error:
-            raise PlatformError(f'drain failed: {error!r}') from error
 
     def _put(self, intent: OrderIntent) -> None:
         self._ledger.put(intent, self._clock.monotonic_s())
--- a/tests/adapters/platform/test_guarded_interfaces.py
+++ b/tests/adapters/platform/test_guarded_interfaces.py
@@ -10,6 +10,7 @@
 
 import pytest
 from aiohttp import test_utils
+from aiohttp import web
 
 from dogwoodpost.adapters.platform.endpoint_orders import HttpEndpointOrders
 from dogwoodpost.adapters.platform.guarded_http import open_resetting_socket
@@ -28,7 +29,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from aiohttp import web
 
 ZONE = ids.AvailabilityZone('minas-a')
 SERVICE = ids.ServiceName('slate-lm')
@@ -187,6 +187,24 @@
     server.close()
 
 
+async def test_redirect_is_refused() -> None:
+    """Guards against a second copy that goes out without the guard."""
+    calls: list[str] = []
+
+    async def redirect(request: web.Request) -> web.Response:
+        calls.append(request.path)
+        raise web.HTTPTemporaryRedirect('/v1/orders')
+
+    app = web.Application()
+    app.router.add_post('/v1/orders', redirect)
+    async with served(app) as url:
+        client = HttpEndpointOrders(url)
+        with pytest.raises(PlatformError):
+            await client.submit(START)
+        await client.close()
+    assert calls == ['/v1/orders']
+
+
 def test_closing_discards_unsent_bytes() -> None:
     """Guards against bytes that the kernel sends after the time limit."""
     address = (socket.AF_INET, socket.SOCK_STREAM, 0, '', ('127.0.0.1', 1))
