--- a/src/dogwoodpost/core/scaling/scaler.py
+++ b/src/dogwoodpost/core/scaling/scaler.py
@@ -55,6 +55,7 @@
         self.demand = 0.0
         self.last_live_s: float | None = None
         self.is_lost = False
+        self.wanted_count = 0
         self.surplus_since_s: float | None = None
 
 
@@ -140,11 +141,14 @@
             )
             for zone, state in self._zones.items()
         }
-        return clamp_total(
+        clamped = clamp_total(
             wanted,
             self._settings.min_endpoint_count,
             self._settings.max_endpoint_count,
         )
+        for zone, count in clamped.items():
+            self._zones[zone].wanted_count = count
+        return clamped
 
     def _counts(
         self, from_s: float, to_s: float
@@ -199,6 +203,10 @@
         if load.live_endpoint_count > 0:
             state.last_live_s = now_s
             state.is_lost = False
+        elif state.wanted_count == 0:
+            # Its endpoints were stopped on purpose.
+            state.last_live_s = None
+            state.is_lost = False
         elif state.last_live_s is not None:
             silence_s = now_s - state.last_live_s
             state.is_lost = silence_s >= self._settings.lost_after_s
--- a/tests/core/scaling/test_scaling.py
+++ b/tests/core/scaling/test_scaling.py
@@ -161,6 +161,17 @@
     assert wanted[4] == current
 
 
+def test_zone_without_demand_is_not_lost() -> None:
+    """Guards against taking a planned stop of all endpoints for a loss."""
+    scaler = Scaler(settings(min_endpoint_count=0), {A: DailyProfile()})
+    for step, live in enumerate([1] * 80 + [0] * 10):
+        now_s = step * 10.0
+        scaler.observe([load(A, 0, live=live)], now_s, now_s)
+        wanted = scaler.plan({A: live}, now_s, now_s)
+    assert wanted == {A: 0}
+    assert scaler.lost_zones == set()
+
+
 def test_level_follows_a_busier_day() -> None:
     """Guards against a forecast that ignores that today is different."""
     scaler = Scaler(settings(), {A: learnt_profile(20.0, 100.0)})
