--- a/src/dogwoodpost/standins/endpoint_orders.py
+++ b/src/dogwoodpost/standins/endpoint_orders.py
@@ -15,6 +15,7 @@
 from dogwoodpost.ports.endpoint_orders import EndpointOrders
 from dogwoodpost.ports.endpoint_orders import OrderAction
 from dogwoodpost.ports.endpoint_orders import OrderedEndpoint
+from dogwoodpost.standins.lost_response import drop_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -152,7 +153,7 @@
 
     async def take_order(request: web.Request) -> web.Response:
         if book.is_down:
-            return _without_answer(request)
+            return drop_connection(request)
         try:
             order = msgspec.json.decode(
                 await request.read(), type=EndpointOrder
@@ -163,12 +164,12 @@
         except OrderRefusedError as error:
             raise web.HTTPConflict(text=str(error)) from error
         if book.loses_response():
-            return _without_answer(request)
+            return drop_connection(request)
         return web.Response(status=202)
 
     async def list_endpoints(request: web.Request) -> web.Response:
         if book.is_down:
-            return _without_answer(request)
+            return drop_connection(request)
         service = ids.ServiceName(request.query['service'])
         return web.Response(
             body=msgspec.json.encode(book.endpoints(service)),
@@ -179,10 +180,3 @@
     app.router.add_post('/v1/orders', take_order)
     app.router.add_get('/v1/endpoints', list_endpoints)
     return app
-
-
-def _without_answer(request: web.Request) -> web.Response:
-    """Close the connection instead of answering."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response(status=500)
--- a/src/dogwoodpost/standins/usage_reports.py
+++ b/src/dogwoodpost/standins/usage_reports.py
@@ -12,6 +12,7 @@
 from dogwoodpost.errors import PlatformOutcomeUnknownError
 from dogwoodpost.ports.usage_reports import UsageReport
 from dogwoodpost.ports.usage_reports import UsageReports
+from dogwoodpost.standins.lost_response import drop_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,7 +88,7 @@
 
     async def take_report(request: web.Request) -> web.Response:
         if book.is_down:
-            return _without_answer(request)
+            return drop_connection(request)
         try:
             report = msgspec.json.decode(
                 await request.read(), type=UsageReport
@@ -98,16 +99,9 @@
             raise web.HTTPConflict(text='refused by a fault')
         book.take(report)
         if book.loses_response():
-            return _without_answer(request)
+            return drop_connection(request)
         return web.Response(status=202)
 
     app = web.Application()
     app.router.add_post('/v1/usage', take_report)
     return app
-
-
-def _without_answer(request: web.Request) -> web.Response:
-    """Close the connection instead of answering."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response(status=500)
