Fetch weights at the agent before an engine loads them

Cause: agents could pass weights on to each other, but no agent did. Change: AgentProcess serves its weights and names their URL in AgentHello; a LOAD_WEIGHTS command fetches the version once per host from the named sources, and the engine loads it from its own agent.

--- a/src/dogwoodpost/config/settings.py
+++ b/src/dogwoodpost/config/settings.py
@@ -101,6 +101,7 @@
 
     endpoints: Annotated[list[EndpointSettings], pydantic.Field(min_length=1)]
     seed_entry_addresses: list[str] = []
+    weights_listen: ListenAddress = ListenAddress()
     retained_answer_bytes: Annotated[int, pydantic.Field(gt=0)] = (
         64 * 1024 * 1024
     )
--- a/src/dogwoodpost/demo/local_system.py
+++ b/src/dogwoodpost/demo/local_system.py
@@ -46,6 +46,7 @@
     engine_urls: list[str]
     plain_url: str
     usage_book: usage_reports.UsageBook
+    weights: weight_store.WeightStoreState
 
     @property
     def http_url(self) -> str:
@@ -60,7 +61,8 @@
     """Run everything in this process during the block."""
     async with AsyncExitStack() as stack:
         usage_book = usage_reports.UsageBook()
-        platform = await _start_platform(stack, usage_book)
+        weights = weight_store.WeightStoreState()
+        platform = await _start_platform(stack, usage_book, weights)
         engine_urls = [
             await _serve(
                 stack,
@@ -88,11 +90,14 @@
             engine_urls=engine_urls,
             plain_url=plain_url,
             usage_book=usage_book,
+            weights=weights,
         )
 
 
 async def _start_platform(
-    stack: AsyncExitStack, usage_book: usage_reports.UsageBook
+    stack: AsyncExitStack,
+    usage_book: usage_reports.UsageBook,
+    weights: weight_store.WeightStoreState,
 ) -> PlatformSettings:
     store_url = await _serve(stack, platform_store.create_app())
     return PlatformSettings.model_validate(
@@ -103,7 +108,9 @@
             'usage_reports_url': await _serve(
                 stack, usage_reports.create_app(usage_book)
             ),
-            'weight_store_url': await _serve(stack, weight_store.create_app()),
+            'weight_store_url': await _serve(
+                stack, weight_store.create_app(weights)
+            ),
             'scorer_url': await _serve(stack, scorer.create_app()),
         }
     )
--- a/src/dogwoodpost/demo/scenario.py
+++ b/src/dogwoodpost/demo/scenario.py
@@ -26,6 +26,8 @@
 _PROMPT = 'plan the splitting order of block nine'
 _ENDPOINTS_TIMEOUT_S = 15.0
 _USAGE_TIMEOUT_S = 40.0
+_WEIGHTS_TIMEOUT_S = 30.0
+_WEIGHTS = bytes(1_000_000)
 _GROUP_COUNT = 2
 _SAMPLES_PER_GROUP = 4
 
@@ -70,6 +72,7 @@
         await self._book(swanbourne)
         await self._refuse_unknown_key()
         await self._take_step(pizarra)
+        await self._roll_out_weights()
         await self._revoke_during_stream(swanbourne)
         await self._check_engines(pizarra, swanbourne)
         await self._await_usage()
@@ -172,6 +175,28 @@
             f'{expected} samples, each once, by versions {sorted(versions)}',
         )
 
+    async def _roll_out_weights(self) -> None:
+        weights = self._system.weights
+        start_s = time.monotonic()
+        weights.announce(MODEL_SERVICE, 2, _WEIGHTS)
+        for url in self._system.engine_urls:
+            while await self._serving_version(url) != 2:
+                if time.monotonic() - start_s > _WEIGHTS_TIMEOUT_S:
+                    raise DemoFailedError(f'{url} does not serve version 2')
+                await asyncio.sleep(0.1)
+        duration_s = time.monotonic() - start_s
+        self._add(
+            'weight version 2 announced',
+            f'on all engines after {duration_s:.1f} s, '
+            f'{weights.fetch_count} fetch over the billed link',
+        )
+
+    async def _serving_version(self, url: str) -> int:
+        async with self._session.get(f'{url}/control/load') as reply:
+            load = msgspec.json.decode(await reply.read())
+        version: int = load['weight_version']
+        return version
+
     async def _revoke_during_stream(self, key: IssuedKey) -> None:
         document = {**_completion(100_000), 'stream': True}
         async with self._open(key.key, 'v1/completions', document) as reply:
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -59,6 +59,7 @@
         commands: EndpointCommands,
         watches: Sequence[EndpointWatch],
         metrics: Metrics,
+        weights_url: str = '',
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -72,6 +73,7 @@
         self._commands = commands
         self._watches = tuple(watches)
         self._metrics = metrics
+        self._weights_url = weights_url
         self._sequence = 0
         self._background = BackgroundTasks()
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -167,6 +169,7 @@
             echo_sequence=link.liveness.received_sequence,
             endpoints=tuple(watch.state() for watch in self._watches),
             leaving=self._attempts.draining,
+            weights_url=self._weights_url,
         )
         link.sending = True
         try:
--- a/src/dogwoodpost/services/agent/application.py
+++ b/src/dogwoodpost/services/agent/application.py
@@ -28,13 +28,20 @@
     from dogwoodpost.config import AgentSettings
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.table_store import TableStore
+    from dogwoodpost.services.agent.weights import AgentWeights
 
 
 def build_agent(
-    settings: AgentSettings, table_store: TableStore, metrics: Metrics
+    settings: AgentSettings,
+    table_store: TableStore,
+    metrics: Metrics,
+    weights: AgentWeights | None = None,
 ) -> mode.Service:
-    """Return an agent; it opens its sockets when it starts."""
-    return AgentApplication(settings, table_store, metrics)
+    """Return an agent; it opens its sockets when it starts.
+
+    Without ``weights``, engines fetch versions by themselves.
+    """
+    return AgentApplication(settings, table_store, metrics, weights)
 
 
 class AgentApplication(mode.Service):
@@ -45,8 +52,10 @@
         settings: AgentSettings,
         table_store: TableStore,
         metrics: Metrics,
+        weights: AgentWeights | None,
     ) -> None:
         super().__init__()
+        self._weights = weights
         self._settings = settings
         self._table_store = table_store
         self._metrics = metrics
@@ -57,7 +66,11 @@
         """Open the sockets and start the agent."""
         self._session = endpoint_session()
         self.agent = _compose(
-            self._settings, self._table_store, self._metrics, self._session
+            self._settings,
+            self._table_store,
+            self._metrics,
+            self._session,
+            self._weights,
         )
         await self.add_runtime_dependency(self.agent)
 
@@ -72,6 +85,7 @@
     table_store: TableStore,
     metrics: Metrics,
     session: aiohttp.ClientSession,
+    weights: AgentWeights | None,
 ) -> Agent:
     clock = BoottimeClock()
     listen = settings.peer_listen
@@ -119,10 +133,17 @@
         AttemptWorker(attempts, clients, transport, clock, metrics),
         numbers,
         EndpointCommands(
-            identity, clients, checks_fencing, attempts, numbers, metrics
+            identity,
+            clients,
+            checks_fencing,
+            attempts,
+            numbers,
+            metrics,
+            weights,
         ),
         watches,
         metrics,
+        weights_url='' if weights is None else weights.url,
     )
 
 
--- a/src/dogwoodpost/services/agent/endpoint_commands.py
+++ b/src/dogwoodpost/services/agent/endpoint_commands.py
@@ -18,6 +18,7 @@
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.endpoint_client import EndpointClient
+    from dogwoodpost.services.agent.weights import AgentWeights
 
 _KEPT_RESULT_COUNT = 1_024
 
@@ -37,6 +38,7 @@
         attempts: AgentAttempts,
         numbers: FencingNumbers,
         metrics: Metrics,
+        weights: AgentWeights | None = None,
     ) -> None:
         self._sender = identity.sender_fields()
         self._clients = clients
@@ -44,6 +46,7 @@
         self._attempts = attempts
         self._numbers = numbers
         self._metrics = metrics
+        self._weights = weights
         self._locks = {key: asyncio.Lock() for key in clients}
         self._results: OrderedDict[ids.OperationId, asyncio.Future[Result]] = (
             OrderedDict()
@@ -93,11 +96,14 @@
             serving = command.action is Action.RESUME
             self._attempts.set_rotation(command.endpoint_id, serving)
             return
+        fetch_from = command.fetch_from
+        if command.action is Action.LOAD_WEIGHTS and self._weights is not None:
+            fetch_from = (await self._weights.fetch(command),)
         await client.command(
             command.action,
             command.argument,
             command.fencing_number,
-            command.fetch_from,
+            fetch_from,
         )
 
     def _result(self, command: Command, refusal: str | None) -> Result:
--- a/src/dogwoodpost/services/agent/process.py
+++ b/src/dogwoodpost/services/agent/process.py
@@ -3,24 +3,37 @@
 from __future__ import annotations
 
 import random
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+import aiohttp
+from aiohttp import web
+
 from dogwoodpost.adapters.clock import BoottimeClock
 from dogwoodpost.adapters.platform.platform_session import platform_session
 from dogwoodpost.adapters.platform.retrying_table_store import (
     RetryingTableStore,
 )
 from dogwoodpost.adapters.platform.table_store import HttpTableStore
+from dogwoodpost.adapters.platform.weight_store import HttpWeightStore
+from dogwoodpost.config import plain_secret
 from dogwoodpost.observability import Metrics
 from dogwoodpost.services.agent.application import build_agent
+from dogwoodpost.services.agent.weights import add_weight_routes
+from dogwoodpost.services.agent.weights import AgentWeights
+from dogwoodpost.services.agent.weights import WeightHolder
 from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.http_server import serving
 from dogwoodpost.services.metrics_app import create_metrics_app
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from dogwoodpost.config import AgentSettings
 
-_METRICS_SHUTDOWN_TIMEOUT_S = 1.0
+_SHUTDOWN_TIMEOUT_S = 1.0
+# A copy of a large model over the billed link between regions.
+_WEIGHT_STORE_TIMEOUT_S = 300.0
 
 
 def build_agent_process(settings: AgentSettings) -> AgentProcess:
@@ -52,7 +65,43 @@
             serving(
                 create_metrics_app(self.metrics, lambda: True),
                 self._settings.metrics_listen,
-                shutdown_timeout_s=_METRICS_SHUTDOWN_TIMEOUT_S,
+                shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
             )
         )
-        await self.run_part(build_agent(self._settings, tables, self.metrics))
+        weights = await self._open_weights()
+        await self.run_part(
+            build_agent(self._settings, tables, self.metrics, weights)
+        )
+
+    async def _open_weights(self) -> AgentWeights | None:
+        """Serve weights to other agents and to this host's engines."""
+        platform = self._settings.platform
+        if platform.weight_store_url is None:
+            return None
+        # Weights take longer than the platform's other answers, so their
+        # session has no total time limit; the holder bounds silence.
+        session = await self.open_part(
+            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None))
+        )
+        store = HttpWeightStore(
+            session,
+            str(platform.weight_store_url),
+            timeout_s=_WEIGHT_STORE_TIMEOUT_S,
+            token=plain_secret(platform.token),
+        )
+        holder = await self.open_part(_closing(WeightHolder(session, store)))
+        app = web.Application()
+        add_weight_routes(app, holder)
+        listen = self._settings.weights_listen
+        port = await self.open_part(
+            serving(app, listen, shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S)
+        )
+        return AgentWeights(holder, f'http://{listen.ip}:{port}')
+
+
+@asynccontextmanager
+async def _closing(holder: WeightHolder) -> AsyncIterator[WeightHolder]:
+    try:
+        yield holder
+    finally:
+        await holder.close()
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -14,4 +14,4 @@
     """
     async with local_system() as system:
         lines = await run_scenario(system)
-    assert len(lines) == 10
+    assert len(lines) == 11
