Make the pause case of the measurement repeatable

Cause: attempts were lost in the order of a set of objects, which differs between runs; p99 wait of the case varied by 0.03 s. Two runs of the case now print the same.

--- a/measurements/requests/world.py
+++ b/measurements/requests/world.py
@@ -89,7 +89,8 @@
         self._service_of: dict[str, str] = {}
         self._listeners: list[tuple[Entry, EndpointListener]] = []
         self._sequences: dict[str, int] = {}
-        self._attempts: set[Attempt] = set()
+        # A dictionary keeps the order, which a set of objects does not.
+        self._attempts: dict[int, Attempt] = {}
         self._paused = False
         for zone in user.zones:
             self._add_engines(zone)
@@ -143,7 +144,7 @@
     def send(self, attempt: Attempt) -> None:
         """Send an attempt to its endpoint."""
         engine = self.engines[attempt.endpoint_id]
-        self._attempts.add(attempt)
+        self._attempts[id(attempt)] = attempt
 
         def started() -> None:
             attempt.started_s = self.loop.now_s
@@ -186,7 +187,7 @@
         if attempt.done:
             return
         attempt.done = True
-        self._attempts.discard(attempt)
+        self._attempts.pop(id(attempt), None)
         work = attempt.work
         if work is not None:
             engine = self.engines[attempt.endpoint_id]
@@ -253,7 +254,7 @@
         if attempt.done:
             return
         attempt.done = True
-        self._attempts.discard(attempt)
+        self._attempts.pop(id(attempt), None)
         attempt.entry.attempt_ended(attempt, ok, cached_tokens)
 
     def _crash(self, victim: str) -> None:
@@ -278,14 +279,14 @@
                 if self._is_cut(entry.zone, zone):
                     endpoint_id = ids.EndpointId(name)
                     listener.remove(endpoint_id, self.loop.now_s)
-        for attempt in list(self._attempts):
+        for attempt in list(self._attempts.values()):
             zone = self._zone_of[attempt.endpoint_id]
             if self._is_cut(attempt.entry.zone, zone):
                 self._lose(attempt)
 
     def _lose(self, attempt: Attempt) -> None:
         attempt.done = True
-        self._attempts.discard(attempt)
+        self._attempts.pop(id(attempt), None)
         if attempt.work is not None:
             # The agent cancels what it runs for a silent entry.
             self.engines[attempt.endpoint_id].cancel(attempt.work)
