--- a/src/dogwoodpost/services/entry/http/request_reader.py
+++ b/src/dogwoodpost/services/entry/http/request_reader.py
@@ -123,11 +123,7 @@
     ) -> PipelineRequest:
         service = configuration.services[route.service]
         account = account_of(configuration, identity)
-        key = (
-            presented_key(request)
-            if 'Authorization' in request.headers
-            else None
-        )
+        key = _stripped_key(request, route)
         path = request.raw_path
         if completion is not None:
             path = _engine_path(route, request.raw_path)
@@ -203,6 +199,19 @@
     )
 
 
+def _stripped_key(request: web.Request, route: Route) -> str | None:
+    """Return the key that no endpoint may see.
+
+    Routes open to all ignore what is in the header, whatever its form.
+    """
+    try:
+        return presented_key(request)
+    except RequestError:
+        if route.open_to_all:
+            return None
+        raise
+
+
 def _check_size(route: Route, body: bytes) -> None:
     if len(body) > route.max_body_bytes:
         raise RequestError(
--- a/tests/services/entry/http/test_http_keys.py
+++ b/tests/services/entry/http/test_http_keys.py
@@ -114,6 +114,23 @@
     assert KEY not in repr(spec)
 
 
+@pytest.mark.parametrize(
+    'authorization', ['Basic eA==', 'Bearer unknown', f'Bearer {KEY}']
+)
+async def test_open_route_ignores_the_header(
+    client: TestClient, runner: FakeRunner, authorization: str
+) -> None:
+    """Guards against open routes that refuse, bill or pass on a key."""
+    headers = {'Authorization': authorization, 'X-Copy': authorization}
+    response = await client.get('/public', headers=headers)
+    assert response.status == 200
+    spec = runner.specs[0]
+    assert spec.client_account_id is None
+    assert 'Authorization' not in dict(spec.headers)
+    if authorization.startswith('Bearer'):
+        assert 'X-Copy' not in dict(spec.headers)
+
+
 @pytest.mark.parametrize('method', ['HEAD', 'GET'])
 async def test_responses_without_a_body(
     client: TestClient,
