--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -20,6 +20,8 @@
 # the work for each place that becomes free.
 _MAX_CONSIDERED_COUNT = 16
 _ACCOUNT_DEPTH = 4
+# A few typical requests; smaller differences come and go.
+_BEHIND_TOKENS = 500.0
 
 
 class Started(msgspec.Struct, frozen=True):
@@ -72,6 +74,20 @@
         del self._waiting[id(ticket)]
         self._admission.withdraw(ticket, now_s)
 
+    def give_up_late(
+        self, service: ids.ServiceName, now_s: float
+    ) -> list[Ticket]:
+        """Withdraw and return requests that would probably not end in time.
+
+        They would take places from requests that can. A request that has not
+        waited for long is tried however short its time limit is.
+        """
+        needed_s = self._router.duration_s(service)
+        late = self._admission.late(service, needed_s, now_s)
+        for ticket in late:
+            self.withdraw(ticket, now_s)
+        return late
+
     def start_ready(
         self, service: ids.ServiceName, now_s: float
     ) -> list[Started]:
@@ -100,6 +116,7 @@
                 waiting.query,
                 waiting_count=waiting_count - 1,
                 passed_over_s=0.0 if since_s is None else now_s - since_s,
+                behind=self._admission.lag_tokens(ticket) > _BEHIND_TOKENS,
             )
             endpoint = self._router.choose(query, now_s)
             if endpoint is None:
