--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 		--output-file dist/dogwoodpost
 
 proto: setup
-	$(BIN)/python -m grpc_tools.protoc --proto_path=src \
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc --proto_path=src \
 		--python_out=src --pyi_out=src --grpclib_python_out=src \
 		src/dogwoodpost/admin/dogwoodpost_admin.proto
 
