--- a/measurements/requests/runner.py
+++ b/measurements/requests/runner.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dogwoodpost.core.admission import Consumption
+    from dogwoodpost.core.messages import Consumption
     from measurements.requests.case import Case
     from measurements.requests.entry_base import EntryBase
     from measurements.requests.entry_base import Record
--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -8,18 +8,19 @@
 
 import msgspec
 
-from dogwoodpost.core import ids
 from dogwoodpost.core.admission.account_state import AccountState
 from dogwoodpost.core.admission.cost_forecast import CostForecast
 from dogwoodpost.core.admission.drain_rate import DrainRate
 from dogwoodpost.core.admission.fair_queue import FairQueue
 from dogwoodpost.core.admission.ticket import TicketState
 from dogwoodpost.core.configuration import Limits
+from dogwoodpost.core.messages import Consumption
 from dogwoodpost.errors import RequestError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from dogwoodpost.core import ids
     from dogwoodpost.core.admission.ticket import Ticket
 
 _TOO_MANY_REQUESTS = 429
@@ -42,17 +43,6 @@
     max_retry_after_s: float = 60.0
 
 
-class Consumption(msgspec.Struct, frozen=True):
-    """Cost that an account has caused at a service, in tokens.
-
-    It is negative if requests turned out cheaper than expected.
-    """
-
-    service: ids.ServiceName
-    client_account_id: ids.ClientAccountId
-    tokens: float
-
-
 class _ServiceState:
     """Queue and drain rate of one service."""
 
