--- a/src/dogwoodpost/adapters/platform/guarded_http.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http.py
@@ -11,6 +11,7 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import PlatformOutcomeUnknownError
@@ -62,7 +63,8 @@
         self, base_url: str, *, timeout_s: float, token: str | None = None
     ) -> None:
         self._base_url = base_url.rstrip('/')
-        self._timeout_s = timeout_s
+        # A call must end within the margin that the lease keeps for it.
+        self.timeout_s = min(timeout_s, LeaseTerms().longest_call_s)
         self._headers = {'Content-Type': 'application/json'}
         if token is not None:
             self._headers['Authorization'] = f'Bearer {token}'
@@ -147,7 +149,7 @@
                 connector=aiohttp.TCPConnector(
                     force_close=True, socket_factory=open_resetting_socket
                 ),
-                timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+                timeout=aiohttp.ClientTimeout(total=self.timeout_s),
                 headers=self._headers,
             )
         return self._session
--- a/tests/adapters/platform/test_guarded_interfaces.py
+++ b/tests/adapters/platform/test_guarded_interfaces.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from dogwoodpost.adapters.platform.endpoint_orders import HttpEndpointOrders
+from dogwoodpost.adapters.platform.guarded_http import GuardedHttp
 from dogwoodpost.adapters.platform.guarded_http import open_resetting_socket
 from dogwoodpost.adapters.platform.usage_reports import HttpUsageReports
 from dogwoodpost.core import ids
@@ -205,6 +206,15 @@
     assert calls == ['/v1/orders']
 
 
+@pytest.mark.parametrize(('timeout_s', 'used_s'), [(0.5, 0.5), (10.0, 2.0)])
+def test_calls_end_within_the_margin_of_the_lease(
+    timeout_s: float, used_s: float
+) -> None:
+    """Guards against a setting that lets a call outlive its lease."""
+    http = GuardedHttp('http://127.0.0.1:1', timeout_s=timeout_s)
+    assert http.timeout_s == used_s
+
+
 def test_closing_discards_unsent_bytes() -> None:
     """Guards against bytes that the kernel sends after the time limit."""
     address = (socket.AF_INET, socket.SOCK_STREAM, 0, '', ('127.0.0.1', 1))
