--- a/src/dogwoodpost/core/scaling/scaler.py
+++ b/src/dogwoodpost/core/scaling/scaler.py
@@ -145,6 +145,7 @@
             wanted,
             self._settings.min_endpoint_count,
             self._settings.max_endpoint_count,
+            self.lost_zones,
         )
         for zone, count in clamped.items():
             self._zones[zone].wanted_count = count
--- a/src/dogwoodpost/core/scaling/spread.py
+++ b/src/dogwoodpost/core/scaling/spread.py
@@ -33,18 +33,23 @@
 
 
 def clamp_total(
-    wanted: Mapping[ids.AvailabilityZone, int], minimum: int, maximum: int
+    wanted: Mapping[ids.AvailabilityZone, int],
+    minimum: int,
+    maximum: int,
+    lost_zones: Collection[ids.AvailabilityZone] = (),
 ) -> dict[ids.AvailabilityZone, int]:
     """Return counts whose sum lies between the service's limits.
 
-    What is missing goes to the zones with the fewest endpoints; what is too
-    much is taken in proportion, by largest remainder.
+    What is missing goes to the zones with the fewest endpoints; lost zones
+    do not count towards the minimum. What is too much is taken in proportion,
+    by largest remainder.
     """
     clamped = dict(sorted(wanted.items()))
     if not clamped:
         return clamped
-    while sum(clamped.values()) < minimum:
-        fewest = min(clamped, key=lambda zone: clamped[zone])
+    live = [zone for zone in clamped if zone not in lost_zones]
+    while live and sum(clamped[zone] for zone in live) < minimum:
+        fewest = min(live, key=lambda zone: clamped[zone])
         clamped[fewest] += 1
     total = sum(clamped.values())
     if total <= maximum:
--- a/tests/core/scaling/test_scaling.py
+++ b/tests/core/scaling/test_scaling.py
@@ -74,6 +74,12 @@
     assert clamp_total(wanted, minimum, maximum) == expected
 
 
+def test_lost_zone_does_not_count_towards_the_minimum() -> None:
+    """Guards against a minimum that is met by endpoints that are gone."""
+    assert clamp_total({A: 1, B: 1, C: 1}, 3, 10, {C}) == {A: 2, B: 1, C: 1}
+    assert clamp_total({A: 0}, 2, 10, {A}) == {A: 0}
+
+
 @pytest.mark.parametrize(
     ('demands', 'lost', 'expected'),
     [
