--- a/src/dogwoodpost/core/messages.py
+++ b/src/dogwoodpost/core/messages.py
@@ -263,6 +263,23 @@
     records: tuple[bytes, ...] = ()
 
 
+class Consumption(msgspec.Struct, frozen=True):
+    """Cost that an account has caused at a service, in tokens.
+
+    It is negative if requests turned out cheaper than expected.
+    """
+
+    service: ids.ServiceName
+    client_account_id: ids.ClientAccountId
+    tokens: float
+
+
+class AccountConsumption(Message, frozen=True, kw_only=True):
+    """Tells another entry what accounts have used since the last message."""
+
+    items: tuple[Consumption, ...]
+
+
 AnyMessage = (
     AgentHello
     | EntryHeartbeat
@@ -282,4 +299,5 @@
     | ConfigurationPush
     | FreshnessQuery
     | FreshnessReply
+    | AccountConsumption
 )
