Test process faults and hold up stops of endpoints that cannot be drained

Cause: the drainer took an agent that its lease holder no longer heard for an empty endpoint, although other entries could still run requests there. Change: a stop waits until the agent has accepted DRAIN; after that the longest time limit of the service's routes bounds the wait.

--- a/measurements/path/processes.py
+++ b/measurements/path/processes.py
@@ -111,13 +111,14 @@
         self._command = command
         self._processes: list[Process] = []
         self._platform: dict[str, Any] = {}
+        self.store_url = ''
 
     async def start_platform(self) -> None:
         """Start the stand-ins that all processes need."""
-        _, store_url = await self.start_standin('store')
+        _, self.store_url = await self.start_standin('store')
         self._platform = {
-            'table_store_url': store_url,
-            'object_store_url': store_url,
+            'table_store_url': self.store_url,
+            'object_store_url': self.store_url,
         }
 
     async def start_standin(
--- a/src/dogwoodpost/demo/administrator.py
+++ b/src/dogwoodpost/demo/administrator.py
@@ -60,6 +60,16 @@
             pb.RevokeKeyRequest(context=_context(), key_id=key_id)
         )
 
+    async def wait_in_force(self, revision: int) -> None:
+        """Return when a revision is in force at every entry."""
+        async with self._stub.WatchSpread.open() as stream:
+            await stream.send_message(
+                pb.WatchSpreadRequest(revision=revision), end=True
+            )
+            async for spread in stream:
+                if spread.in_force:
+                    return
+
     async def declare_services(self, client_account_ids: Sequence[str]) -> int:
         """Declare the services and their routes; return the revision."""
         await self._stub.PutService(
--- a/src/dogwoodpost/services/control/endpoint_drainer.py
+++ b/src/dogwoodpost/services/control/endpoint_drainer.py
@@ -31,6 +31,10 @@
     endpoint, whatever an entry still believes, so no confirmation of the
     entries is needed beyond it.
 
+    Requests end by their own time limit, so an endpoint whose load is no
+    longer reported counts as empty after the longest of them.
+
+    :param longest_request_s: longest time limit of the service's routes.
     :param find: returns an endpoint, None if no agent reports it.
     :param load: returns its last load and when it was received, in seconds.
     """
@@ -42,6 +46,7 @@
         guard: LeaseGuard,
         commander: EndpointCommander,
         clock: Clock,
+        longest_request_s: Callable[[], float],
         find: Callable[[ids.EndpointId], Endpoint | None],
         load: Callable[
             [ids.EndpointId], tuple[messages.EndpointLoad, float] | None
@@ -51,6 +56,7 @@
         self._guard = guard
         self._commander = commander
         self._clock = clock
+        self._longest_request_s = longest_request_s
         self._find = find
         self._load = load
 
@@ -59,9 +65,7 @@
 
         :raises LeaseLostError: the lease is lost.
         """
-        while (endpoint := self._find(endpoint_id)) is not None:
-            if await self._command(endpoint, EndpointAction.DRAIN):
-                break
+        while not await self._try_drain(endpoint_id):
             await self._clock.sleep(_POLL_INTERVAL_S)
         drained_s = self._clock.monotonic_s()
         while not self._is_empty(endpoint_id, drained_s):
@@ -77,6 +81,18 @@
                 return
             await self._clock.sleep(_POLL_INTERVAL_S)
 
+    async def _try_drain(self, endpoint_id: ids.EndpointId) -> bool:
+        """Return whether the agent refuses new attempts from now on.
+
+        An agent that is not heard may run requests of other entries, so the
+        stop waits for it.
+        """
+        endpoint = self._find(endpoint_id)
+        if endpoint is None:
+            _log.warning('drain waits for the agent', endpoint_id=endpoint_id)
+            return False
+        return await self._command(endpoint, EndpointAction.DRAIN)
+
     async def _command(
         self, endpoint: Endpoint, action: EndpointAction
     ) -> bool:
@@ -96,8 +112,11 @@
 
     def _is_empty(self, endpoint_id: ids.EndpointId, since_s: float) -> bool:
         """Return whether a load that was measured since then shows none."""
-        if self._find(endpoint_id) is None:
+        now_s = self._clock.monotonic_s()
+        if now_s - since_s > self._longest_request_s():
             return True
+        if self._find(endpoint_id) is None:
+            return False
         known = self._load(endpoint_id)
         if known is None:
             return False
--- a/src/dogwoodpost/services/entry/control_shards.py
+++ b/src/dogwoodpost/services/entry/control_shards.py
@@ -119,6 +119,7 @@
         guard=guard,
         commander=context.routing.commander,
         clock=context.clock,
+        longest_request_s=partial(_longest_request_s, context, service.name),
         find=loads.endpoint,
         load=loads.last_load,
     )
@@ -159,6 +160,16 @@
         await scaling.close()
 
 
+def _longest_request_s(
+    context: ControlContext, service: ids.ServiceName
+) -> float:
+    routes = context.configuration.current().routes.values()
+    limits_ms = [
+        route.timeout_ms for route in routes if route.service == service
+    ]
+    return max(limits_ms, default=0) / 1000
+
+
 def _scaling_settings(
     context: ControlContext, service: Service
 ) -> ScalingSettings:
