Keep cancellations that pynng swallows, and end cut-off work explicitly

The transport compares the task's cancel count before and after, and keeps the message for the next reader. An agent whose drain times out now tells the owners of the work it cuts off, and the transport lingers 0.1 s before it closes, since nng discards what it has not written. Endpoints are polled by separate tasks, so that one that hangs does not delay the loads of the others.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -31,6 +31,7 @@
 # services may take all of the request's time limit for the head.
 IDLE_TIMEOUT_S = 20.0
 CONTROL_TIMEOUT_S = 5.0
+LOAD_TIMEOUT_S = 1.0
 # Loading weights moves gigabytes; 17 s is the target for all samplers.
 COMMAND_TIMEOUT_S = 60.0
 _MAX_CHUNK_BYTES = 64 * 1024
@@ -151,7 +152,10 @@
 
         :raises EndpointError: the endpoint did not answer.
         """
-        load = _decode(await self._control('GET', '/control/load'), _Load)
+        body = await self._control(
+            'GET', '/control/load', timeout_s=LOAD_TIMEOUT_S
+        )
+        load = _decode(body, _Load)
         return messages.EndpointLoad(
             endpoint_id=self._endpoint_id,
             running_count=load.running_count,
--- a/src/dogwoodpost/adapters/nng/transport.py
+++ b/src/dogwoodpost/adapters/nng/transport.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import deque
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -20,6 +22,8 @@
 _SEND_TIMEOUT_MS = 1_000
 _SEND_BUFFER_COUNT = 64
 _RECEIVE_BUFFER_COUNT = 256
+# nng discards what it has not yet written when a socket is closed.
+_LINGER_S = 0.1
 
 
 class NngPeerTransport(PeerTransport):
@@ -41,6 +45,7 @@
         self._decoder = msgspec.msgpack.Decoder(AnyMessage)
         self._peers: dict[str, Any] = {}
         self._closed = False
+        self._unread: deque[bytes] = deque()
         self._pull = _listen(ip, port, max_message_bytes)
         self._address = f'tcp://{self._pull.listeners[0].local_address}'
 
@@ -59,6 +64,7 @@
         if len(data) > self._max_message_bytes:
             self._count_failure(name)
             raise TransportError(f'{name} of {len(data)} bytes is too large')
+        cancel_count = _cancel_count()
         try:
             await self._peer(address).asend(data)
         except pynng.NNGException as error:
@@ -66,6 +72,8 @@
             raise TransportError(f'{name} to {address}: {error}') from error
         self._metrics.peer_messages.labels('sent', name).inc()
         self._metrics.peer_bytes.labels('sent').inc(len(data))
+        if _cancel_count() > cancel_count:
+            raise asyncio.CancelledError
 
     async def receive(self) -> AnyMessage:
         """Return the next message; malformed ones are counted and dropped.
@@ -73,10 +81,7 @@
         :raises TransportError: the transport is closed.
         """
         while True:
-            try:
-                data = await self._pull.arecv()
-            except pynng.NNGException as error:
-                raise TransportError(f'receive: {error}') from error
+            data = await self._receive_bytes()
             self._metrics.peer_bytes.labels('received').inc(len(data))
             try:
                 message: AnyMessage = self._decoder.decode(data)
@@ -95,13 +100,30 @@
             self._metrics.events.labels('peer_reconnect').inc()
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, after a moment for the last messages."""
+        if self._closed:
+            return
         self._closed = True
+        if self._peers:
+            await asyncio.sleep(_LINGER_S)
         while self._peers:
             _, socket = self._peers.popitem()
             socket.close()
         self._pull.close()
 
+    async def _receive_bytes(self) -> bytes:
+        if self._unread:
+            return self._unread.popleft()
+        cancel_count = _cancel_count()
+        try:
+            data: bytes = await self._pull.arecv()
+        except pynng.NNGException as error:
+            raise TransportError(f'receive: {error}') from error
+        if _cancel_count() > cancel_count:
+            self._unread.append(data)
+            raise asyncio.CancelledError
+        return data
+
     def _peer(self, address: str) -> Any:
         if self._closed:
             raise TransportError('the transport is closed')
@@ -115,6 +137,16 @@
         self._metrics.peer_messages.labels('failed', name).inc()
 
 
+def _cancel_count() -> int:
+    """Return how often the current task has been cancelled.
+
+    pynng swallows a cancellation that meets the end of its operation, so the
+    count is compared before and after.
+    """
+    task = asyncio.current_task()
+    return 0 if task is None else task.cancelling()
+
+
 def _listen(ip: str, port: int, max_message_bytes: int) -> Any:
     try:
         return pynng.Pull0(
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -86,10 +86,12 @@
     async def on_start(self) -> None:
         """Read the entries, then start to serve them."""
         await self._links.read_registrations(self._now_s())
-        for watch in self._watches:
-            await watch.poll_load()
+        await asyncio.gather(*(watch.poll() for watch in self._watches))
         self.add_future(self._receive())
         self.add_future(self._every(HEARTBEAT_PERIOD_S, self._beat))
+        for watch in self._watches:
+            # Separate tasks, so that one slow endpoint delays no other.
+            self.add_future(self._every(LOAD_PERIOD_S, watch.poll))
         self.add_future(self._every(LOAD_PERIOD_S, self._report))
         self.add_future(self._every(REGISTRATION_PERIOD_S, self._register))
 
@@ -175,18 +177,14 @@
             link.sending = False
 
     async def _report(self) -> None:
-        loads = await asyncio.gather(
-            *(watch.poll_load() for watch in self._watches)
-        )
+        loads = [watch.load() for watch in self._watches]
         report = messages.LoadReport(
             **self.identity.sender_fields(),
             loads=tuple(load for load in loads if load is not None),
         )
-        events = await asyncio.gather(
-            *(watch.poll_cache() for watch in self._watches)
-        )
         news: list[messages.AnyMessage] = [report]
-        news += [event for event in events if event is not None]
+        for watch in self._watches:
+            news += watch.take_events()
         for link in self._links.live(self._now_s()):
             self._worker.resend(link.address, news)
 
--- a/src/dogwoodpost/services/agent/application.py
+++ b/src/dogwoodpost/services/agent/application.py
@@ -96,6 +96,7 @@
             clients[ids.EndpointId(endpoint.endpoint_id)],
             attempts,
             identity,
+            clock,
         )
         for endpoint in settings.endpoints
     ]
--- a/src/dogwoodpost/services/agent/attempt_worker.py
+++ b/src/dogwoodpost/services/agent/attempt_worker.py
@@ -35,6 +35,7 @@
 _log = structlog.get_logger(__name__)
 # Endpoints that know the time limit give up shortly before it.
 _DEADLINE_MARGIN_S = 0.05
+_CLOSE_TIMEOUT_S = 1.0
 _MAX_JSON_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -77,9 +78,10 @@
         self._background.spawn(self._send_all(address, tuple(parts)))
 
     async def close(self) -> None:
-        """Stop everything that still runs."""
+        """Stop what still runs, and tell its owners."""
         for relay in self._relays.values():
             relay.cancel()
+        await self._background.wait(_CLOSE_TIMEOUT_S)
         await self._background.cancel()
 
     async def _run(
--- a/src/dogwoodpost/services/agent/endpoint_watch.py
+++ b/src/dogwoodpost/services/agent/endpoint_watch.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from dogwoodpost.core import messages
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
@@ -12,11 +14,14 @@
     from dogwoodpost.core import ids
     from dogwoodpost.core.attempts import AgentAttempts
     from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.endpoint_client import CacheEventBatch
     from dogwoodpost.ports.endpoint_client import EndpointClient
 
 # One lost answer is common under load; two in a row are not.
 _FAILURES_UNTIL_NOT_READY = 2
+# A router is better off with its own counts than with an older report.
+_MAX_LOAD_AGE_S = 5.0
 SNAPSHOT = -1
 
 
@@ -30,12 +35,17 @@
         client: EndpointClient,
         attempts: AgentAttempts,
         identity: ProcessIdentity,
+        clock: Clock,
     ) -> None:
         self._endpoint_id = endpoint_id
         self._service = service
         self._client = client
         self._attempts = attempts
         self._sender = identity.sender_fields()
+        self._clock = clock
+        self._load: messages.EndpointLoad | None = None
+        self._load_s = 0.0
+        self._events: list[messages.CacheEvents] = []
         self._failure_count = 0
         self._weight_version: ids.WeightVersion | None = None
         self._last_sequence = SNAPSHOT
@@ -50,34 +60,44 @@
             draining=self._attempts.is_out_of_rotation(self._endpoint_id),
         )
 
-    async def poll_load(self) -> messages.EndpointLoad | None:
-        """Return the load, None if the endpoint does not answer."""
+    async def poll(self) -> None:
+        """Ask the endpoint for its load, and an engine for its cache."""
         try:
-            load = await self._client.load()
+            self._load = await self._client.load()
         except EndpointUnsupportedError:
-            self._failure_count = 0
             running_count = self._attempts.running_count(self._endpoint_id)
-            return messages.EndpointLoad(
+            self._load = messages.EndpointLoad(
                 endpoint_id=self._endpoint_id,
                 running_count=running_count,
                 waiting_count=0,
             )
         except EndpointError:
             self._failure_count += 1
-            return None
+            return
         self._failure_count = 0
-        self._weight_version = load.weight_version
-        return load
-
-    async def poll_cache(self) -> messages.CacheEvents | None:
-        """Return the cache events since the last call."""
+        self._load_s = self._clock.monotonic_s()
+        self._weight_version = self._load.weight_version
         if not self._is_engine():
-            return None
+            return
         batch = await self._fetch(self._last_sequence)
-        if batch is None:
+        if batch is not None:
+            self._last_sequence = batch.last_sequence
+            self._events.append(self._message(batch))
+
+    def load(self) -> messages.EndpointLoad | None:
+        """Return the last load with its age, None if it is too old."""
+        if self._load is None:
+            return None
+        age_s = self._clock.monotonic_s() - self._load_s
+        if age_s > _MAX_LOAD_AGE_S:
             return None
-        self._last_sequence = batch.last_sequence
-        return self._message(batch)
+        age_ms = self._load.age_ms + int(age_s * 1000)
+        return msgspec.structs.replace(self._load, age_ms=age_ms)
+
+    def take_events(self) -> list[messages.CacheEvents]:
+        """Return the cache events since the last call."""
+        events, self._events = self._events, []
+        return events
 
     async def snapshot(self) -> messages.CacheEvents | None:
         """Return all cached blocks, for an entry that has none of them."""
--- a/src/dogwoodpost/services/background_tasks.py
+++ b/src/dogwoodpost/services/background_tasks.py
@@ -26,10 +26,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._finished)
 
-    async def wait(self) -> None:
-        """Wait until all tasks have ended."""
+    async def wait(self, timeout_s: float | None = None) -> None:
+        """Wait until all tasks have ended, or for a time."""
         if self._tasks:
-            await asyncio.wait(self._tasks)
+            await asyncio.wait(self._tasks, timeout=timeout_s)
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
--- a/src/dogwoodpost/services/entry/peer_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/peer_attempt_runner.py
@@ -28,6 +28,9 @@
     from dogwoodpost.services.entry.agent_directory import KnownAgent
 
 
+_CLOSE_TIMEOUT_S = 1.0
+
+
 class _RunningAttempt:
     """An attempt, and the signal that wakes its consumer."""
 
@@ -126,7 +129,8 @@
 
     async def close(self) -> None:
         """Wait for the last acknowledgements to be sent."""
-        await self._background.wait()
+        await self._background.wait(_CLOSE_TIMEOUT_S)
+        await self._background.cancel()
 
     def _hello_sequence(self, endpoint: Endpoint) -> int:
         agent = self._directory.find(endpoint.agent_id)
--- a/tests/adapters/nng/test_transport.py
+++ b/tests/adapters/nng/test_transport.py
@@ -148,6 +148,21 @@
         assert (await receive(receiver)).index == 7
 
 
+async def test_cancellation_is_not_swallowed(pair) -> None:
+    """Guards against a receiver that a stop cannot end, and a lost message."""
+    sender, receiver = pair
+    for index in range(20):
+        await sender.send(receiver.address, make_message(index))
+        # The message is there when the receiver is cancelled.
+        await asyncio.sleep(0.02)
+        receiving = asyncio.create_task(receive(receiver))
+        await asyncio.sleep(0)
+        receiving.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await receiving
+        assert (await receive(receiver)).index == index
+
+
 async def test_closed_transport_refuses(pair) -> None:
     """Guards against a hang after the end."""
     sender, receiver = pair
--- a/tests/fakes/site.py
+++ b/tests/fakes/site.py
@@ -159,13 +159,17 @@
         settings = AgentSettings.model_validate(document)
         return build_agent(settings, self.tables, Metrics())
 
-    async def kill_agent(self) -> None:
-        """End the agent without a drain, as a crash does."""
+    def set_drain_timeout(self, timeout_s: float) -> None:
+        """Change how long the agent waits for running work."""
         agent = self.agent.agent
         agent._settings = agent._settings.model_copy(
-            update={'drain_timeout_s': 0.0}
+            update={'drain_timeout_s': timeout_s}
         )
-        await agent.transport.close()
+
+    async def kill_agent(self) -> None:
+        """End the agent without a drain, as a crash does."""
+        self.set_drain_timeout(0.0)
+        await self.agent.agent.transport.close()
         await self.agent.stop()
 
     async def start(self) -> None:
--- a/tests/services/agent/test_path.py
+++ b/tests/services/agent/test_path.py
@@ -206,6 +206,16 @@
     await stopping
 
 
+async def test_cut_off_work_ends_explicitly(site: Site) -> None:
+    """Guards against silence about work that outlasts the drain."""
+    site.set_drain_timeout(0.1)
+    spec = make_spec('t1', body=body('p', stream=True, max_tokens=10**6))
+    running = asyncio.create_task(site.entry.run(ENGINE, spec))
+    await eventually(lambda: site.engine.batch.running_count == 1)
+    await site.agent.stop()
+    assert (await running)[-1].outcome is AttemptOutcome.CANCELLED
+
+
 async def test_unknown_agent_is_not_run(site: Site) -> None:
     """Guards against an attempt that is sent to nobody."""
     endpoint = msgspec.structs.replace(
