--- a/src/dogwoodpost/adapters/nng/transport.py
+++ b/src/dogwoodpost/adapters/nng/transport.py
@@ -24,6 +24,9 @@
 _RECEIVE_BUFFER_COUNT = 256
 # nng discards what it has not yet written when a socket is closed.
 _LINGER_S = 0.1
+# Receives that find a message don't wait; after so many in a row the other
+# tasks of the event loop get a turn.
+_BURST_COUNT = 32
 
 
 class NngPeerTransport(PeerTransport):
@@ -46,6 +49,7 @@
         self._peers: dict[str, Any] = {}
         self._closed = False
         self._unread: deque[bytes] = deque()
+        self._burst_count = 0
         self._pull = _listen(ip, port, max_message_bytes)
         self._address = f'tcp://{self._pull.listeners[0].local_address}'
 
@@ -66,7 +70,7 @@
             raise TransportError(f'{name} of {len(data)} bytes is too large')
         cancel_count = _cancel_count()
         try:
-            await self._peer(address).asend(data)
+            await _push(self._peer(address), data)
         except pynng.NNGException as error:
             self._count_failure(name)
             raise TransportError(f'{name} to {address}: {error}') from error
@@ -116,7 +120,7 @@
             return self._unread.popleft()
         cancel_count = _cancel_count()
         try:
-            data: bytes = await self._pull.arecv()
+            data = await self._next()
         except pynng.NNGException as error:
             raise TransportError(f'receive: {error}') from error
         if _cancel_count() > cancel_count:
@@ -124,6 +128,19 @@
             raise asyncio.CancelledError
         return data
 
+    async def _next(self) -> bytes:
+        self._burst_count += 1
+        if self._burst_count >= _BURST_COUNT:
+            self._burst_count = 0
+            await asyncio.sleep(0)
+        try:
+            message = self._pull.recv_msg(block=False)
+        except pynng.TryAgain:
+            self._burst_count = 0
+            message = await self._pull.arecv_msg()
+        data: bytes = message.bytes
+        return data
+
     def _peer(self, address: str) -> Any:
         if self._closed:
             raise TransportError('the transport is closed')
@@ -147,6 +164,14 @@
     return 0 if task is None else task.cancelling()
 
 
+async def _push(socket: Any, data: bytes) -> None:
+    # Most sends find room; only the others pay for a switch of threads.
+    try:
+        socket.send(data, block=False)
+    except pynng.TryAgain:
+        await socket.asend(data)
+
+
 def _listen(ip: str, port: int, max_message_bytes: int) -> Any:
     try:
         return pynng.Pull0(
--- a/src/dogwoodpost/adapters/platform/guarded_http.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http.py
@@ -11,6 +11,7 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import PlatformOutcomeUnknownError
@@ -25,9 +26,9 @@
 class GuardedBody:
     """Request body that asks a guard directly before it is sent.
 
-    The connection stands and the headers have been handed over when the body
-    is asked for, so nothing that can wait lies between the guard and the
-    send. The platform cannot act on an order without its body.
+    The connection stands when the body is asked for, and the headers are
+    held back to go out with it, so nothing that can wait lies between the
+    guard and the send.
     """
 
     def __init__(
@@ -62,7 +63,8 @@
         self, base_url: str, *, timeout_s: float, token: str | None = None
     ) -> None:
         self._base_url = base_url.rstrip('/')
-        self._timeout_s = timeout_s
+        # A call must end within the margin that the lease keeps for it.
+        self.timeout_s = min(timeout_s, LeaseTerms().longest_call_s)
         self._headers = {'Content-Type': 'application/json'}
         if token is not None:
             self._headers['Authorization'] = f'Bearer {token}'
@@ -108,6 +110,8 @@
                 self._base_url + path,
                 data=body,
                 headers={'Content-Length': str(len(data))},
+                # A redirect would send the document again, unguarded.
+                allow_redirects=False,
             ) as response:
                 await response.read()
             self._check_status(path, response.status)
@@ -130,12 +134,12 @@
     def _check_status(self, path: str, status: int) -> None:
         """Tell a refusal from a failure that may have taken effect.
 
-        4xx is the platform's own refusal; any other failure may come from a
-        proxy in between, after the platform took the document.
+        A redirect or 4xx is the platform's own refusal; any other failure may
+        come from a proxy in between, after the platform took the document.
         """
         if 200 <= status < 300:
             return
-        if 400 <= status < 500 and status != 408:
+        if 300 <= status < 500 and status != 408:
             raise PlatformError(f'{path}: status {status}')
         raise PlatformOutcomeUnknownError(f'{path}: status {status}')
 
@@ -145,7 +149,7 @@
                 connector=aiohttp.TCPConnector(
                     force_close=True, socket_factory=open_resetting_socket
                 ),
-                timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+                timeout=aiohttp.ClientTimeout(total=self.timeout_s),
                 headers=self._headers,
             )
         return self._session
--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -8,18 +8,19 @@
 
 import msgspec
 
-from dogwoodpost.core import ids
 from dogwoodpost.core.admission.account_state import AccountState
 from dogwoodpost.core.admission.cost_forecast import CostForecast
 from dogwoodpost.core.admission.drain_rate import DrainRate
 from dogwoodpost.core.admission.fair_queue import FairQueue
 from dogwoodpost.core.admission.ticket import TicketState
 from dogwoodpost.core.configuration import Limits
+from dogwoodpost.core.messages import Consumption
 from dogwoodpost.errors import RequestError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from dogwoodpost.core import ids
     from dogwoodpost.core.admission.ticket import Ticket
 
 _TOO_MANY_REQUESTS = 429
@@ -42,17 +43,6 @@
     max_retry_after_s: float = 60.0
 
 
-class Consumption(msgspec.Struct, frozen=True):
-    """Cost that an account has caused at a service, in tokens.
-
-    It is negative if requests turned out cheaper than expected.
-    """
-
-    service: ids.ServiceName
-    client_account_id: ids.ClientAccountId
-    tokens: float
-
-
 class _ServiceState:
     """Queue and drain rate of one service."""
 
@@ -134,6 +124,30 @@
         )
         return list(itertools.islice(heads, count))
 
+    def late(
+        self, service: ids.ServiceName, needed_s: float, now_s: float
+    ) -> list[Ticket]:
+        """Return first requests of accounts that can hardly end in time.
+
+        They have waited for longer than expected at their arrival, and less
+        than ``needed_s`` is left.
+        """
+        state = self._services.get(service)
+        if state is None:
+            return []
+        return [
+            ticket
+            for ticket in state.queue.firsts()
+            if ticket.deadline_s - now_s < needed_s
+            and self._waited_share(ticket, now_s)
+            > self._settings.max_wait_share
+        ]
+
+    def lag_tokens(self, ticket: Ticket) -> float:
+        """Return how far a waiting request's account is behind the mean."""
+        queue = self._services[ticket.service].queue
+        return queue.lag_tokens(ticket.client_account_id)
+
     def start(self, ticket: Ticket, now_s: float) -> None:
         """Start a request that :meth:`heads` returned."""
         account = self._accounts[ticket.client_account_id]
@@ -311,6 +325,10 @@
         key = (ticket.service, ticket.client_account_id)
         self._to_share[key] = self._to_share.get(key, 0.0) + tokens
 
+    def _waited_share(self, ticket: Ticket, now_s: float) -> float:
+        limit_s = ticket.deadline_s - ticket.enqueued_s
+        return (now_s - ticket.enqueued_s) / limit_s if limit_s > 0 else 1.0
+
     def _weight(self, client_account_id: ids.ClientAccountId) -> float:
         return self._accounts[client_account_id].limits.weight
 
--- a/src/dogwoodpost/services/entry/configuration_repository.py
+++ b/src/dogwoodpost/services/entry/configuration_repository.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import msgspec
 
@@ -23,9 +24,7 @@
 
 SCAN_LIMIT = 500
 
-_HEAD = msgspec.json.Decoder(records.HeadRecord)
-_RECORD = msgspec.json.Decoder(records.RevisionRecord)
-_SNAPSHOT = msgspec.json.Decoder(Configuration)
+_Record = TypeVar('_Record')
 
 
 class RepositoryRead(msgspec.Struct, frozen=True, kw_only=True):
@@ -62,17 +61,24 @@
             older revision than the known one.
         """
         start_s = self._clock.monotonic_s()
-        rows = await self.tables.read([records.HEAD_KEY, *extra_keys])
+        # The next revision comes with the head, so that following one change
+        # takes one call; with a slow store two calls outlast the freshness.
+        next_key = records.revision_key(known.revision + 1)
+        rows = await self.tables.read(
+            [records.HEAD_KEY, next_key, *extra_keys]
+        )
         head_row = rows.pop(records.HEAD_KEY, None)
         head = records.HeadRecord()
         if head_row is not None:
-            head = _HEAD.decode(head_row.value)
+            head = _decode(head_row.value, records.HeadRecord)
         if head.revision < known.revision:
             raise StoreUnavailableError(
                 f'the store shows revision {head.revision}, which is older '
                 f'than revision {known.revision} in force here'
             )
-        configuration, applied = await self._follow(known, head)
+        configuration, applied = await self._follow(
+            known, head, rows.get(next_key)
+        )
         return RepositoryRead(
             configuration=configuration,
             applied=tuple(applied),
@@ -93,7 +99,9 @@
         row = (await self.tables.read([key])).get(key)
         if row is None:
             raise _not_kept(revision)
-        snapshot_revision = _RECORD.decode(row.value).snapshot_revision
+        snapshot_revision = _decode(
+            row.value, records.RevisionRecord
+        ).snapshot_revision
         base = await self._snapshot(snapshot_revision)
         if base is None:
             raise _not_kept(revision)
@@ -111,7 +119,7 @@
             after=records.revision_key(after),
             limit=limit,
         )
-        return [_RECORD.decode(row.value) for row in rows]
+        return [_decode(row.value, records.RevisionRecord) for row in rows]
 
     async def store_snapshot(self, configuration: Configuration) -> None:
         """Store a committed revision; a repeat stores the same bytes."""
@@ -124,10 +132,16 @@
         await self._objects.delete(records.snapshot_name(revision))
 
     async def _follow(
-        self, known: Configuration, head: records.HeadRecord
+        self,
+        known: Configuration,
+        head: records.HeadRecord,
+        next_row: Row | None,
     ) -> tuple[Configuration, list[records.RevisionRecord]]:
         if head.revision == known.revision:
             return known, []
+        if head.revision == known.revision + 1 and next_row is not None:
+            record = _decode(next_row.value, records.RevisionRecord)
+            return apply_delta(known, record.delta), [record]
         base = known
         if head.snapshot_revision > known.revision + SCAN_LIMIT or (
             known.revision + 1 < head.oldest_revision
@@ -145,7 +159,7 @@
         if revision == 0:
             return Configuration()
         data = await self._objects.get(records.snapshot_name(revision))
-        return None if data is None else _SNAPSHOT.decode(data)
+        return None if data is None else _decode(data, Configuration)
 
     async def _replay(
         self, base: Configuration, last: ids.Revision
@@ -167,3 +181,11 @@
 
 def _not_kept(revision: ids.Revision) -> RevisionNotKeptError:
     return RevisionNotKeptError(f'revision {revision} is not kept')
+
+
+def _decode(data: bytes, record_type: type[_Record]) -> _Record:
+    try:
+        return msgspec.json.decode(data, type=record_type)
+    except msgspec.MsgspecError as error:
+        # Treated like an outage: nothing can be known from such a store.
+        raise StoreUnavailableError(f'malformed row: {error}') from error
--- a/tests/core/scaling/test_scaling.py
+++ b/tests/core/scaling/test_scaling.py
@@ -74,6 +74,12 @@
     assert clamp_total(wanted, minimum, maximum) == expected
 
 
+def test_lost_zone_does_not_count_towards_the_minimum() -> None:
+    """Guards against a minimum that is met by endpoints that are gone."""
+    assert clamp_total({A: 1, B: 1, C: 1}, 3, 10, {C}) == {A: 2, B: 1, C: 1}
+    assert clamp_total({A: 0}, 2, 10, {A}) == {A: 0}
+
+
 @pytest.mark.parametrize(
     ('demands', 'lost', 'expected'),
     [
@@ -161,6 +167,17 @@
     assert wanted[4] == current
 
 
+def test_zone_without_demand_is_not_lost() -> None:
+    """Guards against taking a planned stop of all endpoints for a loss."""
+    scaler = Scaler(settings(min_endpoint_count=0), {A: DailyProfile()})
+    for step, live in enumerate([1] * 80 + [0] * 10):
+        now_s = step * 10.0
+        scaler.observe([load(A, 0, live=live)], now_s, now_s)
+        wanted = scaler.plan({A: live}, now_s, now_s)
+    assert wanted == {A: 0}
+    assert scaler.lost_zones == set()
+
+
 def test_level_follows_a_busier_day() -> None:
     """Guards against a forecast that ignores that today is different."""
     scaler = Scaler(settings(), {A: learnt_profile(20.0, 100.0)})
