--- a/src/dogwoodpost/adapters/nng/transport.py
+++ b/src/dogwoodpost/adapters/nng/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,8 @@
 _SEND_TIMEOUT_MS = 1_000
 _SEND_BUFFER_COUNT = 64
 _RECEIVE_BUFFER_COUNT = 256
+# nng discards what it has not yet written when a socket is closed.
+_LINGER_S = 0.1
 # Receives that find a message don't wait; after so many in a row the other
 # tasks of the event loop get a turn.
 _BURST_COUNT = 32
@@ -45,6 +48,7 @@
         self._decoder = msgspec.msgpack.Decoder(AnyMessage)
         self._peers: dict[str, Any] = {}
         self._closed = False
+        self._unread: deque[bytes] = deque()
         self._burst_count = 0
         self._pull = _listen(ip, port, max_message_bytes)
         self._address = f'tcp://{self._pull.listeners[0].local_address}'
@@ -64,6 +68,7 @@
         if len(data) > self._max_message_bytes:
             self._count_failure(name)
             raise TransportError(f'{name} of {len(data)} bytes is too large')
+        cancel_count = _cancel_count()
         try:
             await _push(self._peer(address), data)
         except pynng.NNGException as error:
@@ -71,6 +76,8 @@
             raise TransportError(f'{name} to {address}: {error}') from error
         self._metrics.peer_messages.labels('sent', name).inc()
         self._metrics.peer_bytes.labels('sent').inc(len(data))
+        if _cancel_count() > cancel_count:
+            raise asyncio.CancelledError
 
     async def receive(self) -> AnyMessage:
         """Return the next message; malformed ones are counted and dropped.
@@ -78,10 +85,7 @@
         :raises TransportError: the transport is closed.
         """
         while True:
-            try:
-                data = await self._next()
-            except pynng.NNGException as error:
-                raise TransportError(f'receive: {error}') from error
+            data = await self._receive_bytes()
             self._metrics.peer_bytes.labels('received').inc(len(data))
             try:
                 message: AnyMessage = self._decoder.decode(data)
@@ -100,13 +104,30 @@
             self._metrics.events.labels('peer_reconnect').inc()
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, after a moment for the last messages."""
+        if self._closed:
+            return
         self._closed = True
+        if self._peers:
+            await asyncio.sleep(_LINGER_S)
         while self._peers:
             _, socket = self._peers.popitem()
             socket.close()
         self._pull.close()
 
+    async def _receive_bytes(self) -> bytes:
+        if self._unread:
+            return self._unread.popleft()
+        cancel_count = _cancel_count()
+        try:
+            data = await self._next()
+        except pynng.NNGException as error:
+            raise TransportError(f'receive: {error}') from error
+        if _cancel_count() > cancel_count:
+            self._unread.append(data)
+            raise asyncio.CancelledError
+        return data
+
     async def _next(self) -> bytes:
         self._burst_count += 1
         if self._burst_count >= _BURST_COUNT:
@@ -133,6 +154,16 @@
         self._metrics.peer_messages.labels('failed', name).inc()
 
 
+def _cancel_count() -> int:
+    """Return how often the current task has been cancelled.
+
+    pynng swallows a cancellation that meets the end of its operation, so the
+    count is compared before and after.
+    """
+    task = asyncio.current_task()
+    return 0 if task is None else task.cancelling()
+
+
 async def _push(socket: Any, data: bytes) -> None:
     # Most sends find room; only the others pay for a switch of threads.
     try:
--- a/src/dogwoodpost/services/agent/application.py
+++ b/src/dogwoodpost/services/agent/application.py
@@ -110,6 +110,7 @@
             clients[ids.EndpointId(endpoint.endpoint_id)],
             attempts,
             identity,
+            clock,
         )
         for endpoint in settings.endpoints
     ]
--- a/tests/adapters/nng/test_transport.py
+++ b/tests/adapters/nng/test_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -148,6 +149,22 @@
         assert (await receive(receiver)).index == 7
 
 
+async def test_cancellation_is_not_swallowed(pair) -> None:
+    """Guards against a receiver that a stop cannot end, and a lost message."""
+    sender, receiver = pair
+    for index in range(20):
+        receiving = asyncio.create_task(receive(receiver))
+        await asyncio.sleep(0.01)
+        await sender.send(receiver.address, make_message(index))
+        # The message arrives while the event loop is busy, so that the
+        # receiver wakes to both the message and its cancellation.
+        threading.Event().wait(0.02)
+        receiving.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await receiving
+        assert (await receive(receiver)).index == index
+
+
 async def test_closed_transport_refuses(pair) -> None:
     """Guards against a hang after the end."""
     sender, receiver = pair
