Bound the claim of accounts that return after use elsewhere

Cause: an entry that served nothing itself kept its virtual time at zero while accounts' use elsewhere grew, so an account that was new to it went first without an end. A weight of zero no longer divides by zero.

--- a/src/dogwoodpost/core/admission/account_state.py
+++ b/src/dogwoodpost/core/admission/account_state.py
@@ -8,6 +8,9 @@
 if TYPE_CHECKING:
     from dogwoodpost.core.configuration import Limits
 
+# Keeps a weight of zero from dividing by it.
+_MIN_WEIGHT = 1e-6
+
 
 class AccountState:
     """Running and waiting requests, and a token bucket.
@@ -25,9 +28,9 @@
         self._filled_s = now_s
 
     @property
-    def idle(self) -> bool:
-        """Return whether no request runs or waits."""
-        return self.running_count == 0 and self.waiting_count == 0
+    def weight(self) -> float:
+        """Return the account's share relative to others."""
+        return max(self.limits.weight, _MIN_WEIGHT)
 
     def change_limits(self, limits: Limits, now_s: float) -> None:
         """Apply limits of a new revision."""
--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -153,7 +153,7 @@
         account = self._accounts[ticket.client_account_id]
         service = self._services[ticket.service]
         service.rate.advance(now_s, backlogged=True)
-        service.queue.start(ticket, account.limits.weight)
+        service.queue.start(ticket, account.weight)
         account.waiting_count -= 1
         account.running_count += 1
         account.charge(ticket.cost_tokens, now_s)
@@ -177,7 +177,7 @@
             ticket.client_account_id, ticket.estimated_tokens, actual_tokens
         )
         service.queue.correct(
-            ticket.client_account_id, extra_tokens, account.limits.weight
+            ticket.client_account_id, extra_tokens, account.weight
         )
         backlogged = service.queue.count > 0
         service.rate.advance(now_s, backlogged=backlogged)
@@ -224,7 +224,7 @@
         """Take what accounts have used at another entry."""
         for one in shared:
             account = self._accounts.get(one.client_account_id)
-            weight = account.limits.weight if account else 1.0
+            weight = account.weight if account else 1.0
             self._service(one.service).queue.charge_elsewhere(
                 one.client_account_id, one.tokens, weight
             )
@@ -330,7 +330,7 @@
         return (now_s - ticket.enqueued_s) / limit_s if limit_s > 0 else 1.0
 
     def _weight(self, client_account_id: ids.ClientAccountId) -> float:
-        return self._accounts[client_account_id].limits.weight
+        return self._accounts[client_account_id].weight
 
     def _account(
         self, client_account_id: ids.ClientAccountId, now_s: float
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -15,6 +15,10 @@
     from dogwoodpost.core import ids
     from dogwoodpost.core.admission.ticket import Ticket
 
+# Bounds the claim of an account that returns after others have used the
+# service at other entries only.
+_MAX_LAG_TOKENS = 50_000.0
+
 
 class FairQueue:
     """One first-in, first-out queue per client account.
@@ -141,7 +145,11 @@
     ) -> None:
         """Account for what an account has used at other entries."""
         virtual = max(self._virtual.get(account_id, 0.0), self._served_virtual)
-        self._virtual[account_id] = virtual + tokens / weight
+        virtual += tokens / weight
+        self._virtual[account_id] = virtual
+        self._served_virtual = max(
+            self._served_virtual, virtual - _MAX_LAG_TOKENS
+        )
 
     def expired(self, now_s: float) -> list[Ticket]:
         """Return the waiting requests whose deadline has passed."""
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -101,6 +101,25 @@
     assert order == ['one'] * 12
 
 
+def test_return_after_use_elsewhere_gives_no_endless_claim() -> None:
+    """Guards against a new account that starves those known from elsewhere."""
+    admission = Admission()
+    for account, weight in (('old', 1.0), ('new', 1.0), ('none', 0.0)):
+        admission.set_limits(account, limits(weight=weight), 0.0)
+    for _ in range(100):
+        admission.record_consumption([Consumption(SERVICE, 'old', 1e5)])
+    for account in ('old', 'new', 'none'):
+        for _ in range(30):
+            admission.submit(ticket(account, 5_000.0), 0.0)
+    order = []
+    for _ in range(24):
+        one = first(admission)
+        admission.start(one, 0.0)
+        order.append(one.client_account_id)
+    assert order.index('old') <= 12
+    assert order.count('none') == 1
+
+
 REFUSALS = [
     # limits, waiting, deadline, code, status, retry after
     (limits(max_queued_count=2), 2, 1e9, 'account_queue_full', 429, 1.0),
