--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -15,6 +15,7 @@
     import random
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from dogwoodpost.core.rollouts.prompt_lengths import PromptLengths
     from dogwoodpost.core.rollouts.scheduling_policy import SchedulingPolicy
@@ -22,9 +23,6 @@
     from dogwoodpost.ports.sample_dispatcher import SampleResult
 
 
-RESULTS_PER_SUM = 32
-
-
 class ResultOutcome(Enum):
     """What became of a dispatch."""
 
@@ -37,8 +35,9 @@
 class StepState:
     """Samples of a step at its owner.
 
-    Ids of samples contain the owner's fencing number, so that a sample of an
-    earlier owner never shares an id, and a score, with one of this owner.
+    Ids of samples contain the owner's fencing number and a number from
+    ``sample_numbers``, which is shared by all steps of the owner and outlives
+    them. So no two samples share an id, and with it a score.
     """
 
     def __init__(
@@ -51,6 +50,7 @@
         policy: SchedulingPolicy,
         history: PromptLengths,
         on_discard: Callable[[str], None],
+        sample_numbers: Iterator[int],
     ) -> None:
         self.spec = spec
         self.fencing_number = fencing_number
@@ -59,8 +59,6 @@
         self.submitted_s = now_s
         # Set by the scheduler, which orders steps by it.
         self.finish_tag = 0.0
-        self._remaining_tokens = 0.0
-        self._results_since_sum = RESULTS_PER_SUM
         self.lengths = GroupLengths(spec.prompts, spec.max_tokens, history)
         self.waiting = WaitingSamples(
             len(spec.prompts), self.lengths, long_first=policy.long_first
@@ -70,7 +68,7 @@
         self.current_version = ids.WeightVersion(0)
         self._policy = policy
         self._on_discard = on_discard
-        self._generation = 0
+        self._sample_numbers = sample_numbers
         self._scored_by_group = [0] * len(spec.prompts)
         self._ready_since_s: dict[int, float] = {}
         self.samples = [self._new_sample(n) for n in range(spec.slot_count)]
@@ -83,18 +81,12 @@
         return len(self._ready_since_s) * self.spec.samples_per_group
 
     def remaining_tokens(self) -> float:
-        """Return the expected work that is left, in tokens.
-
-        It is summed up again after a number of results only.
-        """
-        if self._results_since_sum >= RESULTS_PER_SUM:
-            self._results_since_sum = 0
-            self._remaining_tokens = sum(
-                self.lengths.remaining_tokens(sample)
-                for sample in self.samples
-                if sample.phase in (SamplePhase.WAITING, SamplePhase.RUNNING)
-            )
-        return self._remaining_tokens
+        """Return the expected work that is left, in tokens."""
+        return sum(
+            self.lengths.remaining_tokens(sample)
+            for sample in self.samples
+            if sample.phase is not SamplePhase.CLAIMED
+        )
 
     def prompt(self, sample: Sample) -> str:
         """Return the prompt of a sample's group."""
@@ -133,7 +125,6 @@
             return ResultOutcome.UNCERTAIN
         sample.extend(result.completion, result.segments)
         sample.run_s += duration_s
-        self._results_since_sum += 1
         sample.failure_count = 0
         is_full = sample.token_count >= self.spec.max_tokens
         finished = result.finished or is_full
@@ -180,27 +171,6 @@
         self._on_discard(reason)
         self._replace(sample)
 
-    def _discard_if_stale(self, sample: Sample, now_s: float) -> bool:
-        if not sample.segments or sample.begun_s is None:
-            return False
-        reason = self.bound.reason_if_stale(
-            sample.oldest_version, self.current_version, now_s - sample.begun_s
-        )
-        if reason is not None:
-            self.discard(sample, reason)
-        return reason is not None
-
-    def _replace(self, sample: Sample) -> None:
-        if sample.phase is SamplePhase.CLAIMED:
-            self.unclaimed_count += 1
-        if sample.phase is SamplePhase.SCORED:
-            self._scored_by_group[sample.group] -= 1
-            self._ready_since_s.pop(sample.group, None)
-        self._generation += 1
-        fresh = self._new_sample(sample.slot)
-        self.samples[sample.slot] = fresh
-        self.waiting.push(fresh)
-
     def discard_stale(self, now_s: float) -> bool:
         """Replace samples of complete groups that are over the bound."""
         found = [
@@ -256,6 +226,26 @@
         self.unclaimed_count += 1
         self._mark_scored(sample, now_s)
 
+    def _discard_if_stale(self, sample: Sample, now_s: float) -> bool:
+        if not sample.segments or sample.begun_s is None:
+            return False
+        reason = self.bound.reason_if_stale(
+            sample.oldest_version, self.current_version, now_s - sample.begun_s
+        )
+        if reason is not None:
+            self.discard(sample, reason)
+        return reason is not None
+
+    def _replace(self, sample: Sample) -> None:
+        if sample.phase is SamplePhase.CLAIMED:
+            self.unclaimed_count += 1
+        if sample.phase is SamplePhase.SCORED:
+            self._scored_by_group[sample.group] -= 1
+            self._ready_since_s.pop(sample.group, None)
+        fresh = self._new_sample(sample.slot)
+        self.samples[sample.slot] = fresh
+        self.waiting.push(fresh)
+
     def _group(self, group: int) -> list[Sample]:
         start = group * self.spec.samples_per_group
         return self.samples[start : start + self.spec.samples_per_group]
@@ -270,7 +260,7 @@
         group, index = divmod(slot, self.spec.samples_per_group)
         name = (
             f'{self.spec.trainer_id}/{self.spec.step_id}/{group}/{index}/'
-            f'{self.fencing_number}.{self._generation}'
+            f'{self.fencing_number}.{next(self._sample_numbers)}'
         )
         return Sample(
             sample_id=ids.SampleId(name),
