Cut dispatches by tokens instead of time

The entry's dispatcher does not stream, so a dispatch that reaches its time limit fails without a partial completion; with slices of 5 s, a longer sample would have begun again for ever. Dispatches are now limited by max_tokens, and PipelineSampleDispatcher reports a sample that ended by length as unfinished, so that it is resumed. The fake engines fail at the time limit like the real ones.

--- a/measurements/rollouts/engines.py
+++ b/measurements/rollouts/engines.py
@@ -166,7 +166,8 @@
         length = self.workload.length_tokens(
             self._seed, request.prompt, sample_id
         )
-        end_s = begun_s + (length - done) / sampler.tokens_per_s
+        wanted = min(length - done, request.max_tokens)
+        end_s = begun_s + wanted / sampler.tokens_per_s
         stop_s = max(min(end_s, deadline_s), begun_s)
         running = loop.create_future()
         sampler.running.add(running)
@@ -174,10 +175,12 @@
         await running
         sampler.running.discard(running)
         self._fail_if_crashed(sampler, begun_s)
-        finished = end_s <= stop_s
-        count = length - done
-        if not finished:
+        if end_s > stop_s:
             count = int((stop_s - begun_s) * sampler.tokens_per_s)
+            self.generated_tokens += count
+            message = 'the time limit has passed'
+            raise RequestError('deadline_passed', message, status=504)
+        count = wanted
         self.generated_tokens += count
         segments = sampler.segments(begun_s, count)
         truth.segments.extend(segments)
@@ -189,7 +192,7 @@
             endpoint_id=sampler.endpoint_id,
             completion='x' * count,
             segments=segments,
-            finished=finished,
+            finished=done + count == length,
         )
 
     def _truth(self, sample_id: str, now_s: float) -> Truth:
--- a/src/dogwoodpost/core/rollouts/rollout_scheduler.py
+++ b/src/dogwoodpost/core/rollouts/rollout_scheduler.py
@@ -21,6 +21,10 @@
 # From this share of the token limit on, a sample counts as long. Step times
 # hardly differ between 0.06 and 0.2 (docs/rollouts.md).
 LONG_SHARE = 0.2
+# A dispatch that is silent for longer than this wait and this share of the
+# typical pace explain is given up; its sample continues from the last slice.
+QUEUE_S = 30.0
+SLOWEST_RATIO = 0.2
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -131,11 +135,15 @@
     ) -> Dispatch:
         spec = step.spec
         is_resumed = sample.token_count > 0
+        max_tokens = spec.max_tokens - sample.token_count
         timeout_s = step.deadline_s - now_s
-        first_s = self.policy.first_slice_s
-        if first_s is not None:
-            slice_s = min(max(first_s, sample.run_s), self.policy.max_slice_s)
-            timeout_s = min(timeout_s, slice_s)
+        first_tokens = self.policy.first_slice_tokens
+        if first_tokens is not None:
+            slice_tokens = max(first_tokens, sample.token_count)
+            slice_tokens = min(slice_tokens, self.policy.max_slice_tokens)
+            max_tokens = min(max_tokens, slice_tokens)
+            slowest = SLOWEST_RATIO * self._rate()
+            timeout_s = min(timeout_s, QUEUE_S + max_tokens / slowest)
         avoid: tuple[ids.EndpointId, ...] = ()
         if self.policy.avoid_slow and is_resumed:
             avoid = self.pace.slow_endpoints()
@@ -145,7 +153,7 @@
             client_account_id=spec.client_account_id,
             service=spec.service,
             prompt=step.prompt(sample),
-            max_tokens=spec.max_tokens - sample.token_count,
+            max_tokens=max_tokens,
             timeout_s=timeout_s,
             priority=SAMPLE_PRIORITY,
             min_weight_version=_min_version(step),
--- a/src/dogwoodpost/core/rollouts/sample.py
+++ b/src/dogwoodpost/core/rollouts/sample.py
@@ -24,8 +24,7 @@
     """The current sample of one slot.
 
     ``begun_s`` is when its first dispatch began, which is the age of its
-    oldest token or earlier. ``run_s`` is the time of its dispatches that
-    returned tokens. ``segments`` covers ``completion``.
+    oldest token or earlier. ``segments`` covers ``completion``.
     """
 
     sample_id: ids.SampleId
@@ -36,7 +35,6 @@
     segments: tuple[TokenSegment, ...] = ()
     token_count: int = 0
     begun_s: float | None = None
-    run_s: float = 0.0
     dispatch_count: int = 0
     failure_count: int = 0
     score: float | None = None
--- a/src/dogwoodpost/core/rollouts/scheduling_policy.py
+++ b/src/dogwoodpost/core/rollouts/scheduling_policy.py
@@ -8,15 +8,15 @@
 class SchedulingPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """How samples are ordered and cut into dispatches.
 
-    A dispatch of a new sample is limited to ``first_slice_s``. A sample that
-    is cut off continues for as long again as it has run, at most
-    ``max_slice_s``. Without a limit a dispatch runs to the sample's end.
+    A dispatch of a new sample is limited to ``first_slice_tokens``. A sample
+    that is cut off continues for as many tokens again as it has, at most
+    ``max_slice_tokens``. Without a limit a dispatch runs to the sample's end.
     ``long_first`` orders by expected remaining length, otherwise samples run
     in order. ``avoid_slow`` keeps resumed samples from slow endpoints.
     """
 
-    first_slice_s: float | None = 5.0
-    max_slice_s: float = 60.0
+    first_slice_tokens: int | None = 250
+    max_slice_tokens: int = 3_000
     long_first: bool = True
     avoid_slow: bool = True
     batch_sample_count: int = 64
@@ -27,7 +27,7 @@
 
 
 FIFO = SchedulingPolicy(
-    first_slice_s=None,
+    first_slice_tokens=None,
     long_first=False,
     avoid_slow=False,
 )
--- a/src/dogwoodpost/core/rollouts/step_state.py
+++ b/src/dogwoodpost/core/rollouts/step_state.py
@@ -115,7 +115,7 @@
             self.lengths.start(sample)
 
     def record_result(
-        self, sample: Sample, result: SampleResult, duration_s: float
+        self, sample: Sample, result: SampleResult
     ) -> ResultOutcome:
         """Take the result of a dispatch."""
         if not self._accepts(sample, result.sample_id):
@@ -124,7 +124,6 @@
             self.discard(sample, ResultOutcome.UNCERTAIN.value)
             return ResultOutcome.UNCERTAIN
         sample.extend(result.completion, result.segments)
-        sample.run_s += duration_s
         sample.failure_count = 0
         is_full = sample.token_count >= self.spec.max_tokens
         finished = result.finished or is_full
--- a/src/dogwoodpost/services/entry/sample_dispatcher.py
+++ b/src/dogwoodpost/services/entry/sample_dispatcher.py
@@ -183,7 +183,9 @@
             endpoint_id=response.endpoint_id,
             completion=choice['text'],
             segments=_segments(document),
-            finished=completed and choice.get('finish_reason') is not None,
+            # A sample that reached the dispatch's token limit can continue.
+            finished=completed
+            and choice.get('finish_reason') not in (None, 'length'),
         )
 
 
--- a/src/dogwoodpost/services/rollouts/rollout_service.py
+++ b/src/dogwoodpost/services/rollouts/rollout_service.py
@@ -185,7 +185,7 @@
             self.scheduler.pace.record(
                 result.endpoint_id, token_count, duration_s
             )
-            outcome = step.record_result(sample, result, duration_s)
+            outcome = step.record_result(sample, result)
         finally:
             self._running_count -= 1
             self._work.set()
--- a/tests/services/rollouts/rollout_fakes.py
+++ b/tests/services/rollouts/rollout_fakes.py
@@ -75,8 +75,8 @@
         name = request.sample_id.rpartition('/')[0]
         begun_s = asyncio.get_running_loop().time()
         truth = self.truth.setdefault(name, Truth(begun_s, []))
-        length = self.rng.randint(1, request.max_tokens)
-        count = min(length, max(1, int(request.timeout_s)))
+        length = self.rng.randint(1, 2 * request.max_tokens)
+        count = min(length, request.max_tokens)
         tokens = []
         for _ in range(count):
             await asyncio.sleep(self.token_s)
@@ -136,7 +136,8 @@
         self.current_version = ids.WeightVersion(1)
         self.holder: object = None
         self.guards: list[FakeGuard] = []
-        self.policy = SchedulingPolicy(**{'batch_sample_count': 4, **policy})
+        small = {'batch_sample_count': 4, 'first_slice_tokens': 5}
+        self.policy = SchedulingPolicy(**{**small, **policy})
 
     async def take_lease(self) -> FakeGuard:
         """Write the fence row, as a lease keeper does at a takeover."""
