Expect usage of a lagging clock in the first open window

The long usage machine failed with 2 tokens reported where 1 was recorded: its oracle put usage in the window of the entry's wall clock, but an entry whose clock lags more than the grace period counts in the first window that it knows to be open, as docs/usage.md says, because nothing may be added to a closed window. The oracle now uses that window, per window as before; a test of its own fixes the rule.

--- a/tests/services/control/test_usage_machine.py
+++ b/tests/services/control/test_usage_machine.py
@@ -185,12 +185,16 @@
 
     @stateful.rule(slot=ENTRIES, count=st.integers(1, 9))
     def record(self, slot: str, count: int) -> None:
-        self.entry(slot).record(
+        entry = self.entry(slot)
+        entry.record(
             ACCOUNT, request_count=1, prompt_tokens=0, completion_tokens=count
         )
         self.recorded[self.incarnations[slot]] += count
         wall_s = self.clock.wall_s() + SKEWS_S[slot]
-        self.by_window[window_at(wall_s, WINDOW_S)] += count
+        # An entry whose clock lags counts in the first window that it knows
+        # to be open.
+        window = max(window_at(wall_s, WINDOW_S), entry._ledger._first_open)
+        self.by_window[window] += count
 
     @stateful.rule(slot=ENTRIES, is_delayed=st.booleans())
     def flush(self, slot: str, is_delayed: bool = False) -> None:
--- a/tests/services/control/test_usage_reporter.py
+++ b/tests/services/control/test_usage_reporter.py
@@ -61,6 +61,10 @@
             window_s=WINDOW_S,
         )
 
+    async def reporter_again(self) -> UsageReporter:
+        await self.clock.advance(DURATION_S)
+        return await self.reporter()
+
     async def run(self, reporter: UsageReporter, duration_s: int) -> None:
         for _ in range(duration_s):
             self.guard.renew()
@@ -184,3 +188,23 @@
     with pytest.raises(LeaseLostError):
         await run
     assert world.store.rows['usage/open'] == rows['usage/open']
+
+
+async def test_lagging_clock_counts_in_the_first_open_window() -> None:
+    """Guards against usage that is added to a closed window."""
+    world = World()
+    entry = world.entry('a')
+    record(entry, 10)
+    await entry.flush()
+    await world.run(await world.reporter(), 80)
+    record(entry, 1)
+    await entry.flush()
+    world.clock._wall_offset_s = -25.0
+    record(entry, 7)
+    await entry.flush()
+    world.clock._wall_offset_s = 0.0
+    await world.run(await world.reporter_again(), 60)
+    assert world.reported(0).completion_tokens == 10
+    assert world.reported(1) == UsageFigures(
+        request_count=2, completion_tokens=8
+    )
