Let non-idempotent attempts outlive a silent entry

Cause: an agent cancelled all attempts of an entry that had gone, also those that are not idempotent; a booking could be cut half-way. Conclusion: a gone entry cuts no work that cannot be repeated.

--- a/src/dogwoodpost/core/attempts/agent_attempts.py
+++ b/src/dogwoodpost/core/attempts/agent_attempts.py
@@ -122,6 +122,7 @@
             deadline_s=now_s + message.remaining_ms / 1000,
             endpoint_id=message.endpoint_id,
             reason=reason,
+            idempotent=message.idempotent,
         )
         self._remember(record)
         if reason is not None:
@@ -243,16 +244,21 @@
                 self._drop_response(record)
                 del self._records[key]
 
-    def owned_by(
+    def orphaned_by(
         self,
         entry_id: ids.ProcessId,
         except_incarnation: ids.Incarnation | None = None,
     ) -> list[AttemptRecord]:
-        """Return an entry's running attempts, of earlier runs of it or all."""
+        """Return what an entry that is gone left running and may be cut.
+
+        Attempts that are not idempotent run to their end, because a cut one
+        leaves half of its effect and cannot be repeated.
+        """
         return [
             record
             for record in self._records.values()
             if record.state is RecordState.RUNNING
+            and record.idempotent
             and record.key.entry_id == entry_id
             and record.owner_incarnation != except_incarnation
         ]
--- a/src/dogwoodpost/core/attempts/agent_record.py
+++ b/src/dogwoodpost/core/attempts/agent_record.py
@@ -43,6 +43,7 @@
         deadline_s: float,
         endpoint_id: ids.EndpointId | None = None,
         reason: messages.RefusalReason | None = None,
+        idempotent: bool = True,
     ) -> None:
         self.key = key
         self.state = state
@@ -51,6 +52,7 @@
         self.deadline_s = deadline_s
         self.endpoint_id = endpoint_id
         self.reason = reason
+        self.idempotent = idempotent
         # Stopped for any reason; the owner wants no response any more.
         self.cancelled = False
         self.abandoned = False
--- a/src/dogwoodpost/services/agent/agent.py
+++ b/src/dogwoodpost/services/agent/agent.py
@@ -152,7 +152,7 @@
         self._attempts.record_hello(self._sequence, now_s)
         self._links.reopen_silent(now_s)
         for process_id in self._links.take_gone(now_s):
-            for record in self._attempts.owned_by(process_id):
+            for record in self._attempts.orphaned_by(process_id):
                 self._worker.cancel(record)
         self._attempts.expire(now_s)
         for link in self._links.all():
@@ -202,7 +202,7 @@
             return
         self._numbers.record_read_back(message.fencing_numbers)
         if result is HeartbeatResult.RESTARTED:
-            for record in self._attempts.owned_by(
+            for record in self._attempts.orphaned_by(
                 message.sender_id, message.sender_incarnation
             ):
                 self._worker.cancel(record)
