Keep the load of an endpoint that is withdrawn for a while

Found by the long run of the routing state machine: an endpoint that was removed and came back while own attempts still ran was taken for empty and got more requests than it has room for. The load is now kept until the last own attempt has ended.

--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -155,6 +155,7 @@
         if load is None:
             return
         load.finish(attempt_id, now_s)
+        group.drop_idle_load(endpoint_id)
         if not result.judged:
             group.outliers.abandon(endpoint_id, attempt_id)
             return
--- a/src/dogwoodpost/core/routing/service_group.py
+++ b/src/dogwoodpost/core/routing/service_group.py
@@ -58,10 +58,20 @@
     def remove(self, endpoint_id: ids.EndpointId) -> None:
         """Forget an endpoint."""
         self.endpoints.pop(endpoint_id, None)
-        self.loads.pop(endpoint_id, None)
+        self.drop_idle_load(endpoint_id)
         self.outliers.remove(endpoint_id)
         self._eligible = None
 
+    def drop_idle_load(self, endpoint_id: ids.EndpointId) -> None:
+        """Forget the load of an unknown endpoint without own attempts.
+
+        An endpoint may come back while its attempts still run.
+        """
+        load = self.loads.get(endpoint_id)
+        idle = load is not None and not load.own_count
+        if idle and endpoint_id not in self.endpoints:
+            del self.loads[endpoint_id]
+
     def distance(self, endpoint: Endpoint) -> Distance:
         """Return how far an endpoint is."""
         if endpoint.availability_zone == self._availability_zone:
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -204,6 +204,20 @@
     assert estimate.count(30.0) == 2
 
 
+def test_load_outlives_a_removal() -> None:
+    """Guards against overfilling an endpoint that was silent for a while."""
+    router = make_router(endpoint('a1'))
+    for number in range(5):
+        send(router, number)
+    router.remove('a1', 0.0)
+    router.upsert(endpoint('a1'), 0.0)
+    assert send(router, 9) is None
+    router.remove('a1', 0.0)
+    for number in range(5):
+        router.finish(SERVICE, 'a1', f'attempt-{number}', BAD, 0.0)
+    assert router._group(SERVICE).loads == {}
+
+
 @pytest.mark.parametrize(
     ('result', 'needed'), [(BAD, 3), (SLOW, 8)], ids=['failing', 'slow']
 )
