Send to peers without nng's asynchronous operations

Cause: an agent died with "panic: pthread_mutex_unlock" in nng 3 s after an entry had been killed. A stress of reconnects with waiting sends then hung: a send under way when its socket was closed or when it was cancelled never ended. Closing only idle sockets did not help (tried, reverted): cancelled sends still hung. Change: a send that finds no room tries again at pauses of 1 to 20 ms until its time limit; the socket's own asynchronous send is no longer used. Conclusion: a dead peer no longer takes its partners with it. The receiving side still waits with an asynchronous operation; it showed no fault.

--- a/src/dogwoodpost/adapters/nng/transport.py
+++ b/src/dogwoodpost/adapters/nng/transport.py
@@ -21,6 +21,9 @@
 MAX_MESSAGE_BYTES = 20 * 1024 * 1024
 _SEND_TIMEOUT_MS = 1_000
 _SEND_BUFFER_COUNT = 64
+# Between tries to send while the buffer is full.
+_FIRST_PAUSE_S = 0.001
+_LONGEST_PAUSE_S = 0.02
 _RECEIVE_BUFFER_COUNT = 256
 # nng discards what it has not yet written when a socket is closed.
 _LINGER_S = 0.1
@@ -29,6 +32,40 @@
 _BURST_COUNT = 32
 
 
+class _Peer:
+    """A Push socket whose sends wait without nng's asynchronous operations.
+
+    In nng, such an operation that is under way when its socket is closed or
+    when it is cancelled may never end, or end the process with a panic.
+    """
+
+    def __init__(self, socket: Any) -> None:
+        self._socket = socket
+
+    async def push(self, data: bytes, timeout_s: float) -> None:
+        """Send one message; wait while the buffer is full.
+
+        :raises pynng.NNGException: no room in time, or the socket is closed.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            try:
+                self._socket.send(data, block=False)
+            except pynng.TryAgain:
+                if loop.time() >= end_s:
+                    raise
+            else:
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+
+    def close(self) -> None:
+        """Close the socket; waiting sends fail."""
+        self._socket.close()
+
+
 class NngPeerTransport(PeerTransport):
     """Listens on one Pull socket and opens one Push socket per peer."""
 
@@ -42,11 +79,11 @@
         max_message_bytes: int = MAX_MESSAGE_BYTES,
     ) -> None:
         self._metrics = metrics
-        self._send_timeout_ms = send_timeout_ms
+        self._send_timeout_s = send_timeout_ms / 1000
         self._max_message_bytes = max_message_bytes
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(AnyMessage)
-        self._peers: dict[str, Any] = {}
+        self._peers: dict[str, _Peer] = {}
         self._closed = False
         self._unread: deque[bytes] = deque()
         self._burst_count = 0
@@ -68,16 +105,13 @@
         if len(data) > self._max_message_bytes:
             self._count_failure(name)
             raise TransportError(f'{name} of {len(data)} bytes is too large')
-        cancel_count = _cancel_count()
         try:
-            await _push(self._peer(address), data)
+            await self._peer(address).push(data, self._send_timeout_s)
         except pynng.NNGException as error:
             self._count_failure(name)
             raise TransportError(f'{name} to {address}: {error}') from error
         self._metrics.peer_messages.labels('sent', name).inc()
         self._metrics.peer_bytes.labels('sent').inc(len(data))
-        if _cancel_count() > cancel_count:
-            raise asyncio.CancelledError
 
     async def receive(self) -> AnyMessage:
         """Return the next message; malformed ones are counted and dropped.
@@ -98,9 +132,9 @@
 
     def reconnect(self, address: str) -> None:
         """Drop the connection to a peer; the next send opens a new one."""
-        socket = self._peers.pop(address, None)
-        if socket is not None:
-            socket.close()
+        peer = self._peers.pop(address, None)
+        if peer is not None:
+            peer.close()
             self._metrics.events.labels('peer_reconnect').inc()
 
     async def close(self) -> None:
@@ -111,8 +145,8 @@
         if self._peers:
             await asyncio.sleep(_LINGER_S)
         while self._peers:
-            _, socket = self._peers.popitem()
-            socket.close()
+            _, peer = self._peers.popitem()
+            peer.close()
         self._pull.close()
 
     async def _receive_bytes(self) -> bytes:
@@ -141,14 +175,14 @@
         data: bytes = message.bytes
         return data
 
-    def _peer(self, address: str) -> Any:
+    def _peer(self, address: str) -> _Peer:
         if self._closed:
             raise TransportError('the transport is closed')
-        socket = self._peers.get(address)
-        if socket is None:
-            socket = _dial(address, self._send_timeout_ms)
-            self._peers[address] = socket
-        return socket
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = _Peer(_dial(address))
+            self._peers[address] = peer
+        return peer
 
     def _count_failure(self, name: str) -> None:
         self._metrics.peer_messages.labels('failed', name).inc()
@@ -164,14 +198,6 @@
     return 0 if task is None else task.cancelling()
 
 
-async def _push(socket: Any, data: bytes) -> None:
-    # Most sends find room; only the others pay for a switch of threads.
-    try:
-        socket.send(data, block=False)
-    except pynng.TryAgain:
-        await socket.asend(data)
-
-
 def _listen(ip: str, port: int, max_message_bytes: int) -> Any:
     try:
         return pynng.Pull0(
@@ -183,10 +209,8 @@
         raise TransportError(f'listen on {ip}:{port}: {error}') from error
 
 
-def _dial(address: str, send_timeout_ms: int) -> Any:
-    socket = pynng.Push0(
-        send_timeout=send_timeout_ms, send_buffer_size=_SEND_BUFFER_COUNT
-    )
+def _dial(address: str) -> Any:
+    socket = pynng.Push0(send_buffer_size=_SEND_BUFFER_COUNT)
     try:
         socket.dial(address, block=False)
     except pynng.NNGException as error:
--- a/tests/adapters/nng/test_transport.py
+++ b/tests/adapters/nng/test_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import threading
 from typing import TYPE_CHECKING
 
@@ -171,3 +172,31 @@
     await sender.close()
     with pytest.raises(TransportError):
         await sender.send(receiver.address, make_message(0))
+
+
+async def test_reconnect_during_blocked_sends_ends_them_all(
+    pair: tuple[NngPeerTransport, NngPeerTransport],
+) -> None:
+    """Guards against sends that never end, and a panic of the library.
+
+    Closing a socket while a send waited on it did both.
+    """
+    sender, _ = pair
+    unreachable = 'tcp://127.0.0.1:9'
+
+    async def send_many() -> None:
+        for index in range(400):
+            with contextlib.suppress(TransportError):
+                await sender.send(unreachable, make_message(index))
+            await asyncio.sleep(0)
+
+    async with asyncio.timeout(60):
+        for _ in range(10):
+            senders = [asyncio.create_task(send_many()) for _ in range(4)]
+            for _ in range(5):
+                await asyncio.sleep(0.02)
+                sender.reconnect(unreachable)
+            for task in senders:
+                task.cancel()
+            ended = await asyncio.gather(*senders, return_exceptions=True)
+            assert len(ended) == len(senders)
