Replace a killed owner of a trainer's steps, and keep one virtual clock

Cause: a call that could not get the lease gave up observing it, so that the wait for the expiry began anew with each call. Two modules for virtual time stood side by side. Change: an entry that was asked once goes on observing the lease; the event loop of standins/virtual_time serves the rollouts as well.

--- a/measurements/rollouts/simulation.py
+++ b/measurements/rollouts/simulation.py
@@ -18,8 +18,8 @@
 from dogwoodpost.standins.memory_store import MemoryObjectStore
 from dogwoodpost.standins.memory_store import MemoryTableStore
 from dogwoodpost.standins.memory_store import StoreFaults
-from dogwoodpost.standins.virtual_loop import LoopClock
-from dogwoodpost.standins.virtual_loop import run_virtually
+from dogwoodpost.standins.virtual_time import run_virtual
+from dogwoodpost.standins.virtual_time import VirtualClock
 from measurements.rollouts.engines import FakeEngines
 from measurements.rollouts.lower_bound import StepRun
 from measurements.rollouts.swaps import WeightSwaps
@@ -92,7 +92,7 @@
     ) -> None:
         self._workload = workload
         self._case = case
-        self._clock = LoopClock()
+        self._clock = VirtualClock()
         self._faults = StoreFaults(self._clock)
         self._faults.latency_s = STORE_LATENCY_S
         self._table = MemoryTableStore(self._faults)
@@ -116,7 +116,7 @@
 
     def run(self) -> Outcome:
         """Run all trainers to their end."""
-        return run_virtually(self._run())
+        return run_virtual(self._run())
 
     async def _run(self) -> Outcome:
         start_s = self._clock.monotonic_s()
--- a/src/dogwoodpost/services/entry/control_parts.py
+++ b/src/dogwoodpost/services/entry/control_parts.py
@@ -42,7 +42,12 @@
     async def acquire_trainer(self, trainer_id: ids.TrainerId) -> LeaseGuard:
         """Return the held lease of a trainer's steps.
 
-        :raises LeaseLostError: another entry holds it.
+        After a failure this entry goes on observing the lease. Giving it up
+        would start its wait for the expiry anew with each call, so that a
+        dead owner might never be replaced.
+
+        :raises LeaseLostError: another entry holds it, or it has not expired
+            yet; call again.
         """
         clock = self._context.clock
         leases = self._context.leases
@@ -51,7 +56,6 @@
         end_s = clock.monotonic_s() + _ACQUIRE_TIMEOUT_S
         while not guard.is_held():
             if clock.monotonic_s() > end_s:
-                await leases.release(shard)
                 raise LeaseLostError(f'lease {shard} is held elsewhere')
             await clock.sleep(_ACQUIRE_POLL_S)
         return guard
--- a/tests/services/rollouts/test_exactly_once.py
+++ b/tests/services/rollouts/test_exactly_once.py
@@ -17,7 +17,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.errors import DogwoodpostError
-from dogwoodpost.standins.virtual_loop import VirtualLoop
+from dogwoodpost.standins.virtual_time import VirtualTimeLoop
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -35,7 +35,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = VirtualLoop()
+        self.loop = VirtualTimeLoop()
         self.world = World(seed=7)
         self.services = [self.world.service() for _ in range(2)]
         for service in self.services:
@@ -123,7 +123,7 @@
             assert found == truth.versions, 'wrong weight versions'
             lag = self.world.current_version - min(truth.versions)
             assert lag <= SPEC_CHANGES['max_version_lag'], 'stale version'
-            age_s = self.loop.now_s - truth.begun_s
+            age_s = self.loop.time() - truth.begun_s
             assert age_s <= SPEC_CHANGES['max_age_s'], 'too old'
 
     @stateful.rule(entry=st.integers(0, 1), is_lost=st.booleans())
--- a/tests/services/rollouts/test_rollout_service.py
+++ b/tests/services/rollouts/test_rollout_service.py
@@ -17,7 +17,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import RequestError
-from dogwoodpost.standins.virtual_loop import run_virtually
+from dogwoodpost.standins.virtual_time import run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -65,7 +65,7 @@
             await trainer.submit(step_spec(**spec_changes))
             return [batch async for batch in drain(service)]
 
-    return run_virtually(run_step())
+    return run_virtual(run_step())
 
 
 def slots(batches: list[BatchView]) -> list[tuple[int, int]]:
@@ -120,7 +120,7 @@
                     await call
             assert 'rollout/trainer-1/step/step-2' not in world.table.rows
 
-    run_virtually(scenario())
+    run_virtual(scenario())
 
 
 @pytest.mark.parametrize(
@@ -146,7 +146,7 @@
         found = {sample.sample_id in before for sample in batch.samples or ()}
         assert found == {is_kept}
 
-    run_virtually(scenario())
+    run_virtual(scenario())
 
 
 def test_finished_samples_wait_in_bounded_memory_during_an_outage() -> None:
@@ -167,7 +167,7 @@
             batches = [batch async for batch in drain(service)]
         assert len(slots(batches)) == 60
 
-    run_virtually(scenario())
+    run_virtual(scenario())
 
 
 def test_a_step_ends_at_its_deadline() -> None:
@@ -213,7 +213,7 @@
         found = [request.sample_id for request in world.dispatcher.requests]
         assert len(found) == len(set(found))
 
-    run_virtually(scenario())
+    run_virtual(scenario())
 
 
 def test_a_batch_that_becomes_stale_while_it_is_issued_is_not_sent() -> None:
@@ -235,7 +235,7 @@
         assert batch is not None
         assert batch.samples is None
 
-    run_virtually(scenario())
+    run_virtual(scenario())
 
 
 def test_slots_that_another_owner_released_are_generated_again() -> None:
@@ -260,4 +260,4 @@
             batches = [batch async for batch in drain(first)]
         assert slots(batches) == EVERY_SLOT
 
-    run_virtually(scenario())
+    run_virtual(scenario())
--- a/tests/services/rollouts/test_weight_rollout.py
+++ b/tests/services/rollouts/test_weight_rollout.py
@@ -17,8 +17,8 @@
 from dogwoodpost.observability import Metrics
 from dogwoodpost.ports.weight_store import WeightStore
 from dogwoodpost.services.rollouts.weight_rollout import WeightRollout
-from dogwoodpost.standins.virtual_loop import LoopClock
-from dogwoodpost.standins.virtual_loop import run_virtually
+from dogwoodpost.standins.virtual_time import run_virtual
+from dogwoodpost.standins.virtual_time import VirtualClock
 
 
 class FakeStore(WeightStore):
@@ -99,7 +99,7 @@
         commander=commander,
         guard=guard,
         endpoints=lambda: ENDPOINTS,
-        clock=LoopClock(),
+        clock=VirtualClock(),
         rng=random.Random(3),
         metrics=Metrics(),
     )
@@ -126,7 +126,7 @@
             assert service.version == 2
         assert {number for _, _, number in commander.orders} == {4}
 
-    run_virtually(scenario())
+    run_virtual(scenario())
 
 
 def test_no_order_is_sent_without_the_lease() -> None:
@@ -140,4 +140,4 @@
             await asyncio.sleep(30.0)
         assert commander.orders == []
 
-    run_virtually(scenario())
+    run_virtual(scenario())
