Run the trainer's stand-in as a command

Cause: every stand-in but the trainer could be run as a process. Change: `dogwoodpost standin-trainer URL` runs steps on the client library. Conclusion: a trainer can be tried from the command line.

--- a/src/dogwoodpost/cli/app.py
+++ b/src/dogwoodpost/cli/app.py
@@ -13,6 +13,7 @@
 from dogwoodpost.cli.processes import agent
 from dogwoodpost.cli.processes import entry
 from dogwoodpost.cli.standin import standin
+from dogwoodpost.cli.trainer import standin_trainer
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import InvalidInputError
 
@@ -30,6 +31,7 @@
 app.command(config_app)
 app.command(demo)
 app.command(standin)
+app.command(standin_trainer)
 
 
 @app.command
