End an entry whose control work has crashed

Cause: found on reading: ControlParts started its runners without watching them. A fault in one ended its work, while the lease stayed held, so that no other entry took it over. CompositeService had the watch, for itself alone. Change: share_crash serves both. Measured: the new test sees the crash reach the owner; the whole-path test passes. Conclusion: a crash ends the process, and the lease passes on.

--- a/src/dogwoodpost/services/composite_service.py
+++ b/src/dogwoodpost/services/composite_service.py
@@ -10,6 +10,7 @@
 import mode
 
 from dogwoodpost.services.process import running
+from dogwoodpost.services.process import share_crash
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
@@ -50,10 +51,5 @@
     async def run_part(self, part: _ServicePart) -> _ServicePart:
         """Start a service that is stopped when this service stops."""
         await self._parts.enter_async_context(running(part))
-        self.add_future(self._watch(part))
+        self.add_future(share_crash(self, part))
         return part
-
-    async def _watch(self, part: mode.Service) -> None:
-        await part.wait_until_stopped()
-        if part.crash_reason is not None:
-            await self.crash(part.crash_reason)
--- a/src/dogwoodpost/services/entry/control_parts.py
+++ b/src/dogwoodpost/services/entry/control_parts.py
@@ -12,6 +12,7 @@
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.services.control.shard_runner import ShardRunner
 from dogwoodpost.services.entry.control_shards import shards
+from dogwoodpost.services.process import share_crash
 
 if TYPE_CHECKING:
     from dogwoodpost.core.configuration import Configuration
@@ -93,3 +94,4 @@
                     interval_s=_RUN_INTERVAL_S,
                 )
                 await runner.start()
+                self.add_future(share_crash(self, runner))
--- a/src/dogwoodpost/services/process.py
+++ b/src/dogwoodpost/services/process.py
@@ -28,6 +28,13 @@
         await service.stop()
 
 
+async def share_crash(owner: mode.Service, part: mode.Service) -> None:
+    """Crash the owner of a part if the part crashes."""
+    await part.wait_until_stopped()
+    if part.crash_reason is not None:
+        await owner.crash(part.crash_reason)
+
+
 async def wait_for_stop_signal() -> None:
     """Return after SIGTERM or SIGINT."""
     stop_requested = asyncio.Event()
--- a/tests/services/entry/test_control_parts.py
+++ b/tests/services/entry/test_control_parts.py
@@ -42,21 +42,25 @@
     return Configuration(services={NAME: service})
 
 
-async def test_changed_service_replaces_its_work() -> None:
-    """Guards against scaling by a declaration that is no longer in force."""
-    leases = FakeLeases()
+def make_parts(leases: FakeLeases, clock: object) -> ControlParts:
     platform = SimpleNamespace(
         usage_reports=None, weight_store=None, endpoint_orders=object()
     )
-    parts = ControlParts(
+    return ControlParts(
         SimpleNamespace(
             platform=platform,
             leases=leases,
-            clock=FakeClock(),
+            clock=clock,
             settings=SimpleNamespace(region='minas'),
             configuration=SimpleNamespace(subscribe=lambda _: None),
         )
     )
+
+
+async def test_changed_service_replaces_its_work() -> None:
+    """Guards against scaling by a declaration that is no longer in force."""
+    leases = FakeLeases()
+    parts = make_parts(leases, FakeClock())
     runners = []
     for count in (4, 4, 8):
         await parts._adjust(configuration(count))
@@ -66,3 +70,17 @@
     assert leases.released == []
     await parts._adjust(Configuration())
     assert leases.released == [SHARD]
+
+
+async def test_crashed_work_crashes_its_owner() -> None:
+    """Guards against a held lease whose work has silently ended."""
+
+    class FaultyClock:
+        async def sleep(self, duration_s: float) -> None:
+            raise ValueError('fault')
+
+    parts = make_parts(FakeLeases(), FaultyClock())
+    await parts._adjust(configuration(4))
+    async with asyncio.timeout(30):
+        await parts.wait_until_stopped()
+    assert isinstance(parts.crash_reason, ValueError)
