--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -217,6 +217,11 @@
         )
         await self._open_addresses()
 
+    @property
+    def running_item_count(self) -> int:
+        """Return how many batch items run here."""
+        return self._batches.running_count
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send clients here."""
         known = self._operator.is_known and self._presence.is_confirmed
--- a/src/dogwoodpost/platform/request_reader.py
+++ b/src/dogwoodpost/platform/request_reader.py
@@ -32,6 +32,9 @@
 _FIRST_ATTEMPT_SHARE = 0.35
 _MAX_ATTEMPT_TIMEOUT_S = 1.0
 _MIN_ATTEMPT_TIMEOUT_S = 0.25
+# The operator's limit counts endpoints that ran a request. This bound ends a
+# request that finds all endpoints full or unreachable.
+_FREE_NOT_RUN_COUNT = 4
 
 
 class PlatformRequestReader:
@@ -150,6 +153,7 @@
             idempotent=route.idempotent,
             priority=route.priority,
             max_attempt_count=route.max_attempt_count,
+            free_not_run_count=_FREE_NOT_RUN_COUNT,
             attempt_timeout_s=_attempt_timeout_s(timeout_s),
             whole_response=route.kind is RouteKind.REQUEST,
         )
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -20,6 +20,8 @@
     :param cost_tokens: estimated cost.
     :param max_attempt_count: endpoints that it may run on; None for the
         pipeline's own limit.
+    :param free_not_run_count: attempts that no endpoint ran and that do not
+        count among ``max_attempt_count``.
     :param attempt_timeout_s: an idempotent request goes to another endpoint
         after so long without the head of a response.
     :param whole_response: pass nothing on before the response is complete, so
@@ -44,5 +46,6 @@
     min_weight_version: ids.WeightVersion | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
     max_attempt_count: int | None = None
+    free_not_run_count: int = 0
     attempt_timeout_s: float | None = None
     whole_response: bool = False
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -44,9 +44,6 @@
 # Larger responses are passed on as they arrive.
 _MAX_HELD_BACK_BYTES = 4 * 1024 * 1024
 _RETRY_AFTER_S = 1.0
-# Attempts that no endpoint ran cost little; the bound ends a request that
-# finds all endpoints full or unreachable.
-_MAX_NOT_RUN_COUNT = 4
 
 
 class RequestRun:
@@ -131,17 +128,20 @@
     def _retry_delay_s(self, may_retry: bool) -> float | None:
         if self._passed_on or not may_retry:
             return None
-        if self._not_run_count > _MAX_NOT_RUN_COUNT:
-            return None
         pipeline = self._pipeline
         return self._retry_policy.delay_s(
-            self._attempt_count - self._not_run_count,
+            self._counted_attempts(),
             self._remaining_s(),
             self._budget,
             pipeline.rng,
             pipeline.clock.monotonic_s(),
         )
 
+    def _counted_attempts(self) -> int:
+        """Return the attempts that count towards the request's limit."""
+        free_count = min(self._not_run_count, self._request.free_not_run_count)
+        return self._attempt_count - free_count
+
     def _place_retry(
         self, attempt_id: ids.AttemptId, failure: AttemptFailure
     ) -> Endpoint:
@@ -238,8 +238,7 @@
             status=502,
             retry_after_s=_RETRY_AFTER_S,
         )
-        run_count = self._attempt_count - self._not_run_count
-        if run_count < self._retry_policy.max_attempt_count:
+        if self._counted_attempts() < self._retry_policy.max_attempt_count:
             raise AttemptFailure(
                 f'status_{status}', may_retry=True, error=error
             )
@@ -332,8 +331,7 @@
         limit_s = self._request.attempt_timeout_s
         if limit_s is None or watch.answered or not self._request.idempotent:
             return remaining_s
-        run_count = self._attempt_count - self._not_run_count
-        if run_count >= self._retry_policy.max_attempt_count:
+        if self._counted_attempts() >= self._retry_policy.max_attempt_count:
             return remaining_s
         return min(limit_s, remaining_s)
 
--- /dev/null
+++ b/src/dogwoodpost/standins/site/duty_app.py
@@ -0,0 +1,45 @@
+"""The platform's API for singleton duties."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import web
+
+
+class UsageCall(msgspec.Struct, frozen=True, kw_only=True):
+    """A usage report as the platform received it."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    fencing_token: int
+
+
+class _Usage(msgspec.Struct):
+    window: int
+    counts: dict[str, int]
+
+
+class DutyApp:
+    """Keeps all usage reports."""
+
+    def __init__(self) -> None:
+        self.calls: list[UsageCall] = []
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application()
+        app.router.add_post('/usage', self._usage)
+        return app
+
+    async def _usage(self, request: web.Request) -> web.Response:
+        usage = msgspec.json.decode(await request.read(), type=_Usage)
+        self.calls.append(
+            UsageCall(
+                window=usage.window,
+                counts=usage.counts,
+                holder=request.headers['X-Duty-Holder'],
+                fencing_token=int(request.headers['X-Fencing-Token']),
+            )
+        )
+        return web.Response()
--- /dev/null
+++ b/src/dogwoodpost/standins/site/sampler_app.py
@@ -0,0 +1,208 @@
+"""An endpoint as the platform has them: an engine or a plain service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections import deque
+
+_EVENT_GAP_S = 0.005
+_MS_PER_S = 1_000
+_BASE_VERSION = 1
+
+
+class SamplerFault(Enum):
+    """What goes wrong with the next request."""
+
+    FULL = 'full'
+    RESET = 'reset'
+    FAIL = 'fail'
+    NEVER = 'never'
+    CUT_STREAM = 'cut_stream'
+    OTHER_RESPONSE = 'other_response'
+    SILENT = 'silent'
+
+
+class SeenRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request as an endpoint has seen it."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Order(msgspec.Struct, kw_only=True, rename='camel'):
+    operation: str
+    model: str
+    version: int
+    mode: str
+    holder: str
+    fencing_token: int
+    expected: int | None = None
+
+
+class SamplerApp:
+    """State and handlers of one endpoint.
+
+    :param event_count: events of each stream; 0 for a plain service.
+    """
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        *,
+        event_count: int = 0,
+        models: tuple[str, ...] = (),
+        faults: deque[SamplerFault] | None = None,
+    ) -> None:
+        self.endpoint_id = endpoint_id
+        self.versions = dict.fromkeys(models, _BASE_VERSION)
+        self.faults = faults
+        self.seen: list[SeenRequest] = []
+        self.runs: Counter[str] = Counter()
+        self.orders: list[_Order] = []
+        self.load_s = 0.05
+        self._event_count = event_count
+        self._is_busy = False
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(handler_args={'handler_cancellation': True})
+        app.router.add_get('/api/report', self._report)
+        app.router.add_post('/api/order', self._order)
+        app.router.add_route('*', '/{path:.*}', self._run)
+        return app
+
+    def entry(self, service: str, address: str, zone: str) -> bytes:
+        """Return what the endpoint says of itself in service discovery."""
+        return msgspec.json.encode(
+            {
+                'service': service,
+                'address': address,
+                'zone': zone,
+                'version': 'v1',
+                'slots': 8,
+                'state': 'ready',
+                'coldRemainingMs': 0,
+                'born': 1_700_000_000_000,
+                'sequence': 1,
+                'models': self._models(),
+            }
+        )
+
+    async def _report(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                'models': self._models(),
+                'busy': self._is_busy,
+                'sequence': len(self.orders),
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=_Order)
+        if self._is_busy or order.expected != len(self.orders):
+            return web.Response(status=409)
+        if self.versions.get(order.model, 0) >= order.version:
+            return web.Response(status=200)
+        self.orders.append(order)
+        self._is_busy = True
+        asyncio.get_running_loop().call_later(self.load_s, self._load, order)
+        return web.Response(status=202)
+
+    def _load(self, order: _Order) -> None:
+        self.versions[order.model] = order.version
+        self._is_busy = False
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        request_id = request.headers.get('X-Request-Id', '')
+        expected = request.headers.get('X-Expect-Instance')
+        if expected not in {None, self.endpoint_id}:
+            return web.Response(status=421)
+        fault = self.faults.popleft() if self.faults else None
+        if fault is SamplerFault.FULL:
+            return web.Response(status=503, headers={'X-Not-Executed': '1'})
+        self.seen.append(
+            SeenRequest(
+                request_id=request_id,
+                method=request.method,
+                path=request.raw_path,
+                headers=dict(request.headers),
+                body=body,
+            )
+        )
+        self.runs[request_id] += 1
+        headers = {
+            'X-Request-Id': request_id,
+            'X-Response-Signature': f'signed-{request_id}',
+        }
+        if fault is SamplerFault.OTHER_RESPONSE:
+            headers['X-Request-Id'] = 'another'
+        if fault is SamplerFault.RESET:
+            return _hang_up(request)
+        if fault is SamplerFault.FAIL:
+            return web.Response(status=500, headers=headers)
+        if fault is SamplerFault.NEVER:
+            return web.Response(status=422, headers=headers)
+        if not self._event_count:
+            if fault is SamplerFault.SILENT:
+                await asyncio.sleep(30.0)
+            return web.Response(body=b'echo:' + body, headers=headers)
+        return await self._stream(request, headers, fault)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        headers: dict[str, str],
+        fault: SamplerFault | None,
+    ) -> web.StreamResponse:
+        model = request.headers.get('X-Model', '')
+        version = self.versions.get(model, _BASE_VERSION)
+        response = web.StreamResponse(
+            headers={
+                **headers,
+                'Content-Type': 'text/event-stream',
+                'X-Weight-Versions': str(version),
+            }
+        )
+        await response.prepare(request)
+        first = int(request.headers.get('Last-Event-Id', '-1')) + 1
+        for number in range(first, self._event_count):
+            current = self.versions.get(model, _BASE_VERSION)
+            change = ''
+            if current != version:
+                change = f'x-weight-versions: {current}\n'
+                version = current
+            event = f'{change}id: {number}\ndata: piece {number}\n\n'
+            middle = number == self._event_count // 2
+            if middle and fault is SamplerFault.CUT_STREAM:
+                await response.write(event[:-4].encode())
+                return _hang_up(request)
+            await response.write(event.encode())
+            if middle and fault is SamplerFault.SILENT:
+                await asyncio.sleep(30.0)
+            await asyncio.sleep(_EVENT_GAP_S)
+        return response
+
+    def _models(self) -> list[dict[str, object]]:
+        return [
+            {'name': name, 'version': version, 'adapters': []}
+            for name, version in self.versions.items()
+        ]
+
+
+def _hang_up(request: web.Request) -> web.Response:
+    """Close the connection without a response, or in the middle of one."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- /dev/null
+++ b/tests/platform/platform_site.py
@@ -0,0 +1,360 @@
+"""A whole site on loopback: store, endpoints, duties and clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+import sys
+import uuid
+from collections import deque
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+import yarl
+from aiohttp import web
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.observability import LogBuffer
+from dogwoodpost.observability import Metrics
+from dogwoodpost.platform.process import PlatformProcess
+from dogwoodpost.platform.settings import ProcessSettings
+from dogwoodpost.ports.row_store import RowKey
+from dogwoodpost.ports.row_store import RowWrite
+from dogwoodpost.services.process import running
+from dogwoodpost.standins.memory_row_store import MemoryRowStore
+from dogwoodpost.standins.site.duty_app import DutyApp
+from dogwoodpost.standins.site.sampler_app import SamplerApp
+from dogwoodpost.standins.site.store_app import StoreApp
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+HOST = 'site.example'
+KEY = 'key-of-buyers'
+ACCOUNT = 'buyers'
+MODEL = 'model-a'
+EVENT_COUNT = 6
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+class Node:
+    """One process of the system and its addresses."""
+
+    def __init__(
+        self, process: PlatformProcess, settings: dict[str, Any]
+    ) -> None:
+        self.process = process
+        self.front = f'http://{settings["listen"]["front"]}'
+        self.ready = f'http://{settings["listen"]["ready"]}'
+
+
+class SpawnedNode:
+    """A process of the operating system and its addresses."""
+
+    def __init__(
+        self,
+        process: asyncio.subprocess.Process,
+        settings: dict[str, Any],
+    ) -> None:
+        self.process = process
+        self.front = f'http://{settings["listen"]["front"]}'
+        self.ready = f'http://{settings["listen"]["ready"]}'
+
+
+class Site:
+    """The platform around the system under test."""
+
+    def __init__(self, session: aiohttp.ClientSession, folder: Path) -> None:
+        self.store = MemoryRowStore()
+        self.store_app = StoreApp(self.store)
+        self.duties = DutyApp()
+        self.engines = [
+            SamplerApp(
+                f'engine-{number}',
+                event_count=EVENT_COUNT,
+                models=(MODEL,),
+                faults=deque(),
+            )
+            for number in range(2)
+        ]
+        self.plain = SamplerApp('plain-0', faults=deque())
+        self.session = session
+        self._folder = folder
+        self._addresses: dict[str, str] = {}
+
+    async def open(self, stack: contextlib.AsyncExitStack) -> None:
+        store = await stack.enter_async_context(_serve(self.store_app.app()))
+        duties = await stack.enter_async_context(_serve(self.duties.app()))
+        self._addresses = {'store': store, 'duties': duties}
+        for endpoint, service in self.endpoints():
+            address = await stack.enter_async_context(_serve(endpoint.app()))
+            self._addresses[endpoint.endpoint_id] = address
+            self.register(endpoint, service)
+        self.configure(self.configuration(version=2))
+
+    def endpoints(self) -> list[tuple[SamplerApp, str]]:
+        engines = [(engine, 'engines') for engine in self.engines]
+        return [*engines, (self.plain, 'plain')]
+
+    def register(self, endpoint: SamplerApp, service: str) -> None:
+        address = self._addresses[endpoint.endpoint_id]
+        entry = endpoint.entry(service, address, 'zone-a')
+        self.put('servers', endpoint.endpoint_id, entry)
+
+    def put(self, table: str, key: str, value: bytes | None) -> None:
+        self.store.apply([], [RowWrite(RowKey(table, '', key), value)])
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        self.put('op', 'config', msgspec.json.encode(configuration))
+
+    def name_version(self, version: int) -> None:
+        value = msgspec.json.encode({'model': MODEL, 'version': version})
+        self.put('op', f'version/{MODEL}', value)
+
+    def configuration(self, version: int) -> dict[str, Any]:
+        route = {
+            'host': HOST,
+            'timeoutMs': 3000,
+            'maxAttempts': 3,
+            'public': False,
+            'priority': 2,
+        }
+        return {
+            'version': version,
+            'routes': [
+                {
+                    **route,
+                    'name': 'safe',
+                    'prefix': '/safe/',
+                    'kind': 'safe',
+                    'service': 'plain',
+                },
+                {
+                    **route,
+                    'name': 'unsafe',
+                    'prefix': '/unsafe/',
+                    'kind': 'unsafe',
+                    'service': 'plain',
+                },
+                {
+                    **route,
+                    'name': 'score',
+                    'prefix': '/score/',
+                    'kind': 'safe',
+                    'service': 'plain',
+                    'public': True,
+                },
+                {
+                    **route,
+                    'name': 'stream',
+                    'prefix': '/stream/',
+                    'kind': 'streaming',
+                    'service': 'engines',
+                },
+                {
+                    **route,
+                    'name': 'jobs',
+                    'prefix': '/jobs/',
+                    'kind': 'rollout',
+                    'service': 'engines',
+                    'dueMs': 5000,
+                    'queueTtlS': 20,
+                },
+            ],
+            'services': [
+                {'name': 'plain'},
+                {'name': 'engines', 'engine': {'slots': 8}},
+            ],
+            'limits': {'maxBodyBytes': 4_000_000},
+            'tenants': [{'name': ACCOUNT, 'apiKeys': [KEY]}],
+        }
+
+    def settings(self, name: str) -> dict[str, Any]:
+        return {
+            'node': name,
+            'zone': 'zone-a',
+            'region': 'region-a',
+            'zones': {'zone-a': 'region-a'},
+            'ip': '127.0.0.1',
+            'listen': {
+                'front': f'127.0.0.1:{free_port()}',
+                'ready': f'127.0.0.1:{free_port()}',
+            },
+            'platform': {'address': self._addresses['store']},
+            'cloud': {
+                'address': self._addresses['duties'],
+                'duties': ['usage'],
+            },
+            'bounds': {'leaseMs': 1500, 'reportWindowS': 1, 'graceS': 4},
+        }
+
+    @contextlib.asynccontextmanager
+    async def node(self, name: str) -> AsyncIterator[Node]:
+        settings = self.settings(name)
+        process = PlatformProcess(
+            msgspec.convert(settings, ProcessSettings),
+            ProcessIdentity(
+                process_id=ids.ProcessId(name),
+                incarnation=ids.Incarnation(uuid.uuid4().hex),
+                address='127.0.0.1',
+            ),
+            Metrics(),
+            LogBuffer(1, lambda: None),
+        )
+        async with running(process):
+            node = Node(process, settings)
+            await self.wait_ready(node)
+            yield node
+
+    @contextlib.asynccontextmanager
+    async def spawned(self, name: str) -> AsyncIterator[SpawnedNode]:
+        """Run a process of its own; it is killed at the end."""
+        settings = self.settings(name)
+        path = self._folder / f'{name}.json'
+        path.write_bytes(msgspec.json.encode(settings))
+        with (self._folder / f'{name}.log').open('wb') as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'dogwoodpost.platform',
+                env={**os.environ, 'DOGWOODPOST_BOOT': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        try:
+            node = SpawnedNode(process, settings)
+            await self.wait_ready(node)
+            yield node
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    async def wait_ready(self, node: Node | SpawnedNode) -> None:
+        for _ in range(200):
+            try:
+                async with self.session.get(
+                    f'{node.ready}/api/readyz'
+                ) as response:
+                    if response.status == 200:
+                        break
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
+        else:
+            raise AssertionError('the process is not ready')
+
+    async def send(
+        self,
+        node: Node | SpawnedNode,
+        path: str,
+        *,
+        method: str = 'POST',
+        body: bytes = b'',
+        request_id: str | None = None,
+        key: str | None = KEY,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        sent = {
+            'Host': HOST,
+            'X-Request-Id': request_id or uuid.uuid4().hex,
+            'X-Deadline-Ms': '3000',
+            **(headers or {}),
+        }
+        if key is not None:
+            sent['Authorization'] = f'Bearer {key}'
+        async with self.session.request(
+            method,
+            yarl.URL(node.front + path, encoded=True),
+            data=body or None,
+            headers=sent,
+        ) as response:
+            return (
+                response.status,
+                dict(response.headers),
+                (await response.read()),
+            )
+
+    def job(self, item_count: int, min_version: int = 1) -> dict[str, Any]:
+        return {
+            'step': 1,
+            'model': MODEL,
+            'minVersion': min_version,
+            'desired': 1,
+            'requests': [
+                {
+                    'id': f'item-{number}-{uuid.uuid4().hex[:6]}',
+                    'path': f'/jobs/1/{number}',
+                    'headers': {'X-Model': MODEL, 'X-Length-Hint': '20'},
+                    'body': b'prompt',
+                    'tokens': 40,
+                    'group': 'group-1',
+                    'scorer': {
+                        'id': f'score-{number}-{uuid.uuid4().hex[:6]}',
+                        'host': HOST,
+                        'path': f'/score/{number}',
+                        'body': b'rate this',
+                    },
+                }
+                for number in range(item_count)
+            ],
+        }
+
+    async def submit(
+        self, node: Node | SpawnedNode, job: dict[str, Any], job_id: str
+    ) -> int:
+        status, _, _ = await self.send(
+            node,
+            f'/jobs/{job_id}',
+            body=msgspec.json.encode(job),
+            request_id=job_id,
+        )
+        return status
+
+    async def results(
+        self,
+        node: Node | SpawnedNode,
+        job_id: str,
+        count: int,
+        timeout_s: float = 8.0,
+    ) -> list[dict[str, Any]]:
+        """Read until a number of results is listed."""
+        found: list[dict[str, Any]] = []
+        async with asyncio.timeout(timeout_s):
+            while len(found) < count:
+                status, _, body = await self.send(
+                    node,
+                    f'/api/lots/{job_id}?after={len(found)}',
+                    method='GET',
+                    headers={'X-Wait-Ms': '500'},
+                )
+                if status == 200:
+                    page = msgspec.json.decode(body)
+                    assert page['next'] == len(found) + len(page['results'])
+                    found += page['results']
+                else:
+                    await asyncio.sleep(0.1)
+        return found
+
+
+@contextlib.asynccontextmanager
+async def _serve(app: web.Application) -> AsyncIterator[str]:
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        host, port = runner.addresses[0][:2]
+        yield f'{host}:{port}'
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/tests/platform/test_platform_path.py
@@ -0,0 +1,231 @@
+"""The whole path on the platform, against stand-ins of its services."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from dogwoodpost.standins.site.sampler_app import SamplerFault
+from tests.platform.platform_site import ACCOUNT
+from tests.platform.platform_site import EVENT_COUNT
+from tests.platform.platform_site import KEY
+
+if TYPE_CHECKING:
+    from tests.platform.platform_site import Site
+
+TEXT = '\n'.join(f'piece {number}' for number in range(EVENT_COUNT))
+
+
+async def test_request_reaches_its_endpoint_for_its_account(
+    site: Site,
+) -> None:
+    """Guards against keys at endpoints and accounts that clients choose."""
+    async with site.node('node-1') as node:
+        status, headers, body = await site.send(
+            node,
+            '/safe/a?x=1%2F2',
+            body=b'hello',
+            request_id='r-1',
+            headers={'X-Tenant': 'somebody-else', 'X-Custom': 'kept'},
+        )
+    assert (status, body) == (200, b'echo:hello')
+    assert headers['X-Response-Signature'] == 'signed-r-1'
+    seen = site.plain.seen[0]
+    assert seen.path == '/safe/a?x=1%2F2'
+    assert seen.headers['X-Tenant'] == ACCOUNT
+    assert seen.headers['X-Custom'] == 'kept'
+    assert seen.headers['X-Expect-Instance'] == 'plain-0'
+    assert 0 < int(seen.headers['X-Deadline-Ms']) <= 3000
+    assert KEY not in str(seen.headers)
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [
+        ('/safe/a', 'unknown-key', 401),
+        ('/safe/a', None, 401),
+        ('/nowhere/a', KEY, 404),
+        ('/score/a', None, 200),
+    ],
+)
+async def test_configuration_decides_on_access(
+    site: Site, path: str, key: str | None, status: int
+) -> None:
+    """Guards against requests without a route or a key that reach work."""
+    async with site.node('node-1') as node:
+        answer = await site.send(node, path, key=key)
+    assert answer[0] == status
+    assert len(site.plain.seen) == (status == 200)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'safe', 'unsafe', 'unsafe_runs'),
+    [
+        (SamplerFault.FULL, 200, 200, 1),
+        (SamplerFault.RESET, 200, 502, 1),
+        (SamplerFault.FAIL, 200, 500, 1),
+        (SamplerFault.OTHER_RESPONSE, 200, 502, 1),
+    ],
+)
+async def test_faults_of_an_endpoint(
+    site: Site,
+    fault: SamplerFault,
+    safe: int,
+    unsafe: int,
+    unsafe_runs: int,
+) -> None:
+    """Guards against second runs of requests that may run only once."""
+    async with site.node('node-1') as node:
+        site.plain.faults.append(fault)
+        answer = await site.send(node, '/safe/a')
+        assert answer[0] == safe
+        site.plain.faults.append(fault)
+        answer = await site.send(node, '/unsafe/a', request_id='once')
+    assert answer[0] == unsafe
+    assert site.plain.runs['once'] == unsafe_runs
+
+
+async def test_late_address_of_another_endpoint_is_refused(
+    site: Site,
+) -> None:
+    """Guards against work for one service at an endpoint of another."""
+    site.plain.endpoint_id = 'successor'
+    async with site.node('node-1') as node:
+        status, _, _ = await site.send(node, '/unsafe/a')
+    assert status == 503
+    assert site.plain.seen == []
+
+
+async def test_removed_key_and_route_stop(site: Site) -> None:
+    """Guards against configurations that are applied late or not at all."""
+    async with site.node('node-1') as node:
+        assert (await site.send(node, '/safe/a'))[0] == 200
+        changed = site.configuration(version=5)
+        changed['tenants'] = [{'name': ACCOUNT, 'apiKeys': ['another']}]
+        site.configure(changed)
+        await asyncio.sleep(0.6)
+        assert (await site.send(node, '/safe/a'))[0] == 401
+        # An older version never comes back into force.
+        site.configure(site.configuration(version=4))
+        await asyncio.sleep(0.6)
+        assert (await site.send(node, '/safe/a'))[0] == 401
+
+
+async def test_batch_job_is_run_scored_and_listed(site: Site) -> None:
+    """Guards against lost, repeated or unscored results."""
+    job = site.job(item_count=5)
+    async with site.node('node-1') as one, site.node('node-2') as two:
+        assert await site.submit(one, job, 'job-1') == 202
+        assert await site.submit(two, job, 'job-1') == 202
+        results = await site.results(two, 'job-1', 5)
+        again = await site.results(one, 'job-1', 5)
+    assert results == again
+    assert sorted(one['id'] for one in results) == sorted(
+        one['id'] for one in job['requests']
+    )
+    scorers = {one['id']: one['scorer']['id'] for one in job['requests']}
+    for result in results:
+        assert result['state'] == 'completed'
+        assert result['text'] == TEXT
+        assert result['versions'] == [1]
+        assert result['score'] == f'signed-{scorers[result["id"]]}'
+    runs = sum(
+        (engine.runs for engine in site.engines),
+        start=type(site.engines[0].runs)(),
+    )
+    assert set(runs.values()) == {1}
+
+
+@pytest.mark.parametrize(
+    ('fault', 'state'),
+    [
+        (SamplerFault.CUT_STREAM, 'completed'),
+        (SamplerFault.RESET, 'completed'),
+        (SamplerFault.FULL, 'completed'),
+        (SamplerFault.FAIL, 'completed'),
+        (SamplerFault.NEVER, 'errored'),
+    ],
+)
+async def test_item_survives_faults_of_its_engine(
+    site: Site, fault: SamplerFault, state: str
+) -> None:
+    """Guards against texts with a gap, a repeat or a false end."""
+    for engine in site.engines:
+        engine.faults.append(fault)
+    async with site.node('node-1') as node:
+        await site.submit(node, site.job(item_count=1), 'job-1')
+        results = await site.results(node, 'job-1', 1)
+    assert results[0]['state'] == state
+    assert results[0]['text'] == (TEXT if state == 'completed' else '')
+
+
+async def test_bodies_and_end_of_a_job(site: Site) -> None:
+    """Guards against work that goes on after a job's end."""
+    for engine in site.engines:
+        engine.faults.extend([SamplerFault.SILENT] * 4)
+    job = site.job(item_count=2)
+    item_id = job['requests'][0]['id']
+    async with site.node('node-1') as node:
+        await site.submit(node, job, 'job-1')
+        body = await site.send(
+            node, f'/api/items/job-1?id={item_id}', method='GET'
+        )
+        assert (body[0], body[2]) == (200, b'prompt')
+        missing = await site.send(node, '/api/items/none?id=x', method='GET')
+        assert missing[0] == 404
+        for _ in range(2):
+            end = await site.send(node, '/api/lots/job-1', method='DELETE')
+            assert end[0] == 200
+        page = await site.send(
+            node,
+            '/api/lots/job-1?after=0',
+            method='GET',
+            headers={'X-Wait-Ms': '5000'},
+        )
+        assert msgspec.json.decode(page[2])['results'] == []
+        assert node.process.running_item_count == 0
+
+
+async def test_other_accounts_see_no_job(site: Site) -> None:
+    """Guards against results for another client account."""
+    changed = site.configuration(version=3)
+    changed['tenants'].append({'name': 'others', 'apiKeys': ['other-key']})
+    site.configure(changed)
+    async with site.node('node-1') as node:
+        await site.submit(node, site.job(item_count=1), 'job-1')
+        answer = await site.send(
+            node, '/api/lots/job-1?after=0', method='GET', key='other-key'
+        )
+    assert answer[0] == 404
+
+
+async def test_named_version_is_ordered_once(site: Site) -> None:
+    """Guards against versions that are not loaded, or loaded twice."""
+    async with site.node('node-1') as node, site.node('node-2'):
+        for version in (2, 3):
+            site.name_version(version)
+            await asyncio.sleep(1.6)
+        await site.submit(node, site.job(item_count=2, min_version=3), 'job-1')
+        results = await site.results(node, 'job-1', 2)
+    assert {tuple(result['versions']) for result in results} == {(3,)}
+    for engine in site.engines:
+        ordered = [order.version for order in engine.orders]
+        assert ordered == sorted(set(ordered))
+        assert [order.expected for order in engine.orders] == list(
+            range(len(engine.orders))
+        )
+
+
+async def test_usage_is_reported_once_per_window(site: Site) -> None:
+    """Guards against windows that are reported twice or not at all."""
+    async with site.node('node-1') as one, site.node('node-2') as two:
+        for node in (one, two, one):
+            assert (await site.send(node, '/safe/a'))[0] == 200
+        await asyncio.sleep(8.0)
+    windows = [call.window for call in site.duties.calls]
+    assert len(windows) == len(set(windows))
+    total = sum(call.counts.get(ACCOUNT, 0) for call in site.duties.calls)
+    assert total == 3
