--- /dev/null
+++ b/tests/core/batches/test_item_text.py
@@ -0,0 +1,73 @@
+"""Texts that are put together from several runs."""
+
+from __future__ import annotations
+
+import pytest
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.batches import ItemText
+from dogwoodpost.core.batches import StreamEvent
+from dogwoodpost.errors import EndpointError
+
+
+def event(number: int, version: int | None = None) -> StreamEvent:
+    return StreamEvent(
+        event_id=number,
+        data=f'piece {number}',
+        weight_version=None if version is None else ids.WeightVersion(version),
+    )
+
+
+@pytest.fixture
+def text() -> ItemText:
+    text = ItemText()
+    text.begin_run(ids.WeightVersion(3))
+    return text
+
+
+def test_runs_join_and_versions_follow_their_events(text: ItemText) -> None:
+    """Guards against versions as the sender assumes them."""
+    text.add(event(0))
+    text.add(event(1, version=4))
+    text.begin_run(ids.WeightVersion(5))
+    text.add(event(2))
+    assert text.text() == 'piece 0\npiece 1\npiece 2'
+    assert text.versions() == (3, 4, 5)
+    assert text.last_event_id == 2
+
+
+@pytest.mark.parametrize('number', [0, 2, 7])
+def test_events_without_their_predecessor_are_refused(
+    text: ItemText, number: int
+) -> None:
+    """Guards against texts with a gap or a repeat."""
+    text.add(event(0))
+    with pytest.raises(EndpointError):
+        text.add(event(number))
+
+
+def test_first_event_may_have_any_id(text: ItemText) -> None:
+    """Guards against an assumption on where engines begin to count."""
+    text.add(event(1))
+    text.add(event(2))
+    assert text.event_count == 2
+
+
+@pytest.mark.parametrize(
+    ('min_version', 'single', 'fits'),
+    [
+        (None, False, True),
+        (3, False, True),
+        (4, False, False),
+        (None, True, False),
+        (3, True, False),
+    ],
+)
+def test_versions_decide_whether_a_text_fits(
+    text: ItemText, min_version: int | None, single: bool, fits: bool
+) -> None:
+    """Guards against samples older than the trainer's bound."""
+    text.add(event(0))
+    text.add(event(1, version=4))
+    bound = None if min_version is None else ids.WeightVersion(min_version)
+    assert text.fits(bound, single_version=single) is fits
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,171 @@
+"""Input of other writers, decoded once."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.configuration import RouteKind
+from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import SettingsError
+from dogwoodpost.platform.configuration_rows import OperatorRows
+from dogwoodpost.platform.endpoint_rows import EndpointRows
+from dogwoodpost.platform.event_stream import EventDecoder
+from dogwoodpost.platform.settings import load_settings
+from dogwoodpost.ports.row_store import RowKey
+from dogwoodpost.ports.row_store import VersionedRow
+from dogwoodpost.services.control.named_versions import NamedVersions
+from dogwoodpost.standins.virtual_clock import VirtualClock
+from tests.core.membership.test_endpoint_registry import FakeListener
+
+ENTRY = {
+    'service': 'engines',
+    'address': '127.0.0.1:80',
+    'zone': 'zone-a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'sequence': 5,
+    'born': 100,
+    'models': [{'name': 'm', 'version': 2, 'adapters': []}],
+}
+
+
+def row(table: str, key: str, value: object, version: int) -> VersionedRow:
+    data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+    return VersionedRow(RowKey(table, '', key), data, version)
+
+
+@pytest.fixture
+def listener() -> FakeListener:
+    return FakeListener()
+
+
+@pytest.fixture
+def entries(listener: FakeListener) -> EndpointRows:
+    return EndpointRows(EndpointRegistry(listener), {'zone-a': 'region-a'})
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        b'not json',
+        b'\xff\xfe',
+        {},
+        {**ENTRY, 'slots': 'many'},
+        {**ENTRY, 'address': None},
+        {**ENTRY, 'state': 'resting'},
+        {**ENTRY, 'models': [{'name': 'm'}]},
+    ],
+)
+def test_unusable_entries_name_no_endpoint(
+    entries: EndpointRows, listener: FakeListener, broken: object
+) -> None:
+    """Guards against entries of other writers that stop the others."""
+    entries.apply(
+        [row('servers', 'a', broken, 1), row('servers', 'b', ENTRY, 2)], 0.0
+    )
+    assert list(listener.known) == ['b']
+
+
+def test_an_old_entry_does_not_replace_a_newer_one(
+    entries: EndpointRows, listener: FakeListener
+) -> None:
+    """Guards against a draining endpoint that becomes ready again."""
+    draining = {**ENTRY, 'state': 'draining', 'sequence': 6}
+    entries.apply([row('servers', 'a', draining, 1)], 0.0)
+    entries.apply([row('servers', 'a', ENTRY, 2)], 0.0)
+    assert listener.known[ids.EndpointId('a')].draining
+    restarted = {**ENTRY, 'born': 200, 'sequence': 1}
+    entries.apply([row('servers', 'a', restarted, 3)], 0.0)
+    assert not listener.known[ids.EndpointId('a')].draining
+
+
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'route_kind', 'idempotent'),
+    [
+        ('safe', False, RouteKind.REQUEST, True),
+        ('unsafe', False, RouteKind.REQUEST, False),
+        ('unheard-of', False, RouteKind.REQUEST, False),
+        ('streaming', False, RouteKind.STREAM, False),
+        ('streaming', True, RouteKind.STREAM, True),
+        ('rollout', False, RouteKind.BATCH, False),
+    ],
+)
+def test_kinds_of_route(
+    kind: str, resumable: bool, route_kind: RouteKind, idempotent: bool
+) -> None:
+    """Guards against repeats of what may run only once."""
+    source = OperatorRows(NamedVersions(), VirtualClock(), max_age_s=None)
+    route = {
+        'name': 'r',
+        'host': 'h',
+        'prefix': '/p/',
+        'kind': kind,
+        'service': 's',
+        'resumable': resumable,
+        'unknownField': 1,
+    }
+    configuration = {
+        'version': 3,
+        'routes': [route],
+        'services': [{'name': 's'}],
+        'tenants': [{'name': 't', 'apiKeys': ['k']}],
+    }
+    source.apply([row('op', 'config', configuration, 1)], 0.0)
+    decoded = source.current().routes[ids.RouteName('r')]
+    assert (decoded.kind, decoded.idempotent) == (route_kind, idempotent)
+    assert not decoded.open_to_all
+
+
+def test_an_unreadable_configuration_keeps_the_one_in_force() -> None:
+    """Guards against a bad write that takes all routes away."""
+    source = OperatorRows(NamedVersions(), VirtualClock(), max_age_s=None)
+    source.apply([row('op', 'config', {'version': 3}, 1)], 0.0)
+    source.apply([row('op', 'config', b'{', 2)], 0.0)
+    source.apply([row('op', 'config', {'version': 2}, 3)], 0.0)
+    assert source.current().revision == 3
+
+
+def test_events_arrive_in_any_pieces() -> None:
+    """Guards against events that are cut by the network."""
+    data = b'x-weight-versions: 7\nid: 1\ndata: a\ndata: b\n\nid: 2\n\n'
+    whole = EventDecoder().feed(data)
+    decoder = EventDecoder()
+    single = [
+        event
+        for number in range(len(data))
+        for event in decoder.feed(data[number : number + 1])
+    ]
+    assert single == whole
+    assert [event.event_id for event in whole] == [1, 2]
+    assert whole[0].data == 'a\nb'
+    assert whole[0].weight_version == 7
+
+
+@pytest.mark.parametrize('data', [b'id: x\n\n', b'data: a\n\n'])
+def test_what_is_no_event_is_refused(data: bytes) -> None:
+    """Guards against texts from bytes that an engine spoiled."""
+    with pytest.raises(EndpointError):
+        EventDecoder().feed(data)
+
+
+def test_a_stream_may_not_end_inside_an_event() -> None:
+    """Guards against a cut stream that looks complete."""
+    decoder = EventDecoder()
+    decoder.feed(b'id: 1\ndata: a')
+    with pytest.raises(EndpointError):
+        decoder.finish()
+
+
+@pytest.mark.parametrize('text', ['', '{', '{"node": 1}', '[]'])
+def test_bad_settings_are_reported_with_their_place(
+    tmp_path_factory: pytest.TempPathFactory, text: str
+) -> None:
+    """Guards against processes that start with half of their settings."""
+    path = tmp_path_factory.mktemp('settings') / 'node.json'
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=str(path)):
+        load_settings(path)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import ast
+import re
+import subprocess
+import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -52,3 +55,48 @@
         assert module.split('.')[0] not in FORBIDDEN, module
         for outer in OUTER_PACKAGES:
             assert not module.startswith(f'dogwoodpost.{outer}'), module
+
+
+WIRE_NAMES = re.compile(
+    r'X-(Tenant|Duty-Holder|Expect-Instance|Not-Executed|Response-Signature)'
+    r'|X-(Token-Usage|Prompt-Prefix|Weight-Versions|Length-Hint|Wait-Ms)'
+    r'|rows-(tx|get|feed|parts)|blob-(put|get)|api/(lots|items|report|order)'
+    r'|kvTokenCapacity|weightedServices|queueTtlS|fencingToken|apiKeys'
+)
+TRANSLATING = ('platform', 'standins')
+
+
+def outside_modules() -> list[Path]:
+    return [
+        path
+        for path in sorted(ROOT.rglob('*.py'))
+        if path.relative_to(ROOT).parts[0] not in TRANSLATING
+    ]
+
+
+@pytest.mark.parametrize(
+    'path',
+    outside_modules(),
+    ids=lambda path: str(path.relative_to(ROOT)),
+)
+def test_only_one_folder_knows_the_platform(path: Path) -> None:
+    """Guards against names of the platform that spread over the product."""
+    assert WIRE_NAMES.search(path.read_text()) is None
+    for module in imported_modules(path):
+        assert not module.startswith('dogwoodpost.platform'), module
+
+
+def test_a_process_on_the_platform_imports_only_what_it_uses() -> None:
+    """Guards against start-up time and memory for unused libraries."""
+    program = (
+        'import sys, dogwoodpost.platform.launch as launch\n'
+        'print([name for name in sys.argv[1:] if name in sys.modules])'
+    )
+    unused = ['pydantic', 'grpclib', 'pynng', 'cyclopts', 'json5', 'google']
+    output = subprocess.run(
+        [sys.executable, '-c', program, *unused],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert output.stdout.strip() == '[]'
