Load the model first that the fewest endpoints serve

Ruled out: slots (under half were taken) and lost orders (all were accepted). Change: one plan over all models; the next load goes to the model with the fewest endpoints that can serve its newest step, and a version is loaded on the model's share of the fleet instead of on every outdated endpoint.

--- a/src/dogwoodpost/core/weights/staggered_loads.py
+++ b/src/dogwoodpost/core/weights/staggered_loads.py
@@ -2,39 +2,98 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.routing import Endpoint
+
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from dogwoodpost.core import ids
-    from dogwoodpost.core.routing import Endpoint
+# Loads slow one another beyond this share of the endpoints.
+_PARALLEL_SHARE = 0.4
+_MIN_PARALLEL_COUNT = 2
 
 
-def loads_for(
-    model: ids.ModelName,
-    version: ids.WeightVersion,
+class PlannedLoad(msgspec.Struct, frozen=True):
+    """A load of one model's version on one endpoint."""
+
+    endpoint: Endpoint
+    model: ids.ModelName
+    version: ids.WeightVersion
+
+
+def max_parallel_loads(endpoint_count: int) -> int:
+    """Return how many loads may run at once without slowing each other."""
+    share = round(endpoint_count * _PARALLEL_SHARE)
+    return max(share, _MIN_PARALLEL_COUNT)
+
+
+def plan_loads(
+    named: Mapping[ids.ModelName, ids.WeightVersion],
     endpoints: Sequence[Endpoint],
-) -> list[Endpoint]:
-    """Return the endpoints to load a version on, the most outdated first.
+) -> list[PlannedLoad]:
+    """Return the loads that are due, the most urgent first.
 
     A step that waits for version k also takes tokens of version k - 1, so an
-    endpoint at k - 1 goes on serving while others load k; it loads the
-    version after that. Each version therefore loads the endpoints that are
-    two or more versions behind, and at least half of all.
+    endpoint at k - 1 goes on serving while others load k. Each version is
+    loaded on the most outdated endpoints, as many as each model's share of
+    the fleet and at most half of it; about twice as many serve each step.
+
+    The next load always goes to the model with the fewest endpoints that can
+    serve its newest step: models whose versions come in quick succession
+    would otherwise hold up the others.
     """
+    live = [one for one in endpoints if not one.draining]
+    loads: list[PlannedLoad] = []
+    waiting = {
+        model: _due(model, version, live, len(named))
+        for model, version in named.items()
+    }
+    serving = {
+        model: _serving_count(model, version, live)
+        for model, version in named.items()
+    }
+    while any(waiting.values()):
+        model = min(
+            (one for one, due in waiting.items() if due),
+            key=lambda one: (serving[one], one),
+        )
+        endpoint = waiting[model].pop(0)
+        serving[model] += 1
+        loads.append(PlannedLoad(endpoint, model, named[model]))
+    return loads
+
+
+def _due(
+    model: ids.ModelName,
+    version: ids.WeightVersion,
+    endpoints: Sequence[Endpoint],
+    model_count: int,
+) -> list[Endpoint]:
+    """Return the endpoints to load a version on, the most outdated first."""
     known: list[tuple[int, str, Endpoint]] = []
     for endpoint in endpoints:
         current = endpoint.version_of(model)
-        if current is not None and not endpoint.draining:
+        if current is not None:
             known.append((current, endpoint.endpoint_id, endpoint))
     known.sort(key=lambda one: one[:2])
-    up_to_date = sum(one[0] >= version for one in known)
-    missing = len(known) // 2 - up_to_date
-    chosen: list[Endpoint] = []
-    for behind, _, endpoint in known:
-        if behind >= version:
-            continue
-        if behind <= version - 2 or len(chosen) < missing:
-            chosen.append(endpoint)
-    return chosen
+    share = math.ceil(len(known) / model_count)
+    wanted = max(min(share, len(known) // 2), 1)
+    wanted -= sum(one[0] >= version for one in known)
+    behind = [one[2] for one in known if one[0] < version]
+    return behind[: max(wanted, 0)]
+
+
+def _serving_count(
+    model: ids.ModelName,
+    version: ids.WeightVersion,
+    endpoints: Sequence[Endpoint],
+) -> int:
+    """Return how many endpoints can serve the step of a version."""
+    oldest = version - 1
+    return sum((one.version_of(model) or 0) >= oldest for one in endpoints)
--- a/src/dogwoodpost/services/control/weight_director.py
+++ b/src/dogwoodpost/services/control/weight_director.py
@@ -6,7 +6,8 @@
 
 import structlog
 
-from dogwoodpost.core.weights.staggered_loads import loads_for
+from dogwoodpost.core.weights.staggered_loads import max_parallel_loads
+from dogwoodpost.core.weights.staggered_loads import plan_loads
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.ports.endpoint_gateway import OrderOutcome
@@ -29,8 +30,6 @@
     from dogwoodpost.services.control.named_versions import NamedVersions
 
 _log = structlog.get_logger(__name__)
-# Loads slow one another beyond this number.
-MAX_PARALLEL_LOADS = 2
 _FIRST_LOOK_S = 0.85
 _LOOK_S = 0.15
 _LOAD_TIMEOUT_S = 5.0
@@ -82,15 +81,18 @@
         :raises LeaseLostError: the lease is lost.
         """
         self._guard.fencing_number()
-        for model, version in self._named.items():
-            for endpoint in loads_for(
-                model, version, self._registry.endpoints()
-            ):
-                if len(self._loading) >= MAX_PARALLEL_LOADS:
-                    return
-                if self._may_load(endpoint):
-                    self._loading.add(endpoint.endpoint_id)
-                    self._tasks.spawn(self._load(endpoint, model, version))
+        endpoints = [
+            one for one in self._registry.endpoints() if one.weight_versions
+        ]
+        limit = max_parallel_loads(len(endpoints))
+        for load in plan_loads(dict(self._named.items()), endpoints):
+            if len(self._loading) >= limit:
+                return
+            if self._may_load(load.endpoint):
+                self._loading.add(load.endpoint.endpoint_id)
+                self._tasks.spawn(
+                    self._load(load.endpoint, load.model, load.version)
+                )
 
     def _may_load(self, endpoint: Endpoint) -> bool:
         endpoint_id = endpoint.endpoint_id
