Take no jobs over while own heartbeats fail

Change: presence counts as contact only while own heartbeats are written; after a gap all others get their whole time again. Failed heartbeats are repeated after 0.3 s.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -224,7 +224,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send clients here."""
-        known = self._operator.is_known and self._presence.is_confirmed
+        known = self._operator.is_known and self._presence.has_started
         return known and not self._is_leaving
 
     def _compose_batches(
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -360,6 +360,7 @@
         if head.is_complete or not self._accepting:
             return False
         if not self._presence.is_confirmed:
+            self._orphaned_since_s.clear()
             return False
         if self._owns(head):
             return job_id not in self._workers
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -30,6 +30,9 @@
 _log = structlog.get_logger(__name__)
 TABLE = 'processes'
 HEARTBEAT_S = 0.8
+RETRY_S = 0.3
+# A heartbeat and one that is late.
+CONFIRMATION_AGE_S = 1.7
 # Two heartbeats may be lost.
 TIMEOUT_S = 2.6
 MAX_GAP_S = 2.2
@@ -57,13 +60,30 @@
         self._clock = clock
         self._sequence = 0
         self._version = 0
-        self._confirmed = False
+        self._confirmed_s: float | None = None
+        self._contact_since_s: float | None = None
         self._reported: frozenset[ids.EndpointId] = frozenset()
 
     @property
     def is_confirmed(self) -> bool:
-        """Return whether the others can know of this process."""
-        return self._confirmed
+        """Return whether the others can know that this process is alive.
+
+        While its own heartbeats fail, the store is as likely at fault as
+        the processes whose heartbeats are missing.
+        """
+        if self._confirmed_s is None:
+            return False
+        age_s = self._clock.monotonic_s() - self._confirmed_s
+        return age_s <= CONFIRMATION_AGE_S
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the others have ever known of this process."""
+        return self._confirmed_s is not None
+
+    def contact_since_s(self) -> float | None:
+        """Return since when heartbeats have been written, None if not now."""
+        return self._contact_since_s if self.is_confirmed else None
 
     def apply(self, rows: Sequence[VersionedRow], now_s: float) -> None:
         """Take changed rows."""
@@ -77,7 +97,8 @@
 
     def note_contact(self, now_s: float) -> None:
         """Note that all rows are known as of now."""
-        self.view.note_contact(now_s)
+        if self.is_confirmed:
+            self.view.note_contact(now_s)
 
     async def write_heartbeat(self) -> None:
         """Write this process's row once.
@@ -104,17 +125,26 @@
                     (row.version for row in error.rows if row.value), default=0
                 )
             else:
-                self._confirmed = True
+                self._confirm()
                 return
 
+    def _confirm(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if not self.is_confirmed:
+            self._contact_since_s = now_s
+            _log.info('presence_confirmed', version=self._version)
+        self._confirmed_s = now_s
+
     @mode.Service.task
     async def _beat(self) -> None:
         while not self.should_stop:
             try:
                 await self.write_heartbeat()
             except StoreError as error:
-                _log.debug('heartbeat_not_written', error=str(error))
-            await self._clock.sleep(HEARTBEAT_S)
+                _log.info('heartbeat_not_written', error=str(error))
+                await self._clock.sleep(RETRY_S)
+            else:
+                await self._clock.sleep(HEARTBEAT_S)
 
     def _take(self, row: VersionedRow, now_s: float) -> None:
         process_id = ids.ProcessId(row.key.key)
