Report usage in time while holders of the lease change

A stopping one took it again, since leases were released at the very end of a stop, and each new holder began the grace period of 3.5 s anew: window 5 to 10 s came after 20 s. Change: a stopping process releases its leases at once and takes none; the grace period counts from when the process itself has written its rows. It is 2.5 s: one write interval with jitter and one call that times out.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -85,8 +85,8 @@
 _WEIGHTS_INTERVAL_S = 0.1
 _USAGE_INTERVAL_S = 0.5
 _USAGE_WRITE_INTERVAL_S = 0.7
-# Two writes of each process and one call that times out.
-_USAGE_GRACE_S = 3.5
+# A write of each process with its jitter, and one call that times out.
+_USAGE_GRACE_S = 2.5
 # A lease lasts a little longer than the deployment asks for.
 _LEASE_FACTOR = 1.1
 _OPERATOR_PAUSE_S = 0.15
@@ -360,6 +360,7 @@
                 metrics=self._metrics,
                 window_s=int(self._settings.bounds.report_window_s),
                 grace_s=_USAGE_GRACE_S,
+                contact_since_s=self._presence.contact_since_s,
             )
             yield reporter.run_once
 
@@ -396,11 +397,13 @@
             started.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await started
-            await self._leases.stop()
+            if not self._is_leaving:
+                await self._leases.stop()
 
     async def _start_leases(self, delay_s: float) -> None:
         await self._clock.sleep(delay_s)
-        await self._leases.start()
+        if not self._is_leaving:
+            await self._leases.start()
 
     def _switch_mode(self) -> SwitchMode:
         """Return how running requests go through a change of weights.
@@ -445,6 +448,7 @@
         self._is_leaving = True
         self._presence.is_leaving = True
         self._ingress.closes_connections = True
+        release = asyncio.create_task(self._leases.stop())
         start_s = self._clock.monotonic_s()
         end_s = start_s + self._settings.bounds.grace_s - _EXIT_MARGIN_S
         while self._batches.running_count:
@@ -454,6 +458,7 @@
         await self._batches.hand_over()
         left_s = start_s + _LEAVE_S - self._clock.monotonic_s()
         await self._clock.sleep(max(left_s, 0.0))
+        await release
         left_s = end_s - self._clock.monotonic_s()
         if not await self._lifecycle.wait_idle(max(left_s, 0.1)):
             _log.warning('requests_cut_by_stop')
--- a/src/dogwoodpost/services/control/usage_reporter.py
+++ b/src/dogwoodpost/services/control/usage_reporter.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from dogwoodpost.observability import Metrics
@@ -48,6 +49,9 @@
     """Reports windows for one holding of the lease of shard ``usage``.
 
     A new reporter is made for each holding.
+
+    :param contact_since_s: since when the process has written its own rows;
+        without it, contact counts from the first run of this holding.
     """
 
     # Frozen rows stay for a week of windows of 60 s for operators.
@@ -64,7 +68,9 @@
         metrics: Metrics,
         window_s: int,
         grace_s: float = GRACE_S,
+        contact_since_s: Callable[[], float | None] | None = None,
     ) -> None:
+        self._process_contact_since_s = contact_since_s
         self.grace_s = grace_s
         self._guard = guard
         self._store = store
@@ -125,9 +131,16 @@
         return closed
 
     def _has_contact(self) -> bool:
-        if self._contact_since_s is None:
+        since_s = self._contact_since_s
+        if since_s is None:
             return False
-        contact_s = self._clock.monotonic_s() - self._contact_since_s
+        if self._process_contact_since_s is not None:
+            # The process may have been in contact for longer than it has
+            # held the lease.
+            since_s = self._process_contact_since_s()
+            if since_s is None:
+                return False
+        contact_s = self._clock.monotonic_s() - since_s
         return contact_s >= self.grace_s
 
     async def _finish(self, window: ids.UsageWindow) -> None:
--- a/tests/services/control/test_usage_reporter.py
+++ b/tests/services/control/test_usage_reporter.py
@@ -47,7 +47,9 @@
             metrics=Metrics(),
         )
 
-    async def reporter(self) -> UsageReporter:
+    async def reporter(
+        self, contact_since_s: float | None = None
+    ) -> UsageReporter:
         guard = await self.lease.take()
         assert guard is not None
         self.guard = guard
@@ -59,6 +61,9 @@
             rng=random.Random(1),
             metrics=Metrics(),
             window_s=WINDOW_S,
+            contact_since_s=(
+                None if contact_since_s is None else lambda: contact_since_s
+            ),
         )
 
     async def reporter_again(self) -> UsageReporter:
@@ -208,3 +213,31 @@
     assert world.reported(1) == UsageFigures(
         request_count=2, completion_tokens=8
     )
+
+
+async def test_successor_with_long_contact_closes_at_once() -> None:
+    """Guards against late windows where the holder changes time and again.
+
+    Seen on trouble-2 of Pizarra: each of five holders within 20 s began the
+    grace period anew, and a window was reported too late.
+    """
+    world = World()
+    entry = world.entry('a')
+    record(entry, 10)
+    await entry.flush()
+    await world.clock.advance(WINDOW_S + 20.0)
+    reporter = await world.reporter(contact_since_s=WINDOW_S)
+    await world.run(reporter, 1)
+    assert world.reported(0).completion_tokens == 10
+
+
+async def test_successor_with_short_contact_waits() -> None:
+    """Guards against a window that is closed before all have written."""
+    world = World()
+    entry = world.entry('a')
+    record(entry, 10)
+    await entry.flush()
+    await world.clock.advance(WINDOW_S + 20.0)
+    reporter = await world.reporter(contact_since_s=WINDOW_S + 15.0)
+    await world.run(reporter, 1)
+    assert world.book.by_window == {}
