--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -231,7 +231,7 @@
         if body is not None:
             headers['Content-Type'] = 'application/json'
         try:
-            async with self._fresh_session.request(
+            async with self._session.request(
                 method,
                 _url(endpoint, path),
                 data=body,
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -95,7 +95,9 @@
 _VERSION_PAUSE_S = 0.1
 _PRESENCE_PAUSE_S = 0.25
 _LOG_FLUSH_S = 0.1
-_POOL_KEEPALIVE_S = 4.0
+# Endpoints end idle connections earlier or later; a request that finds its
+# connection ended is repeated.
+_POOL_KEEPALIVE_S = 12.0
 _BODY_MEMORY_SHARE = 0.2
 _SHUTDOWN_TIMEOUT_S = 0.5
 # The balancer notices after two checks, a second apart; until then new
