Accept the empty rest of a finished stream

Change: such a run completes; an event without a known version is still refused, and runs that break without a new event pause.

--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -36,8 +36,11 @@
         self._versions.clear()
         self._last_id = None
 
-    def begin_run(self, version: ids.WeightVersion) -> None:
-        """Note the weight version that a run starts with."""
+    def begin_run(self, version: ids.WeightVersion | None) -> None:
+        """Note the weight version that a run starts with.
+
+        None where a run names none, because it has nothing left to generate.
+        """
         self._run_version = version
 
     def add(self, event: StreamEvent) -> None:
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -47,6 +47,10 @@
 _UNREACHABLE_PAUSE_S = 0.6
 _NO_ROUTE_PAUSE_S = 0.2
 _DEFAULT_EXPECTED_TOKENS = 1_000
+# Runs that break off without a new event are repeated at once only the first
+# time, so that a fault of all endpoints makes no busy loop.
+_BREAK_PAUSE_S = 0.1
+_MAX_BREAK_PAUSE_S = 1.0
 
 
 class _RunEnd(Enum):
@@ -74,6 +78,8 @@
         self._failure_count = 0
         self._move_count = 0
         self._run_count = 0
+        self._break_count = 0
+        self._break_event_count = 0
 
     async def run(self) -> ItemResult:
         """Return the item's result."""
@@ -139,8 +145,19 @@
             self._log_run(place, end, detail, start_s)
         if end is _RunEnd.FAILED:
             self._failure_count += 1
+        elif end is _RunEnd.BROKEN:
+            await self._pause_after_break()
         return end
 
+    async def _pause_after_break(self) -> None:
+        """Wait longer after each run that brought no new event."""
+        if self._text.event_count > self._break_event_count:
+            self._break_count = 0
+        self._break_event_count = self._text.event_count
+        pause_s = min(self._break_count * _BREAK_PAUSE_S, _MAX_BREAK_PAUSE_S)
+        self._break_count += 1
+        await self._context.clock.sleep(pause_s)
+
     async def _stream(self, place: Place, request: PlaceRequest) -> _RunEnd:
         """Receive one run of the item's stream."""
         if self._job.single_version or not self._fits():
@@ -175,6 +192,8 @@
                 async with asyncio.timeout(_SILENCE_S):
                     event = await anext(events)
             except StopAsyncIteration:
+                if not self._text.event_count:
+                    raise EndpointError('a stream without events') from None
                 return _RunEnd.COMPLETED
             except TimeoutError:
                 raise EndpointError(f'silent for {_SILENCE_S} s') from None
@@ -200,7 +219,9 @@
         """Return whether tokens of the reply's version may be used."""
         version = reply.weight_version
         if version is None:
-            raise EndpointError('the response names no weight version')
+            # All events were there before; a new event would be refused.
+            self._text.begin_run(None)
+            return True
         if self._job.model is not None:
             self._context.endpoints.note_versions(
                 place.endpoint.endpoint_id,
--- a/src/dogwoodpost/standins/site/sampler_app.py
+++ b/src/dogwoodpost/standins/site/sampler_app.py
@@ -26,6 +26,7 @@
     FAIL = 'fail'
     NEVER = 'never'
     CUT_STREAM = 'cut_stream'
+    CUT_AFTER_LAST_EVENT = 'cut_after_last_event'
     OTHER_RESPONSE = 'other_response'
     SILENT = 'silent'
 
@@ -168,15 +169,12 @@
     ) -> web.StreamResponse:
         model = request.headers.get('X-Model', '')
         version = self.versions.get(model, _BASE_VERSION)
-        response = web.StreamResponse(
-            headers={
-                **headers,
-                'Content-Type': 'text/event-stream',
-                'X-Weight-Versions': str(version),
-            }
-        )
-        await response.prepare(request)
         first = int(request.headers.get('Last-Event-Id', '-1')) + 1
+        headers = {**headers, 'Content-Type': 'text/event-stream'}
+        if first < self._event_count:
+            headers['X-Weight-Versions'] = str(version)
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
         for number in range(first, self._event_count):
             current = self.versions.get(model, _BASE_VERSION)
             change = ''
@@ -192,6 +190,8 @@
             if middle and fault is SamplerFault.SILENT:
                 await asyncio.sleep(30.0)
             await asyncio.sleep(_EVENT_GAP_S)
+        if fault is SamplerFault.CUT_AFTER_LAST_EVENT:
+            return _hang_up(request)
         return response
 
     def _models(self) -> list[dict[str, object]]:
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -143,6 +143,7 @@
     ('fault', 'state'),
     [
         (SamplerFault.CUT_STREAM, 'completed'),
+        (SamplerFault.CUT_AFTER_LAST_EVENT, 'completed'),
         (SamplerFault.RESET, 'completed'),
         (SamplerFault.FULL, 'completed'),
         (SamplerFault.FAIL, 'completed'),
