Go on from the saved text of groups that come again and of jobs taken over

Ruled out: places (none was full) and weights (no item waited for a version). Change: the texts of long items are saved every second, those of unread groups at the end of a job, one partition for each group; a job reads its groups before it starts. Versions decide whether a text still fits; a score is kept only for the same scorer request.

--- a/src/dogwoodpost/core/batches/__init__.py
+++ b/src/dogwoodpost/core/batches/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dogwoodpost.core.batches.item_progress import ItemProgress
 from dogwoodpost.core.batches.item_result import ItemResult
 from dogwoodpost.core.batches.item_result import ResultState
 from dogwoodpost.core.batches.item_text import ItemText
@@ -15,6 +16,7 @@
 __all__ = (
     'BatchItem',
     'BatchJob',
+    'ItemProgress',
     'ItemResult',
     'ItemText',
     'JobHead',
--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.batches.item_progress import ItemProgress
 from dogwoodpost.errors import EndpointError
 
 if TYPE_CHECKING:
@@ -60,6 +61,26 @@
         self._data.append(event.data)
         self._versions.append(self._run_version)
 
+    def progress(
+        self, item_id: ids.ItemId, *, is_complete: bool = False
+    ) -> ItemProgress | None:
+        """Return the events so far, None without any."""
+        if self._last_id is None:
+            return None
+        return ItemProgress(
+            item_id=item_id,
+            events=tuple(self._data),
+            versions=tuple(self._versions),
+            last_event_id=self._last_id,
+            is_complete=is_complete,
+        )
+
+    def restore(self, progress: ItemProgress) -> None:
+        """Go on from the events of earlier runs."""
+        self._data = list(progress.events)
+        self._versions = list(progress.versions)
+        self._last_id = progress.last_event_id
+
     def text(self) -> str:
         """Return the data of all events, separated by line feeds."""
         return '\n'.join(self._data)
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -43,6 +43,7 @@
 from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
 from dogwoodpost.services.batches.item_scorer import ItemScorer
 from dogwoodpost.services.batches.job_store import JobStore
+from dogwoodpost.services.batches.text_archive import TextArchive
 from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.control import endpoint_versions
 from dogwoodpost.services.control.endpoint_versions import EndpointVersions
@@ -248,6 +249,7 @@
                 self._clock,
                 self._rng,
             ),
+            archive=TextArchive(rows),
             gateway=gateway,
             dispatcher=dispatcher,
             pace=pace,
--- a/src/dogwoodpost/services/batches/batch_context.py
+++ b/src/dogwoodpost/services/batches/batch_context.py
@@ -16,6 +16,7 @@
     from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
     from dogwoodpost.services.batches.item_scorer import ItemScorer
     from dogwoodpost.services.batches.job_store import JobStore
+    from dogwoodpost.services.batches.text_archive import TextArchive
     from dogwoodpost.services.entry.route_finder import RouteFinder
 
 
@@ -27,6 +28,7 @@
         *,
         identity: ProcessIdentity,
         store: JobStore,
+        archive: TextArchive,
         gateway: EndpointGateway,
         dispatcher: ItemDispatcher,
         pace: EndpointEventPace,
@@ -39,6 +41,7 @@
     ) -> None:
         self.identity = identity
         self.store = store
+        self.archive = archive
         self.gateway = gateway
         self.dispatcher = dispatcher
         self.pace = pace
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -435,12 +435,20 @@
             return
         deadline_s = clock.monotonic_s() + _CLEAN_UP_TIMEOUT_S
         try:
+            await self._delete_texts(job_id)
             await self._context.store.delete(job_id, deadline_s)
         except StoreError as error:
             _log.info('job_not_deleted', job_id=job_id, error=str(error))
         else:
             _log.info('job_deleted', job_id=job_id)
 
+    async def _delete_texts(self, job_id: ids.JobId) -> None:
+        job = await self._context.store.load(job_id)
+        groups = {item.group_id for item in job.items} if job else set()
+        for group_id in groups:
+            if group_id is not None:
+                await self._context.archive.delete(group_id)
+
 
 def _unknown_job() -> RequestError:
     return RequestError(
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -8,6 +8,7 @@
 from typing import cast
 from typing import TYPE_CHECKING
 
+import msgspec
 import structlog
 
 from dogwoodpost.core import ids
@@ -27,6 +28,7 @@
 
     from dogwoodpost.core.batches import BatchItem
     from dogwoodpost.core.batches import BatchJob
+    from dogwoodpost.core.batches import ItemProgress
     from dogwoodpost.core.batches import StreamEvent
     from dogwoodpost.ports.endpoint_gateway import EndpointReply
     from dogwoodpost.services.batches.batch_context import BatchContext
@@ -69,12 +71,20 @@
     """State of one item at the process that runs its job."""
 
     def __init__(
-        self, context: BatchContext, job: BatchJob, item: BatchItem
+        self,
+        context: BatchContext,
+        job: BatchJob,
+        item: BatchItem,
+        earlier: ItemProgress | None = None,
     ) -> None:
         self._context = context
         self._job = job
         self._item = item
         self._text = ItemText()
+        self._is_text_complete = False
+        self._score: str | None = None
+        if earlier is not None:
+            self._restore(earlier)
         self._failure_count = 0
         self._move_count = 0
         self._run_count = 0
@@ -90,11 +100,52 @@
         except TimeoutError:
             return self._errored('lifetime_over')
 
+    @property
+    def item(self) -> BatchItem:
+        """Return the item."""
+        return self._item
+
+    @property
+    def event_count(self) -> int:
+        """Return the number of events so far."""
+        return self._text.event_count
+
+    def progress(self) -> ItemProgress | None:
+        """Return what another run can go on from, None without events."""
+        progress = self._text.progress(
+            self._item.item_id, is_complete=self._is_text_complete
+        )
+        scorer = self._item.scorer
+        if progress is None or scorer is None or self._score is None:
+            return progress
+        return msgspec.structs.replace(
+            progress, score=self._score, scorer_request_id=scorer.request_id
+        )
+
+    def _restore(self, earlier: ItemProgress) -> None:
+        """Go on from earlier runs, as far as their versions fit."""
+        self._text.restore(earlier)
+        if not self._fits():
+            self._text.clear()
+            return
+        self._is_text_complete = earlier.is_complete
+        scorer = self._item.scorer
+        if scorer and scorer.request_id == earlier.scorer_request_id:
+            self._score = earlier.score
+        _log.info(
+            'item_restored',
+            job_id=self._job.job_id,
+            item_id=self._item.item_id,
+            events=self._text.event_count,
+            complete=self._is_text_complete,
+            scored=self._score is not None,
+        )
+
     async def _run(self) -> ItemResult:
-        while True:
+        while not self._is_text_complete:
             end = await self._run_once()
             if end is _RunEnd.COMPLETED:
-                break
+                self._is_text_complete = True
             if end is _RunEnd.NEVER:
                 return self._errored('rejected_by_endpoint')
             if self._failure_count >= self._job.max_attempt_count:
@@ -102,10 +153,11 @@
         return await self._scored()
 
     async def _scored(self) -> ItemResult:
-        score: str | None = None
-        if self._item.scorer is not None:
+        if self._item.scorer is not None and self._score is None:
             try:
-                score = await self._context.scorer.score(self._item.scorer)
+                self._score = await self._context.scorer.score(
+                    self._item.scorer
+                )
             except ScoringFailedError:
                 return self._errored('scorer_failed')
         return ItemResult(
@@ -113,7 +165,7 @@
             state=ResultState.COMPLETED,
             text=self._text.text(),
             versions=self._text.versions(),
-            score=score,
+            score=self._score,
         )
 
     async def _run_once(self) -> _RunEnd:
--- a/src/dogwoodpost/services/batches/job_rows.py
+++ b/src/dogwoodpost/services/batches/job_rows.py
@@ -22,6 +22,8 @@
 # Heads have a table of their own, so that its feed stays small.
 HEAD_TABLE = 'job_heads'
 DATA_TABLE = 'job_data'
+# One partition for each group, whichever jobs it is part of.
+TEXT_TABLE = 'group_texts'
 HEAD_KEY = 'head'
 SPEC_PREFIX = 'spec'
 RESULT_PREFIX = 'result'
@@ -64,7 +66,10 @@
 
 
 def chunk_writes(
-    job_id: ids.JobId, prefix: str, value: msgspec.Struct
+    partition: str,
+    prefix: str,
+    value: msgspec.Struct,
+    table: str = DATA_TABLE,
 ) -> list[RowWrite]:
     """Return the rows of a value, each small enough for the store."""
     data = msgspec.msgpack.encode(value)
@@ -73,7 +78,7 @@
     for number, start in enumerate(starts):
         end = start + MAX_CHUNK_BYTES
         mark = _LAST if end >= len(data) else ''
-        key = RowKey(DATA_TABLE, job_id, f'{prefix}/{number:04d}{mark}')
+        key = RowKey(table, partition, f'{prefix}/{number:04d}{mark}')
         writes.append(RowWrite(key, data[start:end]))
     return writes
 
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from typing import Any
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,16 +22,24 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
     from collections.abc import Iterable
 
     from dogwoodpost.core.batches import BatchItem
     from dogwoodpost.core.batches import BatchJob
+    from dogwoodpost.core.batches import ItemProgress
     from dogwoodpost.core.batches import ItemResult
     from dogwoodpost.services.batches.batch_context import BatchContext
 
 _log = structlog.get_logger(__name__)
 _RETRY_PAUSE_S = 0.2
 _HAND_OVER_TIMEOUT_S = 0.8
+# Trainers read about twice a second.
+_READ_TIME_S = 1.5
+# An item of the usual length is done by then; what is lost with a process is
+# at most this much of the longer ones.
+_CHECKPOINT_INTERVAL_S = 1.0
+_CHECKPOINT_EVENT_COUNT = 20
 
 
 class JobWorker:
@@ -53,13 +62,18 @@
         self._context = context
         self._job = job
         self._stored = stored
-        self._listed = set(listed)
+        # When each item was listed, on the process's clock.
+        self._listed = dict.fromkeys(listed, -math.inf)
         self._on_listed = on_listed
         self._pending: list[ItemResult] = []
         self._wake = asyncio.Event()
         self._ended = asyncio.Event()
         self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._helpers: list[asyncio.Task[None]] = []
+        self._runs: dict[ids.ItemId, ItemRun] = {}
+        self._saved_counts: dict[ids.ItemId, int] = {}
+        self._archived: set[ids.GroupId] = set()
 
     @property
     def running_count(self) -> int:
@@ -69,23 +83,43 @@
     async def run(self) -> None:
         """Run until all items are listed, the job ends or moves away."""
         try:
-            for item in self._job.items:
-                if item.item_id not in self._listed:
-                    self._start(item)
-            while self._is_own() and not self._stored.head.is_complete:
-                await self._wake.wait()
-                self._wake.clear()
-                while self._pending and self._is_own():
-                    await self._list_some()
-                if self._is_leaving and not self._stored.head.is_complete:
-                    await self._write_hand_over()
-                    return
+            await self._start_items()
+            checkpoints = self._spawn(self._write_checkpoints())
+            await self._list_results()
+            checkpoints.cancel()
+            self._cancel_items()
+            await self._close()
         finally:
             self._ended.set()
-            for task in self._tasks:
-                task.cancel()
+            self._cancel_items()
+            for helper in self._helpers:
+                helper.cancel()
             self._log_end()
 
+    async def _list_results(self) -> None:
+        """List results until the job is complete or not run here."""
+        while self._is_own() and not self._stored.head.is_complete:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._pending and self._is_own():
+                await self._list_some()
+            if self._is_leaving:
+                return
+
+    async def _close(self) -> None:
+        """Leave behind what others may need, and nothing else."""
+        if self._stored.head.state is JobState.ENDED:
+            await self._archive_groups()
+        elif self._stored.head.is_complete:
+            await self._forget_groups(self._archived)
+        elif self._is_own():
+            await self._archive_groups()
+            await self._write_hand_over()
+
+    def _cancel_items(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
     def note_head(self, stored: StoredHead) -> None:
         """Take a head that this worker did not write."""
         if stored.version > self._stored.version and not self._is_kept(stored):
@@ -131,18 +165,108 @@
     def _is_own(self) -> bool:
         return self._is_kept(self._stored)
 
-    def _start(self, item: BatchItem) -> None:
-        task = asyncio.get_running_loop().create_task(self._run_item(item))
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
+    async def _start_items(self) -> None:
+        """Start the items, each from what is known of its text."""
+        groups: dict[ids.GroupId | None, list[BatchItem]] = {}
+        for item in self._job.items:
+            if item.item_id not in self._listed:
+                groups.setdefault(item.group_id, []).append(item)
+        await asyncio.gather(
+            *(self._start_group(one, items) for one, items in groups.items())
+        )
+
+    async def _start_group(
+        self, group_id: ids.GroupId | None, items: list[BatchItem]
+    ) -> None:
+        earlier: dict[ids.ItemId, ItemProgress] = {}
+        if group_id is not None:
+            earlier = await self._context.archive.load(group_id)
+        if earlier and group_id is not None:
+            self._archived.add(group_id)
+        for item in items:
+            run = ItemRun(
+                self._context, self._job, item, earlier.get(item.item_id)
+            )
+            self._runs[item.item_id] = run
+            self._saved_counts[item.item_id] = run.event_count
+            task = asyncio.get_running_loop().create_task(self._run_item(run))
+            self._tasks.add(task)
+            task.add_done_callback(self._finished)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._helpers.append(task)
+        return task
+
+    async def _write_checkpoints(self) -> None:
+        """Save the texts of long items now and then.
+
+        A process that takes the job over goes on from there: the longest
+        items decide when a step ends.
+        """
+        while True:
+            await self._context.clock.sleep(_CHECKPOINT_INTERVAL_S)
+            due: dict[ids.GroupId, list[ItemProgress]] = {}
+            for run in self._runs.values():
+                group_id = run.item.group_id
+                saved_count = self._saved_counts[run.item.item_id]
+                new_count = run.event_count - saved_count
+                if group_id is None or new_count < _CHECKPOINT_EVENT_COUNT:
+                    continue
+                progress = run.progress()
+                if run.item.item_id in self._listed or progress is None:
+                    continue
+                self._saved_counts[run.item.item_id] = run.event_count
+                due.setdefault(group_id, []).append(progress)
+            await self._save(due)
+
+    async def _archive_groups(self) -> None:
+        """Save the texts of groups that are run again elsewhere or later."""
+        due: dict[ids.GroupId, list[ItemProgress]] = {}
+        wanted = self._unread_groups()
+        for group_id in wanted:
+            for run in self._runs.values():
+                progress = run.progress()
+                if run.item.group_id == group_id and progress is not None:
+                    due.setdefault(group_id, []).append(progress)
+        await self._save(due)
+        _log.info(
+            'groups_archived',
+            job_id=self._job.job_id,
+            groups=len(due),
+            items=sum(len(one) for one in due.values()),
+        )
+        await self._forget_groups(self._archived - wanted)
+
+    async def _forget_groups(self, group_ids: set[ids.GroupId]) -> None:
+        """Delete the saved texts of groups that are done with."""
+        for group_id in group_ids:
+            await self._context.archive.delete(group_id)
+
+    def _unread_groups(self) -> set[ids.GroupId]:
+        """Return the groups that a trainer can't have read as a whole."""
+        read_by_s = self._context.clock.monotonic_s() - _READ_TIME_S
+        return {
+            item.group_id
+            for item in self._job.items
+            if item.group_id is not None
+            and self._listed.get(item.item_id, math.inf) > read_by_s
+        }
+
+    async def _save(self, due: dict[ids.GroupId, list[ItemProgress]]) -> None:
+        self._archived.update(due)
+        archive = self._context.archive
+        await asyncio.gather(
+            *(archive.save(group_id, one) for group_id, one in due.items())
+        )
 
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             _log.error('item_crashed', exc_info=task.exception())
 
-    async def _run_item(self, item: BatchItem) -> None:
-        result = await ItemRun(self._context, self._job, item).run()
+    async def _run_item(self, run: ItemRun) -> None:
+        result = await run.run()
         self._pending.append(result)
         self._wake.set()
 
@@ -173,10 +297,15 @@
             await self._context.clock.sleep(_RETRY_PAUSE_S)
             return
         del self._pending[: len(batch)]
-        self._listed.update(result.item_id for result in batch)
+        self._note_listed(batch)
         self._stored = StoredHead(new_head, version)
         self._on_listed(self._stored, batch)
 
+    def _note_listed(self, results: Iterable[ItemResult]) -> None:
+        now_s = self._context.clock.monotonic_s()
+        for result in results:
+            self._listed.setdefault(result.item_id, now_s)
+
     def _next_batch(self) -> list[ItemResult]:
         batch: list[ItemResult] = []
         total_bytes = 0
@@ -203,7 +332,7 @@
             )
             await self._context.clock.sleep(_RETRY_PAUSE_S)
             return
-        self._listed.update(result.item_id for result in results)
+        self._note_listed(results)
         self._pending = [
             result
             for result in self._pending
--- /dev/null
+++ b/src/dogwoodpost/services/batches/text_archive.py
@@ -0,0 +1,118 @@
+"""Texts of unfinished groups, for takeovers and for later jobs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from dogwoodpost.core.batches import ItemProgress
+from dogwoodpost.errors import StoreError
+from dogwoodpost.ports.row_store import RowWrite
+from dogwoodpost.services.batches import job_rows
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dogwoodpost.core import ids
+    from dogwoodpost.ports.row_store import RowStore
+    from dogwoodpost.ports.row_store import VersionedRow
+
+_log = structlog.get_logger(__name__)
+# A job's items start without their earlier text if it takes longer.
+_LOAD_TIMEOUT_S = 0.5
+# A transaction holds 100 entries and 1 MB, Base64 and JSON included.
+_MAX_ROW_COUNT = 80
+_MAX_BYTES = 600_000
+_MAX_PAGE_COUNT = 8
+
+
+class TextArchive:
+    """Keeps the progress of items by group.
+
+    Nothing depends on it but time: each progress is a true beginning of its
+    item's text, so that lost, late or repeated writes do no harm.
+    """
+
+    def __init__(self, rows: RowStore) -> None:
+        self._rows = rows
+
+    async def load(
+        self, group_id: ids.GroupId
+    ) -> dict[ids.ItemId, ItemProgress]:
+        """Return the progress of a group's items; empty after a failure."""
+        try:
+            async with asyncio.timeout(_LOAD_TIMEOUT_S):
+                rows = await self._read(group_id)
+            values = list(job_rows.joined_values(rows, ItemProgress))
+        except (TimeoutError, StoreError, msgspec.MsgspecError) as error:
+            _log.info(
+                'group_text_not_read', group_id=group_id, error=repr(error)
+            )
+            return {}
+        return {progress.item_id: progress for progress in values}
+
+    async def save(
+        self, group_id: ids.GroupId, progress: Sequence[ItemProgress]
+    ) -> None:
+        """Write the progress of some items of a group."""
+        batch: list[RowWrite] = []
+        size_bytes = 0
+        for one in progress:
+            writes = job_rows.chunk_writes(
+                group_id, one.item_id, one, job_rows.TEXT_TABLE
+            )
+            added_bytes = sum(len(write.value or b'') for write in writes)
+            full = len(batch) + len(writes) > _MAX_ROW_COUNT
+            if batch and (full or size_bytes + added_bytes > _MAX_BYTES):
+                await self._commit(group_id, batch)
+                batch = []
+                size_bytes = 0
+            batch += writes
+            size_bytes += added_bytes
+        if batch:
+            await self._commit(group_id, batch)
+
+    async def delete(self, group_id: ids.GroupId) -> None:
+        """Forget a group."""
+        try:
+            rows = await self._read(group_id)
+        except StoreError as error:
+            _log.info(
+                'group_text_not_deleted',
+                group_id=group_id,
+                error=str(error),
+            )
+            return
+        for start in range(0, len(rows), _MAX_ROW_COUNT):
+            part = rows[start : start + _MAX_ROW_COUNT]
+            await self._commit(
+                group_id, [RowWrite(row.key, None) for row in part]
+            )
+
+    async def _read(self, group_id: ids.GroupId) -> list[VersionedRow]:
+        rows: list[VersionedRow] = []
+        start = ''
+        for _ in range(_MAX_PAGE_COUNT):
+            page = await self._rows.read(
+                job_rows.TEXT_TABLE, group_id, start=start
+            )
+            rows += page.rows
+            if not page.truncated or not page.rows:
+                break
+            start = page.rows[-1].key.key + '\0'
+        return rows
+
+    async def _commit(
+        self, group_id: ids.GroupId, writes: Sequence[RowWrite]
+    ) -> None:
+        try:
+            await self._rows.commit([], writes)
+        except StoreError as error:
+            _log.info(
+                'group_text_not_written',
+                group_id=group_id,
+                error=str(error),
+            )
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -20,7 +20,7 @@
 @pytest.fixture(autouse=True)
 def quiet_logs() -> Iterator[None]:
     structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(50)
+        wrapper_class=structlog.make_filtering_bound_logger(20)
     )
     yield
     structlog.reset_defaults()
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -12,6 +12,7 @@
 from tests.platform.platform_site import ACCOUNT
 from tests.platform.platform_site import EVENT_COUNT
 from tests.platform.platform_site import KEY
+from tests.platform.platform_site import MODEL
 
 if TYPE_CHECKING:
     from tests.platform.platform_site import Site
@@ -230,3 +231,52 @@
     assert len(windows) == len(set(windows))
     total = sum(call.counts.get(ACCOUNT, 0) for call in site.duties.calls)
     assert total == 3
+
+
+async def test_groups_that_come_again_go_on_from_their_text(
+    site: Site,
+) -> None:
+    """Guards against trainers that wait twice for the same long items."""
+    for engine in site.engines:
+        engine.faults.extend([None, SamplerFault.SILENT] * 2)
+    job = site.job(item_count=4)
+    async with site.node('node-1') as one, site.node('node-2') as two:
+        await site.submit(one, job, 'job-1')
+        await site.results(one, 'job-1', 2)
+        await asyncio.sleep(0.2)
+        await site.send(two, '/api/lots/job-1', method='DELETE')
+        await asyncio.sleep(0.5)
+        for engine in site.engines:
+            engine.faults.clear()
+            engine.seen.clear()
+        await site.submit(two, job, 'job-2')
+        results = await site.results(two, 'job-2', 4)
+    assert {result['text'] for result in results} == {TEXT}
+    runs = [request for engine in site.engines for request in engine.seen]
+    after = [
+        value
+        for run in runs
+        for name, value in run.headers.items()
+        if name.lower() == 'last-event-id'
+    ]
+    assert after == [str(EVENT_COUNT // 2)] * 2
+
+
+async def test_old_text_is_not_used_where_it_is_too_old(site: Site) -> None:
+    """Guards against samples older than the trainer's bound."""
+    for engine in site.engines:
+        engine.faults.extend([SamplerFault.SILENT] * 2)
+    job = site.job(item_count=2)
+    async with site.node('node-1') as node:
+        await site.submit(node, job, 'job-1')
+        await asyncio.sleep(0.3)
+        await site.send(node, '/api/lots/job-1', method='DELETE')
+        for engine in site.engines:
+            engine.faults.clear()
+            engine.versions = {MODEL: 2}
+            site.register(engine, 'engines')
+        job['minVersion'] = 2
+        await site.submit(node, job, 'job-2')
+        results = await site.results(node, 'job-2', 2)
+    assert [result['versions'] for result in results] == [[2], [2]]
+    assert {result['text'] for result in results} == {TEXT}
