Let a restarted holder go on with its lease at once

Change: processes observe from their start; a process whose earlier incarnation holds the lease goes on at once, because that one has ended for certain and both count as one holder.

--- a/src/dogwoodpost/core/leases/lease.py
+++ b/src/dogwoodpost/core/leases/lease.py
@@ -63,6 +63,7 @@
     duration_s: float
     released: bool
     first_seen_s: float
+    held_by_predecessor: bool = False
 
 
 class Lease:
@@ -70,7 +71,9 @@
 
     Times are seconds of the process's ``CLOCK_BOOTTIME``. ``take_delay_s`` is
     an extra wait before a takeover, so that the leases spread over the
-    processes; it may change at any time.
+    processes; it may change at any time. ``take_not_before_s`` keeps a process
+    that has just started from taking turns with the one that has replaced its
+    earlier incarnation.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self._incarnation = incarnation
         self._terms = terms
         self.take_delay_s = 0.0
+        self.take_not_before_s = float('-inf')
         self._held: _Held | None = None
         self._observed: _Observed | None = None
         self._last_tick_s: float | None = None
@@ -170,8 +174,10 @@
             return
         record = msgspec.json.decode(renewal.value, type=RenewalRecord)
         fence = rows.get(fence_key(self.shard))
+        held_by_predecessor = False
         if fence is not None:
             fence_version = fence.version
+            held_by_predecessor = self._is_predecessor(fence)
         elif previous and previous.fencing_number == record.fencing_number:
             fence_version = previous.fence_version
         else:
@@ -185,6 +191,7 @@
             record.duration_s,
             record.released,
             read_end_s,
+            held_by_predecessor,
         )
 
     def next_action(self, now_s: float) -> LeaseAction:
@@ -194,7 +201,8 @@
             is_due = now_s >= due_s or now_s >= self.acts_until_s()
             return LeaseAction.RENEW if is_due else LeaseAction.WAIT
         if self._observed is not None and now_s >= self._take_at_s():
-            return LeaseAction.TAKE
+            if now_s >= self.take_not_before_s or self._may_continue():
+                return LeaseAction.TAKE
         return LeaseAction.READ
 
     def take(
@@ -291,10 +299,26 @@
         observed = self._observed
         assert observed is not None
         wait_s = 0.0
+        if self._may_continue():
+            return observed.first_seen_s
         if not observed.released:
             wait_s = self._terms.successor_wait_s(observed.duration_s)
         return observed.first_seen_s + wait_s + self.take_delay_s
 
+    def _may_continue(self) -> bool:
+        """Return whether an earlier incarnation of this process holds it.
+
+        That one has ended for certain, so nobody can act beside this one.
+        """
+        return self._observed is not None and (
+            self._observed.held_by_predecessor
+        )
+
+    def _is_predecessor(self, fence: Row) -> bool:
+        record = msgspec.json.decode(fence.value, type=FenceRecord)
+        same_process = record.holder == self._process_id
+        return same_process and record.incarnation != self._incarnation
+
     def _renewal_write(
         self,
         number: ids.FencingNumber,
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import signal
 from contextlib import asynccontextmanager
@@ -316,8 +315,11 @@
             process_id=self._identity.process_id,
             incarnation=self._identity.incarnation,
             terms=terms,
+            # Two incarnations on one host count as one holder, which must
+            # not act again so soon after another host has acted.
+            first_take_delay_s=terms.duration_s,
         )
-        await self.open_part(self._delayed_leases(terms.duration_s))
+        await self.open_part(self._running_leases())
         weights = self._leases.guard(_WEIGHTS_SHARD)
 
         @asynccontextmanager
@@ -388,27 +390,15 @@
         )
 
     @asynccontextmanager
-    async def _delayed_leases(self, delay_s: float) -> AsyncIterator[None]:
-        """Hold leases only after an earlier incarnation's have run out.
-
-        Two incarnations on one host count as one holder, which must not act
-        again so soon after another host has acted.
-        """
-        started = asyncio.create_task(self._start_leases(delay_s))
+    async def _running_leases(self) -> AsyncIterator[None]:
+        """Keep leases; a planned stop has released them before the end."""
+        await self._leases.start()
         try:
             yield
         finally:
-            started.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await started
             if not self._is_leaving:
                 await self._leases.stop()
 
-    async def _start_leases(self, delay_s: float) -> None:
-        await self._clock.sleep(delay_s)
-        if not self._is_leaving:
-            await self._leases.start()
-
     def _switch_mode(self) -> SwitchMode:
         """Return how running requests go through a change of weights.
 
--- a/tests/core/leases/test_lease.py
+++ b/tests/core/leases/test_lease.py
@@ -16,9 +16,13 @@
 OPERATION = ids.OperationId('operation')
 
 
-def new_lease(name: str = 'entry-1') -> Lease:
-    incarnation = ids.Incarnation('1')
-    return Lease(ids.ShardName('s'), ids.ProcessId(name), incarnation, TERMS)
+def new_lease(name: str = 'entry-1', incarnation: str = '1') -> Lease:
+    return Lease(
+        ids.ShardName('s'),
+        ids.ProcessId(name),
+        ids.Incarnation(incarnation),
+        TERMS,
+    )
 
 
 def taken(sent_s: float = 100.0) -> Lease:
@@ -101,3 +105,34 @@
     with pytest.raises(LeaseLostError):
         lease.fence_check(100.1)
     assert lease.next_action(100.1) is LeaseAction.READ
+
+
+def test_a_restarted_holder_goes_on_at_once() -> None:
+    """Guards against a wait for a holder that has ended for certain.
+
+    Seen on trouble-3 of Pizarra: all processes were killed, and no weights
+    were ordered for 7 s after they were back.
+    """
+    rows = rows_of(taken(), 100.0)
+    restarted = new_lease('entry-1', '2')
+    restarted.take_not_before_s = 60.0
+    restarted.observe(rows, 50.0)
+    assert restarted.next_action(50.0) is LeaseAction.TAKE
+    assert restarted.take(OPERATION, 50.0).fencing_number == 2
+    same = new_lease('entry-1', '1')
+    same.observe(rows, 50.0)
+    assert same.next_action(50.0) is LeaseAction.READ
+
+
+def test_a_new_process_observes_before_it_may_take() -> None:
+    """Guards against two waits, one after the other."""
+    lease = new_lease('entry-2')
+    lease.take_not_before_s = 55.0
+    lease.observe(rows_of(taken(), 100.0), 50.0)
+    assert lease.next_action(60.09) is LeaseAction.READ
+    assert lease.next_action(60.11) is LeaseAction.TAKE
+    free = new_lease('entry-2')
+    free.take_not_before_s = 55.0
+    free.observe({}, 50.0)
+    assert free.next_action(54.9) is LeaseAction.READ
+    assert free.next_action(55.0) is LeaseAction.TAKE
