Log each refusal with the request's id

Change: one line for each request that ends with an error of the system, with id, route, code, status, whether it ran, and its duration. The test fails without the change.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(BIN)/mypy
 
 unit: setup
-	$(BIN)/pytest
+	$(BIN)/pytest -n 4
 
 fuzz: setup
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/pytest -m fuzz
--- a/src/dogwoodpost/services/entry/http/guard.py
+++ b/src/dogwoodpost/services/entry/http/guard.py
@@ -88,7 +88,7 @@
             try:
                 response = await self._run(request, handler, active)
             except RequestError as error:
-                response = self._error_response(error, active)
+                response = self._error_response(error, active, start_s)
             except (ConnectionError, web.HTTPException):
                 raise
             except Exception:
@@ -96,7 +96,7 @@
                 internal = RequestError(
                     'internal_error', 'internal error', status=500
                 )
-                response = self._error_response(internal, active)
+                response = self._error_response(internal, active, start_s)
             self._observe(active, response, start_s)
             return response
 
@@ -111,9 +111,21 @@
             return await handler(request)
 
     def _error_response(
-        self, error: RequestError, active: ActiveRequest
+        self, error: RequestError, active: ActiveRequest, start_s: float
     ) -> web.Response:
         count_refusal(self._metrics, error)
+        duration_s = self._clock.monotonic_s() - start_s
+        _log.info(
+            'request_refused' if error.not_run else 'request_not_served',
+            request_id=active.request_id,
+            route=active.route_name,
+            code=error.code,
+            status=error.status,
+            not_run=error.not_run,
+            retry_after_s=error.retry_after_s,
+            duration_ms=round(duration_s * 1_000, 1),
+            error=str(error),
+        )
         response = self._render_error(error)
         if active.request_id:
             response.headers[REQUEST_ID_HEADER] = active.request_id
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+import structlog.testing
 
 from dogwoodpost.standins.site.sampler_app import SamplerFault
 from tests.platform.platform_site import ACCOUNT
@@ -280,3 +281,23 @@
         results = await site.results(node, 'job-2', 2)
     assert [result['versions'] for result in results] == [[2], [2]]
     assert {result['text'] for result in results} == {TEXT}
+
+
+async def test_a_refusal_is_logged_with_the_requests_id(
+    site: Site,
+) -> None:
+    """Guards against complaints that the logs can't explain."""
+    async with site.node('node-1') as node:
+        with structlog.testing.capture_logs() as lines:
+            await site.send(node, '/safe/a', key='wrong', request_id='r-9')
+            site.plain.faults.append(SamplerFault.RESET)
+            await site.send(node, '/unsafe/a', request_id='r-10')
+    found = {
+        line['request_id']: line
+        for line in lines
+        if line['event'] in {'request_refused', 'request_not_served'}
+    }
+    assert found['r-9']['code'] == 'unknown_key'
+    assert found['r-9']['not_run']
+    assert found['r-10']['code'] == 'outcome_unknown'
+    assert not found['r-10']['not_run']
