Count the loads of other processes for engines only

Cause: heartbeats carry loads that are up to 1 s old. Change: requests to plain services are placed by own loads and the endpoints' own refusals; engines, whose items run longer than a heartbeat, as before.

--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -163,10 +163,17 @@
         self.view.observe(process_id, record, row.version, now_s)
 
     def _report_loads(self, now_s: float) -> None:
-        """Tell the router how many requests the others have in flight."""
+        """Tell the router how many requests the others have in flight.
+
+        Only of engines: requests to plain services end sooner than the next
+        heartbeat, so that the last one would hold up others for nothing.
+        """
         others = self.view.loads_of_others(self._identity.process_id, now_s)
         own = self._router.own_loads()
         for endpoint_id in self._reported | others.keys():
+            endpoint = self._router.endpoint(endpoint_id)
+            if endpoint is None or not endpoint.weight_versions:
+                continue
             count = others.get(endpoint_id, 0) + own.get(endpoint_id, 0)
             load = EndpointLoad(
                 endpoint_id=endpoint_id, running_count=count, waiting_count=0
--- a/tests/services/membership/test_presence_service.py
+++ b/tests/services/membership/test_presence_service.py
@@ -5,12 +5,18 @@
 import random
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.core.membership.presence import PresenceRecord
+from dogwoodpost.core.routing import Endpoint
+from dogwoodpost.core.routing import RouteQuery
 from dogwoodpost.core.routing import Router
 from dogwoodpost.errors import StoreError
+from dogwoodpost.ports.row_store import RowKey
+from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.services.membership.presence_service import PresenceService
 from dogwoodpost.services.membership.presence_service import TABLE
 from dogwoodpost.standins.memory_row_store import MemoryRowStore
@@ -34,18 +40,22 @@
 
 
 @pytest.fixture
-def make(store: MemoryRowStore, clock: VirtualClock) -> Make:
+def router() -> Router:
+    return Router(
+        ids.AvailabilityZone('zone-a'),
+        ids.Region('region-a'),
+        random.Random(1),
+    )
+
+
+@pytest.fixture
+def make(store: MemoryRowStore, clock: VirtualClock, router: Router) -> Make:
     def make(name: str, incarnation: str = 'first') -> PresenceService:
         identity = ProcessIdentity(
             process_id=ids.ProcessId(name),
             incarnation=ids.Incarnation(incarnation),
             address='',
         )
-        router = Router(
-            ids.AvailabilityZone('zone-a'),
-            ids.Region('region-a'),
-            random.Random(1),
-        )
         return PresenceService(identity, store, router, clock)
 
     return make
@@ -123,3 +133,44 @@
     now_s = clock.monotonic_s()
     assert other.view.is_alive(one, ids.Incarnation('second'), now_s)
     assert not other.view.is_alive(one, ids.Incarnation('first'), now_s)
+
+
+@pytest.mark.parametrize(
+    ('versions', 'open_count'),
+    [({}, 1), ({ids.ModelName('model'): ids.WeightVersion(1)}, 0)],
+)
+async def test_loads_of_others_hold_up_requests_to_engines_only(
+    make: Make,
+    store: MemoryRowStore,
+    clock: VirtualClock,
+    router: Router,
+    versions: dict[ids.ModelName, ids.WeightVersion],
+    open_count: int,
+) -> None:
+    """Guards against short requests that wait for places long free again.
+
+    Seen on trouble-1 of Pizarra: a burst of scoring at other processes stood
+    in their heartbeats for 0.8 s; 1,000 requests to plain services were
+    refused or waited up to 0.9 s although their endpoints were idle.
+    """
+    endpoint = Endpoint(
+        endpoint_id=ids.EndpointId('endpoint'),
+        service=ids.ServiceName('service'),
+        availability_zone=ids.AvailabilityZone('zone-a'),
+        region=ids.Region('region-a'),
+        capacity_count=6,
+        weight_versions=versions,
+    )
+    router.upsert(endpoint, 0.0)
+    own = make('own')
+    await own.write_heartbeat()
+    key = RowKey(TABLE, '', 'other')
+    record = PresenceRecord(
+        incarnation=ids.Incarnation('first'),
+        sequence=1,
+        loads={endpoint.endpoint_id: 7},
+    )
+    store.apply([], [RowWrite(key, msgspec.msgpack.encode(record))])
+    await read(own, store, clock)
+    query = RouteQuery(service=endpoint.service)
+    assert len(router.open_endpoints(query, clock.monotonic_s())) == open_count
