--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 		src/dogwoodpost/admin/dogwoodpost_admin.proto
 
 measure-requests measure-path measure-rollouts measure-control: setup
-	$(BIN)/python -m measurements.$(subst -,_,$(patsubst measure-%,%,$@))
+	$(BIN)/python -m measurements.$(subst -,_,$@)
 
 clean:
 	rm -rf .venv .tools dist
