--- a/src/dogwoodpost/admin/conversions.py
+++ b/src/dogwoodpost/admin/conversions.py
@@ -156,7 +156,7 @@
             for service in _sorted(configuration.services)
         ],
         routes=[
-            pb.Route(**_values(route))
+            pb.Route(**_known_values(route, pb.Route))
             for route in _sorted(configuration.routes)
         ],
     )
@@ -210,5 +210,17 @@
     }
 
 
+def _known_values(struct: Any, message: type[Message]) -> dict[str, Any]:
+    """Return the values of the fields that a message has as well.
+
+    Routes have fields that only the platform's operator sets; this
+    administration neither takes nor returns them.
+    """
+    known = message.DESCRIPTOR.fields_by_name
+    return {
+        name: value for name, value in _values(struct).items() if name in known
+    }
+
+
 def _sorted(entries: dict[Any, Any]) -> list[Any]:
     return [entries[name] for name in sorted(entries)]
