Start an accepted job once

Both workers ran all items, and the one whose item ended later listed it a second time. Ruled out: the result cache (positions come from the head) and lost answers (a conflict reads back what is listed). Change: while a job is being accepted the feed does not start it, a second worker is never started, and a result whose item is listed is dropped.

--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -189,6 +189,9 @@
             accepted_wall_s=job.accepted_wall_s,
             total_count=len(job.items),
         )
+        # The feed may tell of the job before the answer comes; only one of
+        # the two starts it.
+        self._adopting.add(job.job_id)
         try:
             version = await self._context.store.accept(job, head, deadline_s)
         except RowConflictError:
@@ -210,6 +213,8 @@
                 not_run=True,
                 retry_after_s=0.2,
             ) from error
+        finally:
+            self._adopting.discard(job.job_id)
         _log.info(
             'job_accepted',
             job_id=job.job_id,
@@ -328,6 +333,9 @@
         stored: StoredHead,
         listed: tuple[ids.ItemId, ...] | list[ids.ItemId],
     ) -> None:
+        if job.job_id in self._workers:
+            return
+
         def on_listed(new: StoredHead, results: list[ItemResult]) -> None:
             first = new.head.listed_count - len(results)
             self._cache.add(job.job_id, first, results)
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -267,6 +267,9 @@
 
     async def _run_item(self, run: ItemRun) -> None:
         result = await run.run()
+        if result.item_id in self._listed:
+            # Another process, or an earlier transaction, was first.
+            return
         self._pending.append(result)
         self._wake.set()
 
--- a/src/dogwoodpost/standins/memory_row_store.py
+++ b/src/dogwoodpost/standins/memory_row_store.py
@@ -23,6 +23,7 @@
     from dogwoodpost.ports.row_store import RowWrite
 
 _MAX_ROW_COUNT = 500
+_SLOW_ANSWER_S = 0.4
 
 
 class RowFault(Enum):
@@ -31,16 +32,21 @@
     UNAVAILABLE = 'unavailable'
     ANSWER_LOST = 'answer_lost'
     APPLIED_LATE = 'applied_late'
+    ANSWER_SLOW = 'answer_slow'
 
 
 class MemoryRowStore(RowStore):
-    """Keeps rows and their changes; faults apply to the next commits."""
+    """Keeps rows and their changes.
+
+    Faults apply to the next commits, or to those of ``fault_table`` only.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[RowKey, VersionedRow] = {}
         self.version = 0
         self.is_down = False
         self.faults: deque[RowFault | None] = deque()
+        self.fault_table: str | None = None
         self.commit_count = 0
         self._late: list[tuple[Sequence[RowCheck], Sequence[RowWrite]]] = []
         self._changes: list[VersionedRow] = []
@@ -84,7 +90,7 @@
         """Apply all writes if all checks hold; return the new version."""
         self._check_up()
         self.commit_count += 1
-        fault = self.faults.popleft() if self.faults else None
+        fault = self._next_fault(writes)
         if fault is RowFault.UNAVAILABLE:
             raise StoreUnavailableError('the store refused the call')
         if fault is RowFault.APPLIED_LATE:
@@ -93,6 +99,8 @@
         version = self.apply(checks, writes)
         if fault is RowFault.ANSWER_LOST:
             raise StoreOutcomeUnknownError('the answer was lost')
+        if fault is RowFault.ANSWER_SLOW:
+            await asyncio.sleep(_SLOW_ANSWER_S)
         return version
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
@@ -149,6 +157,15 @@
         self._changes.clear()
         self._first_change = self.version
 
+    def _next_fault(self, writes: Sequence[RowWrite]) -> RowFault | None:
+        if not self.faults:
+            return None
+        if self.fault_table is not None:
+            tables = {write.key.table for write in writes}
+            if self.fault_table not in tables:
+                return None
+        return self.faults.popleft()
+
     def _changes_of(self, table: str, after: int) -> list[VersionedRow]:
         return [
             row
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -9,6 +9,7 @@
 import pytest
 import structlog.testing
 
+from dogwoodpost.standins.memory_row_store import RowFault
 from dogwoodpost.standins.site.sampler_app import SamplerFault
 from tests.platform.platform_site import ACCOUNT
 from tests.platform.platform_site import EVENT_COUNT
@@ -301,3 +302,29 @@
     assert found['r-9']['not_run']
     assert found['r-10']['code'] == 'outcome_unknown'
     assert not found['r-10']['not_run']
+
+
+async def test_a_slow_acceptance_starts_the_job_once(site: Site) -> None:
+    """Guards against items at two positions.
+
+    Seen on hunted days of Swanbourne (mix, seeds 92607123262 and
+    263860287472): the feed told of a job before the answer to its acceptance
+    came, and the process ran the job twice.
+    """
+    for engine in site.engines:
+        engine.event_gap_s = 0.1
+    job = site.job(item_count=6)
+    async with site.node('node-1') as node:
+        site.store.fault_table = 'job_heads'
+        site.store.faults.append(RowFault.ANSWER_SLOW)
+        assert await site.submit(node, job, 'job-1') == 202
+        results = await site.results(node, 'job-1', 6)
+        await asyncio.sleep(1.0)
+        status, _, body = await site.send(
+            node, '/api/lots/job-1?after=0', method='GET'
+        )
+    assert status == 200
+    listed = [one['id'] for one in msgspec.json.decode(body)['results']]
+    assert listed == [one['id'] for one in results]
+    assert len(set(listed)) == len(listed) == 6
+    assert sum(len(engine.seen) for engine in site.engines) == 6
