Remove unused fields of batch placement; share the check of a job's owner

Found on reading the change once more: a parameter that the docs named and nothing had, an exclusion that no item used, a counter and three settings that nobody read, and the same comparison of owner and incarnation in the worker and the service, now JobHead.belongs_to.

--- a/src/dogwoodpost/core/batches/job_head.py
+++ b/src/dogwoodpost/core/batches/job_head.py
@@ -31,6 +31,13 @@
     listed_count: int = 0
     state: JobState = JobState.OPEN
 
+    def belongs_to(
+        self, process_id: ids.ProcessId, incarnation: ids.Incarnation
+    ) -> bool:
+        """Return whether one incarnation of a process runs the job."""
+        same_process = self.owner_id == process_id
+        return same_process and self.owner_incarnation == incarnation
+
     @property
     def is_complete(self) -> bool:
         """Return whether nothing is left to run."""
--- a/src/dogwoodpost/core/batches/placement.py
+++ b/src/dogwoodpost/core/batches/placement.py
@@ -21,8 +21,6 @@
         its endpoint.
     :param move_ratio: an item leaves an endpoint whose events come this many
         times slower than those of the best open one.
-    :param move_gain_s: shortest gain that pays for reading the prompt and the
-        text again elsewhere, per event of the typical pace.
     """
 
     load_cost: float = 0.02
--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -28,7 +28,6 @@
     min_version: ids.WeightVersion | None
     due_s: float
     expected_token_count: int
-    excluded: frozenset[ids.EndpointId] = frozenset()
 
 
 def urgency(request: PlaceRequest) -> tuple[float, int]:
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -21,7 +21,6 @@
     """What the host grants to a process."""
 
     memory_mb: int = 128
-    max_fds: int = 1024
 
 
 class BoundSettings(_Fields, frozen=True, kw_only=True):
@@ -43,8 +42,6 @@
     """The metadata store; the platform calls it ``platform``."""
 
     address: str
-    row_bytes: int = 65536
-    blob_bytes: int = 8388608
 
 
 class DutySettings(_Fields, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -297,10 +297,7 @@
 
     def _owns(self, head: JobHead) -> bool:
         identity = self._context.identity
-        return (
-            head.owner_id == identity.process_id
-            and head.owner_incarnation == identity.incarnation
-        )
+        return head.belongs_to(identity.process_id, identity.incarnation)
 
     async def _adopt(self, job_id: ids.JobId, stored: StoredHead) -> None:
         """Read what is needed to run a job that this process owns."""
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -48,11 +48,6 @@
         ] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    @property
-    def waiting_count(self) -> int:
-        """Return how many items wait for a place."""
-        return len(self._waiting)
-
     async def acquire(self, request: PlaceRequest) -> Place:
         """Wait for a place."""
         number = self._waiting.add(request)
@@ -115,7 +110,6 @@
                 request.service,
                 request.model,
                 request.min_version,
-                request.excluded,
             )
             if need in full:
                 continue
@@ -175,5 +169,4 @@
         service=request.service,
         model=request.model,
         min_weight_version=request.min_version,
-        excluded=request.excluded,
     )
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -156,10 +156,8 @@
         """Return whether a head leaves the job to this worker."""
         identity = self._context.identity
         head = stored.head
-        return (
-            head.state is JobState.OPEN
-            and head.owner_id == identity.process_id
-            and head.owner_incarnation == identity.incarnation
+        return head.state is JobState.OPEN and head.belongs_to(
+            identity.process_id, identity.incarnation
         )
 
     def _is_own(self) -> bool:
