--- a/src/dogwoodpost/core/attempts/response_usage.py
+++ b/src/dogwoodpost/core/attempts/response_usage.py
@@ -9,7 +9,6 @@
 from dogwoodpost.core import ids
 
 ENGINE_PATHS = frozenset({'/v1/completions', '/v1/chat/completions'})
-EVENT_STREAM = 'text/event-stream'
 _DATA = b'data:'
 _DONE = b'[DONE]'
 # Events hold a few tokens each; a longer line is not one of an engine.
--- a/src/dogwoodpost/core/http_headers.py
+++ b/src/dogwoodpost/core/http_headers.py
@@ -1,4 +1,4 @@
-"""Header fields that apply to one HTTP connection only."""
+"""Header fields of HTTP: those of one connection, and the content type."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
     }
 )
 
+EVENT_STREAM = 'text/event-stream'
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -43,6 +44,15 @@
     )
 
 
+def is_event_stream(headers: Iterable[tuple[str, str]]) -> bool:
+    """Return whether headers announce a stream of events."""
+    return any(
+        value.partition(';')[0].strip().lower() == EVENT_STREAM
+        for name, value in headers
+        if name.lower() == 'content-type'
+    )
+
+
 def _listed_in_connection(
     headers: Iterable[tuple[str, str]],
 ) -> frozenset[str]:
--- a/src/dogwoodpost/core/retries/retry_policy.py
+++ b/src/dogwoodpost/core/retries/retry_policy.py
@@ -28,7 +28,7 @@
         self,
         attempt_count: int,
         remaining_s: float,
-        budget: RetryBudget,
+        budget: RetryBudget | None,
         rng: random.Random,
         now_s: float,
     ) -> float | None:
@@ -36,6 +36,7 @@
 
         :param attempt_count: attempts made so far.
         :param remaining_s: time until the request's deadline.
+        :param budget: None where the next attempt repeats no work.
         """
         if attempt_count >= self.max_attempt_count:
             return None
@@ -45,4 +46,6 @@
         delay_s = rng.uniform(0.0, bound_s)
         if delay_s >= remaining_s:
             return None
-        return delay_s if budget.try_retry(now_s) else None
+        if budget is not None and not budget.try_retry(now_s):
+            return None
+        return delay_s
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -255,9 +255,11 @@
 def _request_headers(
     endpoint: Endpoint, call: EndpointCall
 ) -> list[tuple[str, str]]:
-    headers = list(
-        end_to_end_headers(call.headers, wire_names.NOT_FROM_CLIENTS)
-    )
+    dropped = wire_names.NOT_FROM_CLIENTS
+    if call.resume_after is not None:
+        # A client that resumes names the event where its own stream broke.
+        dropped |= {wire_names.LAST_EVENT_ID.lower()}
+    headers = list(end_to_end_headers(call.headers, dropped))
     remaining_ms = max(int(call.timeout_s * _MS_PER_S), 1)
     headers += [
         (wire_names.REQUEST_ID, call.request_id),
--- a/src/dogwoodpost/platform/request_reader.py
+++ b/src/dogwoodpost/platform/request_reader.py
@@ -32,6 +32,8 @@
 _FIRST_ATTEMPT_SHARE = 0.35
 _MAX_ATTEMPT_TIMEOUT_S = 1.0
 _MIN_ATTEMPT_TIMEOUT_S = 0.25
+# Clients give a stream up after two seconds without an event.
+_EVENT_TIMEOUT_S = 1.0
 # The operator's limit counts endpoints that ran a request. This bound ends a
 # request that finds all endpoints full or unreachable.
 _FREE_NOT_RUN_COUNT = 4
@@ -155,6 +157,7 @@
             max_attempt_count=route.max_attempt_count,
             free_not_run_count=_FREE_NOT_RUN_COUNT,
             attempt_timeout_s=_attempt_timeout_s(timeout_s),
+            event_timeout_s=_EVENT_TIMEOUT_S,
             whole_response=route.kind is RouteKind.REQUEST,
         )
         if account is not None:
--- a/src/dogwoodpost/ports/attempt_runner.py
+++ b/src/dogwoodpost/ports/attempt_runner.py
@@ -18,7 +18,12 @@
 
 
 class AttemptSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """What to run; ``headers`` hold no caller's key."""
+    """What to run; ``headers`` hold no caller's key.
+
+    :param resumable: pass on whole events, so that another attempt can go
+        on after the last one.
+    :param resume_after: id of the last event that was passed on.
+    """
 
     attempt_id: ids.AttemptId
     request_id: ids.RequestId = ids.RequestId('')
@@ -30,6 +35,8 @@
     timeout_s: float
     idempotent: bool
     priority: int = 0
+    resumable: bool = False
+    resume_after: int | None = None
 
 
 class AttemptHead(msgspec.Struct, frozen=True):
@@ -40,9 +47,15 @@
 
 
 class AttemptData(msgspec.Struct, frozen=True):
-    """A piece of the body, in order and without repeats."""
+    """A piece of the body, in order and without repeats.
+
+    :param ends_event: known to end with a whole event of a stream.
+    :param last_event_id: id of the stream's last event so far.
+    """
 
     data: bytes
+    ends_event: bool = False
+    last_event_id: int | None = None
 
 
 class AttemptEnd(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/agent/attempt_worker.py
+++ b/src/dogwoodpost/services/agent/attempt_worker.py
@@ -9,8 +9,8 @@
 
 from dogwoodpost.core.attempts import ResponseTooLargeError
 from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
-from dogwoodpost.core.attempts.response_usage import EVENT_STREAM
 from dogwoodpost.core.attempts.response_usage import ResponseUsage
+from dogwoodpost.core.http_headers import is_event_stream
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import TransportError
@@ -164,10 +164,7 @@
         response: EndpointResponse,
         is_engine: bool,
     ) -> ResponseUsage:
-        is_stream = any(
-            name.lower() == 'content-type' and value.startswith(EVENT_STREAM)
-            for name, value in response.headers
-        )
+        is_stream = is_event_stream(response.headers)
         usage = ResponseUsage(
             is_stream=is_stream,
             max_body_bytes=_MAX_JSON_BODY_BYTES if is_engine else 0,
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.http_headers import is_event_stream
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.messages import RefusalReason
+from dogwoodpost.core.streams import EventCutter
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
@@ -24,6 +26,7 @@
     from dogwoodpost.ports.attempt_runner import AttemptEvent
     from dogwoodpost.ports.attempt_runner import AttemptSpec
     from dogwoodpost.ports.endpoint_gateway import EndpointGateway
+    from dogwoodpost.ports.endpoint_gateway import EndpointReply
 
 # None counts against the endpoint.
 _REASONS = {
@@ -52,12 +55,13 @@
             timeout_s=spec.timeout_s,
             client_account_id=spec.client_account_id,
             idempotent=spec.idempotent,
+            resume_after=spec.resume_after,
         )
         try:
             async with self._gateway.open(endpoint, call) as reply:
                 yield AttemptHead(reply.status, reply.headers)
-                async for data in reply.chunks():
-                    yield AttemptData(data)
+                async for data in _body(reply, spec):
+                    yield data
         except EndpointNotRunError as error:
             raise AttemptNotRunError(
                 _REASONS[error.reason], str(error), error.retry_after_s
@@ -72,3 +76,21 @@
             cached_tokens=0,
             completion_tokens=0,
         )
+
+
+async def _body(
+    reply: EndpointReply, spec: AttemptSpec
+) -> AsyncIterator[AttemptData]:
+    """Yield the body; that of a resumable stream in whole events."""
+    if not spec.resumable or not is_event_stream(reply.headers):
+        async for data in reply.chunks():
+            yield AttemptData(data)
+        return
+    cutter = EventCutter(spec.resume_after)
+    async for data in reply.chunks():
+        piece = cutter.feed(data)
+        if piece is not None:
+            yield AttemptData(
+                piece.data, ends_event=True, last_event_id=piece.last_event_id
+            )
+    cutter.finish()
--- a/src/dogwoodpost/services/entry/http/request_handler.py
+++ b/src/dogwoodpost/services/entry/http/request_handler.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from dogwoodpost.core.http_headers import EVENT_STREAM
 from dogwoodpost.errors import RequestError
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptHead
@@ -30,7 +31,6 @@
     from dogwoodpost.services.entry.pipeline_request import PipelineRequest
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
 
-_EVENT_STREAM = 'text/event-stream'
 # A caller that reads nothing for so long is disconnected; it occupies the
 # memory of its response and its place at the engine.
 _WRITE_TIMEOUT_S = 30.0
@@ -164,7 +164,7 @@
         error: RequestError,
     ) -> None:
         """End a response that has begun so that it can't pass for complete."""
-        is_stream = response.content_type == _EVENT_STREAM
+        is_stream = response.content_type == EVENT_STREAM
         if is_stream and self._ends_streams_with_error:
             await _write(request, response, error_event(error))
         elif request.transport is not None:
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -24,6 +24,8 @@
         count among ``max_attempt_count``.
     :param attempt_timeout_s: an idempotent request goes to another endpoint
         after so long without the head of a response.
+    :param event_timeout_s: a stream that can be resumed goes on at another
+        endpoint after so long without the next event.
     :param whole_response: pass nothing on before the response is complete, so
         that a failure in the middle can still be retried.
     """
@@ -48,4 +50,5 @@
     max_attempt_count: int | None = None
     free_not_run_count: int = 0
     attempt_timeout_s: float | None = None
+    event_timeout_s: float | None = None
     whole_response: bool = False
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -162,6 +162,14 @@
                     'kind': 'streaming',
                     'service': 'engines',
                 },
+                {
+                    **route,
+                    'name': 'resumable',
+                    'prefix': '/resumable/',
+                    'kind': 'streaming',
+                    'service': 'engines',
+                    'resumable': True,
+                },
                 {
                     **route,
                     'name': 'jobs',
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import aiohttp
 import msgspec
 import pytest
 import structlog.testing
@@ -166,6 +167,61 @@
     assert results[0]['text'] == (TEXT if state == 'completed' else '')
 
 
+@pytest.mark.parametrize(
+    'fault',
+    [
+        SamplerFault.CUT_STREAM,
+        SamplerFault.CUT_AFTER_LAST_EVENT,
+        SamplerFault.SILENT,
+        SamplerFault.RESET,
+        SamplerFault.FAIL,
+    ],
+)
+async def test_resumable_stream_goes_on_in_one_response(
+    site: Site, fault: SamplerFault
+) -> None:
+    """Guards against streams that end with their first engine."""
+    site.engines[0].faults.append(fault)
+    site.engines[1].faults = site.engines[0].faults
+    async with site.node('node-1') as node:
+        status, headers, body = await site.send(
+            node, '/resumable/a', headers={'X-Model': MODEL}
+        )
+    assert status == 200
+    assert headers['Content-Type'] == 'text/event-stream'
+    events = body.decode().split('\n\n')[:-1]
+    assert events == [
+        f'id: {number}\ndata: piece {number}' for number in range(EVENT_COUNT)
+    ]
+    runs = sum(len(engine.seen) for engine in site.engines)
+    assert runs == 2
+
+
+async def test_client_that_resumes_gets_the_rest(site: Site) -> None:
+    """Guards against a client's own position that is lost on a retry."""
+    site.engines[0].faults.append(SamplerFault.CUT_STREAM)
+    site.engines[1].faults = site.engines[0].faults
+    async with site.node('node-1') as node:
+        status, _, body = await site.send(
+            node,
+            '/resumable/a',
+            headers={'X-Model': MODEL, 'Last-Event-Id': '1'},
+        )
+    assert status == 200
+    assert body.count(b'id: ') == EVENT_COUNT - 2
+    assert body.startswith(b'id: 2\n')
+
+
+async def test_stream_that_may_run_once_ends_broken(site: Site) -> None:
+    """Guards against second runs, and ends that look complete."""
+    site.engines[0].faults.append(SamplerFault.CUT_STREAM)
+    site.engines[1].faults = site.engines[0].faults
+    async with site.node('node-1') as node:
+        with pytest.raises(aiohttp.ClientError):
+            await site.send(node, '/stream/a', headers={'X-Model': MODEL})
+    assert sum(len(engine.seen) for engine in site.engines) == 1
+
+
 async def test_bodies_and_end_of_a_job(site: Site) -> None:
     """Guards against work that goes on after a job's end."""
     for engine in site.engines:
