Order scaled services by zone; follow the settings file; split duties

ZoneScaling orders what the load of all processes needs, within the limits of each zone, under a lease of its own that is wanted only once a service is scaled. Orders without an answer and old ones are said again; a count is what is wanted, so a repeat changes nothing. The existing Scaler decides. - A SIGHUP while a process was still being imported ended it: the default action of the signal. It is ignored until the handler stands. - The settings file may change without a signal; it was read again only on one. Its modification time is looked at once a second. - Limits of a service that can't be read would have kept the whole configuration out of force; they are logged and left out.

The administration API names only the fields of services that it knows, as it does for routes.

--- a/src/dogwoodpost/admin/conversions.py
+++ b/src/dogwoodpost/admin/conversions.py
@@ -151,7 +151,8 @@
         ],
         services=[
             pb.Service(
-                **_values(service) | {'kind': _KIND_VALUES[service.kind]}
+                **_known_values(service, pb.Service)
+                | {'kind': _KIND_VALUES[service.kind]}
             )
             for service in _sorted(configuration.services)
         ],
--- a/src/dogwoodpost/core/configuration/__init__.py
+++ b/src/dogwoodpost/core/configuration/__init__.py
@@ -17,6 +17,7 @@
 from dogwoodpost.core.configuration.model import Service
 from dogwoodpost.core.configuration.model import ServiceKind
 from dogwoodpost.core.configuration.model import WeightedService
+from dogwoodpost.core.configuration.model import ZoneScale
 from dogwoodpost.core.configuration.route_index import RouteIndex
 from dogwoodpost.core.configuration.validation import validate
 
@@ -33,6 +34,7 @@
     'Service',
     'ServiceKind',
     'WeightedService',
+    'ZoneScale',
     'apply_change',
     'apply_delta',
     'difference',
--- a/src/dogwoodpost/core/configuration/model.py
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -94,11 +94,24 @@
     item_lifetime_s: float = 600.0
 
 
+class ZoneScale(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits of a service's endpoints in each availability zone.
+
+    :param start_up_s: from an order until a new endpoint serves.
+    """
+
+    min_endpoint_count: int
+    max_endpoint_count: int
+    start_up_s: float
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A declared service.
 
     ``checks_fencing`` tells whether its endpoints refuse orders that carry an
     old fencing number.
+
+    :param zone_scale: set where endpoints are ordered by number and zone.
     """
 
     name: ids.ServiceName
@@ -109,6 +122,7 @@
     min_endpoint_count: int = 1
     max_endpoint_count: int = 16
     endpoint_cost_per_hour: float = 1.0
+    zone_scale: ZoneScale | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/core/scaling/__init__.py
+++ b/src/dogwoodpost/core/scaling/__init__.py
@@ -7,7 +7,9 @@
 from dogwoodpost.core.scaling.scaler import ScalingSettings
 from dogwoodpost.core.scaling.scaler import ZoneLoad
 from dogwoodpost.core.scaling.spread import carry_lost_share
+from dogwoodpost.core.scaling.spread import clamp_each
 from dogwoodpost.core.scaling.spread import clamp_total
+from dogwoodpost.core.scaling.zone_loads import zone_loads
 
 __all__ = (
     'DailyProfile',
@@ -15,5 +17,7 @@
     'ScalingSettings',
     'ZoneLoad',
     'carry_lost_share',
+    'clamp_each',
     'clamp_total',
+    'zone_loads',
 )
--- a/src/dogwoodpost/core/scaling/spread.py
+++ b/src/dogwoodpost/core/scaling/spread.py
@@ -62,3 +62,13 @@
     for zone in by_remainder[: maximum - sum(reduced.values())]:
         reduced[zone] += 1
     return reduced
+
+
+def clamp_each(
+    wanted: Mapping[ids.AvailabilityZone, int], minimum: int, maximum: int
+) -> dict[ids.AvailabilityZone, int]:
+    """Return counts that lie between limits for each zone."""
+    return {
+        zone: min(max(count, minimum), maximum)
+        for zone, count in sorted(wanted.items())
+    }
--- a/src/dogwoodpost/platform/__main__.py
+++ b/src/dogwoodpost/platform/__main__.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from dogwoodpost.platform.launch import main
+
+def run() -> int:
+    """Run the process; return its exit code."""
+    # The default action would end a process that is still being imported.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from dogwoodpost.platform.launch import main
+
+    return main()
+
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(run())
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -17,6 +17,7 @@
 from dogwoodpost.core.configuration import Service
 from dogwoodpost.core.configuration import ServiceKind
 from dogwoodpost.core.configuration import WeightedService
+from dogwoodpost.core.configuration import ZoneScale
 from dogwoodpost.core.keys import key_digest
 from dogwoodpost.ports.configuration_source import ConfigurationSource
 
@@ -33,6 +34,7 @@
 _CONFIGURATION_KEY = 'config'
 _VERSION_PREFIX = 'version/'
 _DEFAULT_TIMEOUT_MS = 10_000
+_DEFAULT_START_UP_S = 5.0
 # The platform sets no limits per client account.
 _LIMITS = Limits(
     max_concurrency=1_000_000,
@@ -71,11 +73,23 @@
     single_version: bool = False
 
 
+class _WireScale(_Fields, frozen=True, kw_only=True):
+    """Limits by zone.
+
+    :param boot_s: from an order until a new endpoint serves.
+    """
+
+    min: int
+    max: int
+    boot_s: float = _DEFAULT_START_UP_S
+
+
 class _WireService(_Fields, frozen=True, kw_only=True):
     """``engine`` is there for services that generate tokens."""
 
     name: str
     engine: dict[str, object] | None = None
+    scale: dict[str, object] | None = None
 
 
 class _WireTenant(_Fields, frozen=True, kw_only=True):
@@ -268,4 +282,26 @@
 
 def _service(wire: _WireService) -> Service:
     kind = ServiceKind.PLAIN if wire.engine is None else ServiceKind.ENGINE
-    return Service(name=ids.ServiceName(wire.name), kind=kind)
+    return Service(
+        name=ids.ServiceName(wire.name), kind=kind, zone_scale=_scale(wire)
+    )
+
+
+def _scale(wire: _WireService) -> ZoneScale | None:
+    """Return the limits of a service that is scaled.
+
+    Limits that can't be read leave the service as it is; the rest of the
+    configuration comes into force.
+    """
+    if wire.scale is None:
+        return None
+    try:
+        scale = msgspec.convert(wire.scale, _WireScale, strict=False)
+    except msgspec.ValidationError as error:
+        _log.error('scale_unreadable', service=wire.name, error=str(error))
+        return None
+    return ZoneScale(
+        min_endpoint_count=scale.min,
+        max_endpoint_count=max(scale.max, scale.min),
+        start_up_s=scale.boot_s,
+    )
--- /dev/null
+++ b/src/dogwoodpost/platform/duty_calls.py
@@ -0,0 +1,81 @@
+"""Calls of the platform that one process makes at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from dogwoodpost.errors import PlatformError
+from dogwoodpost.errors import PlatformOutcomeUnknownError
+from dogwoodpost.errors import PlatformRateLimitError
+from dogwoodpost.platform import wire_names
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dogwoodpost.core import ids
+
+_TIMEOUT_S = 0.7
+_CONNECT_TIMEOUT_S = 0.5
+_STATUS_OK = 200
+_STATUS_TOO_MANY = 429
+_RETRY_AFTER_S = 0.5
+
+
+class DutyConnection:
+    """Sends calls under the fencing number of a lease.
+
+    :param address: returns host and port; they may change.
+    """
+
+    def __init__(
+        self,
+        address: Callable[[], str],
+        session: aiohttp.ClientSession,
+        holder_name: str,
+        fencing_number: Callable[[], ids.FencingNumber],
+    ) -> None:
+        self._address = address
+        self._session = session
+        self._holder_name = holder_name
+        self._fencing_number = fencing_number
+
+    async def post(
+        self,
+        path: str,
+        body: bytes,
+        before_send: Callable[[], object] | None,
+    ) -> None:
+        """Make a call.
+
+        ``before_send`` is called directly before it; if it raises, nothing
+        is sent.
+
+        :raises PlatformError: the call was refused.
+        :raises PlatformOutcomeUnknownError: the answer was lost.
+        """
+        if before_send is not None:
+            before_send()
+        headers = {
+            'Content-Type': 'application/json',
+            wire_names.DUTY_HOLDER: self._holder_name,
+            wire_names.FENCING_TOKEN: str(self._fencing_number()),
+        }
+        try:
+            async with self._session.post(
+                f'http://{self._address()}{path}',
+                data=body,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise PlatformOutcomeUnknownError(f'{path}: {error!r}') from error
+        if status == _STATUS_TOO_MANY:
+            raise PlatformRateLimitError(f'{path}: status 429', _RETRY_AFTER_S)
+        if status != _STATUS_OK:
+            raise PlatformError(f'{path}: status {status}')
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -5,10 +5,9 @@
 import asyncio
 import random
 import signal
-from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING
 
-import aiohttp
 import structlog
 
 from dogwoodpost.adapters.clock import BoottimeClock
@@ -17,25 +16,21 @@
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
 from dogwoodpost.core.batches.placement import ItemPlacement
-from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.routing import Router
 from dogwoodpost.core.routing import RouterSettings
-from dogwoodpost.errors import SettingsError
 from dogwoodpost.platform import configuration_rows
 from dogwoodpost.platform import endpoint_rows
 from dogwoodpost.platform import wire_names
+from dogwoodpost.platform.duties import Duties
 from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
-from dogwoodpost.platform.endpoint_calls import ORDER_TIMEOUT_S
 from dogwoodpost.platform.ingress import Ingress
 from dogwoodpost.platform.ingress import ready_app
-from dogwoodpost.platform.settings import load_settings
-from dogwoodpost.platform.settings import settings_path
+from dogwoodpost.platform.sessions import http_session
+from dogwoodpost.platform.settings_watch import SettingsWatch
 from dogwoodpost.platform.store_client import PlatformObjectStore
 from dogwoodpost.platform.store_client import PlatformRowStore
 from dogwoodpost.platform.store_client import StoreConnection
-from dogwoodpost.platform.usage_calls import HttpUsageReports
-from dogwoodpost.ports.endpoint_gateway import SwitchMode
 from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.batches.batch_context import BatchContext
 from dogwoodpost.services.batches.batch_service import BatchService
@@ -46,11 +41,7 @@
 from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.control import endpoint_versions
 from dogwoodpost.services.control.endpoint_versions import EndpointVersions
-from dogwoodpost.services.control.lease_manager import LeaseManager
 from dogwoodpost.services.control.named_versions import NamedVersions
-from dogwoodpost.services.control.shard_runner import ShardRunner
-from dogwoodpost.services.control.usage_reporter import UsageReporter
-from dogwoodpost.services.control.weight_director import WeightDirector
 from dogwoodpost.services.entry.direct_attempt_runner import (
     DirectAttemptRunner,
 )
@@ -66,38 +57,26 @@
 from dogwoodpost.services.rows import TableFollower
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    import aiohttp
 
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.observability import LogBuffer
     from dogwoodpost.observability import Metrics
     from dogwoodpost.platform.settings import ProcessSettings
-    from dogwoodpost.services.control.lease_manager import ManagedLeaseGuard
-    from dogwoodpost.services.control.shard_runner import RunOnce
     from dogwoodpost.services.rows import RowSink
 
 _log = structlog.get_logger(__name__)
 _MS_PER_S = 1_000
 _MIB = 1024 * 1024
 _CONTROL_TABLE = 'control'
-_USAGE_SHARD = ids.ShardName('usage')
-_WEIGHTS_SHARD = ids.ShardName('weights')
-_WEIGHTS_INTERVAL_S = 0.1
-_USAGE_INTERVAL_S = 0.5
 _USAGE_WRITE_INTERVAL_S = 0.7
-# A write of each process with its jitter, and one call that times out.
-_USAGE_GRACE_S = 2.5
-# A lease lasts a little longer than the deployment asks for.
-_LEASE_FACTOR = 1.1
 _OPERATOR_PAUSE_S = 0.15
 _ENDPOINT_PAUSE_S = 0.2
 _HEAD_PAUSE_S = 0.05
 _VERSION_PAUSE_S = 0.1
 _PRESENCE_PAUSE_S = 0.25
 _LOG_FLUSH_S = 0.1
-# Endpoints end idle connections earlier or later; a request that finds its
-# connection ended is repeated.
-_POOL_KEEPALIVE_S = 12.0
+_SETTINGS_INTERVAL_S = 1.0
 _BODY_MEMORY_SHARE = 0.2
 _SHUTDOWN_TIMEOUT_S = 0.5
 # The balancer notices after two checks, a second apart; until then new
@@ -120,6 +99,7 @@
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._settings_watch = SettingsWatch(settings)
         self._identity = identity
         self._metrics = metrics
         self._log_buffer = log_buffer
@@ -142,7 +122,9 @@
     async def run(self) -> int:
         """Run until a stop signal; return the exit code."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(
+            signal.SIGHUP, partial(self._reload, force=True)
+        )
         async with running(self):
             stop = asyncio.create_task(wait_for_stop_signal())
             crash = asyncio.create_task(self.wait_until_stopped())
@@ -159,14 +141,15 @@
     async def open_parts(self) -> None:
         """Open the parts, those that serve clients last."""
         self.add_future(self._flush_logs())
+        self.add_future(self._watch_settings())
         _log.info(
             'process_started',
             availability_zone=self._settings.zone,
             region=self._settings.region,
             store=self._settings.platform.address,
         )
-        session = await self.open_part(_session(reuse=True))
-        fresh_session = await self.open_part(_session(reuse=False))
+        session = await self.open_part(http_session(reuse=True))
+        fresh_session = await self.open_part(http_session(reuse=False))
         self._store = StoreConnection(
             self._settings.platform.address, session, self._metrics
         )
@@ -205,7 +188,9 @@
         await self.run_part(self._presence)
         await self.run_part(usage)
         await self.run_part(self._batches)
-        await self._open_duties(tables, gateway, versions, session)
+        self._duties = await self.run_part(
+            self._compose_duties(tables, gateway, versions, session)
+        )
         self._ingress = Ingress(
             pipeline=pipeline,
             batches=self._batches,
@@ -295,121 +280,29 @@
             )
             await self.run_part(follower)
 
-    async def _open_duties(
+    def _compose_duties(
         self,
         tables: PartitionTableStore,
         gateway: HttpEndpointGateway,
         versions: EndpointVersions,
         session: aiohttp.ClientSession,
-    ) -> None:
-        terms = LeaseTerms(
-            duration_s=self._settings.bounds.lease_ms
-            / _MS_PER_S
-            * _LEASE_FACTOR,
-            longest_call_s=ORDER_TIMEOUT_S,
-        )
-        self._leases = LeaseManager(
-            tables,
-            self._clock,
-            self._rng,
-            process_id=self._identity.process_id,
-            incarnation=self._identity.incarnation,
-            terms=terms,
-            # Two incarnations on one host count as one holder, which must
-            # not act again so soon after another host has acted.
-            first_take_delay_s=terms.duration_s,
-        )
-        await self.open_part(self._running_leases())
-        weights = self._leases.guard(_WEIGHTS_SHARD)
-
-        @asynccontextmanager
-        async def weight_work() -> AsyncIterator[RunOnce]:
-            director = WeightDirector(
-                guard=weights,
-                gateway=gateway,
-                registry=self._registry,
-                versions=versions,
-                named=self._named,
-                switch_mode=self._switch_mode,
-                clock=self._clock,
-                metrics=self._metrics,
-            )
-            try:
-                yield director.run_once
-            finally:
-                await director.close()
-
-        await self.run_part(
-            ShardRunner(
-                weights,
-                weight_work,
-                self._clock,
-                interval_s=_WEIGHTS_INTERVAL_S,
-            )
-        )
-        if 'usage' in self._settings.cloud.duties:
-            await self._open_usage_duty(tables, session)
-
-    async def _open_usage_duty(
-        self, tables: PartitionTableStore, session: aiohttp.ClientSession
-    ) -> None:
-        guard = self._leases.guard(_USAGE_SHARD)
-
-        @asynccontextmanager
-        async def usage_work() -> AsyncIterator[RunOnce]:
-            reporter = UsageReporter(
-                guard=guard,
-                store=tables,
-                platform=self._usage_reports(session, guard),
-                clock=self._clock,
-                rng=self._rng,
-                metrics=self._metrics,
-                window_s=int(self._settings.bounds.report_window_s),
-                grace_s=_USAGE_GRACE_S,
-                contact_since_s=self._presence.contact_since_s,
-            )
-            yield reporter.run_once
-
-        await self.run_part(
-            ShardRunner(
-                guard,
-                usage_work,
-                self._clock,
-                interval_s=_USAGE_INTERVAL_S,
-            )
-        )
-
-    def _usage_reports(
-        self, session: aiohttp.ClientSession, guard: ManagedLeaseGuard
-    ) -> HttpUsageReports:
-        return HttpUsageReports(
-            self._settings.cloud.address,
-            session,
-            self._identity.process_id,
-            guard.fencing_number,
+    ) -> Duties:
+        return Duties(
+            settings=self._settings,
+            identity=self._identity,
+            tables=tables,
+            session=session,
+            gateway=gateway,
+            registry=self._registry,
+            versions=versions,
+            named=self._named,
+            configuration=self._operator,
+            presence=self._presence,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self._metrics,
         )
 
-    @asynccontextmanager
-    async def _running_leases(self) -> AsyncIterator[None]:
-        """Keep leases; a planned stop has released them before the end."""
-        await self._leases.start()
-        try:
-            yield
-        finally:
-            if not self._is_leaving:
-                await self._leases.stop()
-
-    def _switch_mode(self) -> SwitchMode:
-        """Return how running requests go through a change of weights.
-
-        Results of one version only would be lost if a run went on under the
-        next one.
-        """
-        routes = self._operator.current().routes.values()
-        if any(route.single_version for route in routes):
-            return SwitchMode.FINISH_FIRST
-        return SwitchMode.CONTINUE
-
     async def _open_addresses(self) -> None:
         listen = self._settings.listen
         health = ready_app(self.is_ready, self._metrics.render)
@@ -442,7 +335,7 @@
         self._is_leaving = True
         self._presence.is_leaving = True
         self._ingress.closes_connections = True
-        release = asyncio.create_task(self._leases.stop())
+        release = asyncio.create_task(self._duties.release())
         start_s = self._clock.monotonic_s()
         end_s = start_s + self._settings.bounds.grace_s - _EXIT_MARGIN_S
         while self._batches.running_count:
@@ -457,16 +350,20 @@
         if not await self._lifecycle.wait_idle(max(left_s, 0.1)):
             _log.warning('requests_cut_by_stop')
 
-    def _reload(self) -> None:
+    async def _watch_settings(self) -> None:
+        """Follow the settings file, which may change without a signal."""
+        while True:
+            await asyncio.sleep(_SETTINGS_INTERVAL_S)
+            self._reload()
+
+    def _reload(self, *, force: bool = False) -> None:
         """Take changed addresses from the settings file."""
-        try:
-            settings = load_settings(settings_path())
-        except SettingsError as error:
-            _log.error('settings_not_reloaded', error=str(error))
+        settings = self._settings_watch.check(force=force)
+        if settings is None:
             return
         self._settings = settings
         self._store.address = settings.platform.address
-        _log.info('settings_reloaded', store=settings.platform.address)
+        self._duties.settings = settings
 
     async def _flush_logs(self) -> None:
         while True:
@@ -482,21 +379,6 @@
         self.port = int(port)
 
 
-@asynccontextmanager
-async def _session(*, reuse: bool) -> AsyncIterator[aiohttp.ClientSession]:
-    connector = (
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=_POOL_KEEPALIVE_S)
-        if reuse
-        else aiohttp.TCPConnector(limit=0, force_close=True)
-    )
-    async with aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-    ) as session:
-        yield session
-
-
 def _max_age_s(settings: ProcessSettings) -> float | None:
     """Return how old the configuration may be for keyed routes."""
     if not settings.bounds.strict_revoke:
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -85,6 +85,15 @@
         """Return since when heartbeats have been written, None if not now."""
         return self._contact_since_s if self.is_confirmed else None
 
+    def loads_of_all(self) -> dict[ids.EndpointId, int]:
+        """Return the requests in flight of all processes, by endpoint."""
+        loads = self.view.loads_of_others(
+            self._identity.process_id, self._clock.monotonic_s()
+        )
+        for endpoint_id, count in self._router.own_loads().items():
+            loads[endpoint_id] = loads.get(endpoint_id, 0) + count
+        return loads
+
     def apply(self, rows: Sequence[VersionedRow], now_s: float) -> None:
         """Take changed rows."""
         for row in rows:
--- a/src/dogwoodpost/standins/site/duty_app.py
+++ b/src/dogwoodpost/standins/site/duty_app.py
@@ -15,21 +15,39 @@
     fencing_token: int
 
 
+class ScaleCall(msgspec.Struct, frozen=True, kw_only=True):
+    """An order of endpoints as the platform received it."""
+
+    service: str
+    zone: str
+    desired: int
+    holder: str
+    fencing_token: int
+
+
 class _Usage(msgspec.Struct):
     window: int
     counts: dict[str, int]
 
 
+class _Scale(msgspec.Struct):
+    service: str
+    zone: str
+    desired: int
+
+
 class DutyApp:
-    """Keeps all usage reports."""
+    """Keeps all usage reports and orders of endpoints."""
 
     def __init__(self) -> None:
         self.calls: list[UsageCall] = []
+        self.scale_calls: list[ScaleCall] = []
 
     def app(self) -> web.Application:
         """Return the application."""
         app = web.Application()
         app.router.add_post('/usage', self._usage)
+        app.router.add_post('/scale', self._scale)
         return app
 
     async def _usage(self, request: web.Request) -> web.Response:
@@ -43,3 +61,16 @@
             )
         )
         return web.Response()
+
+    async def _scale(self, request: web.Request) -> web.Response:
+        scale = msgspec.json.decode(await request.read(), type=_Scale)
+        self.scale_calls.append(
+            ScaleCall(
+                service=scale.service,
+                zone=scale.zone,
+                desired=scale.desired,
+                holder=request.headers['X-Duty-Holder'],
+                fencing_token=int(request.headers['X-Fencing-Token']),
+            )
+        )
+        return web.Response()
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import os
+import signal
 import socket
 import sys
 import uuid
 from collections import deque
+from pathlib import Path
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -33,13 +35,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
-    from pathlib import Path
 
 HOST = 'site.example'
 KEY = 'key-of-buyers'
 ACCOUNT = 'buyers'
 MODEL = 'model-a'
 EVENT_COUNT = 6
+_HANGUP_GAP_S = 0.05
 
 
 def free_port() -> int:
@@ -202,7 +204,7 @@
             'platform': {'address': self._addresses['store']},
             'cloud': {
                 'address': self._addresses['duties'],
-                'duties': ['usage'],
+                'duties': ['usage', 'autoscale'],
             },
             'bounds': {'leaseMs': 1500, 'reportWindowS': 1, 'graceS': 4},
         }
@@ -226,8 +228,13 @@
             yield node
 
     @contextlib.asynccontextmanager
-    async def spawned(self, name: str) -> AsyncIterator[SpawnedNode]:
-        """Run a process of its own; it is killed at the end."""
+    async def spawned(
+        self, name: str, *, hangups: int = 0
+    ) -> AsyncIterator[SpawnedNode]:
+        """Run a process of its own; it is killed at the end.
+
+        :param hangups: SIGHUP is sent so often while it starts.
+        """
         settings = self.settings(name)
         path = self._folder / f'{name}.json'
         path.write_bytes(msgspec.json.encode(settings))
@@ -241,6 +248,11 @@
                 stderr=log,
             )
         try:
+            if hangups:
+                await _wait_until_hangup_ignored(process.pid)
+            for _ in range(hangups):
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(_HANGUP_GAP_S)
             node = SpawnedNode(process, settings)
             await self.wait_ready(node)
             yield node
@@ -356,6 +368,22 @@
         return found
 
 
+async def _wait_until_hangup_ignored(pid: int) -> None:
+    """Wait for the first statement of a process; the interpreter is up."""
+    status = Path(f'/proc/{pid}/status')
+    for _ in range(1_000):
+        if _ignores_hangup(status):
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError('the process does not ignore the signal')
+
+
+def _ignores_hangup(status: Path) -> bool:
+    lines = status.read_text().splitlines()
+    fields = dict(line.split(':', 1) for line in lines)
+    return bool(int(fields['SigIgn'], 16) & 1 << (signal.SIGHUP - 1))
+
+
 @contextlib.asynccontextmanager
 async def _serve(app: web.Application) -> AsyncIterator[str]:
     runner = web.AppRunner(app, shutdown_timeout=0.1)
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -291,6 +291,24 @@
     assert total == 3
 
 
+async def test_scaled_services_are_ordered_by_one_holder(
+    site: Site,
+) -> None:
+    """Guards against services that stay at the size that they had."""
+    changed = site.configuration(version=3)
+    changed['services'][1]['scale'] = {'min': 3, 'max': 4, 'bootS': 2.0}
+    changed['services'][0]['scale'] = {'min': 'unreadable'}
+    site.configure(changed)
+    async with site.node('node-1') as node, site.node('node-2'):
+        assert (await site.send(node, '/safe/a'))[0] == 200
+        await asyncio.sleep(5.0)
+    orders = site.duties.scale_calls
+    assert {(one.service, one.zone, one.desired) for one in orders} == {
+        ('engines', 'zone-a', 3)
+    }
+    assert len({(one.holder, one.fencing_token) for one in orders}) == 1
+
+
 async def test_groups_that_come_again_go_on_from_their_text(
     site: Site,
 ) -> None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -59,3 +59,12 @@
     async with site.spawned('node-1') as one:
         results = await site.results(one, 'job-1', 2, timeout_s=15.0)
     assert {result['state'] for result in results} == {'completed'}
+
+
+async def test_signal_of_changed_settings_ends_nothing(site: Site) -> None:
+    """Guards against processes that a signal ends while they start."""
+    async with site.spawned('node-1', hangups=20) as one:
+        one.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        assert one.process.returncode is None
+        assert (await site.send(one, '/safe/a'))[0] == 200
--- /dev/null
+++ b/tests/services/control/test_zone_scaling.py
@@ -0,0 +1,177 @@
+"""Orders of endpoints by number and zone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from dogwoodpost.core import ids
+from dogwoodpost.core.configuration import Configuration
+from dogwoodpost.core.configuration import Service
+from dogwoodpost.core.configuration import ServiceKind
+from dogwoodpost.core.configuration import ZoneScale
+from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+from dogwoodpost.core.routing import Endpoint
+from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import PlatformOutcomeUnknownError
+from dogwoodpost.ports.zone_orders import ZoneOrder
+from dogwoodpost.ports.zone_orders import ZoneOrders
+from dogwoodpost.services.control.zone_loads import ZoneLoads
+from dogwoodpost.services.control.zone_scaling import ZoneScaling
+from dogwoodpost.standins.memory_store import MemoryTableStore
+from dogwoodpost.standins.virtual_clock import VirtualClock
+from tests.fakes.lease import FakeLease
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.fakes.lease import FakeGuard
+
+SERVICE = ids.ServiceName('slate-lm')
+NORTH = ids.AvailabilityZone('north')
+SOUTH = ids.AvailabilityZone('south')
+CAPACITY = 10
+
+
+class FakeOrders(ZoneOrders):
+    """Keeps the orders; answers of some are lost."""
+
+    def __init__(self) -> None:
+        self.submitted: list[ZoneOrder] = []
+        self.lost_count = 0
+
+    async def submit(
+        self,
+        order: ZoneOrder,
+        *,
+        before_send: Callable[[], object] | None = None,
+    ) -> None:
+        if before_send is not None:
+            before_send()
+        self.submitted.append(order)
+        if self.lost_count:
+            self.lost_count -= 1
+            raise PlatformOutcomeUnknownError('the answer was lost')
+
+    def take(self) -> dict[str, int]:
+        orders, self.submitted = self.submitted, []
+        return {one.availability_zone: one.endpoint_count for one in orders}
+
+
+class FixedConfiguration:
+    """One configuration with a service that is scaled and one that isn't."""
+
+    def __init__(self) -> None:
+        scale = ZoneScale(
+            min_endpoint_count=1, max_endpoint_count=4, start_up_s=2.0
+        )
+        services = [
+            Service(name=SERVICE, kind=ServiceKind.ENGINE, zone_scale=scale),
+            Service(name=ids.ServiceName('app'), kind=ServiceKind.PLAIN),
+        ]
+        self._current = Configuration(
+            revision=ids.Revision(1),
+            services={service.name: service for service in services},
+        )
+
+    def current(self) -> Configuration:
+        return self._current
+
+
+class World:
+    """A service with one endpoint in each of two zones."""
+
+    def __init__(self, guard: FakeGuard, clock: VirtualClock) -> None:
+        self.clock = clock
+        self.orders = FakeOrders()
+        self.loads: dict[ids.EndpointId, int] = {}
+        self.registry = EndpointRegistry(ZoneLoads())
+        for zone in (NORTH, SOUTH):
+            self.add(zone, 0)
+        self.registry.upsert(endpoint('app', 0, 'app'), 0.0)
+        self.scaling = ZoneScaling(
+            guard=guard,
+            orders=self.orders,
+            configuration=FixedConfiguration(),  # type: ignore[arg-type]
+            registry=self.registry,
+            loads=lambda: self.loads,
+            clock=clock,
+        )
+
+    def add(self, zone: str, number: int) -> None:
+        self.registry.upsert(endpoint(zone, number), 0.0)
+
+    def load(self, zone: str, number: int, count: int) -> None:
+        self.loads[ids.EndpointId(f'{zone}-{number}')] = count
+
+
+def endpoint(zone: str, number: int, service: str = SERVICE) -> Endpoint:
+    return Endpoint(
+        endpoint_id=ids.EndpointId(f'{zone}-{number}'),
+        service=ids.ServiceName(service),
+        availability_zone=ids.AvailabilityZone(zone),
+        region=ids.Region('r'),
+        capacity_count=CAPACITY,
+    )
+
+
+@pytest.fixture
+async def world() -> World:
+    clock = VirtualClock()
+    guard = await FakeLease(MemoryTableStore(), clock).take()
+    assert guard is not None
+    return World(guard, clock)
+
+
+async def test_orders_follow_the_load_within_the_limits(world: World) -> None:
+    """Guards against zones that stay too small, or grow without a limit."""
+    await world.scaling.run_once()
+    assert world.orders.take() == {NORTH: 1, SOUTH: 1}
+    world.load(NORTH, 0, CAPACITY)
+    await world.scaling.run_once()
+    assert world.orders.take() == {NORTH: 2}
+    world.load(NORTH, 0, 10 * CAPACITY)
+    await world.scaling.run_once()
+    assert world.orders.take() == {NORTH: 4}
+
+
+async def test_endpoints_that_start_are_not_taken_back(world: World) -> None:
+    """Guards against orders that go up and down while endpoints start."""
+    world.load(NORTH, 0, 2 * CAPACITY)
+    await world.scaling.run_once()
+    assert world.orders.take()[NORTH] == 3
+    world.load(NORTH, 0, CAPACITY)
+    await world.scaling.run_once()
+    assert world.orders.take() == {}
+
+
+async def test_an_order_without_an_answer_is_repeated(world: World) -> None:
+    """Guards against sizes that are believed and were never ordered."""
+    world.orders.lost_count = 1
+    with pytest.raises(PlatformOutcomeUnknownError):
+        await world.scaling.run_once()
+    world.orders.take()
+    await world.scaling.run_once()
+    assert world.orders.take() == {NORTH: 1, SOUTH: 1}
+
+
+async def test_a_lost_zone_is_carried_by_the_others(world: World) -> None:
+    """Guards against callers of a dead zone that find no endpoints."""
+    for zone in (NORTH, SOUTH):
+        world.load(zone, 0, CAPACITY // 2)
+    await world.scaling.run_once()
+    world.orders.take()
+    world.registry.remove(ids.EndpointId('north-0'), 0.0)
+    world.loads.pop(ids.EndpointId('north-0'))
+    world.load(SOUTH, 0, CAPACITY)
+    await world.scaling.run_once()
+    assert world.orders.take()[SOUTH] == 2
+
+
+async def test_nothing_is_ordered_without_the_lease(world: World) -> None:
+    """Guards against two holders that order by turns."""
+    await world.clock.advance(11.0)
+    with pytest.raises(LeaseLostError):
+        await world.scaling.run_once()
+    assert world.orders.submitted == []
