Let an endpoint on probation stop no other requests

Cause: the router offered an endpoint on probation as the only candidate until a probe was under way. If the probe could not start, nothing else did: an endpoint of another region was never tried while nearer ones had room, a full one had to be waited for, and the dispatcher of items sent none to one that it had blocked.

A probe now goes ahead only if it can start at once; blocked endpoints are left out before the choice, and a move never goes to a probe.

Ruled out by the log: leaked attempts (each had its end), entries of endpoints (none changed), configuration (applied 0.8 s before).

--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -105,13 +105,14 @@
         group = self._groups.get(query.service)
         if group is None:
             return None
-        candidates = self._candidates(group, query, now_s)
+        allowed = self._allowed(group, query)
+        probe_id = self._probe(group, query, allowed, now_s)
+        if probe_id and not self._should_wait_nearby(group, query, [probe_id]):
+            return group.endpoints[probe_id]
+        candidates = self._in_rotation(group, allowed, now_s)
         if not candidates:
             return None
-        loads = {
-            endpoint_id: group.loads[endpoint_id].count(now_s)
-            for endpoint_id in candidates
-        }
+        loads = _loads(group, candidates, now_s)
         scores = {
             endpoint_id: self._score_s(group, query, endpoint_id, loads, now_s)
             for endpoint_id in candidates
@@ -136,11 +137,13 @@
         group = self._groups.get(query.service)
         if group is None:
             return []
-        candidates = self._candidates(group, query, now_s)
-        loads = {
-            endpoint_id: group.loads[endpoint_id].count(now_s)
-            for endpoint_id in candidates
-        }
+        allowed = self._allowed(group, query)
+        probe_id = self._probe(group, query, allowed, now_s)
+        if probe_id:
+            candidates = [probe_id]
+        else:
+            candidates = self._in_rotation(group, allowed, now_s)
+        loads = _loads(group, candidates, now_s)
         return [
             OpenEndpoint(group.endpoints[endpoint_id], loads[endpoint_id])
             for endpoint_id in self._with_room(group, candidates, loads, query)
@@ -223,25 +226,60 @@
             self._groups[service] = group
         return group
 
-    def _candidates(
-        self, group: ServiceGroup, query: RouteQuery, now_s: float
+    def _allowed(
+        self, group: ServiceGroup, query: RouteQuery
     ) -> list[ids.EndpointId]:
-        allowed = [
+        """Return the endpoints to compare that may get the attempt at all."""
+        return [
             endpoint_id
             for endpoint_id in self._sampler.sample(group, query)
             if self._is_allowed(group, query, endpoint_id)
         ]
-        in_rotation = []
-        for endpoint_id in allowed:
-            wanted = group.outliers.wants_probe(endpoint_id, now_s)
-            if wanted and query.may_probe:
-                # A probe goes ahead of any comparison, or an endpoint whose
-                # record is bad would never be tried again.
-                return [endpoint_id]
-            if group.outliers.health(endpoint_id, now_s) is Health.HEALTHY:
-                in_rotation.append(endpoint_id)
-        # If all that is left has been ejected, trying beats refusing.
-        return in_rotation or allowed
+
+    def _probe(
+        self,
+        group: ServiceGroup,
+        query: RouteQuery,
+        allowed: Sequence[ids.EndpointId],
+        now_s: float,
+    ) -> ids.EndpointId | None:
+        """Return an endpoint whose recovery the attempt can try.
+
+        A probe goes ahead of any comparison, or an endpoint whose record is
+        bad would never be tried again. It must be able to start now: nothing
+        else is placed before it is under way.
+        """
+        if not query.may_probe:
+            return None
+        wanting = [
+            endpoint_id
+            for endpoint_id in allowed
+            if group.outliers.wants_probe(endpoint_id, now_s)
+        ]
+        loads = _loads(group, wanting, now_s)
+        open_ids = self._with_room(group, wanting, loads, query)
+        return min(
+            open_ids,
+            key=lambda one: group.distance(group.endpoints[one]).value,
+            default=None,
+        )
+
+    def _in_rotation(
+        self,
+        group: ServiceGroup,
+        allowed: Sequence[ids.EndpointId],
+        now_s: float,
+    ) -> list[ids.EndpointId]:
+        """Return the healthy endpoints, all if there are none.
+
+        If all that is left has been ejected, trying beats refusing.
+        """
+        healthy = [
+            endpoint_id
+            for endpoint_id in allowed
+            if group.outliers.health(endpoint_id, now_s) is Health.HEALTHY
+        ]
+        return healthy or list(allowed)
 
     def _is_allowed(
         self,
@@ -395,3 +433,12 @@
         slot_count = usable_count * query.concurrency
         near_wait_s = group.duration_s * (query.waiting_count + 1) / slot_count
         return near_wait_s < self._distance_s(Distance.REMOTE, query)
+
+
+def _loads(
+    group: ServiceGroup, endpoint_ids: Sequence[ids.EndpointId], now_s: float
+) -> dict[ids.EndpointId, int]:
+    return {
+        endpoint_id: group.loads[endpoint_id].count(now_s)
+        for endpoint_id in endpoint_ids
+    }
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -98,8 +98,9 @@
         if self._waiting:
             return False
         now_s = self._clock.monotonic_s()
+        candidates = self._candidates(request, now_s, may_probe=False)
         return self._placement.should_move(
-            place.endpoint.endpoint_id, self._candidates(request, now_s), now_s
+            place.endpoint.endpoint_id, candidates, now_s
         )
 
     def _start_ready(self) -> None:
@@ -133,40 +134,41 @@
     ) -> None:
         place = Place(endpoint, ids.AttemptId(uuid.uuid4().hex))
         self._router.begin(
-            endpoint.endpoint_id, place.attempt_id, _query(request), now_s
+            endpoint.endpoint_id,
+            place.attempt_id,
+            RouteQuery(service=request.service),
+            now_s,
         )
         self._waiting.remove(number)
         self._futures[number].set_result(place)
 
     def _candidates(
-        self, request: PlaceRequest, now_s: float
+        self, request: PlaceRequest, now_s: float, *, may_probe: bool = True
     ) -> list[OpenEndpoint]:
-        return [
-            one
-            for one in self._router.open_endpoints(_query(request), now_s)
-            if not self._is_blocked(one.endpoint, request.model, now_s)
-        ]
-
-    def _is_blocked(
-        self, endpoint: Endpoint, model: ids.ModelName | None, now_s: float
-    ) -> bool:
-        key = (endpoint.endpoint_id, model)
-        until_s = self._blocked_until_s.get(key)
-        if until_s is None:
-            return False
-        if now_s < until_s:
-            return True
-        del self._blocked_until_s[key]
-        return False
+        query = RouteQuery(
+            service=request.service,
+            model=request.model,
+            min_weight_version=request.min_version,
+            excluded=self._blocked(request.model, now_s),
+            may_probe=may_probe,
+        )
+        return self._router.open_endpoints(query, now_s)
+
+    def _blocked(
+        self, model: ids.ModelName | None, now_s: float
+    ) -> frozenset[ids.EndpointId]:
+        """Return the endpoints that take no items of a model now."""
+        self._blocked_until_s = {
+            key: until_s
+            for key, until_s in self._blocked_until_s.items()
+            if now_s < until_s
+        }
+        return frozenset(
+            endpoint_id
+            for endpoint_id, blocked_model in self._blocked_until_s
+            if blocked_model == model
+        )
 
     def _on_timer(self) -> None:
         self._timer = None
         self._start_ready()
-
-
-def _query(request: PlaceRequest) -> RouteQuery:
-    return RouteQuery(
-        service=request.service,
-        model=request.model,
-        min_weight_version=request.min_version,
-    )
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -246,6 +246,45 @@
     assert router.health('a1', 9.5) is Health.HEALTHY
 
 
+def eject(router: Router, name: str, now_s: float) -> None:
+    """Make an endpoint fail until it is out of rotation."""
+    for number in range(3):
+        router.finish(SERVICE, name, f'bad-{name}-{number}', BAD, now_s)
+    assert router.health(name, now_s) is Health.EJECTED
+
+
+def test_endpoint_on_probation_in_another_region_stops_nothing() -> None:
+    """Guards against a queue that stands still though places are free.
+
+    Seen on the day scale-1 of the grown site of Pizarra: an endpoint of
+    another region came on probation, was the only candidate from then on,
+    and was never tried, since nearer ones had room.
+    """
+    router = make_router(*(endpoint(name) for name in ('a1', 'a2')))
+    router.upsert(endpoint('z1', 'z'), 0.0)
+    eject(router, 'z1', 0.0)
+    assert router.health('z1', 3.0) is Health.PROBING
+    assert send(router, 1, GOOD, 3.0) in {'a1', 'a2'}
+    for name in ('a1', 'a2'):
+        router.remove(name, 3.0)
+    assert send(router, 2, None, 3.0) == 'z1'
+
+
+def test_full_endpoint_on_probation_stops_nothing() -> None:
+    """Guards against waiting for the room of a probe alone."""
+    router = make_router(*(endpoint(name) for name in ('a1', 'a2', 'a3')))
+    eject(router, 'a1', 0.0)
+    full = messages.EndpointLoad(
+        endpoint_id='a1', running_count=20, waiting_count=0
+    )
+    router.report_load(full, 2.9)
+    assert send(router, 1, GOOD, 3.0) in {'a2', 'a3'}
+    open_ids = {
+        one.endpoint.endpoint_id for one in router.open_endpoints(query(), 3.0)
+    }
+    assert open_ids == {'a2', 'a3'}
+
+
 def newest(one: Endpoint) -> int:
     return -1 if one.weight_version is None else one.weight_version
 
