Answer 503 to requests that have waited in vain; take the median once

The status now follows from whether it has run; the test of all cases failed for two of them first.

Cause of the second: each comparison of endpoints took the median of all paces anew, so a choice grew with the square of the endpoints. It is kept for 0.1 s. Not measured by itself.

--- a/src/dogwoodpost/core/batches/endpoint_pace.py
+++ b/src/dogwoodpost/core/batches/endpoint_pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import statistics
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,10 @@
 # tried again after it was slow.
 _MEMORY_S = 6.0
 _MIN_EVENT_COUNT = 5
+_MIN_COMPARED_COUNT = 2
+# All candidates of a decision, and of those at the same time, are compared
+# with one figure.
+_MEDIAN_LIFETIME_S = 0.1
 
 
 class _Pace(msgspec.Struct):
@@ -28,6 +33,8 @@
 
     def __init__(self) -> None:
         self._paces: dict[ids.EndpointId, _Pace] = {}
+        self._median_s: float | None = None
+        self._median_until_s = -math.inf
 
     def record(
         self, endpoint_id: ids.EndpointId, gap_s: float, now_s: float
@@ -45,18 +52,28 @@
 
     def ratio(self, endpoint_id: ids.EndpointId, now_s: float) -> float:
         """Return an endpoint's gap relative to the median, 1.0 if unknown."""
+        pace = self._paces.get(endpoint_id)
+        if pace is None or not _is_known(pace, now_s):
+            return 1.0
+        median_s = self._current_median_s(now_s)
+        return pace.gap_s / median_s if median_s else 1.0
+
+    def _current_median_s(self, now_s: float) -> float | None:
+        """Return the median gap, None if there is nothing to compare."""
+        if now_s < self._median_until_s:
+            return self._median_s
         known = [
             pace.gap_s
             for pace in self._paces.values()
-            if self._is_known(pace, now_s)
+            if _is_known(pace, now_s)
         ]
-        pace = self._paces.get(endpoint_id)
-        if pace is None or not self._is_known(pace, now_s) or len(known) < 2:
-            return 1.0
         # The lower one of two, so that a slow one among them shows.
-        median_s = statistics.median_low(known)
-        return pace.gap_s / median_s if median_s > 0.0 else 1.0
+        enough = len(known) >= _MIN_COMPARED_COUNT
+        self._median_s = statistics.median_low(known) if enough else None
+        self._median_until_s = now_s + _MEDIAN_LIFETIME_S
+        return self._median_s
+
 
-    def _is_known(self, pace: _Pace, now_s: float) -> bool:
-        recent = now_s - pace.seen_s <= _MEMORY_S
-        return recent and pace.event_count >= _MIN_EVENT_COUNT
+def _is_known(pace: _Pace, now_s: float) -> bool:
+    recent = now_s - pace.seen_s <= _MEMORY_S
+    return recent and pace.event_count >= _MIN_EVENT_COUNT
--- a/src/dogwoodpost/platform/ingress.py
+++ b/src/dogwoodpost/platform/ingress.py
@@ -38,6 +38,9 @@
 # Responses with these statuses promise that the request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
 _BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+# They promise nothing, so a client could not try again after them.
+_NO_PROMISES = frozenset({502, 504})
 
 
 class Ingress:
@@ -145,10 +148,12 @@
 
 
 def _error_response(error: RequestError) -> web.Response:
-    """Return a response whose status promises nothing that is not so."""
+    """Return a response whose status promises that it has not run, or not."""
     response = error_response(error)
     if error.status in _PROMISES and not error.not_run:
         response.set_status(_BAD_GATEWAY)
+    elif error.status in _NO_PROMISES and error.not_run:
+        response.set_status(_UNAVAILABLE)
     if error.retry_after_s is not None:
         response.headers['Retry-After'] = f'{error.retry_after_s:.3f}'
     return response
