--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -173,7 +173,7 @@
     try:
         wire = msgspec.json.decode(body, type=_WireJob)
         items = tuple(_item(one) for one in wire.requests)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, OverflowError) as error:
         raise RequestError(
             'malformed_batch_job', str(error), status=400, not_run=True
         ) from None
--- /dev/null
+++ b/src/dogwoodpost/services/batches/job_cache.py
@@ -0,0 +1,38 @@
+"""The jobs that this process has read, to serve their items' bodies."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.batches import BatchJob
+    from dogwoodpost.services.batches.job_store import JobStore
+
+_MAX_JOB_COUNT = 64
+
+
+class JobCache:
+    """Keeps the last jobs; others are read from the store."""
+
+    def __init__(self, store: JobStore) -> None:
+        self._store = store
+        self._jobs: dict[ids.JobId, BatchJob] = {}
+
+    def add(self, job: BatchJob) -> None:
+        """Keep a job."""
+        self._jobs[job.job_id] = job
+        while len(self._jobs) > _MAX_JOB_COUNT:
+            self._jobs.pop(next(iter(self._jobs)))
+
+    async def get(self, job_id: ids.JobId) -> BatchJob | None:
+        """Return a job, None if there is none.
+
+        :raises StoreError: it can't be read.
+        """
+        job = self._jobs.get(job_id)
+        if job is None:
+            job = await self._store.load(job_id)
+            if job is not None:
+                self.add(job)
+        return job
--- /dev/null
+++ b/src/dogwoodpost/services/batches/takeover_watch.py
@@ -0,0 +1,119 @@
+"""Takes over batch jobs whose owner is gone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import mode
+import msgspec
+import structlog
+
+from dogwoodpost.core.batches.takeover import takeover_delay_s
+from dogwoodpost.errors import RowConflictError
+from dogwoodpost.errors import StoreError
+from dogwoodpost.services.background_tasks import BackgroundTasks
+from dogwoodpost.services.batches.job_store import StoredHead
+
+if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.batches import JobHead
+    from dogwoodpost.services.batches.batch_context import BatchContext
+    from dogwoodpost.services.batches.job_workers import JobWorkers
+    from dogwoodpost.services.membership.presence_service import (
+        PresenceService,
+    )
+
+_log = structlog.get_logger(__name__)
+_CHECK_INTERVAL_S = 0.25
+_WRITE_TIMEOUT_S = 1.0
+
+
+class TakeoverWatch(mode.Service):
+    """Compares the owners of open jobs with the live processes."""
+
+    def __init__(
+        self,
+        context: BatchContext,
+        presence: PresenceService,
+        workers: JobWorkers,
+    ) -> None:
+        super().__init__()
+        self._context = context
+        self._presence = presence
+        self._workers = workers
+        self._orphaned_since_s: dict[ids.JobId, float] = {}
+        self._background = BackgroundTasks()
+
+    async def on_stop(self) -> None:
+        """Stop takeovers that are under way."""
+        await self._background.cancel()
+
+    @mode.Service.task
+    async def _watch(self) -> None:
+        while not self.should_stop:
+            now_s = self._context.clock.monotonic_s()
+            for job_id, stored in self._workers.directory.heads():
+                if self._is_orphaned(job_id, stored.head, now_s):
+                    self._consider(job_id, stored, now_s)
+                else:
+                    self._orphaned_since_s.pop(job_id, None)
+            await self._context.clock.sleep(_CHECK_INTERVAL_S)
+
+    def _is_orphaned(
+        self, job_id: ids.JobId, head: JobHead, now_s: float
+    ) -> bool:
+        if head.is_complete or not self._workers.takes_jobs:
+            return False
+        if not self._presence.is_confirmed:
+            self._orphaned_since_s.clear()
+            return False
+        if self._workers.owns(head):
+            return not self._workers.has(job_id)
+        return not self._presence.view.is_alive(
+            head.owner_id, head.owner_incarnation, now_s
+        )
+
+    def _consider(
+        self, job_id: ids.JobId, stored: StoredHead, now_s: float
+    ) -> None:
+        since_s = self._orphaned_since_s.setdefault(job_id, now_s)
+        delay_s = takeover_delay_s(
+            job_id,
+            self._context.identity.process_id,
+            self._presence.view.alive(now_s),
+        )
+        if now_s - since_s < delay_s or self._workers.has(job_id):
+            return
+        self._orphaned_since_s.pop(job_id, None)
+        if self._workers.owns(stored.head):
+            self._workers.adopt(job_id, stored)
+        else:
+            self._background.spawn(self._take_over(job_id, stored))
+
+    async def _take_over(self, job_id: ids.JobId, stored: StoredHead) -> None:
+        identity = self._context.identity
+        head = msgspec.structs.replace(
+            stored.head,
+            owner_id=identity.process_id,
+            owner_incarnation=identity.incarnation,
+        )
+        deadline_s = self._context.clock.monotonic_s() + _WRITE_TIMEOUT_S
+        try:
+            version = await self._context.store.write_head(
+                job_id, stored.version, head, (), deadline_s
+            )
+        except RowConflictError:
+            _log.info('job_taken_elsewhere', job_id=job_id)
+            return
+        except StoreError as error:
+            _log.info('job_not_taken', job_id=job_id, error=str(error))
+            return
+        _log.info(
+            'job_taken_over',
+            job_id=job_id,
+            version=version,
+            previous_owner=stored.head.owner_id,
+            listed=head.listed_count,
+            total=head.total_count,
+        )
+        self._workers.directory.learn(job_id, StoredHead(head, version))
