Compare up to 48 endpoints of a service for each placement

Cause: above 16 endpoints the router drew candidates by chance: two nearby and two from elsewhere. Batch items on the grown sites (22 to 26 engines, several of them slow or dark at a time) were placed at the best of four, and moved to the best of four.

Ruled out: pace estimates (they told the slow engines), places (under half were taken). Larger fleets are still drawn from, eight by distance.

--- a/src/dogwoodpost/core/routing/candidate_sampler.py
+++ b/src/dogwoodpost/core/routing/candidate_sampler.py
@@ -18,8 +18,6 @@
     from dogwoodpost.core.routing.service_group import ServiceGroup
     from dogwoodpost.core.routing.settings import RouterSettings
 
-# Up to this size every endpoint of a service is compared.
-_COMPARE_ALL_COUNT = 16
 # Depth of the prefix that decides on a home while nobody is known to hold
 # any of it; entries that have seen nothing yet agree on it.
 _COLD_KEY_BLOCK = 3
@@ -46,7 +44,7 @@
         """Return the endpoints to compare; not all may be allowed."""
         eligible = group.eligible()
         total_count = sum(len(members) for members in eligible.values())
-        if total_count <= _COMPARE_ALL_COUNT:
+        if total_count <= self._settings.compare_all_count:
             return [*eligible[Distance.ZONE], *eligible[Distance.REGION]] + (
                 eligible[Distance.REMOTE]
             )
--- a/src/dogwoodpost/core/routing/settings.py
+++ b/src/dogwoodpost/core/routing/settings.py
@@ -12,6 +12,8 @@
     :param random_count: candidates drawn at random.
     :param remote_count: candidates from other availability zones.
     :param index_count: candidates by the cache index.
+    :param compare_all_count: up to so many endpoints of a service, all are
+        candidates.
     :param max_index_blocks: bound on remembered (block, endpoint) pairs.
     :param load_bound: an affine endpoint may hold this multiple of the mean
         load of its service before others are preferred.
@@ -35,6 +37,7 @@
     random_count: int = 2
     remote_count: int = 2
     index_count: int = 3
+    compare_all_count: int = 16
     max_index_blocks: int = 200_000
     load_bound: float = 1.25
     room_share: float = 1.125
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -85,6 +85,15 @@
 # What is left of the grace period when the process gives up its work.
 _EXIT_MARGIN_S = 1.8
 _IDLE_POLL_S = 0.05
+# Endpoints refuse what they have no place for. The longest items decide when
+# a training step ends, so their places are compared widely.
+_ROUTER_SETTINGS = RouterSettings(
+    room_share=1.0,
+    behind_room_share=1.0,
+    compare_all_count=48,
+    random_count=8,
+    remote_count=8,
+)
 
 
 class PlatformProcess(CompositeService):
@@ -115,7 +124,7 @@
             ids.AvailabilityZone(settings.zone),
             ids.Region(settings.region),
             self._rng,
-            RouterSettings(room_share=1.0, behind_room_share=1.0),
+            _ROUTER_SETTINGS,
         )
         self._registry = EndpointRegistry(self._router)
 
