Give scoring that reaches its limit twice the time

Cause: each try of a scorer was cut after 1 s, whatever the route allows. A text whose scoring takes longer was never scored; its step waited for it until the trainer gave up.

The next try after one that reached its limit gets twice the time, up to the route's limit.

Each reported usage window now has a log line with its lease's number.

--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -21,9 +21,13 @@
     from dogwoodpost.services.entry.route_finder import RouteFinder
 
 _log = structlog.get_logger(__name__)
-_TRY_TIMEOUT_S = 1.0
+# Most answers come much sooner; a silent endpoint costs no more than this.
+_FIRST_TIMEOUT_S = 1.0
+# Some texts take longer to score, at whichever endpoint.
+_TIMEOUT_FACTOR = 2.0
 _PAUSE_S = 0.1
 _STATUS_FAILED = 500
+_MS_PER_S = 1_000
 
 
 class ScoringFailedError(DogwoodpostError):
@@ -54,6 +58,7 @@
         :raises ScoringFailedError: the scorer failed too often.
         """
         failure_count = 0
+        limit_s = _FIRST_TIMEOUT_S
         while True:
             route = self._routes.find(call.host, call.path)
             if route is not None:
@@ -61,7 +66,10 @@
                     raise ScoringFailedError(
                         f'{failure_count} failures of the scorer'
                     )
-                head = await self._try(call, route)
+                start_s = self._clock.monotonic_s()
+                head = await self._try(call, route, limit_s)
+                if self._clock.monotonic_s() - start_s >= limit_s:
+                    limit_s *= _TIMEOUT_FACTOR
                 score = self._score_of(head)
                 if score is not None:
                     return score
@@ -69,7 +77,9 @@
                     failure_count += 1
             await self._clock.sleep(_PAUSE_S)
 
-    async def _try(self, call: ScorerCall, route: Route) -> AttemptHead | None:
+    async def _try(
+        self, call: ScorerCall, route: Route, limit_s: float
+    ) -> AttemptHead | None:
         """Return the head of a response, None without a response."""
         service = chosen_service(
             self._routes.configuration, route, call.request_id
@@ -85,7 +95,7 @@
             path=call.path,
             headers=(('Host', call.host),),
             body=call.body,
-            timeout_s=min(route.timeout_ms / 1_000, _TRY_TIMEOUT_S),
+            timeout_s=min(route.timeout_ms / _MS_PER_S, limit_s),
             idempotent=True,
             max_attempt_count=1,
             whole_response=True,
--- a/src/dogwoodpost/services/control/usage_reporter.py
+++ b/src/dogwoodpost/services/control/usage_reporter.py
@@ -154,6 +154,16 @@
             report = await self._freeze(window, parts)
         await self._platform.submit(report, before_send=self._assert_holder)
         self._metrics.events.labels('usage_window_reported').inc()
+        _log.info(
+            'usage_window_reported',
+            window=window,
+            fencing_number=self._fencing_number,
+            client_accounts=len(report.figures),
+            requests=sum(
+                figures.request_count for figures in report.figures.values()
+            ),
+            parts=len(parts),
+        )
         await self._mark_reported(window, parts)
 
     async def _freeze(
--- a/src/dogwoodpost/standins/site/duty_app.py
+++ b/src/dogwoodpost/standins/site/duty_app.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 from aiohttp import web
 
 
 class UsageCall(msgspec.Struct, frozen=True, kw_only=True):
-    """A usage report as the platform received it."""
+    """A usage report as the platform received it.
+
+    :param received_s: time on the loop's clock.
+    """
 
     window: int
     counts: dict[str, int]
     holder: str
     fencing_token: int
+    received_s: float = 0.0
 
 
 class ScaleCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,6 +64,7 @@
                 counts=usage.counts,
                 holder=request.headers['X-Duty-Holder'],
                 fencing_token=int(request.headers['X-Fencing-Token']),
+                received_s=asyncio.get_running_loop().time(),
             )
         )
         return web.Response()
--- a/src/dogwoodpost/standins/site/sampler_app.py
+++ b/src/dogwoodpost/standins/site/sampler_app.py
@@ -41,7 +41,12 @@
     body: bytes
 
 
-class _Order(msgspec.Struct, kw_only=True, rename='camel'):
+class SeenOrder(msgspec.Struct, kw_only=True, rename='camel'):
+    """An order as an endpoint has received it.
+
+    :param received_s: time on the loop's clock.
+    """
+
     operation: str
     model: str
     version: int
@@ -49,12 +54,14 @@
     holder: str
     fencing_token: int
     expected: int | None = None
+    received_s: float = 0.0
 
 
 class SamplerApp:
     """State and handlers of one endpoint.
 
-    :param event_count: events of each stream; 0 for a plain service.
+    :param event_count: events of each stream; 0 for a plain service, which
+        works for ``work_s`` on each request.
     """
 
     def __init__(
@@ -70,8 +77,9 @@
         self.faults = faults
         self.seen: list[SeenRequest] = []
         self.runs: Counter[str] = Counter()
-        self.orders: list[_Order] = []
+        self.orders: list[SeenOrder] = []
         self.load_s = 0.05
+        self.work_s = 0.0
         self.event_gap_s = _EVENT_GAP_S
         self._event_count = event_count
         self._is_busy = False
@@ -84,7 +92,9 @@
         app.router.add_route('*', '/{path:.*}', self._run)
         return app
 
-    def entry(self, service: str, address: str, zone: str) -> bytes:
+    def entry(
+        self, service: str, address: str, zone: str, state: str = 'ready'
+    ) -> bytes:
         """Return what the endpoint says of itself in service discovery."""
         return msgspec.json.encode(
             {
@@ -93,7 +103,7 @@
                 'zone': zone,
                 'version': 'v1',
                 'slots': 8,
-                'state': 'ready',
+                'state': state,
                 'coldRemainingMs': 0,
                 'born': 1_700_000_000_000,
                 'sequence': 1,
@@ -111,17 +121,18 @@
         )
 
     async def _order(self, request: web.Request) -> web.Response:
-        order = msgspec.json.decode(await request.read(), type=_Order)
+        order = msgspec.json.decode(await request.read(), type=SeenOrder)
         if self._is_busy or order.expected != len(self.orders):
             return web.Response(status=409)
         if self.versions.get(order.model, 0) >= order.version:
             return web.Response(status=200)
+        order.received_s = asyncio.get_running_loop().time()
         self.orders.append(order)
         self._is_busy = True
         asyncio.get_running_loop().call_later(self.load_s, self._load, order)
         return web.Response(status=202)
 
-    def _load(self, order: _Order) -> None:
+    def _load(self, order: SeenOrder) -> None:
         self.versions[order.model] = order.version
         self._is_busy = False
 
@@ -159,6 +170,7 @@
         if not self._event_count:
             if fault is SamplerFault.SILENT:
                 await asyncio.sleep(30.0)
+            await asyncio.sleep(self.work_s)
             return web.Response(body=b'echo:' + body, headers=headers)
         return await self._stream(request, headers, fault)
 
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -109,9 +109,11 @@
         engines = [(engine, 'engines') for engine in self.engines]
         return [*engines, (self.plain, 'plain')]
 
-    def register(self, endpoint: SamplerApp, service: str) -> None:
+    def register(
+        self, endpoint: SamplerApp, service: str, state: str = 'ready'
+    ) -> None:
         address = self._addresses[endpoint.endpoint_id]
-        entry = endpoint.entry(service, address, 'zone-a')
+        entry = endpoint.entry(service, address, 'zone-a', state)
         self.put('servers', endpoint.endpoint_id, entry)
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -222,6 +222,19 @@
     assert sum(len(engine.seen) for engine in site.engines) == 1
 
 
+async def test_a_text_that_takes_long_to_score_is_listed(site: Site) -> None:
+    """Guards against steps that wait for a single score until they end.
+
+    Seen on trouble-2 of the grown site of Swanbourne: scoring one text took
+    longer than the limit of each try, so it was cut off again and again.
+    """
+    site.plain.work_s = 1.4
+    async with site.node('node-1') as node:
+        assert await site.submit(node, site.job(item_count=2), 'job-1') == 202
+        results = await site.results(node, 'job-1', 2)
+    assert {result['state'] for result in results} == {'completed'}
+
+
 async def test_bodies_and_end_of_a_job(site: Site) -> None:
     """Guards against work that goes on after a job's end."""
     for engine in site.engines:
