Decode rows of processes in one place

Presence, endpoint versions and job heads each decoded and logged rows of their own with a copy of the same lines.

--- a/src/dogwoodpost/services/batches/job_directory.py
+++ b/src/dogwoodpost/services/batches/job_directory.py
@@ -6,22 +6,17 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-import msgspec
-import structlog
-
 from dogwoodpost.core import ids
-from dogwoodpost.services.batches import job_rows
+from dogwoodpost.core.batches import JobHead
 from dogwoodpost.services.batches.job_store import StoredHead
+from dogwoodpost.services.rows import decode_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from dogwoodpost.core.batches import JobHead
     from dogwoodpost.ports.row_store import VersionedRow
 
-_log = structlog.get_logger(__name__)
-
 
 class JobDirectory:
     """Takes the feed of heads and wakes those who wait for a change."""
@@ -84,7 +79,7 @@
         if row.value is None:
             self._forget(job_id)
             return
-        head = _decode(job_id, row.value)
+        head = decode_record(row, JobHead)
         if head is not None:
             self.learn(job_id, StoredHead(head, row.version))
 
@@ -97,11 +92,3 @@
         event = self._changed.pop(job_id, None)
         if event is not None:
             event.set()
-
-
-def _decode(job_id: ids.JobId, value: bytes) -> JobHead | None:
-    try:
-        return job_rows.decode_head(value)
-    except msgspec.MsgspecError as error:
-        _log.warning('job_head_unreadable', job_id=job_id, error=str(error))
-        return None
--- a/src/dogwoodpost/services/control/endpoint_versions.py
+++ b/src/dogwoodpost/services/control/endpoint_versions.py
@@ -13,6 +13,8 @@
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
+from dogwoodpost.services.rows import decode_record
+from dogwoodpost.services.rows import encode_record
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -63,7 +65,7 @@
                 endpoint.endpoint_id
             ] = await self._store.commit(
                 [RowCheck(key, known)],
-                [RowWrite(key, msgspec.msgpack.encode(record))],
+                [RowWrite(key, encode_record(record))],
             )
         except RowConflictError as error:
             for row in error.rows:
@@ -82,19 +84,11 @@
             self._row_versions[endpoint_id] = row.version
             if row.value is None:
                 self._row_versions.pop(endpoint_id)
-                continue
-            try:
-                record = msgspec.msgpack.decode(row.value, type=_Record)
-            except msgspec.MsgspecError as error:
-                _log.warning(
-                    'endpoint_versions_unreadable',
-                    endpoint=endpoint_id,
-                    error=str(error),
+            record = decode_record(row, _Record)
+            if record is not None:
+                self._registry.note_versions(
+                    endpoint_id, record.incarnation, record.versions, now_s
                 )
-                continue
-            self._registry.note_versions(
-                endpoint_id, record.incarnation, record.versions, now_s
-            )
 
     def replace(self, rows: Sequence[VersionedRow], now_s: float) -> None:
         """Take all rows."""
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 import mode
-import msgspec
 import structlog
 
 from dogwoodpost.core import ids
@@ -17,6 +16,8 @@
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
+from dogwoodpost.services.rows import decode_record
+from dogwoodpost.services.rows import encode_record
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -122,7 +123,7 @@
             leaving=self.is_leaving,
         )
         key = RowKey(TABLE, '', self._identity.process_id)
-        write = RowWrite(key, msgspec.msgpack.encode(record))
+        write = RowWrite(key, encode_record(record))
         for _ in range(2):
             try:
                 self._version = await self._store.commit(
@@ -160,16 +161,9 @@
         if row.value is None:
             self.view.forget(process_id)
             return
-        try:
-            record = msgspec.msgpack.decode(row.value, type=PresenceRecord)
-        except msgspec.MsgspecError as error:
-            _log.warning(
-                'presence_row_unreadable',
-                process=process_id,
-                error=str(error),
-            )
-            return
-        self.view.observe(process_id, record, row.version, now_s)
+        record = decode_record(row, PresenceRecord)
+        if record is not None:
+            self.view.observe(process_id, record, row.version, now_s)
 
     def _report_loads(self, now_s: float) -> None:
         """Tell the router how many requests the others have in flight.
--- a/src/dogwoodpost/services/rows/__init__.py
+++ b/src/dogwoodpost/services/rows/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from dogwoodpost.services.rows.resolved_rows import commit_rows
+from dogwoodpost.services.rows.row_records import decode_record
+from dogwoodpost.services.rows.row_records import encode_record
 from dogwoodpost.services.rows.table_follower import RowSink
 from dogwoodpost.services.rows.table_follower import TableFollower
 
-__all__ = ('RowSink', 'TableFollower', 'commit_rows')
+__all__ = (
+    'RowSink',
+    'TableFollower',
+    'commit_rows',
+    'decode_record',
+    'encode_record',
+)
