Add a fault soak of the real programs

make soak SEED=N starts processes of the system against the stand-ins of the platform, with a loopback proxy on each link. Faults drawn from the seed kill, stop, pause and hang up processes, delay, reset, silence and cut links one way, take the store away, lose and delay its writes, spoil endpoints, and change configuration and versions. Checked are: unsafe requests run once, promises of refusals, whole bodies and streams, stable positions, accepted jobs, usage windows and holders, no denials, service after the faults.

Clock faults are not among them: nothing here may set a clock.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export POETRY_VIRTUALENVS_IN_PROJECT = true
 export POETRY_VIRTUALENVS_CREATE = true
 
-.PHONY: setup demo test lint types unit fuzz binary proto clean \
+.PHONY: setup demo test lint types unit fuzz soak binary proto clean \
 	measure-requests measure-path measure-rollouts measure-control
 
 setup: .venv/.complete
@@ -38,6 +38,11 @@
 fuzz: setup
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/pytest -m fuzz
 
+# One soak: make soak SEED=7
+SEED ?= 1
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(SEED)
+
 binary: dist/dogwoodpost
 
 dist/dogwoodpost: .venv/.complete $(shell find src -name '*.py')
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -372,18 +372,19 @@
 
 async def _wait_until_hangup_ignored(pid: int) -> None:
     """Wait for the first statement of a process; the interpreter is up."""
-    status = Path(f'/proc/{pid}/status')
     for _ in range(1_000):
-        if _ignores_hangup(status):
+        if outlives_hangup(pid):
             return
         await asyncio.sleep(0.005)
-    raise AssertionError('the process does not ignore the signal')
+    raise AssertionError('the signal would end the process')
 
 
-def _ignores_hangup(status: Path) -> bool:
-    lines = status.read_text().splitlines()
+def outlives_hangup(pid: int) -> bool:
+    """Return whether a process ignores SIGHUP or handles it."""
+    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
     fields = dict(line.split(':', 1) for line in lines)
-    return bool(int(fields['SigIgn'], 16) & 1 << (signal.SIGHUP - 1))
+    mask = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
+    return bool(mask & 1 << (signal.SIGHUP - 1))
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/soak/soak_plan.py
@@ -0,0 +1,76 @@
+"""Faults of one soak, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+
+import msgspec
+
+from dogwoodpost.standins.memory_row_store import RowFault
+from dogwoodpost.standins.site.sampler_app import SamplerFault
+from tests.soak.fault_proxy import Harm
+
+_FIRST_S = 1.0
+_LONGEST_S = 3.0
+
+
+class FaultKind(Enum):
+    """What is harmed, and how."""
+
+    KILL = 'kill'
+    STOP = 'stop'
+    PAUSE = 'pause'
+    HANG_UP = 'hang_up'
+    STORE_LINK = 'store_link'
+    ENDPOINT_LINK = 'endpoint_link'
+    DUTY_LINK = 'duty_link'
+    STORE_DOWN = 'store_down'
+    STORE_WRITES = 'store_writes'
+    ENDPOINT = 'endpoint'
+    DRAIN = 'drain'
+    CONFIGURATION = 'configuration'
+    VERSION = 'version'
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True):
+    """One fault; times are in seconds from the start of traffic.
+
+    :param target: index of the node or endpoint, modulo their number.
+    """
+
+    at_s: float
+    for_s: float
+    kind: FaultKind
+    target: int
+    harm: Harm = Harm.NONE
+    row_fault: RowFault | None = None
+    endpoint_fault: SamplerFault | None = None
+
+
+_LINKS = (
+    FaultKind.STORE_LINK,
+    FaultKind.ENDPOINT_LINK,
+    FaultKind.DUTY_LINK,
+)
+
+
+def draw_plan(seed: int, duration_s: float, count: int) -> list[Fault]:
+    """Return the faults of a soak in the order of their begin."""
+    rng = random.Random(seed)
+    faults = [_draw(rng, duration_s) for _ in range(count)]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw(rng: random.Random, duration_s: float) -> Fault:
+    kind = rng.choice(list(FaultKind))
+    harms = [harm for harm in Harm if harm is not Harm.NONE]
+    return Fault(
+        at_s=round(rng.uniform(_FIRST_S, duration_s), 2),
+        for_s=round(rng.uniform(0.2, _LONGEST_S), 2),
+        kind=kind,
+        target=rng.randrange(1_000),
+        harm=rng.choice(harms) if kind in _LINKS else Harm.NONE,
+        row_fault=rng.choice(list(RowFault)),
+        endpoint_fault=rng.choice(list(SamplerFault)),
+    )
--- /dev/null
+++ b/tests/soak/soak_run.py
@@ -0,0 +1,146 @@
+"""Runs one soak: processes, traffic, faults, recovery and checks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from dogwoodpost.standins.site.sampler_app import SamplerFault
+from tests.soak.soak_checks import check_endpoints
+from tests.soak.soak_checks import check_orders
+from tests.soak.soak_checks import check_usage
+from tests.soak.soak_clients import SoakClients
+from tests.soak.soak_faults import FaultRunner
+from tests.soak.soak_plan import draw_plan
+from tests.soak.soak_plan import Fault
+from tests.soak.soak_plan import FaultKind
+from tests.soak.soak_site import SoakSite
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+    from pathlib import Path
+
+# From the end of all faults until requests are served and jobs complete.
+_RECOVERY_S = 15.0
+_RECOVERY_POLL_S = 0.3
+_MIN_SERVED_AFTER_COUNT = 10
+_FAILING = frozenset({SamplerFault.FAIL, SamplerFault.NEVER})
+
+
+class SoakReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a soak has found."""
+
+    faults: tuple[Fault, ...]
+    served_count: int
+    job_count: int
+    violations: tuple[str, ...]
+
+
+async def run_soak(
+    seed: int,
+    folder: Path,
+    *,
+    duration_s: float,
+    node_count: int,
+    fault_count: int,
+) -> SoakReport:
+    """Run a soak in a folder that keeps the processes' logs."""
+    plan = draw_plan(seed, duration_s, fault_count)
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, limit=0)
+            )
+        )
+        site = SoakSite(session, folder, node_count)
+        await site.open(stack)
+        clients = SoakClients(site, seed)
+        faults = FaultRunner(site)
+        await _play(site, clients, faults, plan, duration_s)
+        violations = [
+            *clients.violations,
+            *check_endpoints(site, clients),
+            *check_usage(site, faults.healed_s),
+            *check_orders(site, faults.healed_s),
+            *[
+                f'{node.name} has ended by itself'
+                for node in site.nodes
+                if node.has_crashed()
+            ],
+        ]
+        return SoakReport(
+            faults=tuple(plan),
+            served_count=clients.served_count,
+            job_count=len(clients.jobs),
+            violations=tuple(violations),
+        )
+
+
+async def _play(
+    site: SoakSite,
+    clients: SoakClients,
+    faults: FaultRunner,
+    plan: Sequence[Fault],
+    duration_s: float,
+) -> None:
+    traffic = [
+        asyncio.create_task(clients.send_requests()),
+        asyncio.create_task(clients.submit_jobs()),
+        asyncio.create_task(faults.apply_late_writes()),
+    ]
+    harmful = [asyncio.create_task(faults.run(fault)) for fault in plan]
+    try:
+        await asyncio.sleep(duration_s)
+        await asyncio.gather(*harmful)
+        await faults.end_all()
+        for node in site.nodes:
+            await site.wait_ready(node.address())
+        await _recover(clients, _may_fail(plan))
+    finally:
+        for task in (*traffic, *harmful):
+            task.cancel()
+        await asyncio.gather(*traffic, *harmful, return_exceptions=True)
+
+
+async def _recover(clients: SoakClients, may_fail: bool) -> None:
+    """Wait until all is served again; check the jobs of the whole soak."""
+    served_before = clients.served_count
+    jobs = list(clients.jobs)
+    enough = served_before + _MIN_SERVED_AFTER_COUNT
+    await _wait_until(
+        lambda: (
+            clients.served_count >= enough
+            and all(clients.is_complete(job) for job in jobs)
+        )
+    )
+    if clients.served_count < enough:
+        clients.violations.append('requests are not served after the faults')
+    for job in jobs:
+        if clients.is_complete(job):
+            await clients.read_once(job)
+            clients.check_results(job, may_fail=may_fail)
+        else:
+            clients.violations.append(
+                f'job {job.job_id}: {len(job.results)} results'
+            )
+
+
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, no longer than a recovery may take."""
+    for _ in range(int(_RECOVERY_S / _RECOVERY_POLL_S)):
+        if condition():
+            return
+        await asyncio.sleep(_RECOVERY_POLL_S)
+
+
+def _may_fail(plan: Sequence[Fault]) -> bool:
+    """Return whether endpoints reject items of themselves."""
+    return any(
+        fault.kind is FaultKind.ENDPOINT and fault.endpoint_fault in _FAILING
+        for fault in plan
+    )
--- /dev/null
+++ b/tests/soak/soak_site.py
@@ -0,0 +1,153 @@
+"""A site whose links lead through proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from tests.platform.platform_site import outlives_hangup
+from tests.platform.platform_site import Site
+from tests.platform.platform_site import SpawnedNode
+from tests.soak.fault_proxy import FaultProxy
+
+if TYPE_CHECKING:
+    import contextlib
+    from pathlib import Path
+
+    import aiohttp
+
+_END_TIMEOUT_S = 10.0
+
+
+class SoakNode:
+    """A process of the system that is started again and again."""
+
+    def __init__(
+        self, name: str, settings: dict[str, Any], folder: Path
+    ) -> None:
+        self.name = name
+        self._settings = settings
+        self._path = folder / f'{name}.json'
+        self._log_path = folder / f'{name}.log'
+        self._path.write_bytes(msgspec.json.encode(settings))
+        self._process: asyncio.subprocess.Process | None = None
+        self._changing = asyncio.Lock()
+
+    async def start(self) -> None:
+        """Start the process unless it runs."""
+        async with self._changing:
+            if self._process is None:
+                await self._start()
+
+    async def end(self, number: signal.Signals) -> None:
+        """End the process by a signal, or by force if that takes too long."""
+        async with self._changing:
+            if self._process is not None:
+                await self._end(self._process, number)
+                self._process = None
+
+    async def _start(self) -> None:
+        with self._log_path.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'dogwoodpost.platform',
+                env={**os.environ, 'DOGWOODPOST_BOOT': str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def address(self) -> SpawnedNode:
+        """Return the process with its addresses."""
+        assert self._process is not None
+        return SpawnedNode(self._process, self._settings)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal; nothing happens if the process has ended."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    def hang_up(self) -> None:
+        """Send SIGHUP, unless the interpreter is still starting."""
+        process = self._process
+        if process is not None and process.returncode is None:
+            if outlives_hangup(process.pid):
+                self.send_signal(signal.SIGHUP)
+
+    async def _end(
+        self, process: asyncio.subprocess.Process, number: signal.Signals
+    ) -> None:
+        self.send_signal(number)
+        self.send_signal(signal.SIGCONT)
+        try:
+            async with asyncio.timeout(_END_TIMEOUT_S):
+                await process.wait()
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            await process.wait()
+
+    def is_running(self) -> bool:
+        """Return whether the process has been started and not ended."""
+        return self._process is not None
+
+    def has_crashed(self) -> bool:
+        """Return whether the process has ended by itself."""
+        process = self._process
+        return process is not None and process.returncode is not None
+
+
+class SoakSite(Site):
+    """Nodes reach the store, the duties and the endpoints by proxies."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, folder: Path, node_count: int
+    ) -> None:
+        super().__init__(session, folder)
+        self.nodes: list[SoakNode] = []
+        self.store_links: list[FaultProxy] = []
+        self.duty_links: list[FaultProxy] = []
+        self.endpoint_links: dict[str, FaultProxy] = {}
+        self._folder = folder
+        self._node_count = node_count
+
+    async def open(self, stack: contextlib.AsyncExitStack) -> None:
+        """Open the platform, the proxies and all nodes."""
+        await super().open(stack)
+        for endpoint, service in self.endpoints():
+            link = await self._link(
+                stack, self._addresses[endpoint.endpoint_id]
+            )
+            self.endpoint_links[endpoint.endpoint_id] = link
+            self._addresses[endpoint.endpoint_id] = link.address
+            self.register(endpoint, service)
+        for number in range(self._node_count):
+            await self._open_node(stack, number)
+        for node in self.nodes:
+            await self.wait_ready(node.address())
+
+    async def _open_node(
+        self, stack: contextlib.AsyncExitStack, number: int
+    ) -> None:
+        store = await self._link(stack, self._addresses['store'])
+        duties = await self._link(stack, self._addresses['duties'])
+        self.store_links.append(store)
+        self.duty_links.append(duties)
+        name = f'node-{number}'
+        settings = self.settings(name)
+        settings['platform']['address'] = store.address
+        settings['cloud']['address'] = duties.address
+        node = SoakNode(name, settings, self._folder)
+        self.nodes.append(node)
+        await node.start()
+        stack.push_async_callback(node.end, signal.SIGKILL)
+
+    async def _link(
+        self, stack: contextlib.AsyncExitStack, target: str
+    ) -> FaultProxy:
+        return await stack.enter_async_context(FaultProxy(target).serving())
