--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -116,9 +116,7 @@
         self, request: web.Request, active: ActiveRequest
     ) -> web.Response:
         """Return results of a batch job from a position on."""
-        job_id = ids.JobId(request.match_info['job_id'])
-        active.request_id = job_id
-        account_id = self._account(request, active)
+        job_id, account_id = self._named_job(request, active)
         first = _whole_number(request.query.get('after', '0'))
         wait_ms = _whole_number(request.headers.get(wire_names.WAIT_MS, '0'))
         page = await self._batches.results(
@@ -133,9 +131,7 @@
         self, request: web.Request, active: ActiveRequest
     ) -> web.Response:
         """Return the body of an item."""
-        job_id = ids.JobId(request.match_info['job_id'])
-        active.request_id = job_id
-        account_id = self._account(request, active)
+        job_id, account_id = self._named_job(request, active)
         item_id = ids.ItemId(request.query.get('id', ''))
         body = await self._batches.item_body(job_id, account_id, item_id)
         return web.Response(body=body)
@@ -144,13 +140,19 @@
         self, request: web.Request, active: ActiveRequest
     ) -> web.Response:
         """End a batch job."""
-        job_id = ids.JobId(request.match_info['job_id'])
-        active.request_id = job_id
-        account_id = self._account(request, active)
+        job_id, account_id = self._named_job(request, active)
         deadline_s = self._clock.monotonic_s() + _WRITE_TIME_LIMIT_S
         await self._batches.end(job_id, account_id, deadline_s)
         return web.Response(status=200)
 
+    def _named_job(
+        self, request: web.Request, active: ActiveRequest
+    ) -> tuple[ids.JobId, ids.ClientAccountId | None]:
+        """Return the job that a call names, and whose call it is."""
+        job_id = ids.JobId(request.match_info['job_id'])
+        active.request_id = job_id
+        return job_id, self._account(request, active)
+
     def _account(
         self, request: web.Request, active: ActiveRequest
     ) -> ids.ClientAccountId | None:
