Read all rows of a range, and usage windows without the parts

Cause, found by reading: the store returns at most 500 rows of a range. The rows usage/open and usage/reported are read together, and all parts of usage lie between their keys. With more than 500 parts (125 processes and four open windows) the second one would have seemed absent, and windows would have been reported from the first one on. Scans of a window stopped at 500 processes.

Ranges are read to their end; the two keys are neighbours now.

--- a/src/dogwoodpost/adapters/rows/partition_table_store.py
+++ b/src/dogwoodpost/adapters/rows/partition_table_store.py
@@ -42,28 +42,15 @@
         if not keys:
             return {}
         wanted = frozenset(keys)
-        page = await self._rows.read(
-            self._table, '', start=min(keys), end=max(keys) + '\0'
-        )
-        return {
-            row.key.key: _row(row)
-            for row in page.rows
-            if row.key.key in wanted
-        }
+        rows = await self._range(min(keys), max(keys) + '\0', None)
+        return {row.key: row for row in rows if row.key in wanted}
 
     async def scan(
         self, prefix: str, *, after: str = '', limit: int = 500
     ) -> list[Row]:
         """Return rows under a prefix in key order, after a key."""
         start = max(prefix, after + '\0') if after else prefix
-        page = await self._rows.read(
-            self._table,
-            '',
-            start=start,
-            end=prefix + _AFTER_ALL,
-            limit=limit,
-        )
-        return [_row(row) for row in page.rows]
+        return await self._range(start, prefix + _AFTER_ALL, limit)
 
     async def commit(
         self,
@@ -88,6 +75,25 @@
             version = applied
         return {write.key: version for write in writes}
 
+    async def _range(
+        self, start: str, end: str, limit: int | None
+    ) -> list[Row]:
+        """Return the rows of a range; the store returns some at a time.
+
+        :param limit: largest number of rows, None for all.
+        """
+        rows: list[Row] = []
+        while limit is None or len(rows) < limit:
+            fields = {} if limit is None else {'limit': limit - len(rows)}
+            page = await self._rows.read(
+                self._table, '', start=start, end=end, **fields
+            )
+            rows += [_row(row) for row in page.rows]
+            if not page.truncated or not page.rows:
+                break
+            start = rows[-1].key + '\0'
+        return rows
+
     def _key(self, key: str) -> RowKey:
         return RowKey(self._table, '', key)
 
--- a/src/dogwoodpost/core/usage/rows.py
+++ b/src/dogwoodpost/core/usage/rows.py
@@ -9,8 +9,9 @@
 
 # Entries check the version of this row with each write of totals, so that
 # no total of a window changes after the window was closed.
-OPEN_WINDOWS_KEY = 'usage/open'
-REPORTED_WINDOWS_KEY = 'usage/reported'
+# Read together, so no other keys lie between them.
+OPEN_WINDOWS_KEY = 'usage/windows/open'
+REPORTED_WINDOWS_KEY = 'usage/windows/reported'
 
 _FIELDS = UsageFigures.__struct_fields__
 _CompactFigures = dict[ids.ClientAccountId, list[int]]
--- a/tests/services/control/test_usage_reporter.py
+++ b/tests/services/control/test_usage_reporter.py
@@ -8,6 +8,7 @@
 import pytest
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.usage import OPEN_WINDOWS_KEY
 from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.observability import Metrics
@@ -192,7 +193,7 @@
     await world.clock.advance(DURATION_S)
     with pytest.raises(LeaseLostError):
         await run
-    assert world.store.rows['usage/open'] == rows['usage/open']
+    assert world.store.rows[OPEN_WINDOWS_KEY] == rows[OPEN_WINDOWS_KEY]
 
 
 async def test_lagging_clock_counts_in_the_first_open_window() -> None:
