Slow the feeds of large fleets down to the store's rate

Pauses between reads grow with the number of live processes so that all feeds together stay within 60% of the rate that the settings name.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -17,6 +17,7 @@
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
 from dogwoodpost.core.batches.placement import ItemPlacement
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
 from dogwoodpost.core.routing import RouterSettings
 from dogwoodpost.platform import configuration_rows
@@ -277,6 +278,15 @@
             (endpoint_versions.TABLE, versions, _VERSION_PAUSE_S),
             (job_rows.HEAD_TABLE, self._batches.directory, _HEAD_PAUSE_S),
         ]
+        budget = ReadBudget(
+            self._settings.platform.reads_per_s,
+            sum(1.0 / pause_s for _, _, pause_s in sinks),
+        )
+
+        def pause_factor() -> float:
+            now_s = self._clock.monotonic_s()
+            return budget.pause_factor(len(self._presence.view.alive(now_s)))
+
         for table, sink, pause_s in sinks:
             follower = TableFollower(
                 rows,
@@ -285,6 +295,7 @@
                 self._clock,
                 self._metrics,
                 pause_s=pause_s,
+                pause_factor=pause_factor,
                 partitioned=table == job_rows.HEAD_TABLE,
             )
             await self.run_part(follower)
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -39,9 +39,13 @@
 
 
 class StoreSettings(_Fields, frozen=True, kw_only=True):
-    """The metadata store; the platform calls it ``platform``."""
+    """The metadata store; the platform calls it ``platform``.
+
+    :param reads_per_s: calls that all processes together may make.
+    """
 
     address: str
+    reads_per_s: float = 2_000.0
 
 
 class DutySettings(_Fields, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/rows/table_follower.py
+++ b/src/dogwoodpost/services/rows/table_follower.py
@@ -12,6 +12,7 @@
 from dogwoodpost.errors import StoreError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from dogwoodpost.observability import Metrics
@@ -43,6 +44,7 @@
     :param partitioned: the table has more than the partition ``''``.
     :param pause_s: shortest time between two reads of the feed, so that many
         small changes share one call.
+    :param pause_factor: returns by how much pauses are longer now.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         metrics: Metrics,
         *,
         pause_s: float,
+        pause_factor: Callable[[], float] = lambda: 1.0,
         partitioned: bool = False,
     ) -> None:
         super().__init__()
@@ -63,6 +66,7 @@
         self._clock = clock
         self._metrics = metrics
         self._pause_s = pause_s
+        self._pause_factor = pause_factor
         self._partitioned = partitioned
         self._after: int | None = None
         self._is_connected = True
@@ -81,7 +85,7 @@
                 pause_s = RETRY_PAUSE_S
             else:
                 self._note_success()
-                pause_s = self._pause_s
+                pause_s = self._pause_s * self._pause_factor()
             await self._clock.sleep(pause_s)
 
     async def _read_once(self) -> None:
