Let processes claim orphaned jobs 0.2 s apart

A claim takes 10 to 30 ms and is known to the others 0.1 s later, and a claim that comes second only costs a conflict.

--- a/src/dogwoodpost/core/batches/takeover.py
+++ b/src/dogwoodpost/core/batches/takeover.py
@@ -12,7 +12,7 @@
     from dogwoodpost.core import ids
 
 # A lower-ranked process leaves the others this much time per rank.
-RANK_DELAY_S = 0.4
+RANK_DELAY_S = 0.2
 _MAX_RANK = 5
 
 
