Limit no requests without a client account on the platform

The limits of nobody are one constant now, for accounts of the platform, routes open to all and scoring. The path test failed first (429 among its statuses).

--- a/src/dogwoodpost/core/configuration/__init__.py
+++ b/src/dogwoodpost/core/configuration/__init__.py
@@ -12,6 +12,7 @@
 from dogwoodpost.core.configuration.model import Configuration
 from dogwoodpost.core.configuration.model import KeyRecord
 from dogwoodpost.core.configuration.model import Limits
+from dogwoodpost.core.configuration.model import NO_LIMITS
 from dogwoodpost.core.configuration.model import Route
 from dogwoodpost.core.configuration.model import RouteKind
 from dogwoodpost.core.configuration.model import Service
@@ -22,6 +23,7 @@
 from dogwoodpost.core.configuration.validation import validate
 
 __all__ = (
+    'NO_LIMITS',
     'ClientAccount',
     'Configuration',
     'Delta',
--- a/src/dogwoodpost/core/configuration/model.py
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -41,6 +41,15 @@
     weight: float = 1.0
 
 
+# Of client accounts whose use nobody limits, and of the system's own calls.
+NO_LIMITS = Limits(
+    max_concurrency=1_000_000,
+    token_rate_per_s=1e12,
+    token_burst_tokens=10**12,
+    max_queued_count=1_000_000,
+)
+
+
 class ClientAccount(msgspec.Struct, frozen=True, kw_only=True):
     """A client account."""
 
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -11,7 +11,7 @@
 from dogwoodpost.core.configuration import ClientAccount
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import KeyRecord
-from dogwoodpost.core.configuration import Limits
+from dogwoodpost.core.configuration import NO_LIMITS
 from dogwoodpost.core.configuration import Route
 from dogwoodpost.core.configuration import RouteKind
 from dogwoodpost.core.configuration import Service
@@ -35,13 +35,6 @@
 _VERSION_PREFIX = 'version/'
 _DEFAULT_TIMEOUT_MS = 10_000
 _DEFAULT_START_UP_S = 5.0
-# The platform sets no limits per client account.
-_LIMITS = Limits(
-    max_concurrency=1_000_000,
-    token_rate_per_s=1e12,
-    token_burst_tokens=10**12,
-    max_queued_count=1_000_000,
-)
 
 
 class _Fields(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -222,7 +215,7 @@
     for tenant in wire.tenants:
         account_id = ids.ClientAccountId(tenant.name)
         accounts[account_id] = ClientAccount(
-            client_account_id=account_id, limits=_LIMITS
+            client_account_id=account_id, limits=NO_LIMITS
         )
         for key in tenant.api_keys:
             digest = key_digest(key)
--- a/src/dogwoodpost/platform/request_reader.py
+++ b/src/dogwoodpost/platform/request_reader.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from dogwoodpost.core import ids
+from dogwoodpost.core.configuration import NO_LIMITS
 from dogwoodpost.core.configuration import RouteKind
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import RequestError
@@ -19,7 +18,6 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
-    from dogwoodpost.core.configuration import Limits
     from dogwoodpost.core.configuration import Route
     from dogwoodpost.services.entry.http.active_requests import ActiveRequest
     from dogwoodpost.services.entry.http.authentication import Authenticator
@@ -138,13 +136,15 @@
                 retry_after_s=0.5,
             )
         account = account_of(configuration, identity)
-        result = PipelineRequest(
+        return PipelineRequest(
             request_id=request_id,
             route=route,
             service=service,
             client_account_id=(
                 identity.client_account_id if identity else None
             ),
+            # The platform limits nobody, on routes open to all either.
+            limits=account.limits if account else NO_LIMITS,
             method=request.method,
             path=request.raw_path,
             headers=end_to_end_headers(
@@ -160,9 +160,6 @@
             event_timeout_s=_EVENT_TIMEOUT_S,
             whole_response=route.kind is RouteKind.REQUEST,
         )
-        if account is not None:
-            return _with_limits(result, account.limits)
-        return result
 
 
 def host_of(request: web.Request) -> str:
@@ -207,7 +204,3 @@
 def _attempt_timeout_s(timeout_s: float) -> float:
     limit_s = min(timeout_s * _FIRST_ATTEMPT_SHARE, _MAX_ATTEMPT_TIMEOUT_S)
     return max(limit_s, _MIN_ATTEMPT_TIMEOUT_S)
-
-
-def _with_limits(request: PipelineRequest, limits: Limits) -> PipelineRequest:
-    return msgspec.structs.replace(request, limits=limits)
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from dogwoodpost.core.configuration import NO_LIMITS
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.ports.attempt_runner import AttemptHead
@@ -91,6 +92,7 @@
             route=route,
             service=service,
             client_account_id=None,
+            limits=NO_LIMITS,
             method='POST',
             path=call.path,
             headers=(('Host', call.host),),
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -31,7 +31,7 @@
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
             aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True)
+                connector=aiohttp.TCPConnector(force_close=True, limit=0)
             )
         )
         site = Site(session, tmp_path)
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -222,6 +222,22 @@
     assert sum(len(engine.seen) for engine in site.engines) == 1
 
 
+async def test_routes_open_to_all_are_not_limited(site: Site) -> None:
+    """Guards against refusals by limits that nobody has set.
+
+    Requests without a client account shared the default limits of one, so
+    the 257th that waited at a process was refused.
+    """
+    site.plain.work_s = 0.5
+    async with site.node('node-1') as node:
+        answers = await asyncio.gather(
+            *(site.send(node, '/score/a', key=None) for _ in range(330))
+        )
+    statuses = {status for status, _, _ in answers}
+    assert 200 in statuses
+    assert 429 not in statuses
+
+
 async def test_a_text_that_takes_long_to_score_is_listed(site: Site) -> None:
     """Guards against steps that wait for a single score until they end.
 
