Let requests wait longer where running them takes little

Cause: a request was refused if its expected wait was more than half of its time, since the rest was kept for running it. A scoring request runs for 45 ms of its 1 s. Now all is allowed but four mean durations, if that is more.

Refusals stay early and large requests are served like small ones.

--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -32,12 +32,15 @@
 
     :param max_wait_share: share of the remaining time that a request may be
         expected to wait; the rest is for running it.
+    :param run_reserve: where that leaves more time to wait, so many times the
+        mean duration are kept for running it instead.
     :param max_waiting_count: bound on all waiting requests of a service.
     :param min_retry_after_s: shortest Retry-After.
     :param max_retry_after_s: longest Retry-After.
     """
 
     max_wait_share: float = 0.5
+    run_reserve: float = 4.0
     max_waiting_count: int = 4_096
     min_retry_after_s: float = 1.0
     max_retry_after_s: float = 60.0
@@ -87,15 +90,18 @@
         state = self._accounts.get(client_account_id)
         return state.running_count if state else 0
 
-    def submit(self, ticket: Ticket, now_s: float) -> None:
+    def submit(
+        self, ticket: Ticket, now_s: float, needed_s: float = math.inf
+    ) -> None:
         """Queue a request.
 
+        :param needed_s: mean time that the service works on a request.
         :raises RequestError: the request is refused and has not run.
         """
         account = self._account(ticket.client_account_id, now_s)
         service = self._service(ticket.service)
         self._check_queue_bounds(account, service, ticket, now_s)
-        self._check_expected_wait(account, service, ticket, now_s)
+        self._check_expected_wait(account, service, ticket, now_s, needed_s)
         service.rate.advance(now_s, backlogged=service.queue.count > 0)
         ticket.cost_tokens = service.forecast.expected_tokens(
             ticket.client_account_id, ticket.estimated_tokens
@@ -288,6 +294,7 @@
         service: _ServiceState,
         ticket: Ticket,
         now_s: float,
+        needed_s: float,
     ) -> None:
         allowed_s = ticket.deadline_s - now_s
         token_wait_s = account.token_wait_s(now_s)
@@ -301,7 +308,11 @@
         wait_s = self.expected_wait_s(
             ticket.client_account_id, ticket.service, now_s
         )
-        allowed_s *= self._settings.max_wait_share
+        settings = self._settings
+        allowed_s = max(
+            allowed_s * settings.max_wait_share,
+            allowed_s - settings.run_reserve * needed_s,
+        )
         if wait_s > allowed_s:
             raise self._refusal(
                 'wait_exceeds_deadline',
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -66,7 +66,8 @@
                 not_run=True,
                 retry_after_s=self._admission.retry_after_s(0.0),
             )
-        self._admission.submit(ticket, now_s)
+        needed_s = self._router.duration_s(ticket.service)
+        self._admission.submit(ticket, now_s, needed_s)
         self._waiting[id(ticket)] = _Waiting(query, attempt_id)
 
     def withdraw(self, ticket: Ticket, now_s: float) -> None:
