Share the fakes of the request pipeline between tests

tests/services/entry/test_refusal_promises.py imported them from conftest, which is the conftest of another folder if that is collected first: it failed together with the rest and passed alone. They are in tests/fakes.

--- a/tests/services/entry/conftest.py
+++ b/tests/services/entry/conftest.py
@@ -1,10 +1,8 @@
-"""Fakes at the ports of the request pipeline."""
+"""Fixtures around the request pipeline."""
 
 from __future__ import annotations
 
-import asyncio
 import random
-import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -18,74 +16,24 @@
 from dogwoodpost.core.configuration import Service
 from dogwoodpost.core.configuration import ServiceKind
 from dogwoodpost.core.keys import key_digest
-from dogwoodpost.core.messages import AttemptOutcome
-from dogwoodpost.core.routing import Endpoint
 from dogwoodpost.core.routing import Router
 from dogwoodpost.observability import Metrics
-from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
 from dogwoodpost.ports.attempt_runner import AttemptHead
-from dogwoodpost.ports.attempt_runner import AttemptRunner
-from dogwoodpost.ports.clock import Clock
 from dogwoodpost.ports.configuration_source import ConfigurationSource
-from dogwoodpost.ports.usage_recorder import UsageRecorder
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+from tests.fakes.pipeline import end
+from tests.fakes.pipeline import endpoint
+from tests.fakes.pipeline import FakeRunner
+from tests.fakes.pipeline import FakeUsage
+from tests.fakes.pipeline import LoopClock
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from dogwoodpost.ports.attempt_runner import AttemptEvent
-    from dogwoodpost.ports.attempt_runner import AttemptSpec
 
 SSE_HEAD = AttemptHead(200, (('Content-Type', 'text/event-stream'),))
-JSON_HEAD = AttemptHead(
-    200, (('Content-Type', 'application/json'), ('Connection', 'x-hop'))
-)
-
-
-def end(
-    outcome: AttemptOutcome = AttemptOutcome.COMPLETED,
-    completion_tokens: int = 5,
-) -> AttemptEnd:
-    return AttemptEnd(
-        outcome=outcome,
-        detail='',
-        weight_versions=(),
-        prompt_tokens=10,
-        cached_tokens=0,
-        completion_tokens=completion_tokens,
-    )
-
-
-class FakeRunner(AttemptRunner):
-    """Plays a script per attempt: events, errors to raise, or waits."""
-
-    def __init__(self) -> None:
-        self.specs: list[AttemptSpec] = []
-        self.endpoint_ids: list[str] = []
-        self.scripts: list[list[object]] = []
-        self.default: list[object] = [JSON_HEAD, AttemptData(b'{}'), end()]
-        self.cancelled_count = 0
-
-    async def run(
-        self, endpoint: Endpoint, spec: AttemptSpec
-    ) -> AsyncIterator[AttemptEvent]:
-        self.specs.append(spec)
-        self.endpoint_ids.append(endpoint.endpoint_id)
-        script = self.scripts.pop(0) if self.scripts else self.default
-        try:
-            for item in script:
-                if isinstance(item, Exception):
-                    raise item
-                if isinstance(item, asyncio.Event):
-                    await item.wait()
-                    continue
-                yield item  # type: ignore[misc]
-        except (asyncio.CancelledError, GeneratorExit):
-            self.cancelled_count += 1
-            raise
 
 
 class FakeConfiguration(ConfigurationSource):
@@ -111,43 +59,6 @@
             listener(configuration)
 
 
-class LoopClock(Clock):
-    """The machine's clock."""
-
-    def monotonic_s(self) -> float:
-        return time.monotonic()
-
-    def wall_s(self) -> float:
-        return time.time()
-
-    async def sleep(self, duration_s: float) -> None:
-        await asyncio.sleep(duration_s)
-
-
-class FakeUsage(UsageRecorder):
-    """Keeps what was recorded."""
-
-    def __init__(self) -> None:
-        self.records: list[tuple[str, int, int, int]] = []
-
-    def record(
-        self,
-        client_account_id: ids.ClientAccountId,
-        *,
-        request_count: int,
-        prompt_tokens: int,
-        completion_tokens: int,
-    ) -> None:
-        self.records.append(
-            (
-                client_account_id,
-                request_count,
-                prompt_tokens,
-                completion_tokens,
-            )
-        )
-
-
 def by_id(items: Iterable[object], field: str) -> dict[object, object]:
     return {getattr(item, field): item for item in items}
 
@@ -197,21 +108,6 @@
     )
 
 
-def endpoint(name: str, service: str, **fields: object) -> Endpoint:
-    values: dict[str, object] = {
-        'endpoint_id': name,
-        'service': service,
-        'host_id': f'host-{name}',
-        'availability_zone': 'a',
-        'region': 'r',
-        'agent_id': f'agent-{name}',
-        'agent_incarnation': '1',
-        'agent_address': '127.0.0.1:1',
-        'weight_version': 1,
-    }
-    return Endpoint(**{**values, **fields})
-
-
 @pytest.fixture
 def runner() -> FakeRunner:
     return FakeRunner()
--- a/tests/services/entry/http/test_http_keys.py
+++ b/tests/services/entry/http/test_http_keys.py
@@ -18,9 +18,9 @@
 
 if TYPE_CHECKING:
     from aiohttp.test_utils import TestClient
-    from conftest import FakeRunner
 
     from dogwoodpost.ports.attempt_runner import AttemptEnd
+    from tests.fakes.pipeline import FakeRunner
 
 KEY = 'lab-secret-key'
 KEY_BYTES = KEY.encode()
--- a/tests/services/entry/http/test_http_lifecycle.py
+++ b/tests/services/entry/http/test_http_lifecycle.py
@@ -16,11 +16,11 @@
 if TYPE_CHECKING:
     from aiohttp.test_utils import TestClient
     from conftest import FakeConfiguration
-    from conftest import FakeRunner
 
     from dogwoodpost.core.routing import Router
     from dogwoodpost.ports.attempt_runner import AttemptEnd
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from tests.fakes.pipeline import FakeRunner
 
 LAB = {'Authorization': 'Bearer lab-secret-key'}
 STREAM = {'model': 'slate-lm', 'prompt': 'p', 'stream': True}
--- a/tests/services/entry/http/test_http_refusals.py
+++ b/tests/services/entry/http/test_http_refusals.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     from aiohttp.test_utils import TestClient
     from conftest import FakeConfiguration
-    from conftest import FakeRunner
 
     from dogwoodpost.observability import Metrics
+    from tests.fakes.pipeline import FakeRunner
 
 LAB = {'Authorization': 'Bearer lab-secret-key'}
 ENGINE = '/v1/completions'
--- a/tests/services/entry/http/test_http_responses.py
+++ b/tests/services/entry/http/test_http_responses.py
@@ -13,8 +13,9 @@
 
 if TYPE_CHECKING:
     from aiohttp.test_utils import TestClient
-    from conftest import FakeRunner
-    from conftest import FakeUsage
+
+    from tests.fakes.pipeline import FakeRunner
+    from tests.fakes.pipeline import FakeUsage
 
 LAB = {'Authorization': 'Bearer lab-secret-key'}
 COMPLETION = {'model': 'slate-lm', 'prompt': 'p', 'max_tokens': 9}
--- a/tests/services/entry/test_refusal_promises.py
+++ b/tests/services/entry/test_refusal_promises.py
@@ -7,10 +7,6 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from conftest import endpoint
-from conftest import FakeRunner
-from conftest import FakeUsage
-from conftest import LoopClock
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -31,6 +27,10 @@
 from dogwoodpost.ports.attempt_runner import AttemptOutcomeUnknownError
 from dogwoodpost.services.entry.pipeline_request import PipelineRequest
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+from tests.fakes.pipeline import endpoint
+from tests.fakes.pipeline import FakeRunner
+from tests.fakes.pipeline import FakeUsage
+from tests.fakes.pipeline import LoopClock
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/services/entry/test_request_pipeline.py
+++ b/tests/services/entry/test_request_pipeline.py
@@ -21,12 +21,11 @@
 from dogwoodpost.services.entry.pipeline_request import PipelineRequest
 
 if TYPE_CHECKING:
-    from conftest import FakeRunner
-    from conftest import FakeUsage
-
     from dogwoodpost.core.routing import Router
     from dogwoodpost.observability import Metrics
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from tests.fakes.pipeline import FakeRunner
+    from tests.fakes.pipeline import FakeUsage
 
 HEAD = AttemptHead(200, ())
 REFUSED = AttemptNotRunError(messages.RefusalReason.DRAINING, 'draining', 7.0)
--- a/tests/services/entry/test_resumed_streams.py
+++ b/tests/services/entry/test_resumed_streams.py
@@ -19,10 +19,9 @@
 from dogwoodpost.services.entry.pipeline_request import PipelineRequest
 
 if TYPE_CHECKING:
-    from conftest import FakeRunner
-
     from dogwoodpost.ports.attempt_runner import AttemptEnd
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from tests.fakes.pipeline import FakeRunner
 
 HEAD = AttemptHead(200, (('Content-Type', 'text/event-stream'),))
 FULL = AttemptNotRunError(RefusalReason.OVERLOADED, 'full')
--- a/tests/services/entry/test_sample_dispatcher.py
+++ b/tests/services/entry/test_sample_dispatcher.py
@@ -19,10 +19,10 @@
 
 if TYPE_CHECKING:
     from conftest import FakeConfiguration
-    from conftest import FakeRunner
 
     from dogwoodpost.ports.attempt_runner import AttemptEnd
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from tests.fakes.pipeline import FakeRunner
 
 SEGMENTS = [{'weight_version': 1, 'token_count': 5}]
 
