Let a failed order of endpoints stop no other

Cause, found by reading the change: an order that failed ended the whole round, so a zone whose orders are refused each time would have kept all services and zones behind it at their size. A failure is logged and the order said again in the next round; the others go on.

--- a/src/dogwoodpost/services/control/zone_scaling.py
+++ b/src/dogwoodpost/services/control/zone_scaling.py
@@ -10,7 +10,7 @@
 from dogwoodpost.core.scaling import Scaler
 from dogwoodpost.core.scaling import ScalingSettings
 from dogwoodpost.core.scaling import zone_loads
-from dogwoodpost.errors import PlatformOutcomeUnknownError
+from dogwoodpost.errors import PlatformError
 from dogwoodpost.ports.zone_orders import ZoneOrder
 
 if TYPE_CHECKING:
@@ -71,7 +71,6 @@
         """Order what the present load needs.
 
         :raises LeaseLostError: the lease is lost.
-        :raises PlatformError: an order was not taken.
         """
         self._guard.fencing_number()
         for service in self._configuration.current().services.values():
@@ -123,15 +122,22 @@
         order = ZoneOrder(
             service=service, availability_zone=zone, endpoint_count=count
         )
-        subject = (service, zone)
         try:
             await self._orders.submit(
                 order, before_send=self._guard.fencing_number
             )
-        except PlatformOutcomeUnknownError:
-            self._ordered.pop(subject, None)
-            raise
-        self._ordered[subject] = (count, self._clock.monotonic_s())
+        except PlatformError as error:
+            # It may have been carried out, and is said again in any case.
+            self._ordered.pop((service, zone), None)
+            _log.warning(
+                'endpoints_not_ordered',
+                service=service,
+                availability_zone=zone,
+                wanted_endpoints=count,
+                error=str(error),
+            )
+            return
+        self._ordered[service, zone] = (count, self._clock.monotonic_s())
         _log.info(
             'endpoints_ordered',
             service=service,
