Wait for no places at endpoints that are out of rotation

Cause, found by reading the rule again that had stopped probes: whether a request waits for an endpoint nearby was decided with the places of all registered ones, also of those that were ejected. With all endpoints of its region ejected, and free for that reason, a request stayed in the queue until an ejection ended (2 to 60 s), although other regions had room. Endpoints that fail or hang while they say that they are well bring this about.

--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -107,7 +107,9 @@
             return None
         allowed = self._allowed(group, query)
         probe_id = self._probe(group, query, allowed, now_s)
-        if probe_id and not self._should_wait_nearby(group, query, [probe_id]):
+        if probe_id and not self._should_wait_nearby(
+            group, query, [probe_id], now_s
+        ):
             return group.endpoints[probe_id]
         candidates = self._in_rotation(group, allowed, now_s)
         if not candidates:
@@ -123,7 +125,7 @@
         best_id = min(open_ids, key=lambda one: scores[one])
         if self._should_wait(group, query, scores, loads, best_id):
             return None
-        if self._should_wait_nearby(group, query, open_ids):
+        if self._should_wait_nearby(group, query, open_ids, now_s):
             return None
         return group.endpoints[best_id]
 
@@ -413,10 +415,12 @@
         group: ServiceGroup,
         query: RouteQuery,
         open_ids: Sequence[ids.EndpointId],
+        now_s: float,
     ) -> bool:
         """Return whether to wait, because only other regions have room.
 
         It is so if an endpoint nearby frees up before it pays to go there.
+        Those out of rotation take nothing, however free they are.
         """
         if not query.needs_room:
             return False
@@ -430,6 +434,7 @@
             self._capacity(group, endpoint_id, query)
             for endpoint_id in near
             if self._is_allowed(group, query, endpoint_id)
+            and group.outliers.health(endpoint_id, now_s) is Health.HEALTHY
         )
         if not slot_count:
             return False
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -270,6 +270,21 @@
     assert send(router, 2, None, 3.0) == 'z1'
 
 
+def test_ejected_endpoints_nearby_are_not_waited_for() -> None:
+    """Guards against requests that wait for places which nobody gives back.
+
+    Endpoints that fail while they say that they are well stay registered;
+    their places counted as free soon, so that no request left the region.
+    """
+    names = ('a1', 'a2', 'z1', 'z2', 'z3', 'z4')
+    router = make_router(
+        *(endpoint(name, name[0], capacity_count=6) for name in names)
+    )
+    for name in ('a1', 'a2'):
+        eject(router, name, 0.0)
+    assert send(router, 1, GOOD, 0.5) in {'z1', 'z2', 'z3', 'z4'}
+
+
 def test_full_endpoint_on_probation_stops_nothing() -> None:
     """Guards against waiting for the room of a probe alone."""
     router = make_router(*(endpoint(name) for name in ('a1', 'a2', 'a3')))
