Notice settings that change while a process starts

Found by reading the change as a newcomer: a change between reading the settings and watching them was never noticed, and SIGHUP before all parts stood raised in its handler. The first look at the file compares it in any case, and both kinds of news are taken once the parts stand. The log line of ordered endpoints named the number ordered before as the live ones; it is current_endpoints.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -132,10 +132,11 @@
     async def run(self) -> int:
         """Run until a stop signal; return the exit code."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(
-            signal.SIGHUP, partial(self._reload, force=True)
-        )
         async with running(self):
+            # The parts that take changed settings stand from here on.
+            loop.add_signal_handler(
+                signal.SIGHUP, partial(self._reload, force=True)
+            )
             stop = asyncio.create_task(wait_for_stop_signal())
             crash = asyncio.create_task(self.wait_until_stopped())
             await asyncio.wait(
@@ -151,7 +152,6 @@
     async def open_parts(self) -> None:
         """Open the parts, those that serve clients last."""
         self.add_future(self._flush_logs())
-        self.add_future(self._watch_settings())
         _log.info(
             'process_started',
             availability_zone=self._settings.zone,
@@ -213,6 +213,7 @@
             ),
         )
         await self._open_addresses()
+        self.add_future(self._watch_settings())
 
     @property
     def running_item_count(self) -> int:
--- a/src/dogwoodpost/platform/settings_watch.py
+++ b/src/dogwoodpost/platform/settings_watch.py
@@ -29,7 +29,8 @@
     ) -> None:
         self._current = current
         self._path = path
-        self._changed_ns = self._modification_ns()
+        # Unknown: the file may have changed since it was read.
+        self._changed_ns: int | None = None
 
     def check(self, *, force: bool = False) -> ProcessSettings | None:
         """Return the settings if they have changed.
--- a/src/dogwoodpost/services/control/zone_scaling.py
+++ b/src/dogwoodpost/services/control/zone_scaling.py
@@ -116,7 +116,7 @@
         self,
         service: ids.ServiceName,
         zone: ids.AvailabilityZone,
-        live_count: int,
+        current_count: int,
         count: int,
     ) -> None:
         order = ZoneOrder(
@@ -142,7 +142,7 @@
             'endpoints_ordered',
             service=service,
             availability_zone=zone,
-            live_endpoints=live_count,
+            current_endpoints=current_count,
             wanted_endpoints=count,
         )
 
--- a/tests/platform/test_settings_watch.py
+++ b/tests/platform/test_settings_watch.py
@@ -42,6 +42,17 @@
     assert watch.check(force=True) is not None
 
 
+def test_a_change_while_the_process_starts_is_noticed(tmp_path: Path) -> None:
+    """Guards against a change between reading the file and watching it."""
+    path = tmp_path / 'settings.json'
+    write(path, 'old:1', 100)
+    settings = load_settings(path)
+    write(path, 'new:1', 101)
+    changed = SettingsWatch(settings, path).check()
+    assert changed is not None
+    assert changed.platform.address == 'new:1'
+
+
 def test_a_broken_file_changes_nothing(tmp_path: Path) -> None:
     """Guards against processes that end when a file is half written."""
     path = tmp_path / 'settings.json'
