Send each repeat of an id on a connection of its own

Cause: tries of a scorer share their id, and so do retries of a request and runs of an item. A second response of an endpoint to a try that failed, if it comes when the next try has been sent on the same connection, has the right id and was taken for the response to that. The test plays such an endpoint over real sockets and failed first: score "late" instead of "right".

Ruled out: responses to other requests (ids are compared), broken bodies (held back until their end).

--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -193,7 +193,8 @@
     async def _send(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> aiohttp.ClientResponse:
-        session = self._session if call.idempotent else self._fresh_session
+        reuses = call.idempotent and not call.is_repeat
+        session = self._session if reuses else self._fresh_session
         limit_s = call.timeout_s
         if call.head_timeout_s is not None:
             limit_s = min(limit_s, call.head_timeout_s)
--- a/src/dogwoodpost/ports/endpoint_gateway.py
+++ b/src/dogwoodpost/ports/endpoint_gateway.py
@@ -29,6 +29,8 @@
     :param resume_after: id of the last event that is known of its stream.
     :param idempotent: may be sent on a connection that was used before, whose
         end the sender may not have noticed yet.
+    :param is_repeat: the same id was sent before; a late response to that
+        must not be taken for the one to this call.
     """
 
     request_id: ids.RequestId
@@ -41,6 +43,7 @@
     resume_after: int | None = None
     head_timeout_s: float | None = None
     idempotent: bool = True
+    is_repeat: bool = False
 
 
 class NotRunReason(Enum):
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -60,6 +60,7 @@
         """
         failure_count = 0
         limit_s = _FIRST_TIMEOUT_S
+        is_repeat = False
         while True:
             route = self._routes.find(call.host, call.path)
             if route is not None:
@@ -68,7 +69,10 @@
                         f'{failure_count} failures of the scorer'
                     )
                 start_s = self._clock.monotonic_s()
-                head = await self._try(call, route, limit_s)
+                head = await self._try(
+                    call, route, limit_s, is_repeat=is_repeat
+                )
+                is_repeat = True
                 if self._clock.monotonic_s() - start_s >= limit_s:
                     limit_s *= _TIMEOUT_FACTOR
                 score = self._score_of(head)
@@ -79,7 +83,12 @@
             await self._clock.sleep(_PAUSE_S)
 
     async def _try(
-        self, call: ScorerCall, route: Route, limit_s: float
+        self,
+        call: ScorerCall,
+        route: Route,
+        limit_s: float,
+        *,
+        is_repeat: bool,
     ) -> AttemptHead | None:
         """Return the head of a response, None without a response."""
         service = chosen_service(
@@ -101,6 +110,7 @@
             idempotent=True,
             max_attempt_count=1,
             whole_response=True,
+            is_repeat=is_repeat,
         )
         head: AttemptHead | None = None
         try:
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -56,6 +56,7 @@
             client_account_id=spec.client_account_id,
             idempotent=spec.idempotent,
             resume_after=spec.resume_after,
+            is_repeat=spec.is_repeat,
         )
         try:
             async with self._gateway.open(endpoint, call) as reply:
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -116,6 +116,10 @@
         entry = endpoint.entry(service, address, 'zone-a', state)
         self.put('servers', endpoint.endpoint_id, entry)
 
+    def move(self, endpoint: SamplerApp, service: str, address: str) -> None:
+        self._addresses[endpoint.endpoint_id] = address
+        self.register(endpoint, service)
+
     def put(self, table: str, key: str, value: bytes | None) -> None:
         self.store.apply([], [RowWrite(RowKey(table, '', key), value)])
 
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -222,6 +223,46 @@
     assert sum(len(engine.seen) for engine in site.engines) == 1
 
 
+async def test_late_second_response_is_no_score(site: Site) -> None:
+    """Guards against scores from a response to an earlier try.
+
+    Seen on trouble-3 of the grown site of Pizarra: tries of a scorer share
+    their id, so a second response to the try that failed was taken for the
+    response to the next one on the same connection.
+    """
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connections.append(writer)
+        is_first = len(connections) == 1
+        for number in itertools.count():
+            head = await reader.readuntil(b'\r\n\r\n')
+            fields = dict(
+                line.lower().split(': ', 1)
+                for line in head.decode().split('\r\n')[1:-2]
+            )
+            await reader.readexactly(int(fields.get('content-length', 0)))
+            failed = is_first and number == 0
+            status = '500 Failed' if failed else '200 OK'
+            signature = 'late' if is_first else 'right'
+            writer.write(
+                f'HTTP/1.1 {status}\r\nContent-Length: 0\r\n'
+                f'X-Request-Id: {fields["x-request-id"]}\r\n'
+                f'X-Response-Signature: {signature}\r\n\r\n'.encode()
+            )
+
+    connections: list[asyncio.StreamWriter] = []
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    site.move(site.plain, 'plain', f'{host}:{port}')
+    async with site.node('node-1') as node:
+        await site.submit(node, site.job(item_count=1), 'job-1')
+        results = await site.results(node, 'job-1', 1)
+    server.close()
+    assert results[0]['score'] == 'right'
+
+
 async def test_routes_open_to_all_are_not_limited(site: Site) -> None:
     """Guards against refusals by limits that nobody has set.
 
