Cut event streams in one place

EventDecoder (items) and EventCutter (callers' streams) each split bytes at blank lines, bounded an event and refused a stream that ends within one. EventBlocks does it for both; behaviour and messages are the same.

--- a/src/dogwoodpost/core/streams/event_cutter.py
+++ b/src/dogwoodpost/core/streams/event_cutter.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
+from dogwoodpost.core.streams.event_blocks import EVENT_END
+from dogwoodpost.core.streams.event_blocks import EventBlocks
 from dogwoodpost.errors import EndpointError
 
-_EVENT_END = b'\n\n'
 _ID_FIELD = b'id'
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
 class StreamPiece(msgspec.Struct, frozen=True):
@@ -22,36 +22,34 @@
 
 
 class EventCutter:
-    """Holds back the beginning of an event until its end has come.
+    """Passes whole events on and checks that they follow each other.
 
     :param after: id that the stream goes on after, None from its beginning.
     """
 
     def __init__(self, after: int | None = None) -> None:
         self._last_id = after
-        self._rest = b''
+        self._blocks = EventBlocks()
 
     def feed(self, data: bytes) -> StreamPiece | None:
         """Return the events that are complete with more bytes, if any.
 
         :raises EndpointError: the events can't be joined to those before.
         """
-        whole, end, self._rest = (self._rest + data).rpartition(_EVENT_END)
-        if len(self._rest) > _MAX_EVENT_BYTES:
-            raise EndpointError('an event is too long')
-        if not end:
+        blocks = self._blocks.feed(data)
+        if not blocks:
             return None
-        for block in whole.split(_EVENT_END):
+        for block in blocks:
             self._take(block)
-        return StreamPiece(whole + end, self._last_id)
+        whole = EVENT_END.join(blocks) + EVENT_END
+        return StreamPiece(whole, self._last_id)
 
     def finish(self) -> None:
         """Check that the stream does not end in the middle of an event.
 
         :raises EndpointError: it does.
         """
-        if self._rest.strip():
-            raise EndpointError('the stream ends in the middle of an event')
+        self._blocks.finish()
 
     def _take(self, block: bytes) -> None:
         event_id = _event_id(block)
--- a/src/dogwoodpost/platform/event_stream.py
+++ b/src/dogwoodpost/platform/event_stream.py
@@ -4,27 +4,25 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import StreamEvent
+from dogwoodpost.core.streams import EventBlocks
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.platform.wire_names import WEIGHT_VERSION
 
 _VERSION_FIELD = WEIGHT_VERSION.lower()
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
 class EventDecoder:
     """Cuts a byte stream into events; a part of an event is kept back."""
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._blocks = EventBlocks()
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are complete with more bytes.
 
         :raises EndpointError: the bytes are no events.
         """
-        *blocks, self._buffer = (self._buffer + data).split(b'\n\n')
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise EndpointError('an event is too long')
+        blocks = self._blocks.feed(data)
         events = (_decoded(block) for block in blocks if block.strip())
         return [event for event in events if event is not None]
 
@@ -33,8 +31,7 @@
 
         :raises EndpointError: it does.
         """
-        if self._buffer.strip():
-            raise EndpointError('the stream ends in the middle of an event')
+        self._blocks.finish()
 
 
 def _decoded(block: bytes) -> StreamEvent | None:
