Say directly whether a call may reuse a connection

EndpointCall carried two fields, idempotent and is_repeat, that only decided together whether a used connection may carry the call. It is one field now, with both reasons. Behaviour is the same: calls that may run once and repeats of an id go out on a fresh connection. Tests of tests/platform, tests/services/entry and tests/services/batches pass.

--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -193,8 +193,9 @@
     async def _send(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> aiohttp.ClientResponse:
-        reuses = call.idempotent and not call.is_repeat
-        session = self._session if reuses else self._fresh_session
+        session = self._fresh_session
+        if call.may_reuse_connection:
+            session = self._session
         limit_s = call.timeout_s
         if call.head_timeout_s is not None:
             limit_s = min(limit_s, call.head_timeout_s)
--- a/src/dogwoodpost/ports/endpoint_gateway.py
+++ b/src/dogwoodpost/ports/endpoint_gateway.py
@@ -27,10 +27,10 @@
     :param timeout_s: how long the endpoint may work on it.
     :param head_timeout_s: how long to wait for the head of the response.
     :param resume_after: id of the last event that is known of its stream.
-    :param idempotent: may be sent on a connection that was used before, whose
-        end the sender may not have noticed yet.
-    :param is_repeat: the same id was sent before; a late response to that
-        must not be taken for the one to this call.
+    :param may_reuse_connection: may be sent on a connection that was used
+        before. Its end may not have been noticed yet, so not for what must run
+        once; a late response to an earlier call may come, so not for a repeat
+        of its id.
     """
 
     request_id: ids.RequestId
@@ -42,8 +42,7 @@
     client_account_id: ids.ClientAccountId | None = None
     resume_after: int | None = None
     head_timeout_s: float | None = None
-    idempotent: bool = True
-    is_repeat: bool = False
+    may_reuse_connection: bool = True
 
 
 class NotRunReason(Enum):
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -327,7 +327,7 @@
             client_account_id=self._job.client_account_id,
             resume_after=self._text.last_event_id,
             head_timeout_s=_HEAD_TIMEOUT_S,
-            is_repeat=self._run_count > 1,
+            may_reuse_connection=self._run_count == 1,
         )
 
     def _place_request(self) -> PlaceRequest | None:
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -54,9 +54,8 @@
             body=spec.body,
             timeout_s=spec.timeout_s,
             client_account_id=spec.client_account_id,
-            idempotent=spec.idempotent,
             resume_after=spec.resume_after,
-            is_repeat=spec.is_repeat,
+            may_reuse_connection=spec.idempotent and not spec.is_repeat,
         )
         try:
             async with self._gateway.open(endpoint, call) as reply:
