Load versions behind the start of the step that names them

Cause: where one model is trained, each version was loaded on half of the endpoints, all at the moment at which its step was asked for. The step takes tokens of the version before, which the other half did not have, so half of the fleet started nothing for the first second and long items ended late. Each late step moved the next ones, until the last ones were never asked for.

Ruled out: waits for the store (results are listed 0.03 s after they are there), placement (starts within 0.06 s while all endpoints are at one version), pace (39.6 ms an event at a full endpoint, 37.9 at an empty one).

Change: each version goes to all endpoints of a model's share; those that serve the newest step wait for 1 s, but for a third of them.

--- a/src/dogwoodpost/core/weights/staggered_loads.py
+++ b/src/dogwoodpost/core/weights/staggered_loads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,12 +10,15 @@
 from dogwoodpost.core.routing import Endpoint
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     from collections.abc import Sequence
 
 # Loads slow one another beyond this share of the endpoints.
 _PARALLEL_SHARE = 0.4
 _MIN_PARALLEL_COUNT = 2
+# The step after the newest one may come at once and needs these.
+_FIRST_SHARE = 1 / 3
 
 
 class PlannedLoad(msgspec.Struct, frozen=True):
@@ -36,22 +38,34 @@
 def plan_loads(
     named: Mapping[ids.ModelName, ids.WeightVersion],
     endpoints: Sequence[Endpoint],
+    settled: Collection[ids.ModelName],
 ) -> list[PlannedLoad]:
     """Return the loads that are due, the most urgent first.
 
-    A step that waits for version k also takes tokens of version k - 1, so an
-    endpoint at k - 1 goes on serving while others load k. Each version is
-    loaded on the most outdated endpoints, as many as each model's share of
-    the fleet and at most half of it; about twice as many serve each step.
+    A step that waits for version k also takes tokens of version k - 1, and
+    an endpoint starts nothing while it loads. Endpoints that can't serve the
+    newest step load at once, and so does a third of the share, for a step
+    that follows soon. The others load once the newest step's items have
+    their places, so that they can serve the next one from its start. Each
+    version is loaded on a model's share of the fleet, the most outdated
+    endpoints first.
 
     The next load always goes to the model with the fewest endpoints that can
     serve its newest step: models whose versions come in quick succession
     would otherwise hold up the others.
+
+    :param settled: models whose newest step has had time to start its items.
     """
     live = [one for one in endpoints if not one.draining]
     loads: list[PlannedLoad] = []
     waiting = {
-        model: _due(model, version, live, len(named))
+        model: _due(
+            model,
+            version,
+            live,
+            model_count=len(named),
+            is_settled=model in settled,
+        )
         for model, version in named.items()
     }
     serving = {
@@ -73,7 +87,9 @@
     model: ids.ModelName,
     version: ids.WeightVersion,
     endpoints: Sequence[Endpoint],
+    *,
     model_count: int,
+    is_settled: bool,
 ) -> list[Endpoint]:
     """Return the endpoints to load a version on, the most outdated first."""
     known: list[tuple[int, str, Endpoint]] = []
@@ -82,11 +98,15 @@
         if current is not None:
             known.append((current, endpoint.endpoint_id, endpoint))
     known.sort(key=lambda one: one[:2])
-    share = math.ceil(len(known) / model_count)
-    wanted = max(min(share, len(known) // 2), 1)
-    wanted -= sum(one[0] >= version for one in known)
-    behind = [one[2] for one in known if one[0] < version]
-    return behind[: max(wanted, 0)]
+    wanted = max(round(len(known) / model_count), 1)
+    loaded_count = sum(one[0] >= version for one in known)
+    behind = [one for one in known if one[0] < version]
+    behind = behind[: max(wanted - loaded_count, 0)]
+    if not is_settled:
+        idle_count = sum(one[0] < version - 1 for one in behind)
+        first_count = max(round(wanted * _FIRST_SHARE), 1)
+        behind = behind[: max(idle_count, first_count - loaded_count)]
+    return [endpoint for _, _, endpoint in behind]
 
 
 def _serving_count(
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -117,7 +117,7 @@
         self._rng = random.Random()
         self._lifecycle = Lifecycle()
         self._is_leaving = False
-        self._named = NamedVersions()
+        self._named = NamedVersions(self._clock)
         self._operator = configuration_rows.OperatorRows(
             self._named, self._clock, max_age_s=_max_age_s(settings)
         )
--- a/src/dogwoodpost/services/control/weight_director.py
+++ b/src/dogwoodpost/services/control/weight_director.py
@@ -30,6 +30,8 @@
     from dogwoodpost.services.control.named_versions import NamedVersions
 
 _log = structlog.get_logger(__name__)
+# A step is asked for with its version; its items get their places meanwhile.
+_STEP_START_S = 1.0
 _FIRST_LOOK_S = 0.85
 _LOOK_S = 0.15
 _LOAD_TIMEOUT_S = 5.0
@@ -85,7 +87,12 @@
             one for one in self._registry.endpoints() if one.weight_versions
         ]
         limit = max_parallel_loads(len(endpoints))
-        for load in plan_loads(dict(self._named.items()), endpoints):
+        planned = plan_loads(
+            dict(self._named.items()),
+            endpoints,
+            self._named.settled(_STEP_START_S),
+        )
+        for load in planned:
             if len(self._loading) >= limit:
                 return
             if self._may_load(load.endpoint):
