Start items first that are known to be long

Change: an item that has run before counts as at least as long as it was then. Tokens an event are learned from complete outputs and their estimates.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -15,6 +15,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+from dogwoodpost.core.batches.output_lengths import OutputLengths
 from dogwoodpost.core.batches.placement import ItemPlacement
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.membership.read_budget import ReadBudget
@@ -248,6 +249,7 @@
             gateway=gateway,
             dispatcher=dispatcher,
             pace=pace,
+            lengths=OutputLengths(),
             endpoints=self._registry,
             routes=routes,
             scorer=ItemScorer(
--- a/src/dogwoodpost/services/batches/batch_context.py
+++ b/src/dogwoodpost/services/batches/batch_context.py
@@ -8,6 +8,7 @@
     import random
 
     from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+    from dogwoodpost.core.batches.output_lengths import OutputLengths
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
     from dogwoodpost.observability import Metrics
@@ -32,6 +33,7 @@
         gateway: EndpointGateway,
         dispatcher: ItemDispatcher,
         pace: EndpointEventPace,
+        lengths: OutputLengths,
         endpoints: EndpointRegistry,
         routes: RouteFinder,
         scorer: ItemScorer,
@@ -45,6 +47,7 @@
         self.gateway = gateway
         self.dispatcher = dispatcher
         self.pace = pace
+        self.lengths = lengths
         self.endpoints = endpoints
         self.routes = routes
         self.scorer = scorer
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -48,7 +48,6 @@
 _FULL_PAUSE_S = 0.25
 _UNREACHABLE_PAUSE_S = 0.6
 _NO_ROUTE_PAUSE_S = 0.2
-_DEFAULT_EXPECTED_TOKENS = 1_000
 # Runs that break off without a new event are repeated at once only the first
 # time, so that a fault of all endpoints makes no busy loop.
 _BREAK_PAUSE_S = 0.1
@@ -83,6 +82,7 @@
         self._text = ItemText()
         self._is_text_complete = False
         self._score: str | None = None
+        self._longest_event_count = 0
         if earlier is not None:
             self._restore(earlier)
         self._failure_count = 0
@@ -125,6 +125,7 @@
     def _restore(self, earlier: ItemProgress) -> None:
         """Go on from earlier runs, as far as their versions fit."""
         self._text.restore(earlier)
+        self._longest_event_count = self._text.event_count
         if not self._fits():
             self._text.clear()
             return
@@ -146,6 +147,9 @@
             end = await self._run_once()
             if end is _RunEnd.COMPLETED:
                 self._is_text_complete = True
+                self._context.lengths.record(
+                    self._item.expected_token_count, self._text.event_count
+                )
             if end is _RunEnd.NEVER:
                 return self._errored('rejected_by_endpoint')
             if self._failure_count >= self._job.max_attempt_count:
@@ -341,13 +345,17 @@
         )
         if service is None:
             return None
-        expected = self._item.expected_token_count
+        self._longest_event_count = max(
+            self._longest_event_count, self._text.event_count
+        )
         return PlaceRequest(
             service=service.name,
             model=self._job.model,
             min_version=self._job.min_version,
             due_s=self._age_base_s() + self._job.due_s,
-            expected_token_count=expected or _DEFAULT_EXPECTED_TOKENS,
+            expected_token_count=self._context.lengths.expected_tokens(
+                self._item.expected_token_count, self._longest_event_count
+            ),
         )
 
     def _age_base_s(self) -> float:
