Send items and scoring calls that failed to other endpoints

Change: an item waits up to 1 s for an endpoint at which it has not failed, failures at one endpoint count once, and they count against the endpoint. Repeats of scoring calls leave out the endpoints that were tried.

--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -21,6 +21,9 @@
 
     :param due_s: when the job's results are due, on the process's clock.
     :param expected_token_count: estimate of what is left to generate.
+    :param avoided: endpoints at which the item failed.
+    :param avoided_until_s: they are used again from then on, for lack of
+        others.
     """
 
     service: ids.ServiceName
@@ -28,6 +31,8 @@
     min_version: ids.WeightVersion | None
     due_s: float
     expected_token_count: int
+    avoided: frozenset[ids.EndpointId] = frozenset()
+    avoided_until_s: float = 0.0
 
 
 def urgency(request: PlaceRequest) -> tuple[float, int]:
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -111,6 +111,7 @@
                 request.service,
                 request.model,
                 request.min_version,
+                request.avoided,
             )
             if need in full:
                 continue
@@ -145,11 +146,14 @@
     def _candidates(
         self, request: PlaceRequest, now_s: float, *, may_probe: bool = True
     ) -> list[OpenEndpoint]:
+        excluded = self._blocked(request.model, now_s)
+        if now_s < request.avoided_until_s:
+            excluded |= request.avoided
         query = RouteQuery(
             service=request.service,
             model=request.model,
             min_weight_version=request.min_version,
-            excluded=self._blocked(request.model, now_s),
+            excluded=excluded,
             may_probe=may_probe,
         )
         return self._router.open_endpoints(query, now_s)
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -15,6 +15,7 @@
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import ItemText
 from dogwoodpost.core.batches import ResultState
+from dogwoodpost.core.batches.item_failures import ItemFailures
 from dogwoodpost.core.batches.waiting_items import PlaceRequest
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.ports.endpoint_gateway import EndpointCall
@@ -48,6 +49,8 @@
 _FULL_PAUSE_S = 0.25
 _UNREACHABLE_PAUSE_S = 0.6
 _NO_ROUTE_PAUSE_S = 0.2
+# An item that failed at an endpoint waits so long for another one.
+_AVOID_S = 1.0
 # Runs that break off without a new event are repeated at once only the first
 # time, so that a fault of all endpoints makes no busy loop.
 _BREAK_PAUSE_S = 0.1
@@ -85,7 +88,7 @@
         self._longest_event_count = 0
         if earlier is not None:
             self._restore(earlier)
-        self._failure_count = 0
+        self._failures = ItemFailures(job.max_attempt_count)
         self._move_count = 0
         self._run_count = 0
         self._break_count = 0
@@ -152,7 +155,7 @@
                 )
             if end is _RunEnd.NEVER:
                 return self._errored('rejected_by_endpoint')
-            if self._failure_count >= self._job.max_attempt_count:
+            if self._failures.is_final:
                 return self._errored('failed_too_often')
         return await self._scored()
 
@@ -191,7 +194,7 @@
             end = _RunEnd.BROKEN
             detail = str(error)
         finally:
-            failed = end is _RunEnd.BROKEN or (
+            failed = end in {_RunEnd.BROKEN, _RunEnd.FAILED} or (
                 end is _RunEnd.NOT_RUN and 'unreachable' in detail
             )
             judged = failed or end is _RunEnd.COMPLETED
@@ -200,7 +203,7 @@
             )
             self._log_run(place, end, detail, start_s)
         if end is _RunEnd.FAILED:
-            self._failure_count += 1
+            self._failures.record(place.endpoint.endpoint_id)
         elif end is _RunEnd.BROKEN:
             await self._pause_after_break()
         return end
@@ -356,6 +359,8 @@
             expected_token_count=self._context.lengths.expected_tokens(
                 self._item.expected_token_count, self._longest_event_count
             ),
+            avoided=self._failures.endpoint_ids,
+            avoided_until_s=self._context.clock.monotonic_s() + _AVOID_S,
         )
 
     def _age_base_s(self) -> float:
@@ -374,7 +379,7 @@
             job_id=self._job.job_id,
             item_id=self._item.item_id,
             reason=reason,
-            failures=self._failure_count,
+            failures=self._failures.count,
             events=self._text.event_count,
         )
         return ItemResult(
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dogwoodpost.core.configuration import NO_LIMITS
+from dogwoodpost.core.routing import RouteQuery
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.ports.attempt_runner import AttemptHead
@@ -15,6 +16,9 @@
 from dogwoodpost.services.entry.service_choice import chosen_service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dogwoodpost.core import ids
     from dogwoodpost.core.batches import ScorerCall
     from dogwoodpost.core.configuration import Route
     from dogwoodpost.ports.clock import Clock
@@ -59,6 +63,8 @@
         :raises ScoringFailedError: the scorer failed too often.
         """
         failure_count = 0
+        # Endpoints of the last failures, each used again for lack of others.
+        failed_at: set[ids.EndpointId] = set()
         limit_s = _FIRST_TIMEOUT_S
         is_repeat = False
         while True:
@@ -69,8 +75,14 @@
                         f'{failure_count} failures of the scorer'
                     )
                 start_s = self._clock.monotonic_s()
+                tried: list[ids.EndpointId] = []
                 head = await self._try(
-                    call, route, limit_s, is_repeat=is_repeat
+                    call,
+                    route,
+                    limit_s,
+                    is_repeat=is_repeat,
+                    failed_at=frozenset(failed_at),
+                    on_attempt=tried.append,
                 )
                 is_repeat = True
                 if self._clock.monotonic_s() - start_s >= limit_s:
@@ -80,6 +92,7 @@
                     return score
                 if head is not None and head.status == _STATUS_FAILED:
                     failure_count += 1
+                failed_at.update(tried)
             await self._clock.sleep(_PAUSE_S)
 
     async def _try(
@@ -89,6 +102,8 @@
         limit_s: float,
         *,
         is_repeat: bool,
+        failed_at: frozenset[ids.EndpointId],
+        on_attempt: Callable[[ids.EndpointId], None],
     ) -> AttemptHead | None:
         """Return the head of a response, None without a response."""
         service = chosen_service(
@@ -111,10 +126,13 @@
             max_attempt_count=1,
             whole_response=True,
             is_repeat=is_repeat,
+            excluded=self._avoided(service.name, failed_at),
         )
         head: AttemptHead | None = None
         try:
-            async with aclosing(self._pipeline.execute(request)) as events:
+            async with aclosing(
+                self._pipeline.execute(request, on_attempt)
+            ) as events:
                 async for event in events:
                     if isinstance(event, AttemptHead):
                         head = event
@@ -128,6 +146,20 @@
             return None
         return head
 
+    def _avoided(
+        self,
+        service: ids.ServiceName,
+        failed_at: frozenset[ids.EndpointId],
+    ) -> frozenset[ids.EndpointId]:
+        """Return the endpoints to leave out, none if no others have room."""
+        query = RouteQuery(
+            service=service, excluded=failed_at, may_probe=False
+        )
+        now_s = self._clock.monotonic_s()
+        if self._pipeline.router.choose(query, now_s) is None:
+            return frozenset()
+        return failed_at
+
     def _score_of(self, head: AttemptHead | None) -> str | None:
         if head is None or not 200 <= head.status < 300:
             return None
--- a/tests/services/batches/test_item_dispatcher.py
+++ b/tests/services/batches/test_item_dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from dogwoodpost.core import ids
@@ -98,3 +99,27 @@
     async with asyncio.timeout(1.0):
         place = await waiting
     assert place.endpoint.endpoint_id == BAD
+
+
+async def test_item_goes_elsewhere_after_a_failure(
+    router: Router, dispatcher: ItemDispatcher, clock: VirtualClock
+) -> None:
+    """Guards against items that come back to the endpoint that failed them.
+
+    The others go on there, and so does the item if nothing else is left.
+    """
+    avoiding = msgspec.structs.replace(
+        item(), avoided=frozenset({BAD}), avoided_until_s=1.0
+    )
+    places = [await dispatcher.acquire(avoiding) for _ in range(4)]
+    assert BAD not in {place.endpoint.endpoint_id for place in places}
+    other = await dispatcher.acquire(item())
+    assert other.endpoint.endpoint_id == BAD
+    for number in (1, 2):
+        router.remove(ids.EndpointId(f'e{number}'), 0.0)
+    waiting = asyncio.create_task(dispatcher.acquire(avoiding))
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    await clock.advance(1.1)
+    async with asyncio.timeout(1.0):
+        assert (await waiting).endpoint.endpoint_id == BAD
