Take only whole, bounded responses that answer their request

Tests play the troubles that operators of similar systems had. They found: - a response without a length whose connection was reset passed for whole, because the HTTP library takes any end of the connection for the body's; - a second copy of a response on a kept connection was taken for the response to the next request. The id gave it away, but each one cost a retry, and with the retry budget gone callers got 502. A copy without an id was passed on; - a stream of events without end kept its item until the item's end of life; - streams whose events come more than 1.5 s apart were cut at each run, without an end, so their items never completed.

Could not be shown before the change: heads and bodies without end (bounded by the library and by time limits; 24 at once stay under 128 MiB), half responses with a length or chunks. Their tests stay.

--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -12,10 +12,20 @@
     from dogwoodpost.core.batches.stream_event import StreamEvent
 
 
+# Results are read in pages of 1 MB, and Base64 takes a third more.
+_MAX_TEXT_BYTES = 600_000
+
+
 class ItemText:
-    """Events in order, with the weight version of each."""
+    """Events in order, with the weight version of each.
+
+    :param max_event_count: events hold a token at least, and a request names
+        its most tokens; None without a limit.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_count: int | None = None) -> None:
+        self._max_event_count = max_event_count
+        self._size_bytes = 0
         self._data: list[str] = []
         self._versions: list[ids.WeightVersion] = []
         self._last_id: int | None = None
@@ -34,6 +44,7 @@
     def clear(self) -> None:
         """Drop all events; the next run starts from the beginning."""
         self._data.clear()
+        self._size_bytes = 0
         self._versions.clear()
         self._last_id = None
 
@@ -47,7 +58,8 @@
     def add(self, event: StreamEvent) -> None:
         """Append the next event.
 
-        :raises EndpointError: an event is missing or stands twice.
+        :raises EndpointError: an event is missing or stands twice, or the
+            text has become longer than it can be.
         """
         if self._last_id is not None and event.event_id != self._last_id + 1:
             raise EndpointError(
@@ -57,6 +69,7 @@
             self._run_version = event.weight_version
         if self._run_version is None:
             raise EndpointError('the weight version of an event is unknown')
+        self._check_size(event)
         self._last_id = event.event_id
         self._data.append(event.data)
         self._versions.append(self._run_version)
@@ -78,9 +91,24 @@
     def restore(self, progress: ItemProgress) -> None:
         """Go on from the events of earlier runs."""
         self._data = list(progress.events)
+        self._size_bytes = sum(map(len, self._data))
         self._versions = list(progress.versions)
         self._last_id = progress.last_event_id
 
+    def _check_size(self, event: StreamEvent) -> None:
+        """Take an event's size; a text that is too long is dropped.
+
+        :raises EndpointError: the text is too long.
+        """
+        self._size_bytes += len(event.data)
+        limit = self._max_event_count
+        has_room = limit is None or len(self._data) < limit
+        if has_room and self._size_bytes <= _MAX_TEXT_BYTES:
+            return
+        count = len(self._data)
+        self.clear()
+        raise EndpointError(f'the stream goes on after {count} events')
+
     def text(self) -> str:
         """Return the data of all events, separated by line feeds."""
         return '\n'.join(self._data)
--- a/src/dogwoodpost/core/streams/event_blocks.py
+++ b/src/dogwoodpost/core/streams/event_blocks.py
@@ -5,7 +5,8 @@
 from dogwoodpost.errors import EndpointError
 
 EVENT_END = b'\n\n'
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
+# A process receives many streams at once, so that each may hold back little.
+_MAX_EVENT_BYTES = 256 * 1024
 
 
 class EventBlocks:
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -95,6 +95,10 @@
     """An endpoint failed or broke its protocol."""
 
 
+class EndpointSilentError(EndpointError):
+    """An endpoint sent nothing of use for the time that it was given."""
+
+
 class EndpointUnsupportedError(EndpointError):
     """An endpoint has no such control path; a plain service has none."""
 
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -13,6 +13,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import EndpointSilentError
 from dogwoodpost.platform import wire_names
 from dogwoodpost.platform.event_stream import EventDecoder
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
@@ -27,6 +28,8 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
+    from aiohttp.client_proto import ResponseHandler
+
     from dogwoodpost.core.batches import StreamEvent
     from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.ports.endpoint_gateway import EndpointCall
@@ -91,6 +94,8 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
+        # The connection is given back as soon as the body has ended.
+        self._connection = _unframed_connection(response)
         self.status = response.status
         # The ingress sets the length anew; the id stays.
         self.headers = end_to_end_headers(
@@ -105,6 +110,7 @@
                 yield data
         except _CALL_ERRORS as error:
             raise EndpointError(f'body broke off: {error!r}') from error
+        self._check_connection_end()
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yield the whole events of a stream."""
@@ -114,6 +120,18 @@
                 yield event
         decoder.finish()
 
+    def _check_connection_end(self) -> None:
+        """Check that the connection that ends a body was not reset.
+
+        :raises EndpointError: it was; the library takes any end for the
+            body's.
+        """
+        if self._connection is None:
+            return
+        error = self._connection.exception()
+        if isinstance(error, OSError):
+            raise EndpointError(f'body broke off: {error!r}')
+
 
 class HttpEndpointGateway(EndpointGateway):
     """Calls endpoints and checks that their responses belong to the call.
@@ -217,7 +235,9 @@
                 NotRunReason.UNREACHABLE, f'unreachable: {error!r}'
             ) from error
         except TimeoutError as error:
-            raise EndpointError(f'no response in {limit_s:.3f} s') from error
+            raise EndpointSilentError(
+                f'no response in {limit_s:.3f} s'
+            ) from error
         except _CALL_ERRORS as error:
             raise EndpointError(f'no response: {error!r}') from error
 
@@ -285,7 +305,8 @@
         not come from the endpoint as it is.
     """
     headers = response.headers
-    if headers.get(wire_names.REQUEST_ID, request_id) != request_id:
+    named_id = headers.get(wire_names.REQUEST_ID)
+    if named_id not in {None, request_id}:
         raise EndpointError('the response belongs to another request')
     if response.status == _STATUS_MISDIRECTED:
         raise EndpointNotRunError(
@@ -302,6 +323,20 @@
     is_success = 200 <= response.status < 300
     if is_success and wire_names.SIGNATURE not in headers:
         raise EndpointError('a success without a signature')
+    if is_success and named_id is None:
+        # A late copy for an earlier request of the connection may lack it.
+        raise EndpointError('a success that names no request')
+
+
+def _unframed_connection(
+    response: aiohttp.ClientResponse,
+) -> ResponseHandler | None:
+    """Return the connection of a body that ends with it, else None."""
+    has_length = 'Content-Length' in response.headers
+    if has_length or 'Transfer-Encoding' in response.headers:
+        return None
+    connection = response.connection
+    return connection.protocol if connection is not None else None
 
 
 def _retry_after_s(value: str | None) -> float | None:
--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -10,11 +10,36 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from aiohttp.client_reqrep import ConnectionKey
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
+
 # Endpoints end idle connections earlier or later; a request that finds its
 # connection ended is repeated.
 _POOL_KEEPALIVE_S = 12.0
 
 
+class CleanConnector(aiohttp.TCPConnector):
+    """Leaves out idle connections on which bytes have come.
+
+    They belong to no request, and the library would take them for the
+    response to the next one.
+    """
+
+    async def _get(
+        self, key: ConnectionKey, traces: list[Trace]
+    ) -> Connection | None:
+        connection = await super()._get(key, traces)
+        while connection is not None and _is_dirty(connection):
+            connection.close()
+            connection = await super()._get(key, traces)
+        return connection
+
+
+def _is_dirty(connection: Connection) -> bool:
+    return connection.protocol is None or connection.protocol.should_close
+
+
 @asynccontextmanager
 async def http_session(*, reuse: bool) -> AsyncIterator[aiohttp.ClientSession]:
     """Open a session.
@@ -22,7 +47,7 @@
     :param reuse: keep connections for later calls.
     """
     connector = (
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=_POOL_KEEPALIVE_S)
+        CleanConnector(limit=0, keepalive_timeout=_POOL_KEEPALIVE_S)
         if reuse
         else aiohttp.TCPConnector(limit=0, force_close=True)
     )
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -16,8 +16,10 @@
 from dogwoodpost.core.batches import ItemText
 from dogwoodpost.core.batches import ResultState
 from dogwoodpost.core.batches.item_failures import ItemFailures
+from dogwoodpost.core.batches.run_limits import RunLimits
 from dogwoodpost.core.batches.waiting_items import PlaceRequest
 from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import EndpointSilentError
 from dogwoodpost.ports.endpoint_gateway import EndpointCall
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
 from dogwoodpost.ports.endpoint_gateway import NotRunReason
@@ -38,11 +40,6 @@
 _log = structlog.get_logger(__name__)
 _STATUS_FAILED = 500
 _STATUS_NEVER = 422
-# Queueing and reading of the prompt come before the head of a response.
-_HEAD_TIMEOUT_S = 2.0
-# Events come every 40 ms; a change of weights holds streams up for about a
-# second.
-_SILENCE_S = 1.5
 _MOVE_CHECK_S = 0.2
 _MAX_MOVE_COUNT = 4
 # A full endpoint, or one that changes its weights, is asked again later.
@@ -82,7 +79,9 @@
         self._context = context
         self._job = job
         self._item = item
-        self._text = ItemText()
+        self._text = ItemText(item.token_count or None)
+        self._limits = RunLimits()
+        self._last_broken: frozenset[ids.EndpointId] = frozenset()
         self._is_text_complete = False
         self._score: str | None = None
         self._longest_event_count = 0
@@ -182,6 +181,7 @@
             return _RunEnd.NOT_RUN
         place = await self._context.dispatcher.acquire(request)
         start_s = self._context.clock.monotonic_s()
+        event_count = self._text.event_count
         end: _RunEnd | None = None
         detail = ''
         try:
@@ -193,6 +193,7 @@
         except EndpointError as error:
             end = _RunEnd.BROKEN
             detail = str(error)
+            self._note_break(place, error, event_count)
         finally:
             failed = end in {_RunEnd.BROKEN, _RunEnd.FAILED} or (
                 end is _RunEnd.NOT_RUN and 'unreachable' in detail
@@ -208,6 +209,15 @@
             await self._pause_after_break()
         return end
 
+    def _note_break(
+        self, place: Place, error: EndpointError, event_count: int
+    ) -> None:
+        """Go elsewhere next, with more time if this run brought nothing."""
+        self._last_broken = frozenset({place.endpoint.endpoint_id})
+        is_silent = isinstance(error, EndpointSilentError)
+        if is_silent and self._text.event_count <= event_count:
+            self._limits.note_silence()
+
     async def _pause_after_break(self) -> None:
         """Wait longer after each run that brought no new event."""
         if self._text.event_count > self._break_event_count:
@@ -248,14 +258,16 @@
         check_s = clock.monotonic_s() + _MOVE_CHECK_S
         while True:
             try:
-                async with asyncio.timeout(_SILENCE_S):
+                async with asyncio.timeout(self._limits.silence_s):
                     event = await anext(events)
             except StopAsyncIteration:
                 if not self._text.event_count:
                     raise EndpointError('a stream without events') from None
                 return _RunEnd.COMPLETED
             except TimeoutError:
-                raise EndpointError(f'silent for {_SILENCE_S} s') from None
+                raise EndpointSilentError(
+                    f'silent for {self._limits.silence_s} s'
+                ) from None
             self._text.add(event)
             if not self._fits():
                 return _RunEnd.UNFIT
@@ -333,7 +345,7 @@
             timeout_s=max(left_s, 0.001),
             client_account_id=self._job.client_account_id,
             resume_after=self._text.last_event_id,
-            head_timeout_s=_HEAD_TIMEOUT_S,
+            head_timeout_s=self._limits.head_timeout_s,
             may_reuse_connection=self._run_count == 1,
         )
 
@@ -359,7 +371,7 @@
             expected_token_count=self._context.lengths.expected_tokens(
                 self._item.expected_token_count, self._longest_event_count
             ),
-            avoided=self._failures.endpoint_ids,
+            avoided=self._failures.endpoint_ids | self._last_broken,
             avoided_until_s=self._context.clock.monotonic_s() + _AVOID_S,
         )
 
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -32,8 +32,6 @@
     from dogwoodpost.services.entry.request_state import RequestState
 
 _log = structlog.get_logger(__name__)
-# Larger responses are passed on as they arrive.
-_MAX_HELD_BACK_BYTES = 4 * 1024 * 1024
 _MS_PER_S = 1_000
 
 
@@ -62,7 +60,7 @@
         """
         attempt = self._all_events()
         if self._request.whole_response:
-            attempt = _held_back(attempt)
+            attempt = self._pipeline.held_responses.hold(attempt)
         progress = self._state.progress
         async with aclosing(attempt) as events:
             async for event in events:
@@ -267,24 +265,5 @@
         )
 
 
-async def _held_back(
-    attempt: AsyncGenerator[AttemptEvent, None],
-) -> AsyncGenerator[AttemptEvent, None]:
-    """Yield an attempt's events only after its end, up to a size."""
-    held: list[AttemptEvent] = []
-    held_bytes = 0
-    async with aclosing(attempt):
-        async for event in attempt:
-            held.append(event)
-            if isinstance(event, AttemptData):
-                held_bytes += len(event.data)
-            if held_bytes > _MAX_HELD_BACK_BYTES:
-                break
-        for event in held:
-            yield event
-        async for event in attempt:
-            yield event
-
-
 def _is_success(status: int) -> bool:
     return 200 <= status < 300
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -8,6 +8,7 @@
 from dogwoodpost.core.retries import RetryBudget
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.held_responses import HeldResponses
 from dogwoodpost.services.entry.refusals import count_refusal
 from dogwoodpost.services.entry.request_queue import RequestQueue
 from dogwoodpost.services.entry.request_run import RequestRun
@@ -58,6 +59,7 @@
         self.retry_policy = retry_policy or RetryPolicy()
         self.bills_begun_requests = bills_begun_requests
         self.queue = RequestQueue(admission, router, clock)
+        self.held_responses = HeldResponses()
         self._budgets: dict[ids.RouteName, RetryBudget] = {}
 
     async def execute(
