Let items wait for other endpoints only after a failure

Change: a broken run only prefers another endpoint that has a place; the time grows from the second silent run on. A failure (500) still waits.

--- a/src/dogwoodpost/core/batches/run_limits.py
+++ b/src/dogwoodpost/core/batches/run_limits.py
@@ -12,25 +12,29 @@
 
 
 class RunLimits:
-    """Gives each run that follows a silent one more time.
+    """Gives runs more time once a second one was silent.
 
-    A silent endpoint costs little at first. Where events come far apart at
-    every endpoint, the same limit would cut each run before its next event.
+    One silent endpoint costs little. Where events come far apart at every
+    endpoint, the same limit would cut each run before its next event.
     """
 
     def __init__(self) -> None:
-        self._factor = 1.0
+        self._silent_count = 0
 
     @property
     def head_timeout_s(self) -> float:
         """Return how long to wait for the head of a response, in seconds."""
-        return _HEAD_TIMEOUT_S * self._factor
+        return _HEAD_TIMEOUT_S * self._factor()
 
     @property
     def silence_s(self) -> float:
         """Return how long to wait for the next event, in seconds."""
-        return _SILENCE_S * self._factor
+        return _SILENCE_S * self._factor()
 
     def note_silence(self) -> None:
         """Note a run that ended without a new event for lack of time."""
-        self._factor = min(self._factor * _GROWTH, _MAX_FACTOR)
+        self._silent_count += 1
+
+    def _factor(self) -> float:
+        growth = _GROWTH ** max(self._silent_count - 1, 0)
+        return min(growth, _MAX_FACTOR)
--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -24,6 +24,8 @@
     :param avoided: endpoints at which the item failed.
     :param avoided_until_s: they are used again from then on, for lack of
         others.
+    :param last_broken: where its last run broke off, which may be chance;
+        used while no other endpoint has a place.
     """
 
     service: ids.ServiceName
@@ -33,6 +35,7 @@
     expected_token_count: int
     avoided: frozenset[ids.EndpointId] = frozenset()
     avoided_until_s: float = 0.0
+    last_broken: ids.EndpointId | None = None
 
 
 def urgency(request: PlaceRequest) -> tuple[float, int]:
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -116,7 +116,9 @@
             if need in full:
                 continue
             candidates = self._candidates(request, now_s)
-            chosen = self._placement.choose(candidates, now_s)
+            chosen = self._placement.choose(
+                _without(candidates, request.last_broken), now_s
+            )
             if chosen is None:
                 full.add(need)
                 continue
@@ -176,3 +178,13 @@
     def _on_timer(self) -> None:
         self._timer = None
         self._start_ready()
+
+
+def _without(
+    candidates: list[OpenEndpoint], endpoint_id: ids.EndpointId | None
+) -> list[OpenEndpoint]:
+    """Return the candidates but for one, all of them if it is the only one."""
+    others = [
+        one for one in candidates if one.endpoint.endpoint_id != endpoint_id
+    ]
+    return others or candidates
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -81,7 +81,7 @@
         self._item = item
         self._text = ItemText(item.token_count or None)
         self._limits = RunLimits()
-        self._last_broken: frozenset[ids.EndpointId] = frozenset()
+        self._last_broken: ids.EndpointId | None = None
         self._is_text_complete = False
         self._score: str | None = None
         self._longest_event_count = 0
@@ -213,7 +213,7 @@
         self, place: Place, error: EndpointError, event_count: int
     ) -> None:
         """Go elsewhere next, with more time if this run brought nothing."""
-        self._last_broken = frozenset({place.endpoint.endpoint_id})
+        self._last_broken = place.endpoint.endpoint_id
         is_silent = isinstance(error, EndpointSilentError)
         if is_silent and self._text.event_count <= event_count:
             self._limits.note_silence()
@@ -371,8 +371,9 @@
             expected_token_count=self._context.lengths.expected_tokens(
                 self._item.expected_token_count, self._longest_event_count
             ),
-            avoided=self._failures.endpoint_ids | self._last_broken,
+            avoided=self._failures.endpoint_ids,
             avoided_until_s=self._context.clock.monotonic_s() + _AVOID_S,
+            last_broken=self._last_broken,
         )
 
     def _age_base_s(self) -> float:
--- a/tests/services/batches/test_item_dispatcher.py
+++ b/tests/services/batches/test_item_dispatcher.py
@@ -101,6 +101,20 @@
     assert place.endpoint.endpoint_id == BAD
 
 
+async def test_item_leaves_the_endpoint_where_it_broke_off(
+    router: Router, dispatcher: ItemDispatcher
+) -> None:
+    """Guards against waits for other endpoints after a run broke by chance."""
+    broken = msgspec.structs.replace(item(), last_broken=BAD)
+    places = [await dispatcher.acquire(broken) for _ in range(4)]
+    assert BAD not in {place.endpoint.endpoint_id for place in places}
+    for number in (1, 2):
+        router.remove(ids.EndpointId(f'e{number}'), 0.0)
+    async with asyncio.timeout(1.0):
+        place = await dispatcher.acquire(broken)
+    assert place.endpoint.endpoint_id == BAD
+
+
 async def test_item_goes_elsewhere_after_a_failure(
     router: Router, dispatcher: ItemDispatcher, clock: VirtualClock
 ) -> None:
