Read what was accepted last before a stop closes its connections

Cause: at the end of a planned stop the listening socket was closed and idle connections with it. A connection that had just been accepted counts as idle until its request is read, so clients were cut off without an answer. A test that opens a connection each 50 ms until none is accepted showed it.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -81,6 +81,8 @@
 _SETTINGS_INTERVAL_S = 1.0
 _BODY_MEMORY_SHARE = 0.2
 _SHUTDOWN_TIMEOUT_S = 0.5
+# For requests that came last before the clients' address was closed.
+_LAST_REQUESTS_TIMEOUT_S = 1.2
 # The balancer notices after two checks, a second apart; until then new
 # connections arrive and are served.
 _LEAVE_S = 2.6
@@ -344,7 +346,7 @@
                 serving(
                     self._ingress.app(),
                     _Address(listen['front']),
-                    shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
+                    shutdown_timeout_s=_LAST_REQUESTS_TIMEOUT_S,
                 )
             )
 
