Keep the waits of an item's runs in one place

The pause after a broken run and the time limits of silent ones were counted apart, and a log text decided whether an endpoint was unreachable. Behaviour stays; texts may now have 700 kB, what a transaction of 1 MB holds in Base64.

--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -12,8 +12,8 @@
     from dogwoodpost.core.batches.stream_event import StreamEvent
 
 
-# Results are read in pages of 1 MB, and Base64 takes a third more.
-_MAX_TEXT_BYTES = 600_000
+# A transaction of 1 MB holds it in Base64.
+_MAX_TEXT_BYTES = 700_000
 
 
 class ItemText:
--- a/src/dogwoodpost/core/batches/run_limits.py
+++ b/src/dogwoodpost/core/batches/run_limits.py
@@ -1,4 +1,4 @@
-"""How long the runs of one item wait for their endpoint."""
+"""How long the runs of one item wait, for their endpoint and for the next."""
 
 from __future__ import annotations
 
@@ -9,6 +9,10 @@
 _GROWTH = 2.0
 # A run is given no longer than most items may take in all.
 _MAX_FACTOR = 8.0
+# The first repeat goes out at once, so that a fault of one endpoint costs
+# little; the pause of the others keeps a fault of all from a busy loop.
+_PAUSE_S = 0.1
+_MAX_PAUSE_S = 1.0
 
 
 class RunLimits:
@@ -20,6 +24,7 @@
 
     def __init__(self) -> None:
         self._silent_count = 0
+        self._break_count = 0
 
     @property
     def head_timeout_s(self) -> float:
@@ -31,9 +36,19 @@
         """Return how long to wait for the next event, in seconds."""
         return _SILENCE_S * self._factor()
 
-    def note_silence(self) -> None:
-        """Note a run that ended without a new event for lack of time."""
-        self._silent_count += 1
+    def note_break(self, *, is_silent: bool, brought_events: bool) -> float:
+        """Note a run that broke off; return the pause before the next, in s.
+
+        :param is_silent: it was ended for lack of time.
+        :param brought_events: it added to the text.
+        """
+        if brought_events:
+            self._break_count = 0
+        elif is_silent:
+            self._silent_count += 1
+        pause_s = min(self._break_count * _PAUSE_S, _MAX_PAUSE_S)
+        self._break_count += 1
+        return pause_s
 
     def _factor(self) -> float:
         growth = _GROWTH ** max(self._silent_count - 1, 0)
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -48,10 +48,6 @@
 _NO_ROUTE_PAUSE_S = 0.2
 # An item that failed at an endpoint waits so long for another one.
 _AVOID_S = 1.0
-# Runs that break off without a new event are repeated at once only the first
-# time, so that a fault of all endpoints makes no busy loop.
-_BREAK_PAUSE_S = 0.1
-_MAX_BREAK_PAUSE_S = 1.0
 
 
 class _RunEnd(Enum):
@@ -90,8 +86,6 @@
         self._failures = ItemFailures(job.max_attempt_count)
         self._move_count = 0
         self._run_count = 0
-        self._break_count = 0
-        self._break_event_count = 0
 
     async def run(self) -> ItemResult:
         """Return the item's result."""
@@ -183,50 +177,36 @@
         start_s = self._context.clock.monotonic_s()
         event_count = self._text.event_count
         end: _RunEnd | None = None
-        detail = ''
+        failure: EndpointError | None = None
         try:
             end = await self._stream(place, request)
         except EndpointNotRunError as error:
             end = _RunEnd.NOT_RUN
-            detail = str(error)
+            failure = error
             self._block(place, error.reason)
         except EndpointError as error:
             end = _RunEnd.BROKEN
-            detail = str(error)
-            self._note_break(place, error, event_count)
+            failure = error
         finally:
-            failed = end in {_RunEnd.BROKEN, _RunEnd.FAILED} or (
-                end is _RunEnd.NOT_RUN and 'unreachable' in detail
-            )
-            judged = failed or end is _RunEnd.COMPLETED
+            failed = _is_endpoint_failure(end, failure)
             self._context.dispatcher.release(
-                place, request, judged=judged, failed=failed
+                place,
+                request,
+                judged=failed or end is _RunEnd.COMPLETED,
+                failed=failed,
             )
-            self._log_run(place, end, detail, start_s)
+            self._log_run(place, end, failure, start_s)
         if end is _RunEnd.FAILED:
             self._failures.record(place.endpoint.endpoint_id)
         elif end is _RunEnd.BROKEN:
-            await self._pause_after_break()
+            self._last_broken = place.endpoint.endpoint_id
+            pause_s = self._limits.note_break(
+                is_silent=isinstance(failure, EndpointSilentError),
+                brought_events=self._text.event_count > event_count,
+            )
+            await self._context.clock.sleep(pause_s)
         return end
 
-    def _note_break(
-        self, place: Place, error: EndpointError, event_count: int
-    ) -> None:
-        """Go elsewhere next, with more time if this run brought nothing."""
-        self._last_broken = place.endpoint.endpoint_id
-        is_silent = isinstance(error, EndpointSilentError)
-        if is_silent and self._text.event_count <= event_count:
-            self._limits.note_silence()
-
-    async def _pause_after_break(self) -> None:
-        """Wait longer after each run that brought no new event."""
-        if self._text.event_count > self._break_event_count:
-            self._break_count = 0
-        self._break_event_count = self._text.event_count
-        pause_s = min(self._break_count * _BREAK_PAUSE_S, _MAX_BREAK_PAUSE_S)
-        self._break_count += 1
-        await self._context.clock.sleep(pause_s)
-
     async def _stream(self, place: Place, request: PlaceRequest) -> _RunEnd:
         """Receive one run of the item's stream."""
         if self._job.single_version or not self._fits():
@@ -400,7 +380,11 @@
         )
 
     def _log_run(
-        self, place: Place, end: _RunEnd | None, detail: str, start_s: float
+        self,
+        place: Place,
+        end: _RunEnd | None,
+        failure: EndpointError | None,
+        start_s: float,
     ) -> None:
         now_s = self._context.clock.monotonic_s()
         outcome = 'cancelled' if end is None else end.value
@@ -413,8 +397,17 @@
             endpoint=place.endpoint.endpoint_id,
             endpoint_version=place.endpoint.version_of(self._job.model),
             outcome=outcome,
-            detail=detail,
+            detail=str(failure or ''),
             number=self._run_count,
             events=self._text.event_count,
             duration_ms=round((now_s - start_s) * 1_000),
         )
+
+
+def _is_endpoint_failure(
+    end: _RunEnd | None, failure: EndpointError | None
+) -> bool:
+    """Return whether a run's end counts against its endpoint."""
+    if isinstance(failure, EndpointNotRunError):
+        return failure.reason is NotRunReason.UNREACHABLE
+    return end in {_RunEnd.BROKEN, _RunEnd.FAILED}
