Leave windows open that were counted in before the first row

A request that another entry had counted in the window before became an adjustment, and reports to the platform carry none: 2 of 3 requests.

Change: the first row begins 5 s earlier. A test of the ledger fails before.

Also: an item that fails at few endpoints gets one run beyond its attempts, as takeovers count anew; requests accepted last have 0.9 s, so that a stop stays within its grace period; the tries of a scorer are a class of their own.

--- a/src/dogwoodpost/core/batches/item_failures.py
+++ b/src/dogwoodpost/core/batches/item_failures.py
@@ -7,16 +7,14 @@
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
 
-# An item is given up after this many times its attempts even if few
-# endpoints are left to try.
-_MAX_REPEAT_FACTOR = 2
-
 
 class ItemFailures:
     """Tells an item that fails everywhere from an endpoint that fails.
 
     An endpoint may fail all that it runs while its health check is good, so
-    failures at the same endpoint count once.
+    failures at the same endpoint count once. Where few endpoints are left to
+    try, an item still gets no more than one run beyond its attempts: the
+    count starts anew with each process that takes its job over.
 
     :param max_attempt_count: endpoints at which an item may fail.
     """
@@ -36,7 +34,7 @@
         """Return whether the item is given up."""
         if len(self._endpoint_ids) >= self._max_attempt_count:
             return True
-        return self.count >= _MAX_REPEAT_FACTOR * self._max_attempt_count
+        return self.count > self._max_attempt_count
 
     def record(self, endpoint_id: ids.EndpointId) -> None:
         """Note a failed run."""
--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -91,24 +91,10 @@
     def restore(self, progress: ItemProgress) -> None:
         """Go on from the events of earlier runs."""
         self._data = list(progress.events)
-        self._size_bytes = sum(map(len, self._data))
+        self._size_bytes = sum(len(data.encode()) for data in self._data)
         self._versions = list(progress.versions)
         self._last_id = progress.last_event_id
 
-    def _check_size(self, event: StreamEvent) -> None:
-        """Take an event's size; a text that is too long is dropped.
-
-        :raises EndpointError: the text is too long.
-        """
-        self._size_bytes += len(event.data)
-        limit = self._max_event_count
-        has_room = limit is None or len(self._data) < limit
-        if has_room and self._size_bytes <= _MAX_TEXT_BYTES:
-            return
-        count = len(self._data)
-        self.clear()
-        raise EndpointError(f'the stream goes on after {count} events')
-
     def text(self) -> str:
         """Return the data of all events, separated by line feeds."""
         return '\n'.join(self._data)
@@ -127,3 +113,17 @@
         if min_version is None or not versions:
             return True
         return versions[0] >= min_version
+
+    def _check_size(self, event: StreamEvent) -> None:
+        """Take an event's size; a text that is too long is dropped.
+
+        :raises EndpointError: the text is too long.
+        """
+        self._size_bytes += len(event.data.encode())
+        limit = self._max_event_count
+        has_room = limit is None or len(self._data) < limit
+        if has_room and self._size_bytes <= _MAX_TEXT_BYTES:
+            return
+        count = len(self._data)
+        self.clear()
+        raise EndpointError(f'the stream goes on after {count} events')
--- a/src/dogwoodpost/core/usage/ledger.py
+++ b/src/dogwoodpost/core/usage/ledger.py
@@ -34,6 +34,10 @@
     figures: dict[ids.UsageWindow, dict[ids.ClientAccountId, UsageFigures]]
 
 
+# Entries that start together write their first totals within this time.
+_FIRST_ROW_MARGIN_S = 5.0
+
+
 class _Window:
     """Totals of one window and what of them stands in the table."""
 
@@ -131,8 +135,15 @@
                 self._window(wall_s).add(client_account_id, figures)
 
     def first_open_windows(self, wall_s: float) -> OpenWindows:
-        """Return the row that the very first entry writes."""
-        window = min(self._windows, default=window_at(wall_s, self._window_s))
+        """Return the row that the very first entry writes.
+
+        Other entries may have counted in earlier windows by then.
+        """
+        earliest_s = wall_s - _FIRST_ROW_MARGIN_S
+        window = min(
+            window_at(earliest_s, self._window_s),
+            min(self._windows, default=window_at(wall_s, self._window_s)),
+        )
         return OpenWindows(first_window=window, first_open=window)
 
     def plan_flush(self) -> UsageFlush | None:
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -83,7 +83,7 @@
 _BODY_MEMORY_SHARE = 0.2
 _SHUTDOWN_TIMEOUT_S = 0.5
 # For requests that came last before the clients' address was closed.
-_LAST_REQUESTS_TIMEOUT_S = 1.2
+_LAST_REQUESTS_TIMEOUT_S = 0.9
 # The balancer notices after two checks, a second apart; until then new
 # connections arrive and are served.
 _LEAVE_S = 2.6
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.batches import ScorerCall
@@ -39,6 +40,30 @@
     """The scorer has failed as often as its route allows."""
 
 
+class _Tries:
+    """What the tries to score one text have brought so far."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.failure_count = 0
+        self.limit_s = _FIRST_TIMEOUT_S
+        self.endpoint_ids: frozenset[ids.EndpointId] = frozenset()
+
+    def note(
+        self,
+        head: AttemptHead | None,
+        endpoint_ids: Iterable[ids.EndpointId],
+        duration_s: float,
+    ) -> None:
+        """Take the end of a try."""
+        self.count += 1
+        self.endpoint_ids = self.endpoint_ids.union(endpoint_ids)
+        if duration_s >= self.limit_s:
+            self.limit_s *= _TIMEOUT_FACTOR
+        if head is not None and head.status == _STATUS_FAILED:
+            self.failure_count += 1
+
+
 class ItemScorer:
     """Calls scorers until one answers.
 
@@ -62,47 +87,34 @@
 
         :raises ScoringFailedError: the scorer failed too often.
         """
-        failure_count = 0
-        # Endpoints of the last failures, each used again for lack of others.
-        failed_at: set[ids.EndpointId] = set()
-        limit_s = _FIRST_TIMEOUT_S
-        is_repeat = False
+        tries = _Tries()
         while True:
             route = self._routes.find(call.host, call.path)
             if route is not None:
-                if failure_count >= route.max_attempt_count:
+                if tries.failure_count >= route.max_attempt_count:
                     raise ScoringFailedError(
-                        f'{failure_count} failures of the scorer'
+                        f'{tries.failure_count} failures of the scorer'
                     )
-                start_s = self._clock.monotonic_s()
-                tried: list[ids.EndpointId] = []
-                head = await self._try(
-                    call,
-                    route,
-                    limit_s,
-                    is_repeat=is_repeat,
-                    failed_at=frozenset(failed_at),
-                    on_attempt=tried.append,
-                )
-                is_repeat = True
-                if self._clock.monotonic_s() - start_s >= limit_s:
-                    limit_s *= _TIMEOUT_FACTOR
-                score = self._score_of(head)
+                score = await self._score_once(call, route, tries)
                 if score is not None:
                     return score
-                if head is not None and head.status == _STATUS_FAILED:
-                    failure_count += 1
-                failed_at.update(tried)
             await self._clock.sleep(_PAUSE_S)
 
+    async def _score_once(
+        self, call: ScorerCall, route: Route, tries: _Tries
+    ) -> str | None:
+        """Return the score, None if this try brought none."""
+        start_s = self._clock.monotonic_s()
+        tried: list[ids.EndpointId] = []
+        head = await self._try(call, route, tries, tried.append)
+        tries.note(head, tried, self._clock.monotonic_s() - start_s)
+        return self._score_of(head)
+
     async def _try(
         self,
         call: ScorerCall,
         route: Route,
-        limit_s: float,
-        *,
-        is_repeat: bool,
-        failed_at: frozenset[ids.EndpointId],
+        tries: _Tries,
         on_attempt: Callable[[ids.EndpointId], None],
     ) -> AttemptHead | None:
         """Return the head of a response, None without a response."""
@@ -121,12 +133,12 @@
             path=call.path,
             headers=(('Host', call.host),),
             body=call.body,
-            timeout_s=min(route.timeout_ms / _MS_PER_S, limit_s),
+            timeout_s=min(route.timeout_ms / _MS_PER_S, tries.limit_s),
             idempotent=True,
             max_attempt_count=1,
             whole_response=True,
-            is_repeat=is_repeat,
-            excluded=self._avoided(service.name, failed_at),
+            is_repeat=tries.count > 0,
+            excluded=self._avoided(service.name, tries.endpoint_ids),
         )
         head: AttemptHead | None = None
         try:
