--- a/tests/core/usage/test_usage_ledger.py
+++ b/tests/core/usage/test_usage_ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dogwoodpost.core import ids
-from dogwoodpost.core.usage import UsageFigures
+from dogwoodpost.core.usage.figures import UsageFigures
 from dogwoodpost.core.usage.ledger import UsageLedger
 
 ACCOUNT = ids.ClientAccountId('buyers')
