--- a/tests/core/weights/test_staggered_loads.py
+++ b/tests/core/weights/test_staggered_loads.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from dogwoodpost.core import ids
@@ -9,6 +11,9 @@
 from dogwoodpost.core.weights.staggered_loads import max_parallel_loads
 from dogwoodpost.core.weights.staggered_loads import plan_loads
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 MODEL = ids.ModelName('model')
 _STEP_INTERVAL_S = 4.0
 _LOAD_S = 1.2
@@ -24,6 +29,16 @@
     )
 
 
+def endpoint_of_models(
+    number: int, models: Sequence[ids.ModelName]
+) -> Endpoint:
+    """Return an endpoint that has all models at their first version."""
+    return msgspec.structs.replace(
+        endpoint(number, 1),
+        weight_versions=dict.fromkeys(models, ids.WeightVersion(1)),
+    )
+
+
 def test_most_endpoints_serve_a_step_from_its_start() -> None:
     """Guards against steps whose items wait for endpoints that load.
 
@@ -82,13 +97,7 @@
     the one before and found two endpoints of 22 with its oldest version.
     """
     models = [ids.ModelName(f'model-{one}') for one in range(4)]
-    fleet = [
-        msgspec.structs.replace(
-            endpoint(one, 1),
-            weight_versions=dict.fromkeys(models, ids.WeightVersion(1)),
-        )
-        for one in range(22)
-    ]
+    fleet = [endpoint_of_models(one, models) for one in range(22)]
     named = dict.fromkeys(models, ids.WeightVersion(1))
     named[models[0]] = ids.WeightVersion(2)
     planned = plan_loads(named, fleet, set())
@@ -146,13 +155,7 @@
 def test_loads_stay_within_each_models_share() -> None:
     """Guards against loads that are paid for and serve nobody."""
     models = [ids.ModelName(f'model-{one}') for one in range(4)]
-    fleet = [
-        msgspec.structs.replace(
-            endpoint(one, 1),
-            weight_versions=dict.fromkeys(models, ids.WeightVersion(1)),
-        )
-        for one in range(23)
-    ]
+    fleet = [endpoint_of_models(one, models) for one in range(23)]
     named = dict.fromkeys(models, ids.WeightVersion(2))
     planned = plan_loads(named, fleet, named)
     assert len(planned) == 4 * 6
