--- a/src/dogwoodpost/core/weights/staggered_loads.py
+++ b/src/dogwoodpost/core/weights/staggered_loads.py
@@ -105,7 +105,7 @@
     behind = behind[: max(wanted - loaded_count, 0)]
     if not is_settled:
         idle_count = sum(one[0] < version - 1 for one in behind)
-        serving_count = sum(one[0] >= version - 1 for one in known)
+        serving_count = _serving_count(model, version, endpoints)
         first_count = max(round(serving_count * _FIRST_SHARE), 1)
         behind = behind[: max(idle_count, first_count - loaded_count)]
     return [endpoint for _, _, endpoint in behind]
