Take endpoints out of use that announce their stop in a response

Cause: the users' pages now say that an endpoint that leaves says so in all of its responses. Requests were kept away from it by its entry only, which a process that has lost the store does not see.

The gateway reads the announcement from each head that it receives, those of reports, orders and refusals too. The registry keeps it by incarnation, so that an older entry that still says ready, or one that comes back after an outage, does not undo it. A misdirected call speaks of the endpoint that has the address now, not of the one that was named.

Ruled out: reading it where runs and requests end, which misses reports, scoring calls and refusals.

--- a/src/dogwoodpost/core/membership/endpoint_registry.py
+++ b/src/dogwoodpost/core/membership/endpoint_registry.py
@@ -31,6 +31,8 @@
         self._listener = listener
         self._endpoints: dict[ids.EndpointId, Endpoint] = {}
         self._remove_at_s: dict[ids.EndpointId, float] = {}
+        # Kept after the entry is gone: an older one may still be read.
+        self._leaving: set[tuple[ids.EndpointId, ids.Incarnation]] = set()
         self._contact_s: float | None = None
         self._grace_until_s = float('-inf')
 
@@ -48,6 +50,8 @@
         known = self._endpoints.get(endpoint.endpoint_id)
         if known and known.agent_incarnation == endpoint.agent_incarnation:
             endpoint = _with_versions(endpoint, known.weight_versions)
+        if self._is_leaving(endpoint):
+            endpoint = msgspec.structs.replace(endpoint, draining=True)
         self._endpoints[endpoint.endpoint_id] = endpoint
         self._listener.upsert(endpoint, now_s)
 
@@ -67,6 +71,29 @@
             self._endpoints[endpoint_id] = endpoint
             self._listener.upsert(endpoint, now_s)
 
+    def note_leaving(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Note that an endpoint itself says that it leaves.
+
+        Entries that still call this incarnation ready have no effect then.
+
+        :returns: whether that is news.
+        """
+        if self._is_leaving(endpoint):
+            return False
+        self._leaving.add((endpoint.endpoint_id, endpoint.agent_incarnation))
+        known = self._endpoints.get(endpoint.endpoint_id)
+        if known and known.agent_incarnation == endpoint.agent_incarnation:
+            draining = msgspec.structs.replace(known, draining=True)
+            self._endpoints[endpoint.endpoint_id] = draining
+            self._listener.upsert(draining, now_s)
+        return True
+
+    def at_address(self, address: str) -> list[Endpoint]:
+        """Return the endpoints in use that have an address."""
+        return [
+            one for one in self._endpoints.values() if one.address == address
+        ]
+
     def remove(self, endpoint_id: ids.EndpointId, now_s: float) -> None:
         """Note that an entry is gone."""
         endpoint = self._endpoints.get(endpoint_id)
@@ -98,6 +125,10 @@
         """Return an endpoint in use."""
         return self._endpoints.get(endpoint_id)
 
+    def _is_leaving(self, endpoint: Endpoint) -> bool:
+        key = (endpoint.endpoint_id, endpoint.agent_incarnation)
+        return key in self._leaving
+
     def _drop(self, endpoint_id: ids.EndpointId, now_s: float) -> None:
         self._remove_at_s.pop(endpoint_id, None)
         self._endpoints.pop(endpoint_id, None)
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -33,6 +33,7 @@
 
     from dogwoodpost.core.batches import StreamEvent
     from dogwoodpost.core.routing import Endpoint
+    from dogwoodpost.platform.leave_notices import LeaveNotices
     from dogwoodpost.ports.endpoint_gateway import EndpointCall
     from dogwoodpost.ports.endpoint_gateway import VersionOrder
 
@@ -146,10 +147,12 @@
         session: aiohttp.ClientSession,
         fresh_session: aiohttp.ClientSession,
         holder_name: str,
+        leave_notices: LeaveNotices,
     ) -> None:
         self._session = session
         self._fresh_session = fresh_session
         self._holder_name = holder_name
+        self._leave_notices = leave_notices
 
     @asynccontextmanager
     async def open(
@@ -158,6 +161,7 @@
         """Send a request and receive the head of its response."""
         response = await self._send(endpoint, call)
         try:
+            self._leave_notices.check(endpoint, response)
             _check_response(response, call.request_id)
             yield HttpEndpointReply(response)
         finally:
@@ -266,6 +270,7 @@
                     total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
             ) as response:
+                self._leave_notices.check(endpoint, response)
                 return response.status, await response.read()
         except TimeoutError as error:
             raise EndpointError(f'{path}: no answer') from error
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -29,6 +29,7 @@
 from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
 from dogwoodpost.platform.ingress import Ingress
 from dogwoodpost.platform.ingress import ready_app
+from dogwoodpost.platform.leave_notices import LeaveNotices
 from dogwoodpost.platform.sessions import http_session
 from dogwoodpost.platform.settings_watch import SettingsWatch
 from dogwoodpost.platform.store_client import PlatformObjectStore
@@ -170,7 +171,10 @@
         )
         rows = PlatformRowStore(self._store)
         gateway = HttpEndpointGateway(
-            session, fresh_session, self._identity.process_id
+            session,
+            fresh_session,
+            self._identity.process_id,
+            LeaveNotices(self._registry, self._clock),
         )
         self._presence = PresenceService(
             self._identity, rows, self._router, self._clock
--- a/src/dogwoodpost/standins/site/sampler_app.py
+++ b/src/dogwoodpost/standins/site/sampler_app.py
@@ -16,6 +16,7 @@
 _EVENT_GAP_S = 0.005
 _MS_PER_S = 1_000
 _BASE_VERSION = 1
+_BORN_MS = 1_700_000_000_000
 
 
 class SamplerFault(Enum):
@@ -81,12 +82,16 @@
         self.load_s = 0.05
         self.work_s = 0.0
         self.event_gap_s = _EVENT_GAP_S
+        self.born_ms = _BORN_MS
+        # Values of the header that tells of a planned stop, in all responses.
+        self.leaving_values: tuple[str, ...] = ()
         self._event_count = event_count
         self._is_busy = False
 
     def app(self) -> web.Application:
         """Return the application."""
         app = web.Application(handler_args={'handler_cancellation': True})
+        app.on_response_prepare.append(self._add_leaving)
         app.router.add_get('/api/report', self._report)
         app.router.add_post('/api/order', self._order)
         app.router.add_route('*', '/{path:.*}', self._run)
@@ -105,12 +110,18 @@
                 'slots': 8,
                 'state': state,
                 'coldRemainingMs': 0,
-                'born': 1_700_000_000_000,
+                'born': self.born_ms,
                 'sequence': 1,
                 'models': self._models(),
             }
         )
 
+    async def _add_leaving(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        for value in self.leaving_values:
+            response.headers.add('Server-Leaving', value)
+
     async def _report(self, request: web.Request) -> web.Response:
         return web.json_response(
             {
--- a/tests/core/membership/test_endpoint_registry.py
+++ b/tests/core/membership/test_endpoint_registry.py
@@ -112,3 +112,28 @@
     registry.note_versions(ENGINE, ids.Incarnation('1'), versions, 1.0)
     registry.upsert(endpoint(version=1, born='2'), 1.1)
     assert listener.known[ENGINE].version_of(MODEL) == 1
+
+
+def test_a_leaving_endpoint_is_not_kept_over_an_outage(
+    registry: EndpointRegistry, listener: FakeListener
+) -> None:
+    """Guards against the time to come back for one that will not."""
+    assert registry.note_leaving(endpoint(), 1.0)
+    assert not registry.note_leaving(endpoint(), 1.1)
+    assert listener.known[ENGINE].draining
+    registry.note_contact(9.0)
+    registry.remove(ENGINE, 9.1)
+    assert listener.known == {}
+    registry.upsert(endpoint(), 9.2)
+    assert listener.known[ENGINE].draining
+    registry.upsert(endpoint(born='2'), 9.3)
+    assert not listener.known[ENGINE].draining
+
+
+def test_a_late_announcement_of_an_earlier_incarnation(
+    registry: EndpointRegistry, listener: FakeListener
+) -> None:
+    """Guards against a restarted endpoint that is taken out of use."""
+    registry.upsert(endpoint(born='2'), 1.0)
+    registry.note_leaving(endpoint(born='1'), 1.1)
+    assert not listener.known[ENGINE].draining
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -116,6 +116,9 @@
         entry = endpoint.entry(service, address, 'zone-a', state)
         self.put('servers', endpoint.endpoint_id, entry)
 
+    def address_of(self, endpoint: SamplerApp) -> str:
+        return self._addresses[endpoint.endpoint_id]
+
     def move(self, endpoint: SamplerApp, service: str, address: str) -> None:
         self._addresses[endpoint.endpoint_id] = address
         self.register(endpoint, service)
