End connections on which interim responses do not end

Cause of a time-out of test_bytes_without_end_cost_bounded_memory with endless 103 responses, seen once beside a score of three jobs: a read of 256 KiB holds 9,362 of them, and the client takes 0.10 s of processor time to parse and skip them (measured on one read without other load). 24 such connections take 2.4 s for each read of all, so that a sound stream beside them misses its 2.0 s. The load of the other processes only showed it.

The client protocol parses what it reads in pieces of 16 KiB until 17 interim responses have come, and then ends the connection. One piece takes about 6 ms.

Ruled out: a shorter time limit per call, which sound but slow endpoints need; counting after the read, which leaves 0.10 s a connection.

--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING
 
 import aiohttp
 
+from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
@@ -21,7 +26,19 @@
 _POOL_KEEPALIVE_S = 12.0
 
 
-class CleanConnector(aiohttp.TCPConnector):
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections that bound what precedes a response."""
+
+    def __init__(self, *, keepalive_s: float | None = None) -> None:
+        if keepalive_s is None:
+            super().__init__(limit=0, force_close=True)
+        else:
+            super().__init__(limit=0, keepalive_timeout=keepalive_s)
+        handler: type[ResponseHandler] = BoundedResponseHandler
+        self._factory = partial(handler, loop=asyncio.get_running_loop())
+
+
+class CleanConnector(BoundedConnector):
     """Leaves out idle connections on which bytes have come.
 
     They belong to no request, and the library would take them for the
@@ -51,9 +68,9 @@
     :param reuse: keep connections for later calls.
     """
     connector = (
-        CleanConnector(limit=0, keepalive_timeout=_POOL_KEEPALIVE_S)
+        CleanConnector(keepalive_s=_POOL_KEEPALIVE_S)
         if reuse
-        else aiohttp.TCPConnector(limit=0, force_close=True)
+        else BoundedConnector()
     )
     async with aiohttp.ClientSession(
         connector=connector,
