Keep connections for repeats that go to other endpoints

Each repeat of an id opened a connection of its own, because a second copy of a response may come late on the connection of the request it answers. That can only happen at the address that has had the id, and most repeats go to another endpoint.

The gateway remembers which id went to which address, and only a repeat at the same address gets a connection of its own. This also covers ids that come again in a later job, which went out on kept connections before. The flag that was passed through three layers for it is gone.

Ruled out: a longer time for idle connections, which made no difference earlier.

--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -17,6 +17,7 @@
 from dogwoodpost.platform import wire_names
 from dogwoodpost.platform.connection_counts import CountedCall
 from dogwoodpost.platform.event_stream import EventDecoder
+from dogwoodpost.platform.sent_ids import SentIds
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
 from dogwoodpost.ports.endpoint_gateway import EndpointReply
@@ -153,6 +154,7 @@
         self._fresh_session = fresh_session
         self._holder_name = holder_name
         self._leave_notices = leave_notices
+        self._sent_ids = SentIds()
 
     @asynccontextmanager
     async def open(
@@ -216,9 +218,7 @@
     async def _send(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> aiohttp.ClientResponse:
-        session = self._fresh_session
-        if call.may_reuse_connection:
-            session = self._session
+        session = self._session_for(endpoint, call)
         limit_s = call.timeout_s
         if call.head_timeout_s is not None:
             limit_s = min(limit_s, call.head_timeout_s)
@@ -247,6 +247,15 @@
         except _CALL_ERRORS as error:
             raise EndpointError(f'no response: {error!r}') from error
 
+    def _session_for(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> aiohttp.ClientSession:
+        """Return the session whose connections a call may use."""
+        is_first = self._sent_ids.is_first(endpoint.address, call.request_id)
+        if is_first and call.may_reuse_connection:
+            return self._session
+        return self._fresh_session
+
     async def _control(
         self,
         endpoint: Endpoint,
--- a/src/dogwoodpost/ports/attempt_runner.py
+++ b/src/dogwoodpost/ports/attempt_runner.py
@@ -23,7 +23,6 @@
     :param resumable: pass on whole events, so that another attempt can go
         on after the last one.
     :param resume_after: id of the last event that was passed on.
-    :param is_repeat: the request's id was sent to an endpoint before.
     """
 
     attempt_id: ids.AttemptId
@@ -38,7 +37,6 @@
     priority: int = 0
     resumable: bool = False
     resume_after: int | None = None
-    is_repeat: bool = False
 
 
 class AttemptHead(msgspec.Struct, frozen=True):
--- a/src/dogwoodpost/ports/endpoint_gateway.py
+++ b/src/dogwoodpost/ports/endpoint_gateway.py
@@ -29,8 +29,7 @@
     :param resume_after: id of the last event that is known of its stream.
     :param may_reuse_connection: may be sent on a connection that was used
         before. Its end may not have been noticed yet, so not for what must run
-        once; a late response to an earlier call may come, so not for a repeat
-        of its id.
+        once.
     """
 
     request_id: ids.RequestId
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -326,7 +326,6 @@
             client_account_id=self._job.client_account_id,
             resume_after=self._text.last_event_id,
             head_timeout_s=self._limits.head_timeout_s,
-            may_reuse_connection=self._run_count == 1,
         )
 
     def _place_request(self) -> PlaceRequest | None:
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -44,7 +44,6 @@
     """What the tries to score one text have brought so far."""
 
     def __init__(self) -> None:
-        self.count = 0
         self.failure_count = 0
         self.limit_s = _FIRST_TIMEOUT_S
         self.endpoint_ids: frozenset[ids.EndpointId] = frozenset()
@@ -56,7 +55,6 @@
         duration_s: float,
     ) -> None:
         """Take the end of a try."""
-        self.count += 1
         self.endpoint_ids = self.endpoint_ids.union(endpoint_ids)
         if duration_s >= self.limit_s:
             self.limit_s *= _TIMEOUT_FACTOR
@@ -137,7 +135,6 @@
             idempotent=True,
             max_attempt_count=1,
             whole_response=True,
-            is_repeat=tries.count > 0,
             excluded=self._avoided(service.name, tries.endpoint_ids),
         )
         head: AttemptHead | None = None
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -261,7 +261,6 @@
             priority=request.priority,
             resumable=request.route.resumable,
             resume_after=self._state.progress.last_event_id,
-            is_repeat=request.is_repeat or self._state.attempt_count > 1,
         )
 
 
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -55,7 +55,7 @@
             timeout_s=spec.timeout_s,
             client_account_id=spec.client_account_id,
             resume_after=spec.resume_after,
-            may_reuse_connection=spec.idempotent and not spec.is_repeat,
+            may_reuse_connection=spec.idempotent,
         )
         try:
             async with self._gateway.open(endpoint, call) as reply:
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -28,7 +28,6 @@
         endpoint after so long without the next event.
     :param whole_response: pass nothing on before the response is complete, so
         that a failure in the middle can still be retried.
-    :param is_repeat: its id was sent to an endpoint before.
     """
 
     request_id: ids.RequestId
@@ -53,4 +52,3 @@
     attempt_timeout_s: float | None = None
     event_timeout_s: float | None = None
     whole_response: bool = False
-    is_repeat: bool = False
--- a/tests/platform/test_endpoint_troubles.py
+++ b/tests/platform/test_endpoint_troubles.py
@@ -301,3 +301,34 @@
         'not_shared' in line and line.endswith(' 1.0') for line in counts
     )
     assert not any('none_free' in line for line in counts)
+
+
+async def test_repeat_of_a_kept_id_gets_no_late_copy(site: Site) -> None:
+    """Guards against a late copy for an id that comes again later.
+
+    Groups that were not complete come again in a later job, under the same
+    ids.
+    """
+    copied: set[int] = set()
+
+    async def answer(request: RawRequest, response: RawResponse) -> None:
+        body = f'run {request.total_number}'.encode()
+        await response.whole(body)
+        if request.number == 1:
+            copied.add(request.total_number)
+            await asyncio.sleep(0.3)
+            await response.whole(body)
+
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        site.move(site.plain, 'plain', endpoint.address)
+        await asyncio.sleep(0.5)
+        for number in range(1, 4):
+            status, _, body = await site.send(
+                node, '/safe/a', request_id='the-same'
+            )
+            assert (status, body) == (200, f'run {number}'.encode())
+            await asyncio.sleep(0.29)
+    assert copied
