List the results of a job together, at once where a step is whole

Cause: a trainer's call waits for news and returns with the first result; its next call starts half a second after the start of the one before.

Results are now listed at least 0.55 s apart, and at once where the wanted number of groups is whole, where nothing else runs, and before a job is handed over. The reader's call is then waiting when it counts.

--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from contextlib import suppress
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import JobState
+from dogwoodpost.core.batches.listing_schedule import ListingSchedule
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.services.batches.item_run import ItemRun
@@ -64,6 +66,7 @@
         self._stored = stored
         # When each item was listed, on the process's clock.
         self._listed = dict.fromkeys(listed, -math.inf)
+        self._schedule = ListingSchedule(job, self._listed)
         self._on_listed = on_listed
         self._pending: list[ItemResult] = []
         self._wake = asyncio.Event()
@@ -99,13 +102,27 @@
     async def _list_results(self) -> None:
         """List results until the job is complete or not run here."""
         while self._is_own() and not self._stored.head.is_complete:
-            await self._wake.wait()
-            self._wake.clear()
+            await self._wait_for_results()
             while self._pending and self._is_own():
                 await self._list_some()
+            self._schedule.note_listed(self._context.clock.monotonic_s())
             if self._is_leaving:
                 return
 
+    async def _wait_for_results(self) -> None:
+        """Wait until results are due, or the job has changed otherwise."""
+        clock = self._context.clock
+        await self._wake.wait()
+        self._wake.clear()
+        while self._is_own() and not self._is_leaving:
+            wait_s = self._schedule.wait_s(clock.monotonic_s())
+            if wait_s <= 0.0:
+                return
+            with suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._wake.wait()
+            self._wake.clear()
+
     async def _close(self) -> None:
         """Leave behind what others may need, and nothing else."""
         if self._stored.head.state is JobState.ENDED:
@@ -269,6 +286,7 @@
             # Another process, or an earlier transaction, was first.
             return
         self._pending.append(result)
+        self._schedule.note_finished(result.item_id)
         self._wake.set()
 
     async def _list_some(self) -> None:
@@ -306,6 +324,7 @@
         now_s = self._context.clock.monotonic_s()
         for result in results:
             self._listed.setdefault(result.item_id, now_s)
+            self._schedule.note_finished(result.item_id)
 
     def _next_batch(self) -> list[ItemResult]:
         batch: list[ItemResult] = []
