Start a step's longest items first, and none at endpoints that load

Items got places in the order in which their tasks asked, so that the rule "longest first" held only for those that found all places taken. Places are now given out after all items of a job have asked; texts of earlier runs are read for all groups before, for at most 0.1 s.

Endpoints refuse items while they load weights, and owners of jobs did not know which ones load. The director now tells it before the order, in the row that tells the version afterwards.

Ruled out: all loads 1 s later, which would leave the next step without endpoints.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -21,6 +21,7 @@
 from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
 from dogwoodpost.core.routing import RouterSettings
+from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
 from dogwoodpost.platform import configuration_rows
 from dogwoodpost.platform import endpoint_rows
 from dogwoodpost.platform import wire_names
@@ -133,6 +134,7 @@
             _ROUTER_SETTINGS,
         )
         self._registry = EndpointRegistry(self._router)
+        self._loads = LoadingEndpoints()
 
     async def run(self) -> int:
         """Run until a stop signal; return the exit code."""
@@ -202,7 +204,7 @@
         )
         routes = RouteFinder(self._operator)
         self._batches = self._compose_batches(rows, gateway, pipeline, routes)
-        versions = EndpointVersions(self._registry, rows)
+        versions = EndpointVersions(self._registry, rows, self._loads)
         await self._follow_tables(rows, versions)
         await self.run_part(self._presence)
         await self.run_part(usage)
@@ -243,7 +245,7 @@
     ) -> BatchService:
         pace = EndpointEventPace()
         dispatcher = ItemDispatcher(
-            self._router, ItemPlacement(pace), self._clock
+            self._router, ItemPlacement(pace), self._clock, self._loads
         )
         context = BatchContext(
             identity=self._identity,
--- a/src/dogwoodpost/services/background_tasks.py
+++ b/src/dogwoodpost/services/background_tasks.py
@@ -20,11 +20,12 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine in the background."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._finished)
+        return task
 
     async def wait(self, timeout_s: float | None = None) -> None:
         """Wait until all tasks have ended, or for a time."""
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -19,6 +19,7 @@
     from dogwoodpost.core.batches.waiting_items import PlaceRequest
     from dogwoodpost.core.routing import OpenEndpoint
     from dogwoodpost.core.routing import Router
+    from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
     from dogwoodpost.ports.clock import Clock
 
 # Places also appear without an event of this process.
@@ -36,25 +37,34 @@
     """Lets items wait and starts the most urgent ones that fit."""
 
     def __init__(
-        self, router: Router, placement: ItemPlacement, clock: Clock
+        self,
+        router: Router,
+        placement: ItemPlacement,
+        clock: Clock,
+        loads: LoadingEndpoints,
     ) -> None:
         self._router = router
         self._placement = placement
         self._clock = clock
+        self._loads = loads
         self._waiting = WaitingItems()
         self._futures: dict[int, asyncio.Future[Place]] = {}
         self._blocked_until_s: dict[
             tuple[ids.EndpointId, ids.ModelName | None], float
         ] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._is_start_due = False
 
     async def acquire(self, request: PlaceRequest) -> Place:
-        """Wait for a place."""
+        """Wait for a place.
+
+        Items that ask at the same time are compared before any is placed.
+        """
         number = self._waiting.add(request)
         future = asyncio.get_running_loop().create_future()
         self._futures[number] = future
         try:
-            self._start_ready()
+            self._start_soon()
             return await asyncio.shield(future)
         except BaseException:
             if future.done() and not future.cancelled():
@@ -103,6 +113,16 @@
             place.endpoint.endpoint_id, candidates, now_s
         )
 
+    def _start_soon(self) -> None:
+        """Give out places when the tasks that are ready now have run."""
+        if not self._is_start_due:
+            self._is_start_due = True
+            asyncio.get_running_loop().call_soon(self._start_due)
+
+    def _start_due(self) -> None:
+        self._is_start_due = False
+        self._start_ready()
+
     def _start_ready(self) -> None:
         now_s = self._clock.monotonic_s()
         full: set[tuple[object, ...]] = set()
@@ -169,11 +189,12 @@
             for key, until_s in self._blocked_until_s.items()
             if now_s < until_s
         }
-        return frozenset(
+        blocked = frozenset(
             endpoint_id
             for endpoint_id, blocked_model in self._blocked_until_s
             if blocked_model == model
         )
+        return blocked | self._loads.of_model(model, now_s)
 
     def _on_timer(self) -> None:
         self._timer = None
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from dogwoodpost.core.batches import BatchItem
     from dogwoodpost.core.batches import BatchJob
@@ -35,6 +36,8 @@
 
 _log = structlog.get_logger(__name__)
 _RETRY_PAUSE_S = 0.2
+# Groups whose texts are read later than this are started by themselves.
+_TEXT_WAIT_S = 0.1
 _HAND_OVER_TIMEOUT_S = 0.8
 # Trainers read about twice a second.
 _READ_TIME_S = 1.5
@@ -73,7 +76,7 @@
         self._ended = asyncio.Event()
         self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
-        self._helpers: list[asyncio.Task[None]] = []
+        self._helpers: list[asyncio.Task[Any]] = []
         self._runs: dict[ids.ItemId, ItemRun] = {}
         self._saved_counts: dict[ids.ItemId, int] = {}
         self._archived: set[ids.GroupId] = set()
@@ -186,18 +189,37 @@
         for item in self._job.items:
             if item.item_id not in self._listed:
                 groups.setdefault(item.group_id, []).append(item)
-        await asyncio.gather(
-            *(self._start_group(one, items) for one, items in groups.items())
-        )
+        loop = asyncio.get_running_loop()
+        loads = {
+            loop.create_task(self._load_group(group_id)): items
+            for group_id, items in groups.items()
+        }
+        self._helpers += loads
+        if not loads:
+            return
+        # Started together, so that the longest items of all are the first.
+        done, late = await asyncio.wait(loads, timeout=_TEXT_WAIT_S)
+        for load in done:
+            self._start_group(loads[load], load.result())
+        for load in late:
+            self._start_group(loads[load], await load)
+
+    async def _load_group(
+        self, group_id: ids.GroupId | None
+    ) -> dict[ids.ItemId, ItemProgress]:
+        """Return what is known of the texts of a group's items."""
+        if group_id is None:
+            return {}
+        earlier = await self._context.archive.load(group_id)
+        if earlier:
+            self._archived.add(group_id)
+        return earlier
 
-    async def _start_group(
-        self, group_id: ids.GroupId | None, items: list[BatchItem]
+    def _start_group(
+        self,
+        items: Iterable[BatchItem],
+        earlier: Mapping[ids.ItemId, ItemProgress],
     ) -> None:
-        earlier: dict[ids.ItemId, ItemProgress] = {}
-        if group_id is not None:
-            earlier = await self._context.archive.load(group_id)
-        if earlier and group_id is not None:
-            self._archived.add(group_id)
         for item in items:
             run = ItemRun(
                 self._context, self._job, item, earlier.get(item.item_id)
--- a/src/dogwoodpost/services/control/weight_director.py
+++ b/src/dogwoodpost/services/control/weight_director.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 import structlog
 
+from dogwoodpost.core.weights.load_duration import LoadDuration
+from dogwoodpost.core.weights.load_duration import LOOK_INTERVAL_S
 from dogwoodpost.core.weights.staggered_loads import max_parallel_loads
 from dogwoodpost.core.weights.staggered_loads import plan_loads
 from dogwoodpost.errors import EndpointError
@@ -17,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
@@ -30,11 +35,12 @@
     from dogwoodpost.services.control.named_versions import NamedVersions
 
 _log = structlog.get_logger(__name__)
-# A step is asked for with its version; its items get their places meanwhile.
+# A step is asked for with its version, and an endpoint that loads takes none
+# of its items. They get their places first.
+_FIRST_ITEMS_S = 0.25
 _STEP_START_S = 1.0
-_FIRST_LOOK_S = 0.85
-_LOOK_S = 0.15
 _LOAD_TIMEOUT_S = 5.0
+_BUSY_PAUSE_S = 0.15
 _RETRY_PAUSE_S = 0.5
 _UNREACHABLE_PAUSE_S = 1.0
 _REFUSED_PAUSE_S = 2.0
@@ -70,6 +76,7 @@
         self._clock = clock
         self._metrics = metrics
         self._tasks = BackgroundTasks()
+        self._duration = LoadDuration()
         self._loading: set[ids.EndpointId] = set()
         self._paused_until_s: dict[ids.EndpointId, float] = {}
 
@@ -92,10 +99,11 @@
             endpoints,
             self._named.settled(_STEP_START_S),
         )
+        begun = self._named.settled(_FIRST_ITEMS_S)
         for load in planned:
             if len(self._loading) >= limit:
                 return
-            if self._may_load(load.endpoint):
+            if load.model in begun and self._may_load(load.endpoint):
                 self._loading.add(load.endpoint.endpoint_id)
                 self._tasks.spawn(
                     self._load(load.endpoint, load.model, load.version)
@@ -140,8 +148,10 @@
         if await self._is_done(endpoint, report, model, version):
             return
         if report.is_busy:
-            self._pause(endpoint, _LOOK_S)
+            self._pause(endpoint, _BUSY_PAUSE_S)
             return
+        # The order goes out at once, whether the store answers or not.
+        told = self._tasks.spawn(self._tell_loading(endpoint, model))
         order = VersionOrder(
             model=model,
             version=version,
@@ -161,14 +171,21 @@
             sequence=report.order_sequence,
             outcome=outcome.value,
         )
+        # What is told later must not be overtaken.
+        await asyncio.wait({told})
         if outcome is OrderOutcome.ACCEPTED:
             await self._follow(endpoint, model, version)
-        elif outcome is OrderOutcome.ALREADY_DONE:
+            return
+        if outcome is OrderOutcome.ALREADY_DONE:
             await self._tell(endpoint, model, version)
-        elif outcome is OrderOutcome.CONFLICT:
-            self._pause(endpoint, _RETRY_PAUSE_S)
-        else:
-            self._pause(endpoint, _REFUSED_PAUSE_S)
+            return
+        self._pause(
+            endpoint,
+            _RETRY_PAUSE_S
+            if outcome is OrderOutcome.CONFLICT
+            else _REFUSED_PAUSE_S,
+        )
+        await self._publish(endpoint, report.weight_versions)
 
     async def _follow(
         self,
@@ -178,15 +195,17 @@
     ) -> None:
         """Wait until an order has been carried out."""
         start_s = self._clock.monotonic_s()
-        await self._clock.sleep(_FIRST_LOOK_S)
-        while self._clock.monotonic_s() - start_s < _LOAD_TIMEOUT_S:
+        await self._clock.sleep(self._duration.expected_s)
+        for look_count in itertools.count(1):
             report = await self._gateway.report(endpoint)
+            duration_s = self._clock.monotonic_s() - start_s
             if await self._is_done(endpoint, report, model, version):
-                self._metrics.observe(
-                    'weight_load', self._clock.monotonic_s() - start_s
-                )
+                self._duration.observe(duration_s, look_count)
+                self._metrics.observe('weight_load', duration_s)
                 return
-            await self._clock.sleep(_LOOK_S)
+            if duration_s >= _LOAD_TIMEOUT_S:
+                break
+            await self._clock.sleep(LOOK_INTERVAL_S)
         _log.warning(
             'weight_load_slow',
             endpoint=endpoint.endpoint_id,
@@ -212,11 +231,28 @@
         endpoint: Endpoint,
         model: ids.ModelName,
         version: ids.WeightVersion,
+    ) -> None:
+        await self._publish(endpoint, {model: version})
+
+    async def _tell_loading(
+        self, endpoint: Endpoint, model: ids.ModelName
+    ) -> None:
+        """Keep other processes from sending items that would be refused."""
+        await self._publish(endpoint, {}, loading=(model,))
+
+    async def _publish(
+        self,
+        endpoint: Endpoint,
+        versions: Mapping[ids.ModelName, ids.WeightVersion],
+        *,
+        loading: tuple[ids.ModelName, ...] = (),
     ) -> None:
         known = self._registry.get(endpoint.endpoint_id) or endpoint
-        versions = {**known.weight_versions, model: version}
         await self._versions.publish(
-            endpoint, versions, self._clock.monotonic_s()
+            endpoint,
+            {**known.weight_versions, **versions},
+            self._clock.monotonic_s(),
+            loading=loading,
         )
 
     def _pause(self, endpoint: Endpoint, duration_s: float) -> None:
--- a/tests/services/batches/test_item_dispatcher.py
+++ b/tests/services/batches/test_item_dispatcher.py
@@ -15,6 +15,8 @@
 from dogwoodpost.core.routing import AttemptResult
 from dogwoodpost.core.routing import Endpoint
 from dogwoodpost.core.routing import Router
+from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
+from dogwoodpost.core.weights.loading_endpoints import MAX_LOAD_S
 from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
 from dogwoodpost.standins.virtual_clock import VirtualClock
 
@@ -58,8 +60,17 @@
 
 
 @pytest.fixture
-def dispatcher(router: Router, clock: VirtualClock) -> ItemDispatcher:
-    return ItemDispatcher(router, ItemPlacement(EndpointEventPace()), clock)
+def loads() -> LoadingEndpoints:
+    return LoadingEndpoints()
+
+
+@pytest.fixture
+def dispatcher(
+    router: Router, clock: VirtualClock, loads: LoadingEndpoints
+) -> ItemDispatcher:
+    return ItemDispatcher(
+        router, ItemPlacement(EndpointEventPace()), clock, loads
+    )
 
 
 async def test_blocked_endpoint_on_probation_stops_nothing(
@@ -137,3 +148,46 @@
     await clock.advance(1.1)
     async with asyncio.timeout(1.0):
         assert (await waiting).endpoint.endpoint_id == BAD
+
+
+async def test_items_wait_for_other_endpoints_than_those_that_load(
+    dispatcher: ItemDispatcher, loads: LoadingEndpoints, clock: VirtualClock
+) -> None:
+    """Guards against items that lose their turn at endpoints that load.
+
+    A step starts while two of three endpoints load: its longest items get
+    the places that there are, whichever asked first, and the others follow
+    after the loads.
+    """
+    loads.begin(ids.EndpointId('e0'), MODEL, 0.0)
+    loads.begin(ids.EndpointId('e1'), MODEL, 0.0)
+    loads.begin(ids.EndpointId('e2'), ids.ModelName('another'), 0.0)
+    lengths = (10, 300, 20, 100, 200)
+    waiting = {
+        length: asyncio.ensure_future(
+            dispatcher.acquire(
+                msgspec.structs.replace(item(), expected_token_count=length)
+            )
+        )
+        for length in lengths
+    }
+    await asyncio.sleep(0.1)
+    started = {length for length, one in waiting.items() if one.done()}
+    # An endpoint of this router takes half a request more than it runs.
+    assert started == {300, 200, 100}
+    assert all(
+        waiting[length].result().endpoint.endpoint_id == 'e2'
+        for length in started
+    )
+    loads.end(ids.EndpointId('e0'), MODEL)
+    await asyncio.sleep(0.1)
+    assert all(one.done() for one in waiting.values())
+
+
+def test_a_load_that_nobody_ends_is_forgotten(
+    loads: LoadingEndpoints,
+) -> None:
+    """Guards against endpoints that are left out after a lost director."""
+    loads.begin(BAD, MODEL, 0.0)
+    assert loads.of_model(MODEL, MAX_LOAD_S - 0.1) == {BAD}
+    assert loads.of_model(MODEL, MAX_LOAD_S) == set()
