Pass batch jobs on to one owner a model

Cause: a trainer's jobs were run by whichever process its call met.

The process that receives a job passes the client's call on, key included, to the process of its zone that weighted rendezvous hashing gives to the model. That one checks and stores the job like any other. The job's id makes a second acceptance harmless; a refusal is told to the client only if the other process can't store the job later.

Weighed: an owner under a lease (nothing starts for a lease's time after its loss), the store's feed as the way to the owner (0.1 s a job, and a second write), exact places by messages between owners (more messages, and the connections stay).

--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -12,12 +12,17 @@
 
     :param loads: own attempts in flight, by endpoint.
     :param leaving: a planned stop has begun.
+    :param address: where clients call it, empty if they do not.
+    :param cores: processor capacity, in cores.
     """
 
     incarnation: ids.Incarnation
     sequence: int
     loads: dict[ids.EndpointId, int] = msgspec.field(default_factory=dict)
     leaving: bool = False
+    address: str = ''
+    availability_zone: ids.AvailabilityZone = ids.AvailabilityZone('')
+    cores: float = 1.0
 
 
 class _Seen(msgspec.Struct):
@@ -81,11 +86,15 @@
 
     def alive(self, now_s: float) -> list[ids.ProcessId]:
         """Return the processes that are alive and not leaving."""
-        return [
-            process_id
+        return list(self.live(now_s))
+
+    def live(self, now_s: float) -> dict[ids.ProcessId, PresenceRecord]:
+        """Return what the live processes say that are not leaving."""
+        return {
+            process_id: seen.record
             for process_id, seen in self._seen.items()
             if not seen.record.leaving and not self._is_silent(seen, now_s)
-        ]
+        }
 
     def loads_of_others(
         self, own_id: ids.ProcessId, now_s: float
--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -13,6 +13,7 @@
 from dogwoodpost.core.batches import ScorerCall
 from dogwoodpost.errors import RequestError
 from dogwoodpost.platform import wire_names
+from dogwoodpost.platform.job_forwarding import submission_of
 from dogwoodpost.platform.request_reader import request_id_of
 from dogwoodpost.platform.request_reader import time_limit_s
 
@@ -109,7 +110,9 @@
                 identity.client_account_id if identity else None,
                 self._clock.wall_s(),
             )
-            await self._batches.submit(job, start_s + time_limit)
+            await self._batches.submit(
+                job, start_s + time_limit, submission_of(request, body)
+            )
         return web.Response(status=202)
 
     async def results(
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -30,6 +30,7 @@
 from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
 from dogwoodpost.platform.ingress import Ingress
 from dogwoodpost.platform.ingress import ready_app
+from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
 from dogwoodpost.platform.leave_notices import LeaveNotices
 from dogwoodpost.platform.sessions import http_session
 from dogwoodpost.platform.settings_watch import SettingsWatch
@@ -41,6 +42,7 @@
 from dogwoodpost.services.batches.batch_service import BatchService
 from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
 from dogwoodpost.services.batches.item_scorer import ItemScorer
+from dogwoodpost.services.batches.job_forwarder import JobForwarder
 from dogwoodpost.services.batches.job_store import JobStore
 from dogwoodpost.services.batches.text_archive import TextArchive
 from dogwoodpost.services.composite_service import CompositeService
@@ -179,7 +181,21 @@
             LeaveNotices(self._registry, self._clock),
         )
         self._presence = PresenceService(
-            self._identity, rows, self._router, self._clock
+            self._identity,
+            rows,
+            self._router,
+            self._clock,
+            address=self._settings.listen.get('front', ''),
+            availability_zone=ids.AvailabilityZone(self._settings.zone),
+            cores=self._settings.limits.cpu_share
+            * self._settings.limits.cores,
+        )
+        forwarder = JobForwarder(
+            self._identity,
+            self._presence,
+            HttpJobForwardingClient(fresh_session, self._settings.node),
+            self._clock,
+            self._metrics,
         )
         tables = PartitionTableStore(rows, _CONTROL_TABLE)
         usage = UsageTotals(
@@ -203,7 +219,9 @@
             bills_begun_requests=True,
         )
         routes = RouteFinder(self._operator)
-        self._batches = self._compose_batches(rows, gateway, pipeline, routes)
+        self._batches = self._compose_batches(
+            rows, gateway, pipeline, routes, forwarder
+        )
         versions = EndpointVersions(self._registry, rows, self._loads)
         await self._follow_tables(rows, versions)
         await self.run_part(self._presence)
@@ -242,6 +260,7 @@
         gateway: HttpEndpointGateway,
         pipeline: RequestPipeline,
         routes: RouteFinder,
+        forwarder: JobForwarder,
     ) -> BatchService:
         pace = EndpointEventPace()
         dispatcher = ItemDispatcher(
@@ -272,6 +291,7 @@
         return BatchService(
             context,
             self._presence,
+            forwarder,
             retention_s=self._settings.bounds.status_s,
         )
 
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -18,9 +18,15 @@
 
 
 class LimitSettings(_Fields, frozen=True, kw_only=True):
-    """What the host grants to a process."""
+    """What the host grants to a process.
+
+    :param cpu_share: share of a core, at the speed of the platform's.
+    :param cores: how many times as fast the host's core is.
+    """
 
     memory_mb: int = 128
+    cpu_share: float = 1.0
+    cores: float = 1.0
 
 
 class BoundSettings(_Fields, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -15,6 +15,7 @@
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.ports.job_forwarding import ForwardOutcome
 from dogwoodpost.services.batches.job_cache import JobCache
 from dogwoodpost.services.batches.job_cleaner import JobCleaner
 from dogwoodpost.services.batches.job_store import StoredHead
@@ -28,7 +29,9 @@
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.batches import BatchJob
+    from dogwoodpost.ports.job_forwarding import JobSubmission
     from dogwoodpost.services.batches.batch_context import BatchContext
+    from dogwoodpost.services.batches.job_forwarder import JobForwarder
     from dogwoodpost.services.membership.presence_service import (
         PresenceService,
     )
@@ -57,11 +60,14 @@
         self,
         context: BatchContext,
         presence: PresenceService,
+        forwarder: JobForwarder,
         *,
         retention_s: float,
     ) -> None:
         super().__init__()
         self._context = context
+        self._presence = presence
+        self._forwarder = forwarder
         self._jobs = JobCache(context.store)
         self._cache = ResultCache()
         self._workers = JobWorkers(context, self._jobs, self._cache)
@@ -89,14 +95,36 @@
         """Return how many items run here."""
         return self._workers.running_count
 
-    async def submit(self, job: BatchJob, deadline_s: float) -> None:
+    async def submit(
+        self,
+        job: BatchJob,
+        deadline_s: float,
+        submission: JobSubmission | None,
+    ) -> None:
         """Store a job; when this returns, it is kept.
 
+        :param submission: the client's call, None if another process has
+            passed it on.
         :raises RequestError: it is not accepted, or that is unknown.
         """
-        known = self.directory.get(job.job_id)
-        if known is None:
+        if self.directory.get(job.job_id) is not None:
+            return
+        if submission is None:
+            self._check_takes_forwarded()
+            await self._accept(job, deadline_s)
+            return
+        outcome = await self._forwarder.forward(job, submission)
+        if outcome is ForwardOutcome.ACCEPTED:
+            return
+        try:
             await self._accept(job, deadline_s)
+        except RequestError as error:
+            if error.not_run and outcome is ForwardOutcome.UNKNOWN:
+                # The other process may still store it.
+                raise RequestError(
+                    'outcome_unknown', str(error), status=504
+                ) from error
+            raise
 
     async def results(
         self,
@@ -180,6 +208,20 @@
         """Leave all unfinished jobs to other processes."""
         await self._workers.hand_over()
 
+    def _check_takes_forwarded(self) -> None:
+        """Refuse at once what another process can better accept itself.
+
+        :raises RequestError: this process may be cut off, or is leaving.
+        """
+        is_leaving = self._presence.is_leaving
+        if is_leaving or not self._presence.is_confirmed:
+            raise RequestError(
+                'no_owner',
+                'this process takes no jobs from others now',
+                status=503,
+                not_run=True,
+            )
+
     async def _accept(self, job: BatchJob, deadline_s: float) -> None:
         identity = self._context.identity
         head = JobHead(
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -37,12 +37,16 @@
 # Two heartbeats may be lost.
 TIMEOUT_S = 2.6
 MAX_GAP_S = 2.2
+_NO_ZONE = ids.AvailabilityZone('')
 
 
 class PresenceService(mode.Service):
     """Writes this process's row and takes the rows of all.
 
     Other processes' loads go to the router.
+
+    :param address: where clients call this process.
+    :param cores: processor capacity of this process, in cores.
     """
 
     def __init__(
@@ -51,8 +55,15 @@
         store: RowStore,
         router: Router,
         clock: Clock,
+        *,
+        address: str = '',
+        availability_zone: ids.AvailabilityZone = _NO_ZONE,
+        cores: float = 1.0,
     ) -> None:
         super().__init__()
+        self.availability_zone = availability_zone
+        self._address = address
+        self._cores = cores
         self.view = Presence(TIMEOUT_S, MAX_GAP_S)
         self.is_leaving = False
         self._identity = identity
@@ -121,6 +132,9 @@
             sequence=self._sequence,
             loads=self._router.own_loads(),
             leaving=self.is_leaving,
+            address=self._address,
+            availability_zone=self.availability_zone,
+            cores=self._cores,
         )
         key = RowKey(TABLE, '', self._identity.process_id)
         write = RowWrite(key, encode_record(record))
