Place items by their expected tokens, not by their number alone

Cause: an endpoint that had just loaded was emptiest by number and got the longest items of a step together, three with 12,800 tokens each at memory for 44,000.

An owner now counts an endpoint's items by their expected tokens as well. Since one owner has all items of a model, it knows nearly all of them.

Test: a step on six engines while the one before leaves long items at three of them: the fullest endpoint stays within its memory and is less full than by number in each of 20 draws.

--- a/src/dogwoodpost/core/batches/placement.py
+++ b/src/dogwoodpost/core/batches/placement.py
@@ -11,6 +11,7 @@
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+    from dogwoodpost.core.batches.token_loads import TokenLoads
     from dogwoodpost.core.routing import OpenEndpoint
 
 
@@ -38,9 +39,11 @@
     def __init__(
         self,
         pace: EndpointEventPace,
+        token_loads: TokenLoads,
         settings: PlacementSettings | None = None,
     ) -> None:
         self._pace = pace
+        self._token_loads = token_loads
         self._settings = settings or PlacementSettings()
 
     def choose(
@@ -51,7 +54,7 @@
             return None
         return min(
             candidates,
-            key=lambda one: (self._cost(one, now_s), one.load_count),
+            key=lambda one: (self._cost(one, now_s), self._load(one)),
         )
 
     def should_move(
@@ -75,4 +78,8 @@
 
     def _cost(self, one: OpenEndpoint, now_s: float) -> float:
         ratio = self._pace.ratio(one.endpoint.endpoint_id, now_s)
-        return ratio * (1.0 + self._settings.load_cost * one.load_count)
+        return ratio * (1.0 + self._settings.load_cost * self._load(one))
+
+    def _load(self, one: OpenEndpoint) -> float:
+        excess = self._token_loads.excess(one.endpoint.endpoint_id)
+        return max(one.load_count + excess, 0.0)
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -17,6 +17,7 @@
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
 from dogwoodpost.core.batches.output_lengths import OutputLengths
 from dogwoodpost.core.batches.placement import ItemPlacement
+from dogwoodpost.core.batches.token_loads import TokenLoads
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
@@ -263,8 +264,13 @@
         forwarder: JobForwarder,
     ) -> BatchService:
         pace = EndpointEventPace()
+        token_loads = TokenLoads()
         dispatcher = ItemDispatcher(
-            self._router, ItemPlacement(pace), self._clock, self._loads
+            self._router,
+            ItemPlacement(pace, token_loads),
+            self._clock,
+            self._loads,
+            token_loads,
         )
         context = BatchContext(
             identity=self._identity,
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from dogwoodpost.core.batches.placement import ItemPlacement
+    from dogwoodpost.core.batches.token_loads import TokenLoads
     from dogwoodpost.core.batches.waiting_items import PlaceRequest
     from dogwoodpost.core.routing import OpenEndpoint
     from dogwoodpost.core.routing import Router
@@ -27,10 +28,14 @@
 
 
 class Place(msgspec.Struct, frozen=True):
-    """A place at an endpoint for one attempt."""
+    """A place at an endpoint for one attempt.
+
+    :param token_count: what the item was expected to take there.
+    """
 
     endpoint: Endpoint
     attempt_id: ids.AttemptId
+    token_count: int
 
 
 class ItemDispatcher:
@@ -42,11 +47,13 @@
         placement: ItemPlacement,
         clock: Clock,
         loads: LoadingEndpoints,
+        token_loads: TokenLoads,
     ) -> None:
         self._router = router
         self._placement = placement
         self._clock = clock
         self._loads = loads
+        self._token_loads = token_loads
         self._waiting = WaitingItems()
         self._futures: dict[int, asyncio.Future[Place]] = {}
         self._blocked_until_s: dict[
@@ -83,10 +90,12 @@
         failed: bool = False,
     ) -> None:
         """Give a place back and tell how its endpoint did."""
+        endpoint_id = place.endpoint.endpoint_id
+        self._token_loads.remove(endpoint_id, place.token_count)
         result = AttemptResult(failed=failed, judged=judged)
         self._router.finish(
             request.service,
-            place.endpoint.endpoint_id,
+            endpoint_id,
             place.attempt_id,
             result,
             self._clock.monotonic_s(),
@@ -155,7 +164,12 @@
         endpoint: Endpoint,
         now_s: float,
     ) -> None:
-        place = Place(endpoint, ids.AttemptId(uuid.uuid4().hex))
+        place = Place(
+            endpoint,
+            ids.AttemptId(uuid.uuid4().hex),
+            request.expected_token_count,
+        )
+        self._token_loads.add(endpoint.endpoint_id, place.token_count)
         self._router.begin(
             endpoint.endpoint_id,
             place.attempt_id,
--- a/tests/core/batches/test_placement.py
+++ b/tests/core/batches/test_placement.py
@@ -9,6 +9,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
 from dogwoodpost.core.batches.placement import ItemPlacement
+from dogwoodpost.core.batches.token_loads import TokenLoads
 from dogwoodpost.core.batches.waiting_items import PlaceRequest
 from dogwoodpost.core.batches.waiting_items import WaitingItems
 from dogwoodpost.core.routing import Endpoint
@@ -17,6 +18,7 @@
 CAPACITY = 16
 STEP_S = 0.0006
 TOKENS_PER_EVENT = 55
+MEMORY_TOKENS = 44_000
 
 
 def open_endpoint(name: str, load_count: int) -> OpenEndpoint:
@@ -46,7 +48,7 @@
 ) -> None:
     """Guards against one endpoint that gets all items."""
     candidates = [open_endpoint('a', 3), open_endpoint('b', 1)]
-    chosen = ItemPlacement(pace).choose(candidates, 0.0)
+    chosen = ItemPlacement(pace, TokenLoads()).choose(candidates, 0.0)
     assert chosen is candidates[1]
 
 
@@ -57,7 +59,7 @@
     observe(pace, 'a', 0.15)
     observe(pace, 'b', 0.04)
     observe(pace, 'c', 0.04)
-    placement = ItemPlacement(pace)
+    placement = ItemPlacement(pace, TokenLoads())
     candidates = [open_endpoint('a', 0), open_endpoint('b', 14)]
     chosen = placement.choose(candidates, 0.0)
     assert chosen is candidates[1]
@@ -71,7 +73,7 @@
     """Guards against items that give up a place and find no other."""
     observe(pace, 'a', 0.15)
     observe(pace, 'b', 0.04)
-    placement = ItemPlacement(pace)
+    placement = ItemPlacement(pace, TokenLoads())
     only = [open_endpoint('a', 5)]
     assert not placement.should_move(ids.EndpointId('a'), only, 0.0)
 
@@ -122,7 +124,7 @@
     pace = EndpointEventPace()
     for name, gap_s in event_s.items():
         observe(pace, name, gap_s)
-    placement = ItemPlacement(pace)
+    placement = ItemPlacement(pace, TokenLoads())
     ends: list[tuple[float, str]] = []
     now_s = 0.0
     last_s = 0.0
@@ -151,3 +153,61 @@
     by_length = sum(step_time_s(by_length=True, seed=one) for one in seeds)
     in_order = sum(step_time_s(by_length=False, seed=one) for one in seeds)
     assert by_length < 0.9 * in_order
+
+
+def most_tokens(*, by_tokens: bool, seed: int) -> int:
+    """Return the tokens at the fullest of six endpoints as a step starts.
+
+    The one before has long items left at three of them, and the others have
+    just loaded new weights.
+    """
+    rng = random.Random(seed)
+    names = [f'engine-{number}' for number in range(6)]
+    token_loads = TokenLoads()
+    placement = ItemPlacement(
+        EndpointEventPace(), token_loads if by_tokens else TokenLoads()
+    )
+    counts = dict.fromkeys(names, 0)
+    tokens = dict.fromkeys(names, 0)
+
+    def place(name: str, token_count: int) -> None:
+        token_loads.add(ids.EndpointId(name), token_count)
+        counts[name] += 1
+        tokens[name] += token_count
+
+    for number in range(6):
+        place(names[number % 3], 8_000)
+    lengths = [
+        min(round(rng.lognormvariate(7.1, 0.9)), 12_800) for _ in range(56)
+    ] + [12_800] * 5
+    for token_count in sorted(lengths, reverse=True):
+        candidates = [open_endpoint(name, counts[name]) for name in names]
+        chosen = placement.choose(candidates, 0.0)
+        assert chosen is not None
+        place(str(chosen.endpoint.endpoint_id), token_count)
+    assert max(counts.values()) <= CAPACITY
+    return max(tokens.values())
+
+
+def test_long_items_do_not_share_one_endpoints_memory() -> None:
+    """Guards against a step whose longest items evict one another."""
+    seeds = range(20)
+    spread = [most_tokens(by_tokens=True, seed=one) for one in seeds]
+    by_number = [most_tokens(by_tokens=False, seed=one) for one in seeds]
+    assert max(spread) <= MEMORY_TOKENS
+    assert all(
+        one < other for one, other in zip(spread, by_number, strict=True)
+    )
+
+
+def test_ended_items_leave_no_load() -> None:
+    """Guards against endpoints that count as full for ever."""
+    token_loads = TokenLoads()
+    engine = ids.EndpointId('engine')
+    token_loads.add(engine, 5_000)
+    token_loads.add(ids.EndpointId('other'), 100)
+    assert token_loads.excess(engine) > 0.0
+    token_loads.remove(engine, 5_000)
+    assert token_loads.excess(engine) == 0.0
+    token_loads.remove(ids.EndpointId('other'), 100)
+    assert token_loads.excess(engine) == 0.0
