Start items first that must start soonest

Cause: items of the older job went first, however short.

Items are ordered by the latest time at which they can start, from their job's due time, the expected events left and the median pace.

--- a/src/dogwoodpost/core/batches/endpoint_pace.py
+++ b/src/dogwoodpost/core/batches/endpoint_pace.py
@@ -58,6 +58,10 @@
         median_s = self._current_median_s(now_s)
         return pace.gap_s / median_s if median_s else 1.0
 
+    def typical_gap_s(self, now_s: float) -> float:
+        """Return the median gap of all endpoints, 0.0 if it is unknown."""
+        return self._current_median_s(now_s) or 0.0
+
     def _current_median_s(self, now_s: float) -> float | None:
         """Return the median gap, None if there is nothing to compare."""
         if now_s < self._median_until_s:
--- a/src/dogwoodpost/core/batches/output_lengths.py
+++ b/src/dogwoodpost/core/batches/output_lengths.py
@@ -37,7 +37,26 @@
         :param seen_event_count: events of the longest run so far.
         """
         estimate = estimated_tokens or _DEFAULT_TOKENS
-        if not self._event_count:
+        event_tokens = self._event_tokens()
+        if event_tokens is None:
             return estimate
-        event_tokens = self._estimated_tokens / self._event_count
         return max(estimate, round(seen_event_count * event_tokens))
+
+    def events_left(self, expected_tokens: int, event_count: int) -> float:
+        """Return how many events are expected to be left.
+
+        0.0 if the size of events is unknown.
+
+        :param expected_tokens: of the whole output.
+        :param event_count: events of its text so far.
+        """
+        event_tokens = self._event_tokens()
+        if event_tokens is None:
+            return 0.0
+        return max(expected_tokens / event_tokens - event_count, 0.0)
+
+    def _event_tokens(self) -> float | None:
+        """Return the tokens of an event as estimated, None if unknown."""
+        if not self._event_count:
+            return None
+        return self._estimated_tokens / self._event_count
--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -20,7 +20,9 @@
     """What an item needs of an endpoint, and how urgent it is.
 
     :param due_s: when the job's results are due, on the process's clock.
-    :param expected_token_count: estimate of what is left to generate.
+    :param expected_token_count: estimate of the output.
+    :param expected_duration_s: estimate of the time to generate what is left;
+        0.0 if the pace is unknown.
     :param avoided: endpoints at which the item failed.
     :param avoided_until_s: they are used again from then on, for lack of
         others.
@@ -33,17 +35,21 @@
     min_version: ids.WeightVersion | None
     due_s: float
     expected_token_count: int
+    expected_duration_s: float = 0.0
     avoided: frozenset[ids.EndpointId] = frozenset()
     avoided_until_s: float = 0.0
     last_broken: ids.EndpointId | None = None
 
 
 def urgency(request: PlaceRequest) -> tuple[float, int]:
-    """Return a sort key: the job due first, then its longest items.
+    """Return a sort key: the item first that must start soonest.
 
-    A step ends with its longest item, so that one starts first.
+    Load: several steps are open, with more items than places. A step ends
+    with its longest item, which takes nearly all of its time; short items of
+    the step before can wait for it and are still in time.
     """
-    return (request.due_s, -request.expected_token_count)
+    start_by_s = request.due_s - request.expected_duration_s
+    return (start_by_s, -request.expected_token_count)
 
 
 class WaitingItems:
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -342,16 +342,24 @@
         self._longest_event_count = max(
             self._longest_event_count, self._text.event_count
         )
+        context = self._context
+        now_s = context.clock.monotonic_s()
+        expected_tokens = context.lengths.expected_tokens(
+            self._item.expected_token_count, self._longest_event_count
+        )
+        events_left = context.lengths.events_left(
+            expected_tokens, self._text.event_count
+        )
+        duration_s = events_left * context.pace.typical_gap_s(now_s)
         return PlaceRequest(
             service=service.name,
             model=self._job.model,
             min_version=self._job.min_version,
             due_s=self._age_base_s() + self._job.due_s,
-            expected_token_count=self._context.lengths.expected_tokens(
-                self._item.expected_token_count, self._longest_event_count
-            ),
+            expected_token_count=expected_tokens,
+            expected_duration_s=duration_s,
             avoided=self._failures.endpoint_ids,
-            avoided_until_s=self._context.clock.monotonic_s() + _AVOID_S,
+            avoided_until_s=now_s + _AVOID_S,
             last_broken=self._last_broken,
         )
 
--- a/tests/core/batches/test_output_lengths.py
+++ b/tests/core/batches/test_output_lengths.py
@@ -25,3 +25,12 @@
     lengths.record(500, 0)
     assert lengths.expected_tokens(300, 190) == 300
     assert lengths.expected_tokens(None, 0) == 1_000
+
+
+def test_what_is_left_counts_from_the_text_so_far() -> None:
+    """Guards against items that are urgent for what they have already."""
+    lengths = OutputLengths()
+    assert lengths.events_left(1_000, 3) == 0.0
+    lengths.record(1_000, 20)
+    assert lengths.events_left(1_000, 5) == 15.0
+    assert lengths.events_left(1_000, 30) == 0.0
--- a/tests/core/batches/test_placement.py
+++ b/tests/core/batches/test_placement.py
@@ -86,13 +86,16 @@
     assert pace.ratio(ids.EndpointId('a'), 10.0) == 1.0
 
 
-def place_request(due_s: float, tokens: int) -> PlaceRequest:
+def place_request(
+    due_s: float, tokens: int, duration_s: float = 0.0
+) -> PlaceRequest:
     return PlaceRequest(
         service=ids.ServiceName('engines'),
         model=None,
         min_version=None,
         due_s=due_s,
         expected_token_count=tokens,
+        expected_duration_s=duration_s,
     )
 
 
@@ -105,6 +108,73 @@
     assert [number for number, _ in waiting.in_order()] == [long, short, late]
 
 
+def test_an_item_that_must_start_now_goes_before_a_job_due_sooner() -> None:
+    """Guards against steps that are late for short items of another.
+
+    The older job is due in 4 s and its item takes 1 s; the item of the newer
+    one takes all of its 7.5 s.
+    """
+    waiting = WaitingItems()
+    short = waiting.add(place_request(4.0, 1_600, 1.0))
+    long = waiting.add(place_request(7.5, 12_000, 7.4))
+    hurried = waiting.add(place_request(4.0, 6_400, 4.0))
+    order = [number for number, _ in waiting.in_order()]
+    assert order == [hurried, long, short]
+
+
+def late_steps(*, by_start: bool, seed: int) -> int:
+    """Return how many of 12 steps end late that come in pairs.
+
+    A late step comes closely before the next one.
+    60 places take steps of 100 items, whose work fills four fifths of them.
+    One item in twelve is five times as long.
+    """
+    rng = random.Random(seed)
+    waiting = WaitingItems()
+    ends: dict[int, list[float]] = {}
+    items: dict[int, tuple[int, float]] = {}
+    running: list[float] = []
+    arrivals = [4.0 * step - 2.5 * (step % 2) for step in range(12)]
+    now_s = 0.0
+    step = 0
+    while step < len(arrivals) or len(waiting):
+        while step < len(arrivals) and arrivals[step] <= now_s:
+            for _ in range(100):
+                tail = 5.0 if rng.random() < 0.08 else 1.0
+                length_s = min(rng.lognormvariate(0.0, 0.9) * tail, 7.4)
+                due_s = now_s + 7.5
+                number = waiting.add(
+                    place_request(
+                        due_s,
+                        round(length_s * 1_600),
+                        length_s if by_start else 0.0,
+                    )
+                )
+                items[number] = (step, length_s)
+            step += 1
+        running = [one for one in running if one > now_s]
+        for number, _ in list(waiting.in_order()):
+            if len(running) >= 60:
+                break
+            item_step, length_s = items[number]
+            ends.setdefault(item_step, []).append(now_s + length_s)
+            running.append(now_s + length_s)
+            waiting.remove(number)
+        now_s += 0.05
+    return sum(
+        max(ends[number]) > arrivals[number] + 8.0 for number in range(12)
+    )
+
+
+def test_steps_are_in_time_where_the_longest_items_overtake() -> None:
+    """Guards against steps that wait behind the short items of others."""
+    seeds = range(10)
+    by_start = sum(late_steps(by_start=True, seed=one) for one in seeds)
+    by_due = sum(late_steps(by_start=False, seed=one) for one in seeds)
+    assert by_start == 0
+    assert by_due >= 10
+
+
 def step_time_s(*, by_length: bool, seed: int) -> float:
     """Play one step of 72 items on two engines of 16 places, one slow.
 
