Reach the store by another process where it turns this one away

A call that the store refuses goes by a live peer that had an answer of the store a moment ago, those of the own zone first. One call at a time that changes nothing tries the direct path again. A call whose answer is lost is not repeated by a peer unless it changes nothing; the outcomes "not performed" and "unknown" pass through as they are. A peer without the store refuses at once, so that an outage for all costs one message a call.

Ruled out: handing the job over directly (its running streams would end), and results by a peer alone (heartbeats, feeds and leases fail as well).

--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -13,6 +13,7 @@
     :param loads: own attempts in flight, by endpoint.
     :param leaving: a planned stop has begun.
     :param address: where clients call it, empty if they do not.
+    :param peer_address: where other processes call it, empty if they do not.
     :param cores: processor capacity, in cores.
     """
 
@@ -21,6 +22,7 @@
     loads: dict[ids.EndpointId, int] = msgspec.field(default_factory=dict)
     leaving: bool = False
     address: str = ''
+    peer_address: str = ''
     availability_zone: ids.AvailabilityZone = ids.AvailabilityZone('')
     cores: float = 1.0
 
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -38,6 +38,8 @@
 from dogwoodpost.platform.store_client import PlatformObjectStore
 from dogwoodpost.platform.store_client import PlatformRowStore
 from dogwoodpost.platform.store_client import StoreConnection
+from dogwoodpost.platform.store_relay import relay_app
+from dogwoodpost.platform.store_relay import StoreRelay
 from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.batches.batch_context import BatchContext
 from dogwoodpost.services.batches.batch_service import BatchService
@@ -187,10 +189,12 @@
             self._router,
             self._clock,
             address=self._settings.listen.get('front', ''),
+            peer_address=self._settings.peer_address,
             availability_zone=ids.AvailabilityZone(self._settings.zone),
             cores=self._settings.limits.cpu_share
             * self._settings.limits.cores,
         )
+        self._store.relay = StoreRelay(self._presence, session, self._metrics)
         forwarder = JobForwarder(
             self._identity,
             self._presence,
@@ -375,6 +379,14 @@
                         shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
                     )
                 )
+        if self._settings.peer_address:
+            await self.open_part(
+                serving(
+                    relay_app(self._store),
+                    _Address(self._settings.peer_address),
+                    shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
+                )
+            )
         if 'front' in listen:
             await self.open_part(
                 serving(
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -82,6 +82,13 @@
     bounds: BoundSettings = BoundSettings()
     cloud: DutySettings = DutySettings()
 
+    @property
+    def peer_address(self) -> str:
+        """Return where other processes call this one, empty if nowhere."""
+        if not self.ip or not self.port_range:
+            return ''
+        return f'{self.ip}:{self.port_range[0]}'
+
 
 def settings_path() -> Path:
     """Return the path of the settings file.
--- a/src/dogwoodpost/platform/store_client.py
+++ b/src/dogwoodpost/platform/store_client.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
 import aiohttp
 import msgspec
+import structlog
 import yarl
 
+from dogwoodpost.core.membership.store_path import StorePath
 from dogwoodpost.errors import HistoryLostError
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreOutcomeUnknownError
@@ -23,9 +26,11 @@
     from collections.abc import Sequence
 
     from dogwoodpost.observability import Metrics
+    from dogwoodpost.platform.store_relay import StoreRelay
     from dogwoodpost.ports.row_store import RowCheck
     from dogwoodpost.ports.row_store import RowWrite
 
+_log = structlog.get_logger(__name__)
 _JSON_HEADERS = {'Content-Type': 'application/json'}
 _CALL_TIMEOUT_S = 0.8
 _CONNECT_TIMEOUT_S = 0.5
@@ -92,47 +97,101 @@
     delete: list[_WireDelete]
 
 
+class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
+    """One call to the store."""
+
+    method: str
+    name: str
+    query: dict[str, str] = {}
+    body: bytes | None = None
+    headers: dict[str, str] = {}
+    timeout_s: float = _CALL_TIMEOUT_S
+
+    @property
+    def changes_nothing(self) -> bool:
+        """Return whether the call may be made any number of times."""
+        return self.method == 'GET'
+
+
 class StoreConnection:
-    """HTTP calls to the store, with their failures told apart."""
+    """HTTP calls to the store, with their failures told apart.
+
+    Where this process does not reach the store, calls go by a peer.
+    """
 
     def __init__(
         self, address: str, session: aiohttp.ClientSession, metrics: Metrics
     ) -> None:
         self.address = address
+        self.relay: StoreRelay | None = None
         self._session = session
         self._metrics = metrics
+        self._path = StorePath()
+        self._is_relayed = False
 
-    async def call(
-        self,
-        method: str,
-        name: str,
-        *,
-        query: dict[str, str] | None = None,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-        timeout_s: float = _CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
+    async def call(self, call: StoreCall) -> tuple[int, bytes]:
         """Return status and body.
 
         :raises StoreUnavailableError: the call was not performed.
         :raises StoreOutcomeUnknownError: it may have been, or may be later.
         """
+        if self.relay is None:
+            return await self._call_directly(call)
+        if self._path.takes_direct(_now_s(), may_probe=call.changes_nothing):
+            try:
+                return await self._call_directly(call)
+            except StoreUnavailableError as error:
+                self._note_relayed(str(error))
+            except StoreOutcomeUnknownError as error:
+                self._note_relayed(str(error))
+                if not call.changes_nothing:
+                    raise
+        return await self.relay.call(call)
+
+    async def call_for_peer(self, call: StoreCall) -> tuple[int, bytes]:
+        """Make the call of another process.
+
+        :raises StoreUnavailableError: the call was not performed.
+        :raises StoreOutcomeUnknownError: it may have been, or may be later.
+        """
+        if not self._path.serves_peers(_now_s()):
+            raise StoreUnavailableError(f'{call.name}: the store is away')
+        return await self._call_directly(call)
+
+    async def _call_directly(self, call: StoreCall) -> tuple[int, bytes]:
+        try:
+            status, data = await self._send(call)
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            self._path.note_failure(_now_s())
+            raise
+        self._path.note_success(_now_s())
+        if self._is_relayed:
+            self._is_relayed = False
+            _log.info('store_reached_directly')
+        return status, data
+
+    def _note_relayed(self, error: str) -> None:
+        if not self._is_relayed:
+            self._is_relayed = True
+            _log.warning('store_reached_by_peers', error=error)
+
+    async def _send(self, call: StoreCall) -> tuple[int, bytes]:
         url = yarl.URL.build(
             scheme='http',
             authority=self.address,
-            path=f'/api/{name}',
-            query=query or {},
+            path=f'/api/{call.name}',
+            query=call.query,
         )
-        operation = name.partition('/')[0]
+        operation = call.name.partition('/')[0]
         try:
             async with self._session.request(
-                method,
+                call.method,
                 url,
-                data=body,
-                headers=headers,
+                data=call.body,
+                headers=call.headers,
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+                    total=call.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
             ) as response:
                 data = await response.read()
@@ -141,13 +200,17 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             self._count(operation, 'unreachable')
-            raise StoreUnavailableError(f'{name}: {error!r}') from error
+            raise StoreUnavailableError(f'{call.name}: {error!r}') from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._count(operation, 'unanswered')
-            raise StoreOutcomeUnknownError(f'{name}: {error!r}') from error
+            raise StoreOutcomeUnknownError(
+                f'{call.name}: {error!r}'
+            ) from error
         self._count(operation, str(response.status))
         if response.status in {_STATUS_TOO_MANY, _STATUS_UNAVAILABLE}:
-            raise StoreUnavailableError(f'{name}: status {response.status}')
+            raise StoreUnavailableError(
+                f'{call.name}: status {response.status}'
+            )
         return response.status, data
 
     async def read(
@@ -160,7 +223,9 @@
         """Return the decoded body of a call that changes nothing."""
         try:
             status, data = await self.call(
-                'GET', name, query=query, timeout_s=timeout_s
+                StoreCall(
+                    method='GET', name=name, query=query, timeout_s=timeout_s
+                )
             )
         except StoreOutcomeUnknownError as error:
             raise StoreUnavailableError(str(error)) from error
@@ -217,10 +282,12 @@
     ) -> int:
         """Apply all writes if all checks hold; return the new version."""
         status, data = await self._connection.call(
-            'POST',
-            'rows-tx',
-            body=_transaction(checks, writes),
-            headers=_JSON_HEADERS,
+            StoreCall(
+                method='POST',
+                name='rows-tx',
+                body=_transaction(checks, writes),
+                headers=_JSON_HEADERS,
+            )
         )
         if status == _STATUS_CONFLICT:
             page = _decoded('rows-tx', data, _WirePage)
@@ -256,11 +323,13 @@
     async def put(self, name: str, data: bytes) -> None:
         """Store an object; a repeat with the same data has no effect."""
         status, _ = await self._connection.call(
-            'PUT',
-            f'blob-put/{name}',
-            body=data,
-            headers={'If-None-Match': '*'},
-            timeout_s=_OBJECT_TIMEOUT_S,
+            StoreCall(
+                method='PUT',
+                name=f'blob-put/{name}',
+                body=data,
+                headers={'If-None-Match': '*'},
+                timeout_s=_OBJECT_TIMEOUT_S,
+            )
         )
         if status not in {_STATUS_OK, _STATUS_CONFLICT}:
             raise StoreUnavailableError(f'blob-put: status {status}')
@@ -268,7 +337,11 @@
     async def get(self, name: str) -> bytes | None:
         """Return an object's data, or None if there is none."""
         status, data = await self._connection.call(
-            'GET', f'blob-get/{name}', timeout_s=_OBJECT_TIMEOUT_S
+            StoreCall(
+                method='GET',
+                name=f'blob-get/{name}',
+                timeout_s=_OBJECT_TIMEOUT_S,
+            )
         )
         if status == _STATUS_NOT_FOUND:
             return None
@@ -278,11 +351,17 @@
 
     async def delete(self, name: str) -> None:
         """Delete an object; deleting a missing one has no effect."""
-        status, _ = await self._connection.call('DELETE', f'blob-drop/{name}')
+        status, _ = await self._connection.call(
+            StoreCall(method='DELETE', name=f'blob-drop/{name}')
+        )
         if status not in {_STATUS_OK, _STATUS_NOT_FOUND}:
             raise StoreUnavailableError(f'blob-drop: status {status}')
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _transaction(
     checks: Sequence[RowCheck], writes: Sequence[RowWrite]
 ) -> bytes:
--- /dev/null
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -0,0 +1,167 @@
+"""Calls to the store that go by another process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+import yarl
+from aiohttp import web
+
+from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.errors import StoreUnavailableError
+from dogwoodpost.platform.store_client import StoreCall
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.platform.store_client import StoreConnection
+    from dogwoodpost.services.membership.presence_service import (
+        PresenceService,
+    )
+
+_log = structlog.get_logger(__name__)
+_PREFIX = '/store/'
+_TIMEOUT_HEADER = 'Dogwoodpost-Timeout-Ms'
+_CONNECT_TIMEOUT_S = 0.1
+# What a call takes between two processes, beside the store's own time.
+_HOP_S = 0.2
+_AVOID_S = 2.0
+_MAX_PEER_COUNT = 2
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+_MS_PER_S = 1_000
+_PASSED_HEADERS = ('Content-Type', 'If-None-Match')
+_STATUS_UNAVAILABLE = 503
+_STATUS_UNKNOWN = 504
+
+
+class StoreRelay:
+    """Sends calls by live peers, those of the own zone first."""
+
+    def __init__(
+        self,
+        presence: PresenceService,
+        session: aiohttp.ClientSession,
+        metrics: Metrics,
+    ) -> None:
+        self._presence = presence
+        self._session = session
+        self._metrics = metrics
+        self._avoided_until_s: dict[str, float] = {}
+
+    async def call(self, call: StoreCall) -> tuple[int, bytes]:
+        """Return status and body.
+
+        :raises StoreUnavailableError: the call was not performed.
+        :raises StoreOutcomeUnknownError: it may have been, or may be later.
+        """
+        loop = asyncio.get_running_loop()
+        error = StoreUnavailableError(f'{call.name}: no peer')
+        for address in self._addresses(loop.time())[:_MAX_PEER_COUNT]:
+            try:
+                result = await self._call_by(address, call)
+            except StoreUnavailableError as failure:
+                self._avoided_until_s[address] = loop.time() + _AVOID_S
+                error = failure
+                self._count('unavailable')
+            except StoreOutcomeUnknownError:
+                self._avoided_until_s[address] = loop.time() + _AVOID_S
+                self._count('unknown')
+                raise
+            else:
+                self._count('answered')
+                return result
+        raise error
+
+    async def _call_by(
+        self, address: str, call: StoreCall
+    ) -> tuple[int, bytes]:
+        url = yarl.URL.build(
+            scheme='http',
+            authority=address,
+            path=f'{_PREFIX}{call.name}',
+            query=call.query,
+        )
+        headers = {
+            **call.headers,
+            _TIMEOUT_HEADER: str(round(call.timeout_s * _MS_PER_S)),
+        }
+        try:
+            async with self._session.request(
+                call.method,
+                url,
+                data=call.body,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=call.timeout_s + _HOP_S,
+                    sock_connect=_CONNECT_TIMEOUT_S,
+                ),
+            ) as response:
+                data = await response.read()
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise StoreUnavailableError(f'{call.name}: {error!r}') from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise StoreOutcomeUnknownError(
+                f'{call.name}: {error!r}'
+            ) from error
+        if response.status == _STATUS_UNAVAILABLE:
+            raise StoreUnavailableError(f'{call.name}: refused by a peer')
+        if response.status == _STATUS_UNKNOWN:
+            raise StoreOutcomeUnknownError(
+                f'{call.name}: a peer got no answer'
+            )
+        return response.status, data
+
+    def _addresses(self, now_s: float) -> Sequence[str]:
+        zone = self._presence.availability_zone
+        usable = [
+            (record.availability_zone != zone, process_id, record.peer_address)
+            for process_id, record in self._presence.live_peers().items()
+            if record.peer_address
+            and self._avoided_until_s.get(record.peer_address, 0.0) <= now_s
+        ]
+        return [address for _, _, address in sorted(usable)]
+
+    def _count(self, result: str) -> None:
+        self._metrics.events.labels(f'store_relay_{result}').inc()
+
+
+def relay_app(store: StoreConnection) -> web.Application:
+    """Return the application for the calls of peers."""
+
+    async def serve(request: web.Request) -> web.Response:
+        timeout_ms = int(request.headers.get(_TIMEOUT_HEADER, '0'))
+        call = StoreCall(
+            method=request.method,
+            name=request.path.removeprefix(_PREFIX),
+            query=dict(request.query),
+            body=await request.read() or None,
+            headers={
+                name: request.headers[name]
+                for name in _PASSED_HEADERS
+                if name in request.headers
+            },
+            timeout_s=timeout_ms / _MS_PER_S,
+        )
+        try:
+            status, data = await store.call_for_peer(call)
+        except StoreUnavailableError as error:
+            _log.info('peer_call_refused', call=call.name, error=str(error))
+            return web.Response(status=_STATUS_UNAVAILABLE)
+        except StoreOutcomeUnknownError as error:
+            _log.info('peer_call_unknown', call=call.name, error=str(error))
+            return web.Response(status=_STATUS_UNKNOWN)
+        return web.Response(status=status, body=data)
+
+    app = web.Application(
+        client_max_size=_MAX_BODY_BYTES, handler_args={'access_log': None}
+    )
+    app.router.add_route('*', f'{_PREFIX}{{name:.*}}', serve)
+    return app
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -46,6 +46,7 @@
     Other processes' loads go to the router.
 
     :param address: where clients call this process.
+    :param peer_address: where other processes call it.
     :param cores: processor capacity of this process, in cores.
     """
 
@@ -57,12 +58,14 @@
         clock: Clock,
         *,
         address: str = '',
+        peer_address: str = '',
         availability_zone: ids.AvailabilityZone = _NO_ZONE,
         cores: float = 1.0,
     ) -> None:
         super().__init__()
         self.availability_zone = availability_zone
         self._address = address
+        self._peer_address = peer_address
         self._cores = cores
         self.view = Presence(TIMEOUT_S, MAX_GAP_S)
         self.is_leaving = False
@@ -93,6 +96,12 @@
         """Return whether the others have ever known of this process."""
         return self._confirmed_s is not None
 
+    def live_peers(self) -> dict[ids.ProcessId, PresenceRecord]:
+        """Return what the other live processes say of themselves."""
+        live = self.view.live(self._clock.monotonic_s())
+        live.pop(self._identity.process_id, None)
+        return live
+
     def contact_since_s(self) -> float | None:
         """Return since when heartbeats have been written, None if not now."""
         return self._contact_since_s if self.is_confirmed else None
@@ -133,6 +142,7 @@
             loads=self._router.own_loads(),
             leaving=self.is_leaving,
             address=self._address,
+            peer_address=self._peer_address,
             availability_zone=self.availability_zone,
             cores=self._cores,
         )
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -93,6 +93,8 @@
         self.plain = SamplerApp('plain-0', faults=deque())
         self.session = session
         self._folder = folder
+        # Of single processes, in place of the store's own.
+        self.store_addresses: dict[str, str] = {}
         self._addresses: dict[str, str] = {}
 
     async def open(self, stack: contextlib.AsyncExitStack) -> None:
@@ -116,6 +118,10 @@
         entry = endpoint.entry(service, address, 'zone-a', state)
         self.put('servers', endpoint.endpoint_id, entry)
 
+    @property
+    def store_address(self) -> str:
+        return self._addresses['store']
+
     def address_of(self, endpoint: SamplerApp) -> str:
         return self._addresses[endpoint.endpoint_id]
 
@@ -200,17 +206,23 @@
         }
 
     def settings(self, name: str) -> dict[str, Any]:
+        peer_port = free_port()
         return {
             'node': name,
             'zone': 'zone-a',
             'region': 'region-a',
             'zones': {'zone-a': 'region-a'},
             'ip': '127.0.0.1',
+            'portRange': [peer_port, peer_port],
             'listen': {
                 'front': f'127.0.0.1:{free_port()}',
                 'ready': f'127.0.0.1:{free_port()}',
             },
-            'platform': {'address': self._addresses['store']},
+            'platform': {
+                'address': self.store_addresses.get(
+                    name, self._addresses['store']
+                )
+            },
             'cloud': {
                 'address': self._addresses['duties'],
                 'duties': ['usage', 'autoscale'],
--- /dev/null
+++ b/tests/platform/test_store_relay.py
@@ -0,0 +1,115 @@
+"""Processes that the store does not serve, beside others that it does."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from dogwoodpost.core.batches import JobHead
+from dogwoodpost.core.membership.presence import PresenceRecord
+from dogwoodpost.services.batches import job_rows
+from dogwoodpost.services.membership import presence_service
+from tests.platform.platform_site import EVENT_COUNT
+from tests.platform.platform_site import Site
+from tests.platform.store_gate import GateState
+from tests.platform.store_gate import store_gate
+
+HEARTBEAT_READ_S = 1.2
+SHUT_STATES = [GateState.REFUSING, GateState.RESETTING, GateState.SILENT]
+# Missing heartbeats for that long make an owner count as gone.
+TIMEOUT_S = presence_service.TIMEOUT_S
+
+
+async def heartbeat_count(site: Site, name: str) -> int:
+    page = await site.store.read(presence_service.TABLE, '')
+    for row in page.rows:
+        if row.key.key == name and row.value is not None:
+            return msgspec.msgpack.decode(
+                row.value, type=PresenceRecord
+            ).sequence
+    return 0
+
+
+async def owner_of(site: Site, job_id: str) -> str:
+    page = await site.store.read(job_rows.HEAD_TABLE, job_id)
+    head = msgspec.msgpack.decode(page.rows[0].value or b'', type=JobHead)
+    return head.owner_id
+
+
+@pytest.mark.parametrize('state', SHUT_STATES)
+async def test_owner_lists_results_by_a_peer(
+    site: Site, state: GateState
+) -> None:
+    """Guards against steps that wait for a new owner of their job.
+
+    The owner has the results and reaches its peers, but not the store.
+    """
+    for engine in site.engines:
+        engine.event_gap_s = 0.2
+    async with store_gate(site.store_address) as gate:
+        site.store_addresses['node-1'] = gate.address
+        async with site.node('node-1') as owner:
+            assert await site.submit(owner, site.job(4), 'job-1') == 202
+            async with site.node('node-2') as other:
+                await asyncio.sleep(HEARTBEAT_READ_S)
+                assert await site.submit(owner, site.job(2), 'job-2') == 202
+                gate.set(state)
+                results = await site.results(other, 'job-1', 4)
+                assert all(
+                    len(one['text'].splitlines()) == EVENT_COUNT
+                    for one in results
+                )
+                assert await owner_of(site, 'job-1') == 'node-1'
+                # Runs and reads go on where the store is out of reach.
+                await site.results(owner, 'job-2', 2)
+
+
+@pytest.mark.parametrize('state', SHUT_STATES)
+async def test_heartbeats_and_changes_go_by_a_peer(
+    site: Site, state: GateState
+) -> None:
+    """Guards against take-overs from an owner that is at work."""
+    async with store_gate(site.store_address) as gate:
+        site.store_addresses['node-1'] = gate.address
+        async with site.node('node-1') as cut, site.node('node-2'):
+            await asyncio.sleep(HEARTBEAT_READ_S)
+            gate.set(state)
+            await asyncio.sleep(TIMEOUT_S)
+            count = await heartbeat_count(site, 'node-1')
+            configuration = site.configuration(version=3)
+            configuration['tenants'] = []
+            configuration['routes'] = configuration['routes'][:1]
+            site.configure(configuration)
+            await asyncio.sleep(TIMEOUT_S)
+            assert await heartbeat_count(site, 'node-1') >= count + 2
+            status, _, _ = await site.send(cut, '/unsafe/a')
+            assert status == 404
+            gate.set(GateState.OPEN)
+            await asyncio.sleep(TIMEOUT_S)
+            assert cut.process._store._path.serves_peers(
+                asyncio.get_running_loop().time()
+            )
+
+
+async def test_an_outage_for_all_is_told_at_once(site: Site) -> None:
+    """Guards against calls that go round between processes without a store."""
+    async with (
+        store_gate(site.store_address) as first,
+        store_gate(site.store_address) as second,
+    ):
+        site.store_addresses['node-1'] = first.address
+        site.store_addresses['node-2'] = second.address
+        async with site.node('node-1') as node, site.node('node-2'):
+            await asyncio.sleep(HEARTBEAT_READ_S)
+            first.set(GateState.REFUSING)
+            second.set(GateState.REFUSING)
+            await asyncio.sleep(2.0)
+            loop = asyncio.get_running_loop()
+            start_s = loop.time()
+            status, _, _ = await site.send(
+                node, '/api/lots/job-1?after=0', method='GET'
+            )
+            assert status == 503
+            assert loop.time() - start_s < 0.5
