Fall back to the direct path where peers do not reach the store

Cause, found by reading the change before: where answers of the store are lost now and then, one lost answer sent the next calls to peers, which refuse them while their own last call was lost. Calls that would have been answered directly failed until a read had tried the direct path.

The test fails without the change: a commit after a lost answer is refused although the store is back.

--- a/src/dogwoodpost/platform/store_client.py
+++ b/src/dogwoodpost/platform/store_client.py
@@ -138,15 +138,25 @@
         if self.relay is None:
             return await self._call_directly(call)
         if self._path.takes_direct(_now_s(), may_probe=call.changes_nothing):
-            try:
-                return await self._call_directly(call)
-            except StoreUnavailableError as error:
-                self._note_relayed(str(error))
-            except StoreOutcomeUnknownError as error:
-                self._note_relayed(str(error))
-                if not call.changes_nothing:
-                    raise
-        return await self.relay.call(call)
+            return await self._call_directly_first(call, self.relay)
+        try:
+            return await self.relay.call(call)
+        except StoreUnavailableError:
+            # Answers are lost now and then, for the peers as well.
+            return await self._call_directly(call)
+
+    async def _call_directly_first(
+        self, call: StoreCall, relay: StoreRelay
+    ) -> tuple[int, bytes]:
+        try:
+            return await self._call_directly(call)
+        except StoreUnavailableError as error:
+            self._note_relayed(str(error))
+        except StoreOutcomeUnknownError as error:
+            self._note_relayed(str(error))
+            if not call.changes_nothing:
+                raise
+        return await relay.call(call)
 
     async def call_for_peer(self, call: StoreCall) -> tuple[int, bytes]:
         """Make the call of another process.
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -9,6 +9,15 @@
 
 from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.membership.presence import PresenceRecord
+from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.errors import StoreUnavailableError
+from dogwoodpost.observability import Metrics
+from dogwoodpost.platform.store_client import PlatformRowStore
+from dogwoodpost.platform.store_client import StoreCall
+from dogwoodpost.platform.store_client import StoreConnection
+from dogwoodpost.ports.row_store import RowCheck
+from dogwoodpost.ports.row_store import RowKey
+from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.membership import presence_service
 from tests.platform.platform_site import EVENT_COUNT
@@ -113,3 +122,25 @@
             )
             assert status == 503
             assert loop.time() - start_s < 0.5
+
+
+class NoPeers:
+    """A relay whose peers do not reach the store either."""
+
+    async def call(self, call: StoreCall) -> tuple[int, bytes]:
+        raise StoreUnavailableError('refused by a peer')
+
+
+async def test_lost_answers_stop_no_direct_calls(site: Site) -> None:
+    """Guards against calls that fail because one before lost its answer."""
+    async with store_gate(site.store_address) as gate:
+        connection = StoreConnection(gate.address, site.session, Metrics())
+        connection.relay = NoPeers()
+        rows = PlatformRowStore(connection)
+        key = RowKey('table', '', 'key')
+        gate.set(GateState.RESETTING)
+        with pytest.raises((StoreUnavailableError, StoreOutcomeUnknownError)):
+            await rows.commit([], [RowWrite(key, b'first')])
+        gate.set(GateState.OPEN)
+        await rows.commit([RowCheck(key, 0)], [RowWrite(key, b'second')])
+    assert site.store.rows[key].value == b'second'
