Split the store's connection and the parts of batch jobs from their modules

The errors of a call are told apart in one place for direct calls and calls by a peer. Behaviour is the same.

--- /dev/null
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -0,0 +1,68 @@
+"""Composes what the batch jobs of a process share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+from dogwoodpost.core.batches.output_lengths import OutputLengths
+from dogwoodpost.core.batches.placement import ItemPlacement
+from dogwoodpost.core.batches.token_loads import TokenLoads
+from dogwoodpost.platform import wire_names
+from dogwoodpost.services.batches.batch_context import BatchContext
+from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
+from dogwoodpost.services.batches.item_scorer import ItemScorer
+from dogwoodpost.services.batches.job_store import JobStore
+from dogwoodpost.services.batches.text_archive import TextArchive
+
+if TYPE_CHECKING:
+    import random
+
+    from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+    from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
+    from dogwoodpost.ports.endpoint_gateway import EndpointGateway
+    from dogwoodpost.ports.object_store import ObjectStore
+    from dogwoodpost.ports.row_store import RowStore
+    from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from dogwoodpost.services.entry.route_finder import RouteFinder
+
+
+def batch_context(
+    *,
+    identity: ProcessIdentity,
+    rows: RowStore,
+    objects: ObjectStore,
+    gateway: EndpointGateway,
+    pipeline: RequestPipeline,
+    routes: RouteFinder,
+    registry: EndpointRegistry,
+    loads: LoadingEndpoints,
+    rng: random.Random,
+) -> BatchContext:
+    """Return the collaborators of batch jobs."""
+    clock = pipeline.clock
+    pace = EndpointEventPace()
+    token_loads = TokenLoads()
+    dispatcher = ItemDispatcher(
+        pipeline.router,
+        ItemPlacement(pace, token_loads),
+        clock,
+        loads,
+        token_loads,
+    )
+    return BatchContext(
+        identity=identity,
+        store=JobStore(rows, objects, clock, rng),
+        archive=TextArchive(rows),
+        gateway=gateway,
+        dispatcher=dispatcher,
+        pace=pace,
+        lengths=OutputLengths(),
+        endpoints=registry,
+        routes=routes,
+        scorer=ItemScorer(pipeline, routes, clock, wire_names.SIGNATURE),
+        clock=clock,
+        rng=rng,
+        metrics=pipeline.metrics,
+    )
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -14,10 +14,6 @@
 from dogwoodpost.adapters.rows import PartitionTableStore
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
-from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
-from dogwoodpost.core.batches.output_lengths import OutputLengths
-from dogwoodpost.core.batches.placement import ItemPlacement
-from dogwoodpost.core.batches.token_loads import TokenLoads
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
@@ -25,7 +21,7 @@
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
 from dogwoodpost.platform import configuration_rows
 from dogwoodpost.platform import endpoint_rows
-from dogwoodpost.platform import wire_names
+from dogwoodpost.platform.batch_parts import batch_context
 from dogwoodpost.platform.connection_counts import ConnectionCounts
 from dogwoodpost.platform.duties import Duties
 from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
@@ -37,17 +33,12 @@
 from dogwoodpost.platform.settings_watch import SettingsWatch
 from dogwoodpost.platform.store_client import PlatformObjectStore
 from dogwoodpost.platform.store_client import PlatformRowStore
-from dogwoodpost.platform.store_client import StoreConnection
+from dogwoodpost.platform.store_connection import StoreConnection
 from dogwoodpost.platform.store_relay import relay_app
 from dogwoodpost.platform.store_relay import StoreRelay
 from dogwoodpost.services.batches import job_rows
-from dogwoodpost.services.batches.batch_context import BatchContext
 from dogwoodpost.services.batches.batch_service import BatchService
-from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
-from dogwoodpost.services.batches.item_scorer import ItemScorer
 from dogwoodpost.services.batches.job_forwarder import JobForwarder
-from dogwoodpost.services.batches.job_store import JobStore
-from dogwoodpost.services.batches.text_archive import TextArchive
 from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.control import endpoint_versions
 from dogwoodpost.services.control.endpoint_versions import EndpointVersions
@@ -267,36 +258,16 @@
         routes: RouteFinder,
         forwarder: JobForwarder,
     ) -> BatchService:
-        pace = EndpointEventPace()
-        token_loads = TokenLoads()
-        dispatcher = ItemDispatcher(
-            self._router,
-            ItemPlacement(pace, token_loads),
-            self._clock,
-            self._loads,
-            token_loads,
-        )
-        context = BatchContext(
+        context = batch_context(
             identity=self._identity,
-            store=JobStore(
-                rows,
-                PlatformObjectStore(self._store),
-                self._clock,
-                self._rng,
-            ),
-            archive=TextArchive(rows),
+            rows=rows,
+            objects=PlatformObjectStore(self._store),
             gateway=gateway,
-            dispatcher=dispatcher,
-            pace=pace,
-            lengths=OutputLengths(),
-            endpoints=self._registry,
+            pipeline=pipeline,
             routes=routes,
-            scorer=ItemScorer(
-                pipeline, routes, self._clock, wire_names.SIGNATURE
-            ),
-            clock=self._clock,
+            registry=self._registry,
+            loads=self._loads,
             rng=self._rng,
-            metrics=self._metrics,
         )
         return BatchService(
             context,
--- /dev/null
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -0,0 +1,216 @@
+"""Calls to the platform's metadata store, directly or by a peer."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+import structlog
+import yarl
+
+from dogwoodpost.core.membership.store_path import StorePath
+from dogwoodpost.errors import HistoryLostError
+from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.errors import StoreUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from dogwoodpost.observability import Metrics
+    from dogwoodpost.platform.store_relay import StoreRelay
+
+_log = structlog.get_logger(__name__)
+CALL_TIMEOUT_S = 0.8
+_CONNECT_TIMEOUT_S = 0.5
+_STATUS_OK = 200
+_STATUS_GONE = 410
+_STATUS_TOO_MANY = 429
+_STATUS_UNAVAILABLE = 503
+
+_T = TypeVar('_T')
+
+
+class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
+    """One call to the store."""
+
+    method: str
+    name: str
+    query: dict[str, str] = {}
+    body: bytes | None = None
+    headers: dict[str, str] = {}
+    timeout_s: float = CALL_TIMEOUT_S
+
+    @property
+    def changes_nothing(self) -> bool:
+        """Return whether the call may be made any number of times."""
+        return self.method == 'GET'
+
+
+class StoreConnection:
+    """HTTP calls to the store, with their failures told apart.
+
+    Where this process does not reach the store, calls go by a peer.
+    """
+
+    def __init__(
+        self, address: str, session: aiohttp.ClientSession, metrics: Metrics
+    ) -> None:
+        self.address = address
+        self.relay: StoreRelay | None = None
+        self._session = session
+        self._metrics = metrics
+        self._path = StorePath()
+        self._is_relayed = False
+
+    async def call(self, call: StoreCall) -> tuple[int, bytes]:
+        """Return status and body.
+
+        :raises StoreUnavailableError: the call was not performed.
+        :raises StoreOutcomeUnknownError: it may have been, or may be later.
+        """
+        if self.relay is None:
+            return await self._call_directly(call)
+        if self._path.takes_direct(_now_s(), may_probe=call.changes_nothing):
+            return await self._call_directly_first(call, self.relay)
+        try:
+            return await self.relay.call(call)
+        except StoreUnavailableError:
+            # Answers are lost now and then, for the peers as well.
+            return await self._call_directly(call)
+
+    async def _call_directly_first(
+        self, call: StoreCall, relay: StoreRelay
+    ) -> tuple[int, bytes]:
+        try:
+            return await self._call_directly(call)
+        except StoreUnavailableError as error:
+            self._note_relayed(str(error))
+        except StoreOutcomeUnknownError as error:
+            self._note_relayed(str(error))
+            if not call.changes_nothing:
+                raise
+        return await relay.call(call)
+
+    async def call_for_peer(self, call: StoreCall) -> tuple[int, bytes]:
+        """Make the call of another process.
+
+        :raises StoreUnavailableError: the call was not performed.
+        :raises StoreOutcomeUnknownError: it may have been, or may be later.
+        """
+        if not self._path.serves_peers(_now_s()):
+            raise StoreUnavailableError(f'{call.name}: the store is away')
+        return await self._call_directly(call)
+
+    async def _call_directly(self, call: StoreCall) -> tuple[int, bytes]:
+        try:
+            status, data = await self._send(call)
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            self._path.note_failure(_now_s())
+            raise
+        self._path.note_success(_now_s())
+        if self._is_relayed:
+            self._is_relayed = False
+            _log.info('store_reached_directly')
+        return status, data
+
+    def _note_relayed(self, error: str) -> None:
+        if not self._is_relayed:
+            self._is_relayed = True
+            _log.warning('store_reached_by_peers', error=error)
+
+    async def _send(self, call: StoreCall) -> tuple[int, bytes]:
+        url = yarl.URL.build(
+            scheme='http',
+            authority=self.address,
+            path=f'/api/{call.name}',
+            query=call.query,
+        )
+        operation = call.name.partition('/')[0]
+        try:
+            with call_errors(call.name):
+                async with self._session.request(
+                    call.method,
+                    url,
+                    data=call.body,
+                    headers=call.headers,
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(
+                        total=call.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+                    ),
+                ) as response:
+                    data = await response.read()
+        except StoreUnavailableError:
+            self._count(operation, 'unreachable')
+            raise
+        except StoreOutcomeUnknownError:
+            self._count(operation, 'unanswered')
+            raise
+        self._count(operation, str(response.status))
+        if response.status in {_STATUS_TOO_MANY, _STATUS_UNAVAILABLE}:
+            raise StoreUnavailableError(
+                f'{call.name}: status {response.status}'
+            )
+        return response.status, data
+
+    async def read(
+        self,
+        name: str,
+        query: dict[str, str],
+        value_type: type[_T],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> _T:
+        """Return the decoded body of a call that changes nothing."""
+        try:
+            status, data = await self.call(
+                StoreCall(
+                    method='GET', name=name, query=query, timeout_s=timeout_s
+                )
+            )
+        except StoreOutcomeUnknownError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if status == _STATUS_GONE:
+            raise HistoryLostError(f'{name}: status {status}')
+        if status != _STATUS_OK:
+            raise StoreUnavailableError(f'{name}: status {status}')
+        return decoded(name, data, value_type)
+
+    def _count(self, operation: str, result: str) -> None:
+        self._metrics.store_calls.labels(operation, result).inc()
+
+
+@contextmanager
+def call_errors(name: str) -> Iterator[None]:
+    """Tell calls that were not performed from those that may have been.
+
+    :param name: of the call, for the errors.
+    :raises StoreUnavailableError: the call was not performed.
+    :raises StoreOutcomeUnknownError: it may have been, or may be later.
+    """
+    try:
+        yield
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise StoreUnavailableError(f'{name}: {error!r}') from error
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        raise StoreOutcomeUnknownError(f'{name}: {error!r}') from error
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def decoded(name: str, data: bytes, value_type: type[_T]) -> _T:
+    """Return the decoded body of a response.
+
+    :raises StoreUnavailableError: it has another form.
+    """
+    try:
+        return msgspec.json.decode(data, type=value_type)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailableError(f'{name}: {error}') from error
--- a/src/dogwoodpost/platform/store_relay.py
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -12,13 +12,14 @@
 
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
-from dogwoodpost.platform.store_client import StoreCall
+from dogwoodpost.platform.store_connection import call_errors
+from dogwoodpost.platform.store_connection import StoreCall
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dogwoodpost.observability import Metrics
-    from dogwoodpost.platform.store_client import StoreConnection
+    from dogwoodpost.platform.store_connection import StoreConnection
     from dogwoodpost.services.membership.presence_service import (
         PresenceService,
     )
@@ -89,7 +90,7 @@
             **call.headers,
             _TIMEOUT_HEADER: str(round(call.timeout_s * _MS_PER_S)),
         }
-        try:
+        with call_errors(call.name):
             async with self._session.request(
                 call.method,
                 url,
@@ -102,15 +103,6 @@
                 ),
             ) as response:
                 data = await response.read()
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            raise StoreUnavailableError(f'{call.name}: {error!r}') from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise StoreOutcomeUnknownError(
-                f'{call.name}: {error!r}'
-            ) from error
         if response.status == _STATUS_UNAVAILABLE:
             raise StoreUnavailableError(f'{call.name}: refused by a peer')
         if response.status == _STATUS_UNKNOWN:
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -13,8 +13,8 @@
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.observability import Metrics
 from dogwoodpost.platform.store_client import PlatformRowStore
-from dogwoodpost.platform.store_client import StoreCall
-from dogwoodpost.platform.store_client import StoreConnection
+from dogwoodpost.platform.store_connection import StoreCall
+from dogwoodpost.platform.store_connection import StoreConnection
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
