Keep the texts of groups in a class of their own; test a stop between listings

Checkpoints, archived and forgotten texts are one job by themselves. Behaviour is the same.

The new test guards what listing results together could break: a process that is stopped lists what it has before it hands its jobs over.

--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -16,6 +16,7 @@
 from dogwoodpost.core.batches.listing_schedule import ListingSchedule
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
+from dogwoodpost.services.batches.group_texts import GroupTexts
 from dogwoodpost.services.batches.item_run import ItemRun
 from dogwoodpost.services.batches.job_store import MAX_RESULT_BYTES
 from dogwoodpost.services.batches.job_store import MAX_RESULT_COUNT
@@ -39,12 +40,6 @@
 # Groups whose texts are read later than this are started by themselves.
 _TEXT_WAIT_S = 0.1
 _HAND_OVER_TIMEOUT_S = 0.8
-# Trainers read about twice a second.
-_READ_TIME_S = 1.5
-# An item of the usual length is done by then; what is lost with a process is
-# at most this much of the longer ones.
-_CHECKPOINT_INTERVAL_S = 1.0
-_CHECKPOINT_EVENT_COUNT = 20
 
 
 class JobWorker:
@@ -78,8 +73,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._helpers: list[asyncio.Task[Any]] = []
         self._runs: dict[ids.ItemId, ItemRun] = {}
-        self._saved_counts: dict[ids.ItemId, int] = {}
-        self._archived: set[ids.GroupId] = set()
+        self._texts = GroupTexts(
+            context.archive, context.clock, job, self._runs, self._listed
+        )
 
     @property
     def running_count(self) -> int:
@@ -90,7 +86,7 @@
         """Run until all items are listed, the job ends or moves away."""
         try:
             await self._start_items()
-            checkpoints = self._spawn(self._write_checkpoints())
+            checkpoints = self._spawn(self._texts.write_checkpoints())
             await self._list_results()
             checkpoints.cancel()
             self._cancel_items()
@@ -129,11 +125,11 @@
     async def _close(self) -> None:
         """Leave behind what others may need, and nothing else."""
         if self._stored.head.state is JobState.ENDED:
-            await self._archive_groups()
+            await self._texts.archive()
         elif self._stored.head.is_complete:
-            await self._forget_groups(self._archived)
+            await self._texts.forget_all()
         elif self._is_own():
-            await self._archive_groups()
+            await self._texts.archive()
             await self._write_hand_over()
 
     def _cancel_items(self) -> None:
@@ -191,7 +187,7 @@
                 groups.setdefault(item.group_id, []).append(item)
         loop = asyncio.get_running_loop()
         loads = {
-            loop.create_task(self._load_group(group_id)): items
+            loop.create_task(self._texts.load(group_id)): items
             for group_id, items in groups.items()
         }
         self._helpers += loads
@@ -204,17 +200,6 @@
         for load in late:
             self._start_group(loads[load], await load)
 
-    async def _load_group(
-        self, group_id: ids.GroupId | None
-    ) -> dict[ids.ItemId, ItemProgress]:
-        """Return what is known of the texts of a group's items."""
-        if group_id is None:
-            return {}
-        earlier = await self._context.archive.load(group_id)
-        if earlier:
-            self._archived.add(group_id)
-        return earlier
-
     def _start_group(
         self,
         items: Iterable[BatchItem],
@@ -225,7 +210,7 @@
                 self._context, self._job, item, earlier.get(item.item_id)
             )
             self._runs[item.item_id] = run
-            self._saved_counts[item.item_id] = run.event_count
+            self._texts.note_started(run)
             task = asyncio.get_running_loop().create_task(self._run_item(run))
             self._tasks.add(task)
             task.add_done_callback(self._finished)
@@ -235,68 +220,6 @@
         self._helpers.append(task)
         return task
 
-    async def _write_checkpoints(self) -> None:
-        """Save the texts of long items now and then.
-
-        A process that takes the job over goes on from there: the longest
-        items decide when a step ends.
-        """
-        while True:
-            await self._context.clock.sleep(_CHECKPOINT_INTERVAL_S)
-            due: dict[ids.GroupId, list[ItemProgress]] = {}
-            for run in self._runs.values():
-                group_id = run.item.group_id
-                saved_count = self._saved_counts[run.item.item_id]
-                new_count = run.event_count - saved_count
-                if group_id is None or new_count < _CHECKPOINT_EVENT_COUNT:
-                    continue
-                progress = run.progress()
-                if run.item.item_id in self._listed or progress is None:
-                    continue
-                self._saved_counts[run.item.item_id] = run.event_count
-                due.setdefault(group_id, []).append(progress)
-            await self._save(due)
-
-    async def _archive_groups(self) -> None:
-        """Save the texts of groups that are run again elsewhere or later."""
-        due: dict[ids.GroupId, list[ItemProgress]] = {}
-        wanted = self._unread_groups()
-        for group_id in wanted:
-            for run in self._runs.values():
-                progress = run.progress()
-                if run.item.group_id == group_id and progress is not None:
-                    due.setdefault(group_id, []).append(progress)
-        await self._save(due)
-        _log.info(
-            'groups_archived',
-            job_id=self._job.job_id,
-            groups=len(due),
-            items=sum(len(one) for one in due.values()),
-        )
-        await self._forget_groups(self._archived - wanted)
-
-    async def _forget_groups(self, group_ids: set[ids.GroupId]) -> None:
-        """Delete the saved texts of groups that are done with."""
-        for group_id in group_ids:
-            await self._context.archive.delete(group_id)
-
-    def _unread_groups(self) -> set[ids.GroupId]:
-        """Return the groups that a trainer can't have read as a whole."""
-        read_by_s = self._context.clock.monotonic_s() - _READ_TIME_S
-        return {
-            item.group_id
-            for item in self._job.items
-            if item.group_id is not None
-            and self._listed.get(item.item_id, math.inf) > read_by_s
-        }
-
-    async def _save(self, due: dict[ids.GroupId, list[ItemProgress]]) -> None:
-        self._archived.update(due)
-        archive = self._context.archive
-        await asyncio.gather(
-            *(archive.save(group_id, one) for group_id, one in due.items())
-        )
-
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -9,6 +9,8 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.core.batches import JobHead
+from dogwoodpost.services.batches import job_rows
 from dogwoodpost.standins.site.sampler_app import SamplerFault
 
 if TYPE_CHECKING:
@@ -189,3 +191,20 @@
                     if order.version == version:
                         return order.holder
             await asyncio.sleep(0.01)
+
+
+async def test_results_that_wait_are_listed_before_a_stop(site: Site) -> None:
+    """Guards against finished results that are lost with their process.
+
+    Results are listed some tenths of a second apart; a stop comes between.
+    """
+    fast, slow = site.engines
+    slow.event_gap_s = 2.0
+    async with site.node('node-1') as node:
+        assert await site.submit(node, site.job(8), 'job-1') == 202
+        await asyncio.sleep(0.4)
+        await node.process._batches.hand_over()
+        page = await site.store.read(job_rows.HEAD_TABLE, 'job-1')
+    head = msgspec.msgpack.decode(page.rows[0].value or b'', type=JobHead)
+    assert head.owner_id == ''
+    assert head.listed_count == sum(fast.runs.values()) >= 2
