Load at once on endpoints that are too old for the newest step

Cause, found on the grown site's plan of loads: each version goes to the most outdated endpoints, which can take none of the newest step's items. The 0.25 s that those items get before the first load were waited for there too, at each version, so that the step after had its endpoints later.

The test fails without the change.

--- a/src/dogwoodpost/core/weights/staggered_loads.py
+++ b/src/dogwoodpost/core/weights/staggered_loads.py
@@ -29,6 +29,12 @@
     model: ids.ModelName
     version: ids.WeightVersion
 
+    @property
+    def takes_newest_step(self) -> bool:
+        """Return whether the endpoint can serve the version's step already."""
+        current = self.endpoint.version_of(self.model)
+        return current is not None and current >= self.version - 1
+
 
 def max_parallel_loads(endpoint_count: int) -> int:
     """Return how many loads may run at once without slowing each other."""
--- a/src/dogwoodpost/services/control/weight_director.py
+++ b/src/dogwoodpost/services/control/weight_director.py
@@ -103,7 +103,9 @@
         for load in planned:
             if len(self._loading) >= limit:
                 return
-            if load.model in begun and self._may_load(load.endpoint):
+            if load.takes_newest_step and load.model not in begun:
+                continue
+            if self._may_load(load.endpoint):
                 self._loading.add(load.endpoint.endpoint_id)
                 self._tasks.spawn(
                     self._load(load.endpoint, load.model, load.version)
--- a/tests/services/control/test_weight_director.py
+++ b/tests/services/control/test_weight_director.py
@@ -182,6 +182,23 @@
     await director.close()
 
 
+async def test_endpoints_that_are_too_old_for_a_step_load_at_once(
+    director: WeightDirector,
+    clock: VirtualClock,
+    engines: FakeEngines,
+    named: NamedVersions,
+) -> None:
+    """Guards against a step that waits for endpoints without any reason.
+
+    They can take none of its items before they have loaded.
+    """
+    named.name(MODEL, ids.WeightVersion(3))
+    await director.run_once()
+    await settle()
+    assert engines.orders == ENDPOINTS[:2]
+    await director.close()
+
+
 async def test_others_know_which_endpoints_load(
     director: WeightDirector,
     clock: VirtualClock,
