Let the parser go on with what it has held back

Cause, found by reading the bound on interim responses again: the library calls data_received without data when a slow reader has caught up, so that the parser goes on with what exceeded the buffer. The loop over pieces made no call for no data. A body of more than 512 KiB (the session's buffer) stalled if its last bytes were held back and nothing more came.

--- a/src/dogwoodpost/platform/bounded_protocol.py
+++ b/src/dogwoodpost/platform/bounded_protocol.py
@@ -29,7 +29,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        for start in range(0, len(data), _PIECE_BYTES):
+        # Without data, it goes on with what it has held back.
+        for start in range(0, max(len(data), 1), _PIECE_BYTES):
             if self._interim_count > MAX_INTERIM_COUNT:
                 return
             super().data_received(data[start : start + _PIECE_BYTES])
--- a/tests/platform/test_bounded_protocol.py
+++ b/tests/platform/test_bounded_protocol.py
@@ -78,3 +78,27 @@
     protocol.data_received(head.encode() + body)
     _, content = await protocol.read()
     assert await content.read() == body
+
+
+@pytest.mark.parametrize('length', range(120_000, 160_000, 8_000))
+@pytest.mark.parametrize('is_chunked', [False, True])
+async def test_body_beyond_the_buffer_ends_without_more_bytes(
+    protocol: BoundedResponseHandler, length: int, is_chunked: bool
+) -> None:
+    """Guards against bodies that stall once their reader was too slow.
+
+    The parser holds back what exceeds the buffer, here of 128 KiB, and goes on
+    with it when the reader has caught up, whether or not more bytes come.
+    """
+    protocol.set_response_params(read_bufsize=65_536)
+    body = bytes(number % 251 for number in range(length))
+    sent = b'Content-Length: %d\r\n\r\n%b' % (length, body)
+    if is_chunked:
+        sent = b'Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n' % (
+            length,
+            body,
+        )
+    protocol.data_received(b'HTTP/1.1 200 OK\r\n' + sent)
+    _, content = await protocol.read()
+    async with asyncio.timeout(1.0):
+        assert await content.read() == body
