Keep expiring keys, errors of connections and test servers in one place

Five classes held keys until a time, each with a loop of its own, two of them without ever forgetting one (peers that were avoided, endpoints between orders). Three modules named the errors that mean that nothing was sent. The placement and the dispatcher were given the same loads by tokens and had to agree; the placement has them now. Two test modules read a job's head, and three opened a server on loopback, each in its own way.

--- a/src/dogwoodpost/core/batches/placement.py
+++ b/src/dogwoodpost/core/batches/placement.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
+from dogwoodpost.core.batches.token_loads import TokenLoads
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
-    from dogwoodpost.core.batches.token_loads import TokenLoads
     from dogwoodpost.core.routing import OpenEndpoint
 
 
@@ -39,11 +40,10 @@
     def __init__(
         self,
         pace: EndpointEventPace,
-        token_loads: TokenLoads,
         settings: PlacementSettings | None = None,
     ) -> None:
         self._pace = pace
-        self._token_loads = token_loads
+        self.token_loads = TokenLoads()
         self._settings = settings or PlacementSettings()
 
     def choose(
@@ -81,5 +81,5 @@
         return ratio * (1.0 + self._settings.load_cost * self._load(one))
 
     def _load(self, one: OpenEndpoint) -> float:
-        excess = self._token_loads.excess(one.endpoint.endpoint_id)
+        excess = self.token_loads.excess(one.endpoint.endpoint_id)
         return max(one.load_count + excess, 0.0)
--- a/src/dogwoodpost/core/weights/loading_endpoints.py
+++ b/src/dogwoodpost/core/weights/loading_endpoints.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.expiring_keys import ExpiringKeys
+
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
 
@@ -19,29 +21,25 @@
     """
 
     def __init__(self) -> None:
-        self._until_s: dict[tuple[ids.EndpointId, ids.ModelName], float] = {}
+        self._loads: ExpiringKeys[tuple[ids.EndpointId, ids.ModelName]]
+        self._loads = ExpiringKeys()
 
     def begin(
         self, endpoint_id: ids.EndpointId, model: ids.ModelName, now_s: float
     ) -> None:
         """Note that a load has begun."""
-        self._until_s[(endpoint_id, model)] = now_s + MAX_LOAD_S
+        self._loads.add((endpoint_id, model), now_s + MAX_LOAD_S)
 
     def end(self, endpoint_id: ids.EndpointId, model: ids.ModelName) -> None:
         """Note that no load of a model is under way."""
-        self._until_s.pop((endpoint_id, model), None)
+        self._loads.discard((endpoint_id, model))
 
     def of_model(
         self, model: ids.ModelName | None, now_s: float
     ) -> frozenset[ids.EndpointId]:
         """Return the endpoints that load a model."""
-        self._until_s = {
-            key: until_s
-            for key, until_s in self._until_s.items()
-            if now_s < until_s
-        }
         return frozenset(
             endpoint_id
-            for endpoint_id, loading_model in self._until_s
+            for endpoint_id, loading_model in self._loads.current(now_s)
             if loading_model == model
         )
--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -7,7 +7,6 @@
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
 from dogwoodpost.core.batches.output_lengths import OutputLengths
 from dogwoodpost.core.batches.placement import ItemPlacement
-from dogwoodpost.core.batches.token_loads import TokenLoads
 from dogwoodpost.platform import wire_names
 from dogwoodpost.services.batches.batch_context import BatchContext
 from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
@@ -43,13 +42,8 @@
     """Return the collaborators of batch jobs."""
     clock = pipeline.clock
     pace = EndpointEventPace()
-    token_loads = TokenLoads()
     dispatcher = ItemDispatcher(
-        pipeline.router,
-        ItemPlacement(pace, token_loads),
-        clock,
-        loads,
-        token_loads,
+        pipeline.router, ItemPlacement(pace), clock, loads
     )
     return BatchContext(
         identity=identity,
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -18,6 +18,7 @@
 from dogwoodpost.platform.connection_counts import CountedCall
 from dogwoodpost.platform.event_stream import EventDecoder
 from dogwoodpost.platform.sent_ids import SentIds
+from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
 from dogwoodpost.ports.endpoint_gateway import EndpointReply
@@ -52,10 +53,6 @@
     'Content-Type',
     'User-Agent',
 )
-_NOT_CONNECTED_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 _CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 _MODES = {
     SwitchMode.FINISH_FIRST: 'wait',
@@ -236,7 +233,7 @@
                         total=None, sock_connect=_CONNECT_TIMEOUT_S
                     ),
                 )
-        except _NOT_CONNECTED_ERRORS as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise EndpointNotRunError(
                 NotRunReason.UNREACHABLE, f'unreachable: {error!r}'
             ) from error
--- a/src/dogwoodpost/platform/job_forwarding.py
+++ b/src/dogwoodpost/platform/job_forwarding.py
@@ -9,6 +9,7 @@
 import yarl
 
 from dogwoodpost.core.http_headers import end_to_end_headers
+from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
 from dogwoodpost.ports.job_forwarding import ForwardOutcome
 from dogwoodpost.ports.job_forwarding import JobForwardingClient
 from dogwoodpost.ports.job_forwarding import JobSubmission
@@ -55,10 +56,7 @@
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 status = await self._post(url, submission)
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ):
+        except NOT_CONNECTED_ERRORS:
             return ForwardOutcome.NOT_ACCEPTED
         except (TimeoutError, aiohttp.ClientError, OSError):
             return ForwardOutcome.UNKNOWN
--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -24,6 +24,11 @@
 # Endpoints end idle connections earlier or later; a request that finds its
 # connection ended is repeated.
 _POOL_KEEPALIVE_S = 12.0
+# Nothing of the call was sent.
+NOT_CONNECTED_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 
 
 class BoundedConnector(aiohttp.TCPConnector):
--- a/src/dogwoodpost/platform/store_connection.py
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -16,6 +16,7 @@
 from dogwoodpost.errors import HistoryLostError
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
+from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -192,10 +193,7 @@
     """
     try:
         yield
-    except (
-        aiohttp.ClientConnectorError,
-        aiohttp.ConnectionTimeoutError,
-    ) as error:
+    except NOT_CONNECTED_ERRORS as error:
         raise StoreUnavailableError(f'{name}: {error!r}') from error
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         raise StoreOutcomeUnknownError(f'{name}: {error!r}') from error
--- a/src/dogwoodpost/platform/store_relay.py
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -10,6 +10,7 @@
 import yarl
 from aiohttp import web
 
+from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.platform.store_connection import call_errors
@@ -51,7 +52,7 @@
         self._presence = presence
         self._session = session
         self._metrics = metrics
-        self._avoided_until_s: dict[str, float] = {}
+        self._avoided: ExpiringKeys[str] = ExpiringKeys()
 
     async def call(self, call: StoreCall) -> tuple[int, bytes]:
         """Return status and body.
@@ -65,11 +66,11 @@
             try:
                 result = await self._call_by(address, call)
             except StoreUnavailableError as failure:
-                self._avoided_until_s[address] = loop.time() + _AVOID_S
+                self._avoided.add(address, loop.time() + _AVOID_S)
                 error = failure
                 self._count('unavailable')
             except StoreOutcomeUnknownError:
-                self._avoided_until_s[address] = loop.time() + _AVOID_S
+                self._avoided.add(address, loop.time() + _AVOID_S)
                 self._count('unknown')
                 raise
             else:
@@ -113,11 +114,11 @@
 
     def _addresses(self, now_s: float) -> Sequence[str]:
         zone = self._presence.availability_zone
+        avoided = self._avoided.current(now_s)
         usable = [
             (record.availability_zone != zone, process_id, record.peer_address)
             for process_id, record in self._presence.live_peers().items()
-            if record.peer_address
-            and self._avoided_until_s.get(record.peer_address, 0.0) <= now_s
+            if record.peer_address and record.peer_address not in avoided
         ]
         return [address for _, _, address in sorted(usable)]
 
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -10,13 +10,13 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches.waiting_items import WaitingItems
+from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.core.routing import AttemptResult
 from dogwoodpost.core.routing import Endpoint
 from dogwoodpost.core.routing import RouteQuery
 
 if TYPE_CHECKING:
     from dogwoodpost.core.batches.placement import ItemPlacement
-    from dogwoodpost.core.batches.token_loads import TokenLoads
     from dogwoodpost.core.batches.waiting_items import PlaceRequest
     from dogwoodpost.core.routing import OpenEndpoint
     from dogwoodpost.core.routing import Router
@@ -47,18 +47,16 @@
         placement: ItemPlacement,
         clock: Clock,
         loads: LoadingEndpoints,
-        token_loads: TokenLoads,
     ) -> None:
         self._router = router
         self._placement = placement
         self._clock = clock
         self._loads = loads
-        self._token_loads = token_loads
         self._waiting = WaitingItems()
         self._futures: dict[int, asyncio.Future[Place]] = {}
-        self._blocked_until_s: dict[
-            tuple[ids.EndpointId, ids.ModelName | None], float
-        ] = {}
+        self._blocks: ExpiringKeys[
+            tuple[ids.EndpointId, ids.ModelName | None]
+        ] = ExpiringKeys()
         self._timer: asyncio.TimerHandle | None = None
         self._is_start_due = False
 
@@ -91,7 +89,7 @@
     ) -> None:
         """Give a place back and tell how its endpoint did."""
         endpoint_id = place.endpoint.endpoint_id
-        self._token_loads.remove(endpoint_id, place.token_count)
+        self._placement.token_loads.remove(endpoint_id, place.token_count)
         result = AttemptResult(failed=failed, judged=judged)
         self._router.finish(
             request.service,
@@ -110,7 +108,7 @@
     ) -> None:
         """Start no items of a model at an endpoint for a time."""
         until_s = self._clock.monotonic_s() + duration_s
-        self._blocked_until_s[(endpoint_id, model)] = until_s
+        self._blocks.add((endpoint_id, model), until_s)
 
     def should_move(self, place: Place, request: PlaceRequest) -> bool:
         """Return whether a running item is better off elsewhere."""
@@ -169,7 +167,9 @@
             ids.AttemptId(uuid.uuid4().hex),
             request.expected_token_count,
         )
-        self._token_loads.add(endpoint.endpoint_id, place.token_count)
+        self._placement.token_loads.add(
+            endpoint.endpoint_id, place.token_count
+        )
         self._router.begin(
             endpoint.endpoint_id,
             place.attempt_id,
@@ -198,14 +198,9 @@
         self, model: ids.ModelName | None, now_s: float
     ) -> frozenset[ids.EndpointId]:
         """Return the endpoints that take no items of a model now."""
-        self._blocked_until_s = {
-            key: until_s
-            for key, until_s in self._blocked_until_s.items()
-            if now_s < until_s
-        }
         blocked = frozenset(
             endpoint_id
-            for endpoint_id, blocked_model in self._blocked_until_s
+            for endpoint_id, blocked_model in self._blocks.current(now_s)
             if blocked_model == model
         )
         return blocked | self._loads.of_model(model, now_s)
--- a/src/dogwoodpost/services/batches/job_forwarder.py
+++ b/src/dogwoodpost/services/batches/job_forwarder.py
@@ -8,6 +8,7 @@
 
 from dogwoodpost.core.batches.preferred_owner import affinity_key
 from dogwoodpost.core.batches.preferred_owner import preferred_owner
+from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.ports.job_forwarding import ForwardOutcome
 
 if TYPE_CHECKING:
@@ -48,7 +49,7 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
-        self._avoided_until_s: dict[ids.ProcessId, float] = {}
+        self._avoided: ExpiringKeys[ids.ProcessId] = ExpiringKeys()
 
     async def forward(
         self, job: BatchJob, submission: JobSubmission
@@ -73,21 +74,17 @@
         )
         if outcome is not ForwardOutcome.ACCEPTED:
             until_s = self._clock.monotonic_s() + _AVOID_S
-            self._avoided_until_s[owner_id] = until_s
+            self._avoided.add(owner_id, until_s)
         return outcome
 
     def _candidates(self) -> dict[ids.ProcessId, PresenceRecord]:
         """Return the processes of the own zone that take jobs."""
         now_s = self._clock.monotonic_s()
-        self._avoided_until_s = {
-            process_id: until_s
-            for process_id, until_s in self._avoided_until_s.items()
-            if now_s < until_s
-        }
+        avoided = self._avoided.current(now_s)
         return {
             process_id: record
             for process_id, record in self._presence.view.live(now_s).items()
-            if process_id not in self._avoided_until_s
+            if process_id not in avoided
             and record.availability_zone == self._presence.availability_zone
             and record.address
         }
--- a/src/dogwoodpost/services/control/weight_director.py
+++ b/src/dogwoodpost/services/control/weight_director.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.core.weights.load_duration import LoadDuration
 from dogwoodpost.core.weights.load_duration import LOOK_INTERVAL_S
 from dogwoodpost.core.weights.staggered_loads import max_parallel_loads
@@ -78,7 +79,7 @@
         self._tasks = BackgroundTasks()
         self._duration = LoadDuration()
         self._loading: set[ids.EndpointId] = set()
-        self._paused_until_s: dict[ids.EndpointId, float] = {}
+        self._paused: ExpiringKeys[ids.EndpointId] = ExpiringKeys()
 
     async def close(self) -> None:
         """Stop to follow loads; orders that were sent are carried out."""
@@ -115,8 +116,8 @@
         endpoint_id = endpoint.endpoint_id
         if endpoint_id in self._loading:
             return False
-        paused_until_s = self._paused_until_s.get(endpoint_id, 0.0)
-        return self._clock.monotonic_s() >= paused_until_s
+        now_s = self._clock.monotonic_s()
+        return endpoint_id not in self._paused.current(now_s)
 
     async def _load(
         self,
@@ -259,4 +260,4 @@
 
     def _pause(self, endpoint: Endpoint, duration_s: float) -> None:
         until_s = self._clock.monotonic_s() + duration_s
-        self._paused_until_s[endpoint.endpoint_id] = until_s
+        self._paused.add(endpoint.endpoint_id, until_s)
--- a/tests/core/batches/test_placement.py
+++ b/tests/core/batches/test_placement.py
@@ -48,7 +48,7 @@
 ) -> None:
     """Guards against one endpoint that gets all items."""
     candidates = [open_endpoint('a', 3), open_endpoint('b', 1)]
-    chosen = ItemPlacement(pace, TokenLoads()).choose(candidates, 0.0)
+    chosen = ItemPlacement(pace).choose(candidates, 0.0)
     assert chosen is candidates[1]
 
 
@@ -59,7 +59,7 @@
     observe(pace, 'a', 0.15)
     observe(pace, 'b', 0.04)
     observe(pace, 'c', 0.04)
-    placement = ItemPlacement(pace, TokenLoads())
+    placement = ItemPlacement(pace)
     candidates = [open_endpoint('a', 0), open_endpoint('b', 14)]
     chosen = placement.choose(candidates, 0.0)
     assert chosen is candidates[1]
@@ -73,7 +73,7 @@
     """Guards against items that give up a place and find no other."""
     observe(pace, 'a', 0.15)
     observe(pace, 'b', 0.04)
-    placement = ItemPlacement(pace, TokenLoads())
+    placement = ItemPlacement(pace)
     only = [open_endpoint('a', 5)]
     assert not placement.should_move(ids.EndpointId('a'), only, 0.0)
 
@@ -194,7 +194,7 @@
     pace = EndpointEventPace()
     for name, gap_s in event_s.items():
         observe(pace, name, gap_s)
-    placement = ItemPlacement(pace, TokenLoads())
+    placement = ItemPlacement(pace)
     ends: list[tuple[float, str]] = []
     now_s = 0.0
     last_s = 0.0
@@ -233,15 +233,13 @@
     """
     rng = random.Random(seed)
     names = [f'engine-{number}' for number in range(6)]
-    token_loads = TokenLoads()
-    placement = ItemPlacement(
-        EndpointEventPace(), token_loads if by_tokens else TokenLoads()
-    )
+    placement = ItemPlacement(EndpointEventPace())
     counts = dict.fromkeys(names, 0)
     tokens = dict.fromkeys(names, 0)
 
     def place(name: str, token_count: int) -> None:
-        token_loads.add(ids.EndpointId(name), token_count)
+        if by_tokens:
+            placement.token_loads.add(ids.EndpointId(name), token_count)
         counts[name] += 1
         tokens[name] += token_count
 
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -27,6 +27,7 @@
 from dogwoodpost.platform.settings import ProcessSettings
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
+from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.process import running
 from dogwoodpost.standins.memory_row_store import MemoryRowStore
 from dogwoodpost.standins.site.duty_app import DutyApp
@@ -36,6 +37,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from dogwoodpost.core.batches import JobHead
+
 HOST = 'site.example'
 KEY = 'key-of-buyers'
 ACCOUNT = 'buyers'
@@ -363,6 +366,11 @@
         )
         return status
 
+    async def head(self, job_id: str) -> JobHead:
+        """Return what the store has of a job."""
+        page = await self.store.read(job_rows.HEAD_TABLE, job_id)
+        return job_rows.decode_head(page.rows[0].value or b'')
+
     async def results(
         self,
         node: Node | SpawnedNode,
--- a/tests/platform/raw_endpoint.py
+++ b/tests/platform/raw_endpoint.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from tests.platform.loopback import loopback_server
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Awaitable
@@ -125,10 +127,5 @@
 ) -> AsyncIterator[RawEndpoint]:
     """Serve on loopback during the block."""
     endpoint = RawEndpoint(answer)
-    server = await asyncio.start_server(endpoint._serve, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
-    endpoint.address = f'{host}:{port}'
-    try:
+    async with loopback_server(endpoint._serve) as endpoint.address:
         yield endpoint
-    finally:
-        server.close()
--- a/tests/platform/store_gate.py
+++ b/tests/platform/store_gate.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from tests.platform.loopback import loopback_server
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -75,11 +77,8 @@
 async def store_gate(target: str) -> AsyncIterator[StoreGate]:
     """Serve on loopback during the block."""
     gate = StoreGate(target)
-    server = await asyncio.start_server(gate.serve, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
-    gate.address = f'{host}:{port}'
-    try:
-        yield gate
-    finally:
-        server.close()
-        gate.set(GateState.RESETTING)
+    async with loopback_server(gate.serve) as gate.address:
+        try:
+            yield gate
+        finally:
+            gate.set(GateState.RESETTING)
--- a/tests/platform/test_job_forwarding.py
+++ b/tests/platform/test_job_forwarding.py
@@ -11,7 +11,6 @@
 import pytest
 
 from dogwoodpost.core import ids
-from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.batches.preferred_owner import preferred_owner
 from dogwoodpost.platform.job_forwarding import FORWARDED
 from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
@@ -19,6 +18,7 @@
 from dogwoodpost.ports.job_forwarding import JobSubmission
 from dogwoodpost.services.batches import job_rows
 from dogwoodpost.standins.memory_row_store import RowFault
+from tests.platform.loopback import loopback_server
 from tests.platform.platform_site import EVENT_COUNT
 from tests.platform.platform_site import HOST
 from tests.platform.platform_site import MODEL
@@ -44,12 +44,6 @@
     return owner, other
 
 
-async def owner_of(site: Site, job_id: str) -> str:
-    page = await site.store.read(job_rows.HEAD_TABLE, job_id)
-    head = msgspec.msgpack.decode(page.rows[0].value or b'', type=JobHead)
-    return head.owner_id
-
-
 async def test_one_process_runs_the_jobs_of_a_model(site: Site) -> None:
     """Guards against owners that race for the places of one model."""
     owner, _ = owner_and_other()
@@ -59,7 +53,7 @@
             job_id = f'job-{number}'
             assert await site.submit(node, site.job(2), job_id) == 202
             results = await site.results(node, job_id, 2)
-            assert await owner_of(site, job_id) == owner
+            assert (await site.head(job_id)).owner_id == owner
             assert all(
                 len(one['text'].splitlines()) == EVENT_COUNT for one in results
             )
@@ -92,7 +86,7 @@
             assert await site.submit(node, site.job(2), 'job-1') == 202
             assert loop.time() - start_s < 0.6
             await site.results(node, 'job-1', 2)
-    assert await owner_of(site, 'job-1') == other
+    assert (await site.head('job-1')).owner_id == other
 
 
 async def test_a_refusal_is_true_while_the_owner_may_still_accept(
@@ -119,13 +113,12 @@
     ],
 ) -> ForwardOutcome:
     """Return the outcome at a process that answers in a given way."""
-    server = await asyncio.start_server(answer, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
-    async with aiohttp.ClientSession() as session:
+    async with (
+        loopback_server(answer) as address,
+        aiohttp.ClientSession() as session,
+    ):
         client = HttpJobForwardingClient(session, 'node-1')
-        outcome = await client.submit(f'{host}:{port}', SUBMISSION)
-    server.close()
-    return outcome
+        return await client.submit(address, SUBMISSION)
 
 
 @pytest.mark.parametrize(
@@ -191,7 +184,7 @@
     async def submit(node: Node, job_id: str) -> str:
         assert await site.submit(node, site.job(1), job_id) == 202
         await site.results(node, job_id, 1)
-        return await owner_of(site, job_id)
+        return (await site.head(job_id)).owner_id
 
     async with site.node(other) as node, site.node(owner) as leaving:
         await asyncio.sleep(HEARTBEAT_READ_S)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -9,8 +9,6 @@
 import aiohttp
 import msgspec
 
-from dogwoodpost.core.batches import JobHead
-from dogwoodpost.services.batches import job_rows
 from dogwoodpost.standins.site.sampler_app import SamplerFault
 
 if TYPE_CHECKING:
@@ -204,7 +202,6 @@
         assert await site.submit(node, site.job(8), 'job-1') == 202
         await asyncio.sleep(0.4)
         await node.process._batches.hand_over()
-        page = await site.store.read(job_rows.HEAD_TABLE, 'job-1')
-    head = msgspec.msgpack.decode(page.rows[0].value or b'', type=JobHead)
+        head = await site.head('job-1')
     assert head.owner_id == ''
     assert head.listed_count == sum(fast.runs.values()) >= 2
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -7,7 +7,6 @@
 import msgspec
 import pytest
 
-from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.membership.presence import PresenceRecord
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
@@ -18,7 +17,6 @@
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
-from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.membership import presence_service
 from tests.platform.platform_site import EVENT_COUNT
 from tests.platform.platform_site import Site
@@ -41,12 +39,6 @@
     return 0
 
 
-async def owner_of(site: Site, job_id: str) -> str:
-    page = await site.store.read(job_rows.HEAD_TABLE, job_id)
-    head = msgspec.msgpack.decode(page.rows[0].value or b'', type=JobHead)
-    return head.owner_id
-
-
 @pytest.mark.parametrize('state', SHUT_STATES)
 async def test_owner_lists_results_by_a_peer(
     site: Site, state: GateState
@@ -70,7 +62,7 @@
                     len(one['text'].splitlines()) == EVENT_COUNT
                     for one in results
                 )
-                assert await owner_of(site, 'job-1') == 'node-1'
+                assert (await site.head('job-1')).owner_id == 'node-1'
                 # Runs and reads go on where the store is out of reach.
                 await site.results(owner, 'job-2', 2)
 
--- a/tests/services/batches/test_item_dispatcher.py
+++ b/tests/services/batches/test_item_dispatcher.py
@@ -11,7 +11,6 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
 from dogwoodpost.core.batches.placement import ItemPlacement
-from dogwoodpost.core.batches.token_loads import TokenLoads
 from dogwoodpost.core.batches.waiting_items import PlaceRequest
 from dogwoodpost.core.routing import AttemptResult
 from dogwoodpost.core.routing import Endpoint
@@ -69,9 +68,8 @@
 def dispatcher(
     router: Router, clock: VirtualClock, loads: LoadingEndpoints
 ) -> ItemDispatcher:
-    token_loads = TokenLoads()
-    placement = ItemPlacement(EndpointEventPace(), token_loads)
-    return ItemDispatcher(router, placement, clock, loads, token_loads)
+    placement = ItemPlacement(EndpointEventPace())
+    return ItemDispatcher(router, placement, clock, loads)
 
 
 async def test_blocked_endpoint_on_probation_stops_nothing(
