Refuse calls of peers that name no time limit

Cause, found by reading: a call for a peer without its header, or with 0, went to the store without any time limit, and a value that is no number was answered by a 500. Processes of this version always send the header.

--- a/src/dogwoodpost/platform/store_relay.py
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -27,7 +27,7 @@
 
 _log = structlog.get_logger(__name__)
 _PREFIX = '/store/'
-_TIMEOUT_HEADER = 'Dogwoodpost-Timeout-Ms'
+TIMEOUT_HEADER = 'Dogwoodpost-Timeout-Ms'
 _CONNECT_TIMEOUT_S = 0.1
 # What a call takes between two processes, beside the store's own time.
 _HOP_S = 0.2
@@ -36,6 +36,7 @@
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _MS_PER_S = 1_000
 _PASSED_HEADERS = ('Content-Type', 'If-None-Match')
+_STATUS_BAD_REQUEST = 400
 _STATUS_UNAVAILABLE = 503
 _STATUS_UNKNOWN = 504
 
@@ -89,7 +90,7 @@
         )
         headers = {
             **call.headers,
-            _TIMEOUT_HEADER: str(round(call.timeout_s * _MS_PER_S)),
+            TIMEOUT_HEADER: str(round(call.timeout_s * _MS_PER_S)),
         }
         with call_errors(call.name):
             async with self._session.request(
@@ -130,7 +131,12 @@
     """Return the application for the calls of peers."""
 
     async def serve(request: web.Request) -> web.Response:
-        timeout_ms = int(request.headers.get(_TIMEOUT_HEADER, '0'))
+        timeout_s = _timeout_s(request)
+        if timeout_s is None:
+            return web.Response(
+                status=_STATUS_BAD_REQUEST,
+                text=f'{TIMEOUT_HEADER} must be a whole number above 0',
+            )
         call = StoreCall(
             method=request.method,
             name=request.path.removeprefix(_PREFIX),
@@ -141,7 +147,7 @@
                 for name in _PASSED_HEADERS
                 if name in request.headers
             },
-            timeout_s=timeout_ms / _MS_PER_S,
+            timeout_s=timeout_s,
         )
         try:
             status, data = await store.call_for_peer(call)
@@ -158,3 +164,11 @@
     )
     app.router.add_route('*', f'{_PREFIX}{{name:.*}}', serve)
     return app
+
+
+def _timeout_s(request: web.Request) -> float | None:
+    """Return how long a call may take, None if it does not say."""
+    value = request.headers.get(TIMEOUT_HEADER, '')
+    if not value.isdecimal() or int(value) == 0:
+        return None
+    return int(value) / _MS_PER_S
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -14,6 +14,7 @@
 from dogwoodpost.platform.store_client import PlatformRowStore
 from dogwoodpost.platform.store_connection import StoreCall
 from dogwoodpost.platform.store_connection import StoreConnection
+from dogwoodpost.platform.store_relay import TIMEOUT_HEADER
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
@@ -136,3 +137,18 @@
         gate.set(GateState.OPEN)
         await rows.commit([RowCheck(key, 0)], [RowWrite(key, b'second')])
     assert site.store.rows[key].value == b'second'
+
+
+@pytest.mark.parametrize('value', [None, '', 'soon', '0', '-5'])
+async def test_a_peer_call_without_a_time_limit_is_refused(
+    site: Site, value: str | None
+) -> None:
+    """Guards against calls to the store that may take for ever."""
+    headers = {} if value is None else {TIMEOUT_HEADER: value}
+    async with site.node('node-1') as node:
+        address = node.process._settings.peer_address
+        async with site.session.get(
+            f'http://{address}/store/rows-get?table=op&part=', headers=headers
+        ) as response:
+            assert response.status == 400
+            assert TIMEOUT_HEADER in await response.text()
