--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -64,18 +64,30 @@
         :param attempt_id: id under which the router counts the attempt.
         :raises RequestError: the request is refused and has not run.
         """
-        if not self._router.has_endpoint(ticket.service):
-            raise RequestError(
-                'no_endpoint',
-                'no endpoint of the service is available',
-                status=503,
-                not_run=True,
-                retry_after_s=self._admission.retry_after_s(0.0),
-            )
+        if not self._router.has_endpoint(query):
+            raise self._no_endpoint_error(query)
         mean_duration_s = self._router.mean_duration_s(ticket.service)
         self._admission.submit(ticket, now_s, mean_duration_s)
         self._pending[id(ticket)] = _PendingRequest(query, attempt_id)
 
+    def _no_endpoint_error(self, query: RouteQuery) -> RequestError:
+        code = 'no_endpoint'
+        message = 'no endpoint of the service is available'
+        if query.allowed_regions.is_empty:
+            code = 'no_allowed_region'
+            message = (
+                'route and client account have no allowed region in common'
+            )
+        elif query.allowed_regions.is_limited:
+            message += ' in the allowed regions'
+        return RequestError(
+            code,
+            message,
+            status=503,
+            not_run=True,
+            retry_after_s=self._admission.retry_after_s(0.0),
+        )
+
     def withdraw(self, ticket: Ticket, now_s: float) -> None:
         """Dequeue a waiting request without starting it."""
         del self._pending[id(ticket)]
--- a/src/dogwoodpost/core/batches/job.py
+++ b/src/dogwoodpost/core/batches/job.py
@@ -36,6 +36,8 @@
 class BatchJob(msgspec.Struct, frozen=True, kw_only=True):
     """A batch job as it was accepted; immutable.
 
+    :param route_name: route by which it was submitted; with the client
+        account it decides in which regions the job may be kept.
     :param accepted_wall_s: time of acceptance in seconds since the Unix
         epoch, by the clock of the host that accepted the job.
     :param due_s: seconds after acceptance when the results are due.
@@ -63,3 +65,4 @@
     min_version: ids.WeightVersion | None = None
     desired_group_count: int | None = None
     single_version: bool = False
+    route_name: ids.RouteName = ids.RouteName('')
--- a/src/dogwoodpost/core/batches/job_head.py
+++ b/src/dogwoodpost/core/batches/job_head.py
@@ -25,6 +25,7 @@
     :param total_count: number of items.
     :param listed_count: number of results that have a position in the job's
         list, where readers see them.
+    :param route_name: route by which the job was submitted.
     """
 
     owner_id: ids.ProcessId
@@ -34,6 +35,7 @@
     total_count: int
     listed_count: int = 0
     state: JobState = JobState.OPEN
+    route_name: ids.RouteName = ids.RouteName('')
 
     def belongs_to(
         self, process_id: ids.ProcessId, incarnation: ids.Incarnation
--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -19,6 +21,7 @@
 class PlacementRequest(msgspec.Struct, frozen=True, kw_only=True):
     """An item's requirements for an endpoint, and its urgency.
 
+    :param allowed_regions: regions of the endpoints that may run the item.
     :param due_s: when the job's results are due, on the process's clock.
     :param expected_token_count: expected output length, in tokens.
     :param expected_duration_s: expected time to generate the rest of the
@@ -40,6 +43,7 @@
     avoided_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
     avoided_until_s: float = 0.0
     interrupted_endpoint_id: ids.EndpointId | None = None
+    allowed_regions: AllowedRegions = ANY_REGION
 
 
 def urgency_key(request: PlacementRequest) -> tuple[float, int]:
--- a/src/dogwoodpost/core/configuration/model.py
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 
 
 class ServiceKind(Enum):
@@ -58,11 +60,15 @@
 
 
 class ClientAccount(msgspec.Struct, frozen=True, kw_only=True):
-    """Client account, whose keys may send requests."""
+    """Client account, whose keys may send requests.
+
+    :param allowed_regions: regions in which its requests may be served.
+    """
 
     client_account_id: ids.ClientAccountId
     limits: Limits = Limits()
     enabled: bool = True
+    allowed_regions: AllowedRegions = ANY_REGION
 
 
 class KeyRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,6 +99,7 @@
     :param due_ms: time until the results of a batch job are due.
     :param item_lifetime_s: time after which an item of a batch job may be
         given up.
+    :param allowed_regions: regions in which its requests may be served.
     """
 
     name: ids.RouteName
@@ -113,6 +120,14 @@
     single_version: bool = False
     due_ms: int = 60_000
     item_lifetime_s: float = 600.0
+    allowed_regions: AllowedRegions = ANY_REGION
+
+    @property
+    def services(self) -> tuple[ids.ServiceName, ...]:
+        """Return the services that may run the route's requests."""
+        if not self.weighted_services:
+            return (self.service,)
+        return tuple(weighted.service for weighted in self.weighted_services)
 
 
 class ZoneScale(msgspec.Struct, frozen=True, kw_only=True):
@@ -158,3 +173,24 @@
         default_factory=dict
     )
     routes: dict[ids.RouteName, Route] = msgspec.field(default_factory=dict)
+
+    def allowed_regions(
+        self,
+        route_name: ids.RouteName,
+        client_account_id: ids.ClientAccountId | None,
+    ) -> AllowedRegions:
+        """Return where requests of a route and an account may be served.
+
+        Both limit the regions; an unknown route or account limits nothing.
+
+        :param client_account_id: None for requests without an account.
+        """
+        regions = ANY_REGION
+        route = self.routes.get(route_name)
+        if route is not None:
+            regions = route.allowed_regions
+        if client_account_id is not None:
+            account = self.client_accounts.get(client_account_id)
+            if account is not None:
+                regions = regions.intersection(account.allowed_regions)
+        return regions
--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -25,6 +25,7 @@
     peer_address: str = ''
     availability_zone: ids.AvailabilityZone = ids.AvailabilityZone('')
     cores: float = 1.0
+    region: ids.Region = ids.Region('')
 
 
 class _TrackedProcess(msgspec.Struct):
--- a/src/dogwoodpost/core/routing/route_query.py
+++ b/src/dogwoodpost/core/routing/route_query.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 
 
 class RouteQuery(msgspec.Struct, frozen=True, kw_only=True):
@@ -19,6 +21,7 @@
     :param model: model to which ``min_weight_version`` applies; None where an
         endpoint has only one model.
     :param excluded: endpoints that must not be chosen.
+    :param allowed_regions: regions of the endpoints that may be chosen.
     :param requires_free_slot: skip full endpoints; for requests that can wait
         in the queue instead.
     :param passed_over_s: time since the request was first left in the queue
@@ -38,6 +41,7 @@
     model: ids.ModelName | None = None
     min_weight_version: ids.WeightVersion | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
+    allowed_regions: AllowedRegions = ANY_REGION
     requires_free_slot: bool = True
     passed_over_s: float = 0.0
     account_underserved: bool = False
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -91,10 +91,20 @@
         """Apply cache events; after a gap, earlier blocks are dropped."""
         self._index.record_events(events)
 
-    def has_endpoint(self, service: ids.ServiceName) -> bool:
-        """Return whether any endpoint of a service is ready, not draining."""
-        pool = self._pools.get(service)
-        return pool is not None and any(pool.eligible().values())
+    def has_endpoint(self, query: RouteQuery) -> bool:
+        """Return whether any endpoint in an allowed region is in use.
+
+        Endpoints that drain or are not ready are not in use. Load, health and
+        weight versions, which change soon, are not considered.
+        """
+        pool = self._pools.get(query.service)
+        if pool is None:
+            return False
+        return any(
+            query.allowed_regions.permits(pool.endpoints[endpoint_id].region)
+            for endpoint_ids in pool.eligible().values()
+            for endpoint_id in endpoint_ids
+        )
 
     def mean_duration_s(self, service: ids.ServiceName) -> float:
         """Return the mean duration of a service's attempts, in seconds."""
@@ -308,6 +318,8 @@
         endpoint = pool.endpoints.get(endpoint_id)
         if endpoint is None or endpoint.draining or not endpoint.ready:
             return False
+        if not query.allowed_regions.permits(endpoint.region):
+            return False
         needed = query.min_weight_version
         if needed is None:
             return True
--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -230,6 +230,7 @@
         ),
         desired_group_count=wire.desired,
         single_version=route.single_version,
+        route_name=route.name,
     )
 
 
--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -20,6 +20,7 @@
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
     from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
+    from dogwoodpost.ports.configuration_source import ConfigurationSource
     from dogwoodpost.ports.endpoint_gateway import EndpointGateway
     from dogwoodpost.ports.object_store import ObjectStore
     from dogwoodpost.ports.row_store import RowStore
@@ -35,6 +36,7 @@
     gateway: EndpointGateway,
     pipeline: RequestPipeline,
     routes: RouteFinder,
+    configuration: ConfigurationSource,
     registry: EndpointRegistry,
     loading_endpoints: LoadingEndpoints,
     rng: random.Random,
@@ -45,6 +47,7 @@
     dispatcher = ItemDispatcher(
         pipeline.router, ItemPlacement(pace), clock, loading_endpoints
     )
+    configuration.subscribe(lambda _: dispatcher.restart_waiting())
     return BatchContext(
         identity=identity,
         store=JobStore(rows, objects, clock, rng),
@@ -54,6 +57,7 @@
         pace=pace,
         lengths=OutputLengths(),
         endpoints=registry,
+        router=pipeline.router,
         routes=routes,
         scorer=ItemScorer(pipeline, routes, clock, header_names.SIGNATURE),
         clock=clock,
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -8,6 +8,8 @@
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.configuration import ClientAccount
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import KeyRecord
@@ -23,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from dogwoodpost.ports.clock import Clock
@@ -69,6 +72,7 @@
     public: bool = False
     resumable: bool = False
     single_version: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _WireScale(_WireStruct, frozen=True, kw_only=True):
@@ -98,6 +102,7 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _WireLimits(_WireStruct, frozen=True, kw_only=True):
@@ -120,6 +125,7 @@
 class ConfigurationRows(ConfigurationSource):
     """Configuration source that is fed with the rows of the operator's table.
 
+    :param region_by_zone: all availability zones and their regions.
     :param max_age_s: seconds after the last contact with the store for which
         routes that need a key are served; None for no limit.
     """
@@ -128,11 +134,13 @@
         self,
         announced_versions: AnnouncedVersions,
         clock: Clock,
+        region_by_zone: Mapping[str, str],
         *,
         max_age_s: float | None,
     ) -> None:
         self._announced_versions = announced_versions
         self._clock = clock
+        self._regions = frozenset(region_by_zone.values())
         self._max_age_s = max_age_s
         self._current = Configuration()
         self._row_version = 0
@@ -184,17 +192,19 @@
             return
         try:
             wire = msgspec.json.decode(value, type=_WireConfiguration)
-        except msgspec.MsgspecError as error:
+            configuration = _to_configuration(wire, self._regions)
+        except (msgspec.MsgspecError, _RegionsError) as error:
             _log.error(
                 'configuration_unreadable',
                 row_version=row_version,
                 error=str(error),
+                kept_revision=self._current.revision,
             )
             return
         self._row_version = row_version
         if wire.version <= self._current.revision:
             return
-        self._current = _to_configuration(wire)
+        self._current = configuration
         _log.info(
             'configuration_applied',
             revision=wire.version,
@@ -217,13 +227,27 @@
         )
 
 
-def _to_configuration(wire: _WireConfiguration) -> Configuration:
+class _RegionsError(ValueError):
+    """A list of allowed regions is not valid."""
+
+
+def _to_configuration(
+    wire: _WireConfiguration, known_regions: frozenset[str]
+) -> Configuration:
+    """Convert a decoded configuration.
+
+    :raises _RegionsError: a region is unknown or listed twice.
+    """
     accounts: dict[ids.ClientAccountId, ClientAccount] = {}
     keys: dict[ids.KeyId, KeyRecord] = {}
     for tenant in wire.tenants:
         account_id = ids.ClientAccountId(tenant.name)
         accounts[account_id] = ClientAccount(
-            client_account_id=account_id, limits=NO_LIMITS
+            client_account_id=account_id,
+            limits=NO_LIMITS,
+            allowed_regions=_to_allowed_regions(
+                tenant.allowed_regions, known_regions, f'tenant {tenant.name}'
+            ),
         )
         for key in tenant.api_keys:
             digest = key_digest(key)
@@ -231,7 +255,10 @@
             keys[key_id] = KeyRecord(
                 key_id=key_id, client_account_id=account_id, digest=digest
             )
-    routes = [_to_route(wire_route, wire) for wire_route in wire.routes]
+    routes = [
+        _to_route(wire_route, wire, known_regions)
+        for wire_route in wire.routes
+    ]
     services = [_to_service(wire_service) for wire_service in wire.services]
     return Configuration(
         revision=ids.Revision(wire.version),
@@ -242,7 +269,30 @@
     )
 
 
-def _to_route(wire: _WireRoute, configuration: _WireConfiguration) -> Route:
+def _to_allowed_regions(
+    names: tuple[str, ...], known_regions: frozenset[str], place: str
+) -> AllowedRegions:
+    """Return the regions of a list; an empty list allows all of them.
+
+    :param place: what the list belongs to, for the error message.
+    :raises _RegionsError: a region is unknown or listed twice.
+    """
+    if not names:
+        return ANY_REGION
+    regions = frozenset(names)
+    if len(regions) < len(names):
+        raise _RegionsError(f'{place} lists a region twice: {names}')
+    if not regions <= known_regions:
+        unknown = ', '.join(sorted(regions - known_regions))
+        raise _RegionsError(f'{place} lists unknown regions: {unknown}')
+    return AllowedRegions(frozenset(ids.Region(name) for name in names))
+
+
+def _to_route(
+    wire: _WireRoute,
+    configuration: _WireConfiguration,
+    known_regions: frozenset[str],
+) -> Route:
     timeout_ms = wire.timeout_ms or _DEFAULT_TIMEOUT_MS
     weighted_services = tuple(
         WeightedService(
@@ -273,6 +323,9 @@
         single_version=wire.single_version,
         due_ms=int(wire.due_ms or timeout_ms),
         item_lifetime_s=wire.queue_ttl_s or timeout_ms / 1_000,
+        allowed_regions=_to_allowed_regions(
+            wire.allowed_regions, known_regions, f'route {wire.name}'
+        ),
     )
 
 
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -127,6 +127,7 @@
         self._configuration = configuration_rows.ConfigurationRows(
             self._announced_versions,
             self._clock,
+            settings.zones,
             max_age_s=_max_age_s(settings),
         )
         self._router = Router(
@@ -188,6 +189,7 @@
             address=self._settings.listen.get('front', ''),
             peer_address=self._settings.peer_address,
             availability_zone=ids.AvailabilityZone(self._settings.zone),
+            region=ids.Region(self._settings.region),
             cores=self._settings.limits.cpu_share
             * self._settings.limits.cores,
         )
@@ -218,6 +220,7 @@
             metrics=self._metrics,
             clock=self._clock,
             rng=self._rng,
+            current_configuration=self._configuration.current,
             bills_begun_requests=True,
         )
         routes = RouteFinder(self._configuration)
@@ -275,6 +278,7 @@
             gateway=gateway,
             pipeline=pipeline,
             routes=routes,
+            configuration=self._configuration,
             registry=self._registry,
             loading_endpoints=self._loading_endpoints,
             rng=self._rng,
--- a/src/dogwoodpost/platform/store_client.py
+++ b/src/dogwoodpost/platform/store_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.platform.store_connection import StoreConnection
     from dogwoodpost.ports.row_store import RowCheck
     from dogwoodpost.ports.row_store import RowWrite
@@ -87,10 +89,22 @@
 
 
 class PlatformRowStore(RowStore):
-    """Rows in the platform's store."""
+    """Rows in the platform's store.
 
-    def __init__(self, connection: StoreConnection) -> None:
+    :param allowed_regions: regions of the processes that may relay calls.
+    """
+
+    def __init__(
+        self,
+        connection: StoreConnection,
+        allowed_regions: AllowedRegions = ANY_REGION,
+    ) -> None:
         self._connection = connection
+        self._allowed_regions = allowed_regions
+
+    def within(self, allowed_regions: AllowedRegions) -> PlatformRowStore:
+        """Return the store with calls relayed only in some regions."""
+        return PlatformRowStore(self._connection, allowed_regions)
 
     async def read(
         self,
@@ -107,7 +121,12 @@
             query['from'] = start
         if end:
             query['to'] = end
-        page = await self._connection.read('rows-get', query, _WirePage)
+        page = await self._connection.read(
+            'rows-get',
+            query,
+            _WirePage,
+            allowed_regions=self._allowed_regions,
+        )
         return _row_page(page)
 
     async def partitions(self, table: str) -> list[str]:
@@ -134,6 +153,7 @@
                 name='rows-tx',
                 body=_transaction(checks, writes),
                 headers=_JSON_HEADERS,
+                allowed_regions=self._allowed_regions,
             )
         )
         if status == _STATUS_PRECONDITION_FAILED:
@@ -165,10 +185,22 @@
 
 
 class PlatformObjectStore(ObjectStore):
-    """Objects in the platform's store, where they are called blobs."""
+    """Objects in the platform's store, where they are called blobs.
+
+    :param allowed_regions: regions of the processes that may relay calls.
+    """
 
-    def __init__(self, connection: StoreConnection) -> None:
+    def __init__(
+        self,
+        connection: StoreConnection,
+        allowed_regions: AllowedRegions = ANY_REGION,
+    ) -> None:
         self._connection = connection
+        self._allowed_regions = allowed_regions
+
+    def within(self, allowed_regions: AllowedRegions) -> PlatformObjectStore:
+        """Return the store with calls relayed only in some regions."""
+        return PlatformObjectStore(self._connection, allowed_regions)
 
     async def put(self, name: str, data: bytes) -> None:
         """Store an object; a repeat with the same data has no effect."""
@@ -179,6 +211,7 @@
                 body=data,
                 headers={'If-None-Match': '*'},
                 timeout_s=_OBJECT_TIMEOUT_S,
+                allowed_regions=self._allowed_regions,
             )
         )
         if status not in {_STATUS_OK, _STATUS_PRECONDITION_FAILED}:
@@ -193,6 +226,7 @@
                 method='GET',
                 name=f'blob-get/{name}',
                 timeout_s=_OBJECT_TIMEOUT_S,
+                allowed_regions=self._allowed_regions,
             )
         )
         if status == _STATUS_NOT_FOUND:
--- a/src/dogwoodpost/platform/store_connection.py
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -12,6 +12,8 @@
 import structlog
 import yarl
 
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.membership.store_path import StorePath
 from dogwoodpost.errors import HistoryLostError
 from dogwoodpost.errors import StoreOutcomeUnknownError
@@ -39,6 +41,7 @@
     """One call to the store.
 
     :param name: path of the call below ``/api/``.
+    :param allowed_regions: regions of the processes that may relay the call.
     """
 
     method: str
@@ -47,6 +50,7 @@
     body: bytes | None = None
     headers: dict[str, str] = {}
     timeout_s: float = CALL_TIMEOUT_S
+    allowed_regions: AllowedRegions = ANY_REGION
 
     @property
     def is_read_only(self) -> bool:
@@ -173,6 +177,7 @@
         query: dict[str, str],
         value_type: type[_T],
         timeout_s: float = CALL_TIMEOUT_S,
+        allowed_regions: AllowedRegions = ANY_REGION,
     ) -> _T:
         """Make a read-only call and return the decoded body.
 
@@ -183,7 +188,11 @@
         try:
             status, data = await self.call(
                 StoreCall(
-                    method='GET', name=name, query=query, timeout_s=timeout_s
+                    method='GET',
+                    name=name,
+                    query=query,
+                    timeout_s=timeout_s,
+                    allowed_regions=allowed_regions,
                 )
             )
         except StoreOutcomeUnknownError as error:
--- a/src/dogwoodpost/platform/store_relay.py
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.observability import Metrics
     from dogwoodpost.platform.store_connection import StoreConnection
     from dogwoodpost.services.membership.presence_service import (
@@ -70,7 +71,8 @@
         last_error = StoreUnavailableError(
             f'{call.name}: no peer is available'
         )
-        for address in self._peer_addresses(loop.time())[:_MAX_PEER_COUNT]:
+        addresses = self._peer_addresses(loop.time(), call.allowed_regions)
+        for address in addresses[:_MAX_PEER_COUNT]:
             try:
                 result = await self._call_through(address, call)
             except StoreUnavailableError as failure:
@@ -122,7 +124,9 @@
             )
         return response.status, data
 
-    def _peer_addresses(self, now_s: float) -> Sequence[str]:
+    def _peer_addresses(
+        self, now_s: float, allowed_regions: AllowedRegions
+    ) -> Sequence[str]:
         zone = self._presence.availability_zone
         failed_addresses = self._failed_peers.current(now_s)
         candidates = [
@@ -130,6 +134,7 @@
             for process_id, record in self._presence.live_peers().items()
             if record.peer_address
             and record.peer_address not in failed_addresses
+            and allowed_regions.permits(record.region)
         ]
         return [address for _, _, address in sorted(candidates)]
 
--- a/src/dogwoodpost/ports/object_store.py
+++ b/src/dogwoodpost/ports/object_store.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import abc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dogwoodpost.core.allowed_regions import AllowedRegions
 
 
 class ObjectStore(abc.ABC):
@@ -11,6 +15,13 @@
     Every method may raise ``StoreUnavailableError``.
     """
 
+    def within(self, allowed_regions: AllowedRegions) -> ObjectStore:
+        """Return the same store, whose calls pass only through some regions.
+
+        Stores that are called directly are not limited by it.
+        """
+        return self
+
     @abc.abstractmethod
     async def put(self, name: str, data: bytes) -> None:
         """Store an object; repeating it with the same data has no effect."""
--- a/src/dogwoodpost/ports/row_store.py
+++ b/src/dogwoodpost/ports/row_store.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dogwoodpost.core.allowed_regions import AllowedRegions
+
 
 class RowKey(msgspec.Struct, frozen=True, order=True):
     """Identifies a row; a transaction covers one partition."""
@@ -62,6 +64,13 @@
     Every method may raise ``StoreUnavailableError``.
     """
 
+    def within(self, allowed_regions: AllowedRegions) -> RowStore:
+        """Return the same store, whose calls pass only through some regions.
+
+        Stores that are called directly are not limited by it.
+        """
+        return self
+
     @abc.abstractmethod
     async def read(
         self,
--- a/src/dogwoodpost/services/batches/batch_context.py
+++ b/src/dogwoodpost/services/batches/batch_context.py
@@ -7,10 +7,13 @@
 if TYPE_CHECKING:
     import random
 
+    from dogwoodpost.core.allowed_regions import AllowedRegions
+    from dogwoodpost.core.batches import JobHead
     from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
     from dogwoodpost.core.batches.output_lengths import OutputLengths
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+    from dogwoodpost.core.routing import Router
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.endpoint_gateway import EndpointGateway
@@ -35,6 +38,7 @@
         pace: EndpointEventPace,
         lengths: OutputLengths,
         endpoints: EndpointRegistry,
+        router: Router,
         routes: RouteFinder,
         scorer: ItemScorer,
         clock: Clock,
@@ -49,8 +53,15 @@
         self.pace = pace
         self.lengths = lengths
         self.endpoints = endpoints
+        self.router = router
         self.routes = routes
         self.scorer = scorer
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
+
+    def head_regions(self, head: JobHead) -> AllowedRegions:
+        """Return the regions in which a job may be kept now."""
+        return self.routes.allowed_regions(
+            head.route_name, head.client_account_id
+        )
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -11,6 +11,7 @@
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.batches import JobState
+from dogwoodpost.core.routing import RouteQuery
 from dogwoodpost.errors import RequestError
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
@@ -28,6 +29,7 @@
     from collections.abc import AsyncIterator
 
     from dogwoodpost.core import ids
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.ports.job_forwarding import JobSubmission
     from dogwoodpost.services.batches.batch_context import BatchContext
@@ -40,6 +42,7 @@
 # If the feed of heads is older than this, a head is read from the store
 # before a client is told that a job or new results do not exist.
 _MAX_HEAD_AGE_S = 1.5
+_NO_REGION_RETRY_AFTER_S = 1.0
 
 
 class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,11 +120,17 @@
         """
         if self.directory.get(job.job_id) is not None:
             return
+        allowed_regions = self._context.routes.allowed_regions(
+            job.route_name, job.client_account_id
+        )
+        self._check_has_region(job, allowed_regions)
         if submission is None:
             self._check_accepts_forwarded()
             await self._accept(job, deadline_s)
             return
-        outcome = await self._forwarder.forward(job, submission)
+        outcome = await self._forwarder.forward(
+            job, submission, allowed_regions
+        )
         if outcome is ForwardOutcome.ACCEPTED:
             return
         try:
@@ -177,9 +186,10 @@
 
         :raises RequestError: there is no such item, or it can't be read.
         """
-        await self._head_for_account(job_id, client_account_id)
+        stored_head = await self._head_for_account(job_id, client_account_id)
+        allowed_regions = self._context.head_regions(stored_head.head)
         try:
-            job = await self._job_cache.get(job_id)
+            job = await self._job_cache.get(job_id, allowed_regions)
         except StoreError as error:
             raise _store_unavailable_error(error) from error
         if job is not None:
@@ -225,6 +235,36 @@
         """Release all unfinished jobs to other processes."""
         await self._workers.hand_over()
 
+    def _check_has_region(
+        self, job: BatchJob, allowed_regions: AllowedRegions
+    ) -> None:
+        """Refuse a job that no endpoint in an allowed region can run.
+
+        :raises RequestError: there is no such endpoint.
+        """
+        if not allowed_regions.is_limited:
+            return
+        configuration = self._context.routes.configuration
+        route = configuration.routes.get(job.route_name)
+        if route is None:
+            return
+        router = self._context.router
+        if any(
+            router.has_endpoint(
+                RouteQuery(service=service, allowed_regions=allowed_regions)
+            )
+            for service in route.services
+        ):
+            return
+        raise RequestError(
+            'no_endpoint',
+            'no endpoint of the job is in a region that route and client '
+            'account allow',
+            status=503,
+            not_run=True,
+            retry_after_s=_NO_REGION_RETRY_AFTER_S,
+        )
+
     def _check_accepts_forwarded(self) -> None:
         """Refuse a forwarded job if the sender should accept it itself.
 
@@ -248,6 +288,7 @@
             client_account_id=job.client_account_id,
             accepted_wall_s=job.accepted_wall_s,
             total_count=len(job.items),
+            route_name=job.route_name,
         )
         with self._workers.reserve_start(job.job_id):
             version = await self._store_job(job, head, deadline_s)
@@ -278,7 +319,9 @@
             unknown.
         """
         try:
-            return await self._context.store.accept(job, head, deadline_s)
+            return await self._context.store.accept(
+                job, head, deadline_s, self._context.head_regions(head)
+            )
         except RowConflictError:
             return None
         except StoreOutcomeUnknownError as error:
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -59,19 +59,22 @@
         self._clock = clock
         self._loading_endpoints = loading_endpoints
         self._waiting = WaitingItems()
-        self._slot_futures: dict[int, asyncio.Future[EndpointSlot]] = {}
+        self._slot_futures: dict[int, asyncio.Future[EndpointSlot | None]] = {}
         self._blocks: ExpiringKeys[
             tuple[ids.EndpointId, ids.ModelName | None]
         ] = ExpiringKeys()
         self._poll_timer: asyncio.TimerHandle | None = None
         self._is_start_scheduled = False
 
-    async def acquire(self, request: PlacementRequest) -> EndpointSlot:
+    async def acquire(self, request: PlacementRequest) -> EndpointSlot | None:
         """Wait for a slot and return it.
 
         Slots are assigned after all tasks that are ready now have run, so
         that simultaneous requests are compared by urgency first. If the
         caller is cancelled, a slot that was already assigned is released.
+
+        :returns: None if the configuration has changed, which may change the
+            requirements of the item.
         """
         request_number = self._waiting.add(request)
         future = asyncio.get_running_loop().create_future()
@@ -80,13 +83,20 @@
             self._schedule_start()
             return await asyncio.shield(future)
         except BaseException:
-            if future.done() and not future.cancelled():
-                self.release(future.result(), request, conclusive=False)
+            slot = future.result() if _has_result(future) else None
+            if slot is not None:
+                self.release(slot, request, conclusive=False)
             raise
         finally:
             self._waiting.remove(request_number)
             del self._slot_futures[request_number]
 
+    def restart_waiting(self) -> None:
+        """Let all waiting items determine their requirements again."""
+        for request_number, _ in list(self._waiting.by_urgency()):
+            self._waiting.remove(request_number)
+            self._slot_futures[request_number].set_result(None)
+
     def release(
         self,
         slot: EndpointSlot,
@@ -157,6 +167,7 @@
                 request.model,
                 request.min_version,
                 request.avoided_endpoint_ids,
+                request.allowed_regions,
             )
             if requirements in unmet:
                 continue
@@ -210,6 +221,7 @@
             model=request.model,
             min_weight_version=request.min_version,
             excluded=excluded,
+            allowed_regions=request.allowed_regions,
             may_probe=may_probe,
         )
         return self._router.available_endpoints(query, now_s)
@@ -230,6 +242,10 @@
         self._start_waiting_items()
 
 
+def _has_result(future: asyncio.Future[EndpointSlot | None]) -> bool:
+    return future.done() and not future.cancelled()
+
+
 def _excluding(
     candidates: list[AvailableEndpoint], endpoint_id: ids.EndpointId | None
 ) -> list[AvailableEndpoint]:
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -172,7 +172,7 @@
         if self._item.scorer is not None and self._score is None:
             try:
                 self._score = await self._context.scorer.score(
-                    self._item.scorer
+                    self._item.scorer, self._job.client_account_id
                 )
             except ScoringFailedError:
                 return self._errored_result('scorer_failed')
@@ -190,6 +190,8 @@
             await self._context.clock.sleep(_NO_ROUTE_RETRY_DELAY_S)
             return _RunOutcome.NOT_RUN
         slot = await self._context.dispatcher.acquire(request)
+        if slot is None:
+            return _RunOutcome.NOT_RUN
         start_s = self._context.clock.monotonic_s()
         event_count = self._text.event_count
         run_outcome: _RunOutcome | None = None
@@ -404,6 +406,9 @@
             avoided_endpoint_ids=self._failures.endpoint_ids,
             avoided_until_s=now_s + _FAILED_ENDPOINT_AVOIDANCE_S,
             interrupted_endpoint_id=self._interrupted_endpoint_id,
+            allowed_regions=routes.allowed_regions(
+                route.name, self._job.client_account_id
+            ),
         )
 
     def _accepted_at_s(self) -> float:
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -20,6 +20,7 @@
     from collections.abc import Iterable
 
     from dogwoodpost.core import ids
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import ScorerCall
     from dogwoodpost.core.configuration import Route
     from dogwoodpost.ports.clock import Clock
@@ -43,9 +44,13 @@
 
 
 class _ScoringAttempts:
-    """Failures, timeout and endpoints of the attempts to score one text."""
+    """Failures, timeout and endpoints of the attempts to score one text.
 
-    def __init__(self) -> None:
+    :param client_account_id: account that the text belongs to.
+    """
+
+    def __init__(self, client_account_id: ids.ClientAccountId | None) -> None:
+        self.client_account_id = client_account_id
         self.failure_count = 0
         self.attempt_timeout_s = _INITIAL_TIMEOUT_S
         self.attempted_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
@@ -88,13 +93,19 @@
         self._clock = clock
         self._score_header = score_header.lower()
 
-    async def score(self, call: ScorerCall) -> str:
+    async def score(
+        self,
+        call: ScorerCall,
+        client_account_id: ids.ClientAccountId | None,
+    ) -> str:
         """Return the score of a text.
 
+        :param client_account_id: account of the job. It is not billed for the
+            call, but the text may only be sent to regions that it allows.
         :raises ScoringFailedError: the scorer failed as often as its route
             allows.
         """
-        attempts = _ScoringAttempts()
+        attempts = _ScoringAttempts(client_account_id)
         while True:
             route = self._routes.find(call.host, call.path)
             if route is not None:
@@ -134,6 +145,9 @@
         )
         if service is None:
             return None
+        allowed_regions = self._routes.allowed_regions(
+            route.name, attempts.client_account_id
+        )
         request = PipelineRequest(
             request_id=call.request_id,
             route=route,
@@ -151,8 +165,9 @@
             max_attempt_count=1,
             whole_response=True,
             excluded=self._excluded_endpoints(
-                service.name, attempts.attempted_endpoint_ids
+                service.name, allowed_regions, attempts.attempted_endpoint_ids
             ),
+            allowed_regions=allowed_regions,
         )
         head: AttemptHead | None = None
         try:
@@ -175,11 +190,15 @@
     def _excluded_endpoints(
         self,
         service: ids.ServiceName,
+        allowed_regions: AllowedRegions,
         previous_endpoint_ids: frozenset[ids.EndpointId],
     ) -> frozenset[ids.EndpointId]:
         """Return the endpoints to exclude, none if no other has capacity."""
         query = RouteQuery(
-            service=service, excluded=previous_endpoint_ids, may_probe=False
+            service=service,
+            excluded=previous_endpoint_ids,
+            allowed_regions=allowed_regions,
+            may_probe=False,
         )
         now_s = self._clock.monotonic_s()
         if self._pipeline.router.choose(query, now_s) is None:
--- a/src/dogwoodpost/services/batches/job_cleaner.py
+++ b/src/dogwoodpost/services/batches/job_cleaner.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.services.batches.batch_context import BatchContext
     from dogwoodpost.services.batches.job_directory import JobDirectory
     from dogwoodpost.services.membership.presence_service import (
@@ -53,28 +54,36 @@
             for job_id, stored_head in self._directory.heads():
                 expired = stored_head.head.accepted_wall_s < oldest_kept_s
                 if expired and stored_head.head.is_complete:
-                    await self._delete_if_ranked_first(job_id)
+                    await self._delete_if_ranked_first(
+                        job_id, self._context.head_regions(stored_head.head)
+                    )
 
-    async def _delete_if_ranked_first(self, job_id: ids.JobId) -> None:
-        clock = self._context.clock
+    async def _delete_if_ranked_first(
+        self, job_id: ids.JobId, allowed_regions: AllowedRegions
+    ) -> None:
+        """Delete a job, unless another process in its regions ranks first."""
+        if not allowed_regions.permits(self._presence.region):
+            return
         delay_s = takeover_delay_s(
             job_id,
             self._context.identity.process_id,
-            self._presence.view.live_process_ids(clock.monotonic_s()),
+            self._presence.live_process_ids(allowed_regions),
         )
         if delay_s > 0.0:
             return
-        deadline_s = clock.monotonic_s() + _DELETE_TIMEOUT_S
+        deadline_s = self._context.clock.monotonic_s() + _DELETE_TIMEOUT_S
         try:
-            await self._delete_texts(job_id)
+            await self._delete_texts(job_id, allowed_regions)
             await self._context.store.delete(job_id, deadline_s)
         except StoreError as error:
             _log.info('job_not_deleted', job_id=job_id, error=str(error))
         else:
             _log.info('job_deleted', job_id=job_id)
 
-    async def _delete_texts(self, job_id: ids.JobId) -> None:
-        job = await self._context.store.load(job_id)
+    async def _delete_texts(
+        self, job_id: ids.JobId, allowed_regions: AllowedRegions
+    ) -> None:
+        job = await self._context.store.load(job_id, allowed_regions)
         groups = {item.group_id for item in job.items} if job else set()
         for group_id in groups:
             if group_id is not None:
--- a/src/dogwoodpost/services/batches/job_forwarder.py
+++ b/src/dogwoodpost/services/batches/job_forwarder.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.presence import PresenceRecord
@@ -32,6 +33,8 @@
 class JobForwarder:
     """Forwards a client's job at most once, within the availability zone.
 
+    A job is forwarded only if its bodies may be kept in this region.
+
     Forwarding is idempotent by job id: the process that stores the job first
     runs it, and any other process finds it already stored.
     """
@@ -52,14 +55,17 @@
         self._avoided: ExpiringKeys[ids.ProcessId] = ExpiringKeys()
 
     async def forward(
-        self, job: BatchJob, submission: JobSubmission
+        self,
+        job: BatchJob,
+        submission: JobSubmission,
+        allowed_regions: AllowedRegions,
     ) -> ForwardOutcome:
         """Forward a job and return whether another process accepted it.
 
         ``NOT_ACCEPTED`` if this process is the preferred owner or there is no
         candidate.
         """
-        candidates = self._candidates()
+        candidates = self._candidates(allowed_regions)
         owner_id = preferred_owner(
             affinity_key(job),
             {
@@ -84,8 +90,10 @@
             self._avoided.add(owner_id, until_s)
         return outcome
 
-    def _candidates(self) -> dict[ids.ProcessId, PresenceRecord]:
-        """Return the processes of this availability zone that accept jobs."""
+    def _candidates(
+        self, allowed_regions: AllowedRegions
+    ) -> dict[ids.ProcessId, PresenceRecord]:
+        """Return the processes of this availability zone that accept a job."""
         now_s = self._clock.monotonic_s()
         avoided = self._avoided.current(now_s)
         return {
@@ -93,5 +101,6 @@
             for process_id, record in self._presence.view.live(now_s).items()
             if process_id not in avoided
             and record.availability_zone == self._presence.availability_zone
+            and allowed_regions.permits(record.region)
             and record.address
         }
--- a/src/dogwoodpost/services/batches/job_store.py
+++ b/src/dogwoodpost/services/batches/job_store.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.batches import BatchJob
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
@@ -66,10 +68,15 @@
         self._rng = rng
 
     async def accept(
-        self, job: BatchJob, head: JobHead, deadline_s: float
+        self,
+        job: BatchJob,
+        head: JobHead,
+        deadline_s: float,
+        allowed_regions: AllowedRegions = ANY_REGION,
     ) -> int:
         """Store a new job; return the version of its head.
 
+        :param allowed_regions: regions through which the bodies may pass.
         :raises RowConflictError: the job is stored already.
         :raises StoreOutcomeUnknownError: the job may be stored, now or later.
         :raises StoreUnavailableError: the job is not stored.
@@ -81,21 +88,34 @@
                 job.job_id, job_rows.SPEC_PREFIX, job
             )
         else:
-            names = await self._put_objects(job.job_id, data)
+            names = await self._put_objects(job.job_id, data, allowed_regions)
             writes += job_rows.chunk_writes(
                 job.job_id, _OBJECT_LIST_KEY, _ObjectList(names)
             )
         checks = [RowCheck(job_rows.head_key(job.job_id), 0)]
-        return await self._commit(checks, writes, deadline_s)
+        return await commit_rows(
+            self._rows.within(allowed_regions),
+            checks,
+            writes,
+            clock=self._clock,
+            rng=self._rng,
+            deadline_s=deadline_s,
+        )
 
-    async def load(self, job_id: ids.JobId) -> BatchJob | None:
-        """Return a job, or None if there is none."""
-        rows = await self._read_all(job_id, job_rows.SPEC_PREFIX)
+    async def load(
+        self, job_id: ids.JobId, allowed_regions: AllowedRegions = ANY_REGION
+    ) -> BatchJob | None:
+        """Return a job, or None if there is none.
+
+        :param allowed_regions: regions through which the bodies may pass.
+        """
+        store = self._rows.within(allowed_regions)
+        rows = await self._read_all(job_id, job_rows.SPEC_PREFIX, store)
         for job in job_rows.joined_values(rows, BatchJob):
             return job
         rows = await self._read_all(job_id, _OBJECT_LIST_KEY)
         for object_list in job_rows.joined_values(rows, _ObjectList):
-            return await self._load_objects(object_list)
+            return await self._load_objects(object_list, allowed_regions)
         return None
 
     async def read_head(self, job_id: ids.JobId) -> StoredHead | None:
@@ -159,12 +179,13 @@
         )
 
     async def _read_all(
-        self, job_id: ids.JobId, prefix: str
+        self, job_id: ids.JobId, prefix: str, store: RowStore | None = None
     ) -> list[VersionedRow]:
+        store = store or self._rows
         rows: list[VersionedRow] = []
         start = prefix + '/'
         while True:
-            page = await self._rows.read(
+            page = await store.read(
                 job_rows.DATA_TABLE, job_id, start=start, end=prefix + '/~'
             )
             rows += page.rows
@@ -173,20 +194,24 @@
             start = page.rows[-1].key.key + '\0'
 
     async def _put_objects(
-        self, job_id: ids.JobId, data: bytes
+        self, job_id: ids.JobId, data: bytes, allowed_regions: AllowedRegions
     ) -> tuple[str, ...]:
+        objects = self._objects.within(allowed_regions)
         names = []
         for number, start in enumerate(range(0, len(data), _MAX_OBJECT_BYTES)):
             name = f'job-{job_id}-{number}'
             part = data[start : start + _MAX_OBJECT_BYTES]
-            await self._objects.put(name, part)
+            await objects.put(name, part)
             names.append(name)
         return tuple(names)
 
-    async def _load_objects(self, object_list: _ObjectList) -> BatchJob:
+    async def _load_objects(
+        self, object_list: _ObjectList, allowed_regions: AllowedRegions
+    ) -> BatchJob:
+        objects = self._objects.within(allowed_regions)
         parts = []
         for name in object_list.names:
-            part = await self._objects.get(name)
+            part = await objects.get(name)
             if part is None:
                 raise StoreUnavailableError(f'object {name} is missing')
             parts.append(part)
--- a/src/dogwoodpost/services/batches/job_workers.py
+++ b/src/dogwoodpost/services/batches/job_workers.py
@@ -146,7 +146,9 @@
         """Load a job and its listed items, and run it."""
         with self.reserve_start(job_id):
             try:
-                job = await self._job_cache.get(job_id)
+                job = await self._job_cache.get(
+                    job_id, self._context.head_regions(stored_head.head)
+                )
                 listed = await self._load_listed_item_ids(
                     job_id, stored_head.head
                 )
--- a/src/dogwoodpost/services/batches/takeover_watch.py
+++ b/src/dogwoodpost/services/batches/takeover_watch.py
@@ -79,11 +79,21 @@
     def _take_over_if_due(
         self, job_id: ids.JobId, stored_head: StoredHead, now_s: float
     ) -> None:
+        is_new = job_id not in self._orphaned_since_s
         since_s = self._orphaned_since_s.setdefault(job_id, now_s)
+        allowed_regions = self._context.head_regions(stored_head.head)
+        candidate_ids = self._presence.live_process_ids(allowed_regions)
+        if not allowed_regions.permits(self._presence.region):
+            if is_new and not candidate_ids:
+                _log.warning(
+                    'job_waits_for_region',
+                    job_id=job_id,
+                    previous_owner=stored_head.head.owner_id,
+                    route=stored_head.head.route_name,
+                )
+            return
         delay_s = takeover_delay_s(
-            job_id,
-            self._context.identity.process_id,
-            self._presence.view.live_process_ids(now_s),
+            job_id, self._context.identity.process_id, candidate_ids
         )
         if now_s - since_s < delay_s or self._workers.is_active(job_id):
             return
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -6,6 +6,8 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import MIN_COST_TOKENS
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.configuration import Limits
 from dogwoodpost.core.configuration import Route
 from dogwoodpost.core.configuration import Service
@@ -23,6 +25,8 @@
     :param min_weight_version: lowest weight version of an endpoint that may
         run the request.
     :param excluded: endpoints that must not run the request.
+    :param allowed_regions: limits the regions in addition to the current
+        limits of the route and the client account.
     :param max_attempt_count: maximum number of attempts; None for the
         pipeline's own limit.
     :param free_not_run_count: number of attempts which no endpoint ran that
@@ -52,6 +56,7 @@
     cost_tokens: float = MIN_COST_TOKENS
     min_weight_version: ids.WeightVersion | None = None
     excluded: frozenset[ids.EndpointId] = frozenset()
+    allowed_regions: AllowedRegions = ANY_REGION
     max_attempt_count: int | None = None
     free_not_run_count: int = 0
     attempt_timeout_s: float | None = None
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -5,6 +5,7 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.retries import RetryBudget
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
@@ -32,6 +33,8 @@
 class RequestPipeline:
     """Runs the requests of callers and the samples of rollouts.
 
+    :param current_configuration: returns the configuration in force, which
+        limits the regions of each attempt; without one, nothing limits them.
     :param bills_begun_requests: record usage for each attempt that an endpoint
         may have run, in the window in which the attempt was sent, instead of
         for each completed request.
@@ -48,6 +51,7 @@
         clock: Clock,
         rng: random.Random,
         retry_policy: RetryPolicy | None = None,
+        current_configuration: Callable[[], Configuration] = Configuration,
         bills_begun_requests: bool = False,
     ) -> None:
         self.runner = runner
@@ -58,6 +62,7 @@
         self.clock = clock
         self.rng = rng
         self.retry_policy = retry_policy or RetryPolicy()
+        self.current_configuration = current_configuration
         self.bills_begun_requests = bills_begun_requests
         self.queue = RequestQueue(admission, router, clock)
         self.response_buffer = ResponseBuffer()
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -11,7 +11,9 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Ticket
+from dogwoodpost.core.routing import AttemptResult
 from dogwoodpost.core.routing import RouteQuery
+from dogwoodpost.errors import RequestError
 from dogwoodpost.services.entry.attempt_failure import AttemptFailure
 from dogwoodpost.services.entry.attempt_run import AttemptRun
 from dogwoodpost.services.entry.request_state import RequestState
@@ -20,6 +22,7 @@
     from collections.abc import AsyncGenerator
     from collections.abc import Callable
 
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.retries import RetryPolicy
     from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.ports.attempt_runner import AttemptEvent
@@ -27,6 +30,7 @@
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
 
 _log = structlog.get_logger(__name__)
+_REGION_CHANGE_RETRY_AFTER_S = 0.1
 # Requests to routes open to all share one queue and one set of limits.
 ANONYMOUS_ACCOUNT_ID = ids.ClientAccountId('')
 
@@ -70,6 +74,10 @@
         )
         pipeline.metrics.observe('admission_wait', state.elapsed_s)
         try:
+            if not self._allowed_regions().permits(endpoint.region):
+                endpoint, attempt_id = self._replace_endpoint(
+                    endpoint, attempt_id
+                )
             self._budget.record_first_attempt(pipeline.clock.monotonic_s())
             async with aclosing(self._run(endpoint, attempt_id)) as events:
                 async for event in events:
@@ -96,7 +104,7 @@
                 self._tried_endpoint_ids |= {endpoint.endpoint_id}
                 await self._wait_before_retry(failure)
                 attempt_id = _new_attempt_id()
-                endpoint = self._start_retry(attempt_id, failure)
+                endpoint = self._start_retry(attempt_id, failure.error)
 
     async def _wait_before_retry(self, failure: AttemptFailure) -> None:
         """Wait for the delay before the next attempt.
@@ -126,11 +134,11 @@
         )
 
     def _start_retry(
-        self, attempt_id: ids.AttemptId, failure: AttemptFailure
+        self, attempt_id: ids.AttemptId, error: RequestError
     ) -> Endpoint:
         """Choose an endpoint for a retry, an untried one if possible.
 
-        :raises RequestError: no endpoint is available.
+        :raises RequestError: ``error``, because no endpoint is available.
         """
         router = self._pipeline.router
         now_s = self._pipeline.clock.monotonic_s()
@@ -141,10 +149,47 @@
         endpoint = router.choose(untried_query, now_s)
         endpoint = endpoint or router.choose(query, now_s)
         if endpoint is None:
-            raise failure.error
+            raise error
         router.begin(endpoint.endpoint_id, attempt_id, query, now_s)
         return endpoint
 
+    def _replace_endpoint(
+        self, endpoint: Endpoint, attempt_id: ids.AttemptId
+    ) -> tuple[Endpoint, ids.AttemptId]:
+        """Replace an endpoint whose region is no longer allowed.
+
+        The configuration may change while a request waits in the queue.
+
+        :returns: the new endpoint and attempt.
+        :raises RequestError: no endpoint is available.
+        """
+        self._pipeline.router.finish(
+            self._request.service.name,
+            endpoint.endpoint_id,
+            attempt_id,
+            AttemptResult(failed=False, conclusive=False),
+            self._pipeline.clock.monotonic_s(),
+        )
+        error = RequestError(
+            'region_not_allowed',
+            'the allowed regions changed while the request waited',
+            status=503,
+            not_run=True,
+            retry_after_s=_REGION_CHANGE_RETRY_AFTER_S,
+        )
+        new_attempt_id = _new_attempt_id()
+        return self._start_retry(new_attempt_id, error), new_attempt_id
+
+    def _allowed_regions(self) -> AllowedRegions:
+        """Return the regions that the current configuration allows."""
+        request = self._request
+        configuration = self._pipeline.current_configuration()
+        return request.allowed_regions.intersection(
+            configuration.allowed_regions(
+                request.route.name, request.client_account_id
+            )
+        )
+
     def _ticket(self) -> Ticket:
         request = self._request
         return Ticket(
@@ -167,6 +212,7 @@
             concurrency=request.service.endpoint_concurrency,
             min_weight_version=request.min_weight_version,
             excluded=request.excluded,
+            allowed_regions=self._allowed_regions(),
             requires_free_slot=requires_free_slot,
             may_probe=request.idempotent,
         )
--- a/src/dogwoodpost/services/entry/route_finder.py
+++ b/src/dogwoodpost/services/entry/route_finder.py
@@ -7,6 +7,8 @@
 from dogwoodpost.core.configuration import RouteIndex
 
 if TYPE_CHECKING:
+    from dogwoodpost.core import ids
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.configuration import Configuration
     from dogwoodpost.core.configuration import Route
     from dogwoodpost.ports.configuration_source import ConfigurationSource
@@ -32,3 +34,13 @@
             self._index = RouteIndex(configuration.routes.values())
             self._indexed_configuration = configuration
         return self._index.find(host, raw_path)
+
+    def allowed_regions(
+        self,
+        route_name: ids.RouteName,
+        client_account_id: ids.ClientAccountId | None,
+    ) -> AllowedRegions:
+        """Return where work of a route and an account may be served now."""
+        return self._source.current().allowed_regions(
+            route_name, client_account_id
+        )
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.routing import Router
     from dogwoodpost.ports.clock import Clock
@@ -38,6 +39,7 @@
 HEARTBEAT_TIMEOUT_S = 2.6
 MAX_READ_GAP_S = 2.2
 _NO_ZONE = ids.AvailabilityZone('')
+_NO_REGION = ids.Region('')
 
 
 class PresenceService(mode.Service):
@@ -61,10 +63,12 @@
         address: str = '',
         peer_address: str = '',
         availability_zone: ids.AvailabilityZone = _NO_ZONE,
+        region: ids.Region = _NO_REGION,
         cores: float = 1.0,
     ) -> None:
         super().__init__()
         self.availability_zone = availability_zone
+        self.region = region
         self._address = address
         self._peer_address = peer_address
         self._cores = cores
@@ -103,6 +107,17 @@
         live.pop(self._identity.process_id, None)
         return live
 
+    def live_process_ids(
+        self, allowed_regions: AllowedRegions
+    ) -> list[ids.ProcessId]:
+        """Return the live processes in allowed regions that aren't leaving."""
+        live = self.view.live(self._clock.monotonic_s())
+        return [
+            process_id
+            for process_id, record in live.items()
+            if allowed_regions.permits(record.region)
+        ]
+
     def contact_since_s(self) -> float | None:
         """Return since when heartbeats have been written without a break.
 
@@ -152,6 +167,7 @@
             peer_address=self._peer_address,
             availability_zone=self.availability_zone,
             cores=self._cores,
+            region=self.region,
         )
         key = RowKey(TABLE, '', self._identity.process_id)
         write = RowWrite(key, encode_record(record))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -20,6 +20,7 @@
 from dogwoodpost.standins.virtual_clock import VirtualClock
 from tests.core.membership.test_endpoint_registry import FakeListener
 
+REGIONS = {'zone-a': 'region-a', 'zone-b': 'region-b'}
 ENTRY = {
     'service': 'engines',
     'address': '127.0.0.1:80',
@@ -45,7 +46,7 @@
 
 @pytest.fixture
 def entries(listener: FakeListener) -> EndpointRows:
-    return EndpointRows(EndpointRegistry(listener), {'zone-a': 'region-a'})
+    return EndpointRows(EndpointRegistry(listener), REGIONS)
 
 
 @pytest.mark.parametrize(
@@ -99,7 +100,9 @@
 ) -> None:
     """Guards against retries of requests that may run only once."""
     clock = VirtualClock()
-    source = ConfigurationRows(AnnouncedVersions(clock), clock, max_age_s=None)
+    source = ConfigurationRows(
+        AnnouncedVersions(clock), clock, REGIONS, max_age_s=None
+    )
     route = {
         'name': 'r',
         'host': 'h',
@@ -124,7 +127,9 @@
 def test_malformed_or_older_configuration_is_not_applied() -> None:
     """Guards against a bad write that removes all routes."""
     clock = VirtualClock()
-    source = ConfigurationRows(AnnouncedVersions(clock), clock, max_age_s=None)
+    source = ConfigurationRows(
+        AnnouncedVersions(clock), clock, REGIONS, max_age_s=None
+    )
     source.apply([row('op', 'config', {'version': 3}, 1)], 0.0)
     source.apply([row('op', 'config', b'{', 2)], 0.0)
     source.apply([row('op', 'config', {'version': 2}, 3)], 0.0)
