Send nothing new to endpoints of evacuated availability zones

Change: the registry marks the endpoints of evacuated zones as not ready, on which all ways of choosing an endpoint and the plan of weight loads depend. What runs goes on. An evacuation ends when its row is deleted or missing from a complete read of the table. Work that still runs in an evacuated zone counts as load of the other zones when endpoints are ordered by zone.

--- a/src/dogwoodpost/core/membership/endpoint_registry.py
+++ b/src/dogwoodpost/core/membership/endpoint_registry.py
@@ -25,8 +25,9 @@
 
     If the row of an endpoint disappears during an outage of the store or
     shortly after it, the endpoint stays in use until the grace period for
-    registering again is over. Times are seconds of the caller's monotonic
-    clock.
+    registering again is over. Endpoints in evacuated availability zones are
+    not ready until the evacuation ends. Times are seconds of the caller's
+    monotonic clock.
     """
 
     def __init__(self, listener: EndpointListener) -> None:
@@ -36,6 +37,7 @@
         # Retained after the row is deleted, because an older version of the
         # row may still be read.
         self._leaving: set[tuple[ids.EndpointId, ids.Incarnation]] = set()
+        self._evacuated_zones: frozenset[ids.AvailabilityZone] = frozenset()
         self._contact_s: float | None = None
         self._grace_until_s = float('-inf')
 
@@ -59,8 +61,9 @@
             endpoint = _merge_versions(endpoint, current.weight_versions)
         if self._is_leaving(endpoint):
             endpoint = msgspec.structs.replace(endpoint, draining=True)
-        self._endpoints[endpoint.endpoint_id] = endpoint
-        self._listener.upsert(endpoint, now_s)
+        if endpoint.availability_zone in self._evacuated_zones:
+            endpoint = msgspec.structs.replace(endpoint, ready=False)
+        self._replace(endpoint, now_s)
 
     def note_versions(
         self,
@@ -75,8 +78,7 @@
             return
         endpoint = _merge_versions(current, versions)
         if endpoint != current:
-            self._endpoints[endpoint_id] = endpoint
-            self._listener.upsert(endpoint, now_s)
+            self._replace(endpoint, now_s)
 
     def note_leaving(self, endpoint: Endpoint, now_s: float) -> bool:
         """Record an endpoint's own notice that it is leaving.
@@ -91,11 +93,35 @@
         self._leaving.add((endpoint.endpoint_id, endpoint.agent_incarnation))
         current = self._endpoints.get(endpoint.endpoint_id)
         if current and current.agent_incarnation == endpoint.agent_incarnation:
-            draining = msgspec.structs.replace(current, draining=True)
-            self._endpoints[endpoint.endpoint_id] = draining
-            self._listener.upsert(draining, now_s)
+            self._replace(
+                msgspec.structs.replace(current, draining=True), now_s
+            )
         return True
 
+    def set_evacuated_zones(
+        self, zones: frozenset[ids.AvailabilityZone], now_s: float
+    ) -> list[ids.EndpointId]:
+        """Replace the evacuated zones, whose endpoints get nothing new.
+
+        :returns: the endpoints whose evacuation has ended.
+        """
+        ended_zones = self._evacuated_zones - zones
+        begun_zones = zones - self._evacuated_zones
+        self._evacuated_zones = zones
+        released: list[ids.EndpointId] = []
+        for endpoint in self.endpoints():
+            zone = endpoint.availability_zone
+            if zone in begun_zones:
+                self._replace(
+                    msgspec.structs.replace(endpoint, ready=False), now_s
+                )
+            elif zone in ended_zones:
+                self._replace(
+                    msgspec.structs.replace(endpoint, ready=True), now_s
+                )
+                released.append(endpoint.endpoint_id)
+        return released
+
     def at_address(self, address: str) -> list[Endpoint]:
         """Return the endpoints in use that have the given address."""
         return [
@@ -139,6 +165,10 @@
         """Return an endpoint in use, or None."""
         return self._endpoints.get(endpoint_id)
 
+    def _replace(self, endpoint: Endpoint, now_s: float) -> None:
+        self._endpoints[endpoint.endpoint_id] = endpoint
+        self._listener.upsert(endpoint, now_s)
+
     def _is_leaving(self, endpoint: Endpoint) -> bool:
         key = (endpoint.endpoint_id, endpoint.agent_incarnation)
         return key in self._leaving
--- a/src/dogwoodpost/core/scaling/zone_loads.py
+++ b/src/dogwoodpost/core/scaling/zone_loads.py
@@ -22,16 +22,45 @@
 ) -> list[ZoneLoad]:
     """Return the load of each zone, including zones without endpoints.
 
+    Work that still runs in zones where no endpoint is ready, such as evacuated
+    ones, counts in equal parts as load of the other zones: they get the work
+    that follows.
+
     :param endpoints: endpoints of one service.
     :param loads: number of requests in flight by endpoint.
     """
-    return [_zone_load(zone, endpoints, loads) for zone in sorted(zones)]
+    unused = {zone for zone in zones if _is_unused(zone, endpoints)}
+    moved_count = sum(
+        loads.get(endpoint.endpoint_id, 0)
+        for endpoint in endpoints
+        if endpoint.availability_zone in unused
+    )
+    other_count = len(zones) - len(unused)
+    share = -(-moved_count // other_count) if other_count else 0
+    return [
+        _zone_load(zone, endpoints, {})
+        if zone in unused
+        else _zone_load(zone, endpoints, loads, extra_count=share)
+        for zone in sorted(zones)
+    ]
+
+
+def _is_unused(
+    zone: ids.AvailabilityZone, endpoints: Sequence[Endpoint]
+) -> bool:
+    in_zone = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.availability_zone == zone
+    ]
+    return bool(in_zone) and not any(endpoint.ready for endpoint in in_zone)
 
 
 def _zone_load(
     zone: ids.AvailabilityZone,
     endpoints: Sequence[Endpoint],
     loads: Mapping[ids.EndpointId, int],
+    extra_count: int = 0,
 ) -> ZoneLoad:
     in_zone = [
         endpoint
@@ -40,9 +69,10 @@
     ]
     return ZoneLoad(
         availability_zone=zone,
-        running_count=sum(
-            loads.get(endpoint.endpoint_id, 0) for endpoint in in_zone
-        ),
+        running_count=extra_count
+        + sum(loads.get(endpoint.endpoint_id, 0) for endpoint in in_zone),
         waiting_count=0,
-        live_endpoint_count=sum(not endpoint.draining for endpoint in in_zone),
+        live_endpoint_count=sum(
+            endpoint.ready and not endpoint.draining for endpoint in in_zone
+        ),
     )
--- a/src/dogwoodpost/core/weights/staggered_loads.py
+++ b/src/dogwoodpost/core/weights/staggered_loads.py
@@ -70,7 +70,11 @@
     :param settled_models: models whose newest step has had time to start its
         items.
     """
-    active = [candidate for candidate in endpoints if not candidate.draining]
+    active = [
+        candidate
+        for candidate in endpoints
+        if candidate.ready and not candidate.draining
+    ]
     loads: list[PlannedLoad] = []
     due_by_model = {
         model: _due_endpoints(
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -1,4 +1,7 @@
-"""Decodes the operator's table: configuration and weight versions."""
+"""Decodes the operator's table.
+
+It holds the configuration, weight versions and evacuated availability zones.
+"""
 
 from __future__ import annotations
 
@@ -38,6 +41,7 @@
 TABLE = 'op'
 _CONFIGURATION_KEY = 'config'
 _VERSION_PREFIX = 'version/'
+_EVACUATION_PREFIX = 'evacuate/'
 _DEFAULT_TIMEOUT_MS = 10_000
 _DEFAULT_START_UP_S = 5.0
 
@@ -126,6 +130,8 @@
     """Configuration source that is fed with the rows of the operator's table.
 
     :param region_by_zone: all availability zones and their regions.
+    :param on_evacuation: called with the evacuated availability zones after
+        each change, and the monotonic time in seconds.
     :param max_age_s: seconds after the last contact with the store for which
         routes that need a key are served; None for no limit.
     """
@@ -135,12 +141,18 @@
         announced_versions: AnnouncedVersions,
         clock: Clock,
         region_by_zone: Mapping[str, str],
+        on_evacuation: Callable[
+            [frozenset[ids.AvailabilityZone], float], object
+        ],
         *,
         max_age_s: float | None,
     ) -> None:
         self._announced_versions = announced_versions
         self._clock = clock
+        self._zones = frozenset(region_by_zone)
         self._regions = frozenset(region_by_zone.values())
+        self._on_evacuation = on_evacuation
+        self._evacuated_zones: frozenset[ids.AvailabilityZone] = frozenset()
         self._max_age_s = max_age_s
         self._current = Configuration()
         self._row_version = 0
@@ -170,7 +182,33 @@
         self._listeners.append(listener)
 
     def apply(self, rows: Sequence[VersionedRow], now_s: float) -> None:
-        """Apply changed rows; deleted rows have no effect."""
+        """Apply changed rows.
+
+        A deleted row ends an evacuation; other deletions have no effect.
+        """
+        evacuated_zones = set(self._evacuated_zones)
+        for row in rows:
+            zone = _evacuated_zone(row)
+            if zone is not None and row.value is None:
+                evacuated_zones.discard(zone)
+            elif zone is not None:
+                evacuated_zones.add(zone)
+        self._set_evacuated_zones(frozenset(evacuated_zones), now_s)
+        self._apply_values(rows)
+
+    def replace(self, rows: Sequence[VersionedRow], now_s: float) -> None:
+        """Apply all rows of the table; other evacuations have ended."""
+        zones = (_evacuated_zone(row) for row in rows)
+        self._set_evacuated_zones(
+            frozenset(zone for zone in zones if zone is not None), now_s
+        )
+        self._apply_values(rows)
+
+    def note_contact(self, now_s: float) -> None:
+        """Record that all changes up to now have been applied."""
+        self._last_contact_s = now_s
+
+    def _apply_values(self, rows: Sequence[VersionedRow]) -> None:
         for row in rows:
             if row.value is None:
                 continue
@@ -179,13 +217,19 @@
             elif row.key.key.startswith(_VERSION_PREFIX):
                 self._apply_announced_version(row.key.key, row.value)
 
-    def replace(self, rows: Sequence[VersionedRow], now_s: float) -> None:
-        """Apply all rows of the table."""
-        self.apply(rows, now_s)
-
-    def note_contact(self, now_s: float) -> None:
-        """Record that all changes up to now have been applied."""
-        self._last_contact_s = now_s
+    def _set_evacuated_zones(
+        self, zones: frozenset[ids.AvailabilityZone], now_s: float
+    ) -> None:
+        for zone in zones - self._evacuated_zones:
+            if zone in self._zones:
+                _log.info('zone_evacuated', availability_zone=zone)
+            else:
+                _log.error('unknown_zone_evacuated', availability_zone=zone)
+        for zone in self._evacuated_zones - zones:
+            _log.info('zone_evacuation_ended', availability_zone=zone)
+        if zones != self._evacuated_zones:
+            self._evacuated_zones = zones
+            self._on_evacuation(zones, now_s)
 
     def _apply_configuration(self, row_version: int, value: bytes) -> None:
         if row_version <= self._row_version:
@@ -227,6 +271,13 @@
         )
 
 
+def _evacuated_zone(row: VersionedRow) -> ids.AvailabilityZone | None:
+    """Return the zone whose evacuation a row states, None for other rows."""
+    if not row.key.key.startswith(_EVACUATION_PREFIX):
+        return None
+    return ids.AvailabilityZone(row.key.key.removeprefix(_EVACUATION_PREFIX))
+
+
 class _RegionsError(ValueError):
     """A list of allowed regions is not valid."""
 
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -124,12 +124,6 @@
         self._lifecycle = Lifecycle()
         self._is_leaving = False
         self._announced_versions = AnnouncedVersions(self._clock)
-        self._configuration = configuration_rows.ConfigurationRows(
-            self._announced_versions,
-            self._clock,
-            settings.zones,
-            max_age_s=_max_age_s(settings),
-        )
         self._router = Router(
             ids.AvailabilityZone(settings.zone),
             ids.Region(settings.region),
@@ -137,6 +131,13 @@
             _ROUTER_SETTINGS,
         )
         self._registry = EndpointRegistry(self._router)
+        self._configuration = configuration_rows.ConfigurationRows(
+            self._announced_versions,
+            self._clock,
+            settings.zones,
+            self._registry.set_evacuated_zones,
+            max_age_s=_max_age_s(settings),
+        )
         self._loading_endpoints = LoadingEndpoints()
 
     async def run(self) -> int:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.configuration import RouteKind
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.errors import EndpointError
@@ -34,6 +35,19 @@
 }
 
 
+def operator_rows(
+    clock: VirtualClock, registry: EndpointRegistry | None = None
+) -> ConfigurationRows:
+    registry = registry or EndpointRegistry(FakeListener())
+    return ConfigurationRows(
+        AnnouncedVersions(clock),
+        clock,
+        REGIONS,
+        registry.set_evacuated_zones,
+        max_age_s=None,
+    )
+
+
 def row(table: str, key: str, value: object, version: int) -> VersionedRow:
     data = value if isinstance(value, bytes) else msgspec.json.encode(value)
     return VersionedRow(RowKey(table, '', key), data, version)
@@ -100,9 +114,7 @@
 ) -> None:
     """Guards against retries of requests that may run only once."""
     clock = VirtualClock()
-    source = ConfigurationRows(
-        AnnouncedVersions(clock), clock, REGIONS, max_age_s=None
-    )
+    source = operator_rows(clock)
     route = {
         'name': 'r',
         'host': 'h',
@@ -127,15 +139,87 @@
 def test_malformed_or_older_configuration_is_not_applied() -> None:
     """Guards against a bad write that removes all routes."""
     clock = VirtualClock()
-    source = ConfigurationRows(
-        AnnouncedVersions(clock), clock, REGIONS, max_age_s=None
-    )
+    source = operator_rows(clock)
     source.apply([row('op', 'config', {'version': 3}, 1)], 0.0)
     source.apply([row('op', 'config', b'{', 2)], 0.0)
     source.apply([row('op', 'config', {'version': 2}, 3)], 0.0)
     assert source.current().revision == 3
 
 
+def test_allowed_regions_of_route_and_account_are_combined() -> None:
+    """Guards against work that leaves a region to which it is confined."""
+    source = operator_rows(VirtualClock())
+    source.apply([row('op', 'config', regional(['region-a']), 1)], 0.0)
+    configuration = source.current()
+    route = ids.RouteName('r')
+    account = ids.ClientAccountId('t')
+    assert configuration.allowed_regions(route, None) == ANY_REGION
+    both = configuration.allowed_regions(route, account)
+    assert both.permits(ids.Region('region-a'))
+    assert not both.permits(ids.Region('region-b'))
+
+
+@pytest.mark.parametrize(
+    'regions',
+    [['region-a', 'elsewhere'], ['region-a', 'region-a'], 'region-a', [1]],
+)
+def test_invalid_regions_keep_the_configuration_in_force(
+    regions: object,
+) -> None:
+    """Guards against a bad write that lifts a limit on regions."""
+    source = operator_rows(VirtualClock())
+    source.apply([row('op', 'config', regional(['region-b']), 1)], 0.0)
+    before = source.current()
+    changed = {**regional(regions), 'version': 9}
+    source.apply([row('op', 'config', changed, 2)], 0.0)
+    assert source.current() is before
+
+
+def regional(regions: object) -> dict[str, object]:
+    """Return a configuration whose client account is limited to regions."""
+    route = {
+        'name': 'r',
+        'host': 'h',
+        'prefix': '/p/',
+        'kind': 'safe',
+        'service': 's',
+        'allowedRegions': [],
+    }
+    return {
+        'version': 3,
+        'routes': [route],
+        'services': [{'name': 's'}],
+        'tenants': [
+            {'name': 't', 'apiKeys': ['k'], 'allowedRegions': regions}
+        ],
+    }
+
+
+def test_evacuated_zone_is_out_of_use_until_its_row_is_deleted(
+    listener: FakeListener,
+) -> None:
+    """Guards against work for evacuated endpoints, also after a lost feed.
+
+    A full read of the table replaces the history that the store dropped.
+    """
+    registry = EndpointRegistry(listener)
+    entries = EndpointRows(registry, REGIONS)
+    entries.apply([row('servers', 'e', ENTRY, 1)], 0.0)
+    source = operator_rows(VirtualClock(), registry)
+    evacuation = row('op', 'evacuate/zone-a', {}, 2)
+    source.apply([evacuation], 0.0)
+    entries.apply([row('servers', 'e', {**ENTRY, 'sequence': 6}, 3)], 0.0)
+    assert not listener.endpoints[ids.EndpointId('e')].ready
+    source.replace([evacuation], 0.0)
+    source.apply([row('op', 'config', {'version': 3}, 4)], 0.0)
+    assert not listener.endpoints[ids.EndpointId('e')].ready
+    source.apply([VersionedRow(evacuation.key, None, 5)], 0.0)
+    assert listener.endpoints[ids.EndpointId('e')].ready
+    source.apply([evacuation], 0.0)
+    source.replace([], 0.0)
+    assert listener.endpoints[ids.EndpointId('e')].ready
+
+
 def test_events_split_at_any_byte_are_decoded() -> None:
     """Guards against events that are lost when a read splits them."""
     data = b'x-weight-versions: 7\nid: 1\ndata: a\ndata: b\n\nid: 2\n\n'
