Limit what cold endpoints get, summed over all processes

Cause: endpoints say in their entries how long they stay cold, which was not read. Each process filled an endpoint that came back as if it were warm: 18 to 20 requests in a second where 17.9 are allowed.

Change: a tracker follows the entries, and what puts an endpoint in doubt: a failed call, missing entries, the end of an evacuation, a suspension of the process. While warm endpoints have places, cold ones get nothing; otherwise each process sends its share of 1.5 times the tolerated rate. Senders announce themselves in their heartbeat rows and send only once all others must have read it, so that the shares add up. If all endpoints are cold, what cannot start in time is refused at once; a test that plays the load found that the drain rate of the cold time was used after it, with a Retry-After of 60 s.

--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -114,6 +114,10 @@
         service.queue.push(ticket)
         account.waiting_count += 1
 
+    def reset_drain_rate(self, service: ids.ServiceName) -> None:
+        """Discard what is known of the rate at which a queue drains."""
+        self._service(service).drain_rate = DrainRate()
+
     def startable_tickets(
         self,
         service: ids.ServiceName,
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -67,9 +67,38 @@
         if not self._router.has_endpoint(query):
             raise self._no_endpoint_error(query)
         mean_duration_s = self._router.mean_duration_s(ticket.service)
+        self._check_cold_wait(ticket, query, mean_duration_s, now_s)
         self._admission.submit(ticket, now_s, mean_duration_s)
         self._pending[id(ticket)] = _PendingRequest(query, attempt_id)
 
+    def _check_cold_wait(
+        self,
+        ticket: Ticket,
+        query: RouteQuery,
+        mean_duration_s: float,
+        now_s: float,
+    ) -> None:
+        """Refuse a request that has to wait too long for cold endpoints.
+
+        :raises RequestError: the request would miss its deadline.
+        """
+        wait_s = self._router.cold_wait_s(
+            query, self._admission.waiting_count(ticket.service), now_s
+        )
+        if wait_s is None:
+            return
+        # The rate at which cold endpoints drain the queue says nothing about
+        # the time after that.
+        self._admission.reset_drain_rate(ticket.service)
+        if wait_s and now_s + wait_s + mean_duration_s > ticket.deadline_s:
+            raise RequestError(
+                'endpoints_cold',
+                'all endpoints have just started and take few requests',
+                status=503,
+                not_run=True,
+                retry_after_s=self._admission.retry_after_s(wait_s),
+            )
+
     def _no_endpoint_error(self, query: RouteQuery) -> RequestError:
         code = 'no_endpoint'
         message = 'no endpoint of the service is available'
--- a/src/dogwoodpost/core/configuration/__init__.py
+++ b/src/dogwoodpost/core/configuration/__init__.py
@@ -9,6 +9,7 @@
 from dogwoodpost.core.configuration.delta import field_differences
 from dogwoodpost.core.configuration.delta import FieldDifference
 from dogwoodpost.core.configuration.model import ClientAccount
+from dogwoodpost.core.configuration.model import ColdStart
 from dogwoodpost.core.configuration.model import Configuration
 from dogwoodpost.core.configuration.model import KeyRecord
 from dogwoodpost.core.configuration.model import Limits
@@ -25,6 +26,7 @@
 __all__ = (
     'NO_LIMITS',
     'ClientAccount',
+    'ColdStart',
     'Configuration',
     'Delta',
     'FieldDifference',
--- a/src/dogwoodpost/core/configuration/model.py
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -141,6 +141,17 @@
     start_up_s: float
 
 
+class ColdStart(msgspec.Struct, frozen=True, kw_only=True):
+    """What the endpoints of a service bear after a start.
+
+    :param duration_s: how long an endpoint is cold.
+    :param rate_per_s: requests per second that a cold endpoint tolerates.
+    """
+
+    duration_s: float
+    rate_per_s: float
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """Service that routes may refer to.
 
@@ -148,6 +159,7 @@
         outdated fencing number.
     :param zone_scale: set if endpoints are ordered by their number in each
         availability zone.
+    :param cold_start: None if endpoints take their full load at once.
     """
 
     name: ids.ServiceName
@@ -159,6 +171,7 @@
     max_endpoint_count: int = 16
     endpoint_cost_per_hour: float = 1.0
     zone_scale: ZoneScale | None = None
+    cold_start: ColdStart | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from dogwoodpost.core import ids
@@ -14,6 +16,8 @@
     :param leaving: whether a planned stop has begun.
     :param address: address for clients; empty if it serves none.
     :param peer_address: address for other processes; empty if it serves none.
+    :param sender_services: services with endpoints that can be cold, to which
+        the process may send.
     :param cores: processor capacity, in cores.
     """
 
@@ -26,6 +30,7 @@
     availability_zone: ids.AvailabilityZone = ids.AvailabilityZone('')
     cores: float = 1.0
     region: ids.Region = ids.Region('')
+    sender_services: tuple[ids.ServiceName, ...] = ()
 
 
 class _TrackedProcess(msgspec.Struct):
@@ -102,6 +107,20 @@
             and not self._is_silent(process, now_s)
         }
 
+    def senders(
+        self, service: ids.ServiceName, now_s: float
+    ) -> list[ids.ProcessId]:
+        """Return the live processes that announce to send to a service."""
+        return [
+            process_id
+            for process_id, record in self.live(now_s).items()
+            if service in record.sender_services
+        ]
+
+    def read_age_s(self, now_s: float) -> float:
+        """Return the time since the rows were last read; infinite if never."""
+        return math.inf if self._contact_s is None else now_s - self._contact_s
+
     def loads_of_others(
         self, own_id: ids.ProcessId, now_s: float
     ) -> dict[ids.EndpointId, int]:
--- a/src/dogwoodpost/core/routing/route_query.py
+++ b/src/dogwoodpost/core/routing/route_query.py
@@ -31,6 +31,8 @@
     :param waiting_count: requests of the service that wait besides this one.
     :param may_probe: the attempt may be sent to an endpoint on probation;
         false for work that must not run twice.
+    :param may_use_cold: the attempt may be sent to an endpoint that may be
+        cold; false for work that need not be sent.
     """
 
     service: ids.ServiceName
@@ -47,6 +49,7 @@
     account_underserved: bool = False
     waiting_count: int = 0
     may_probe: bool = True
+    may_use_cold: bool = True
 
 
 class AttemptResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -7,10 +7,10 @@
 from dogwoodpost.core.routing.available_endpoint import AvailableEndpoint
 from dogwoodpost.core.routing.cache_index import CacheIndex
 from dogwoodpost.core.routing.candidate_sampler import CandidateSampler
+from dogwoodpost.core.routing.endpoint_costs import EndpointCosts
 from dogwoodpost.core.routing.endpoint_pool import Distance
 from dogwoodpost.core.routing.endpoint_pool import EndpointPool
 from dogwoodpost.core.routing.outlier_detector import Health
-from dogwoodpost.core.routing.prefix import BLOCK_TOKENS
 from dogwoodpost.core.routing.settings import OutlierSettings
 from dogwoodpost.core.routing.settings import RouterSettings
 
@@ -20,12 +20,11 @@
 
     from dogwoodpost.core import ids
     from dogwoodpost.core import messages
+    from dogwoodpost.core.cold_starts import ColdStartLimiter
     from dogwoodpost.core.routing.endpoint import Endpoint
     from dogwoodpost.core.routing.route_query import AttemptResult
     from dogwoodpost.core.routing.route_query import RouteQuery
 
-_BYTES_PER_MIB = 1024 * 1024
-
 
 class Router:
     """Selects endpoints by load, distance and cached prompt prefix.
@@ -50,7 +49,19 @@
         self._index = CacheIndex(
             self._settings.max_index_blocks, self._settings.presumed_weight
         )
+        self._costs = EndpointCosts(self._settings, self._index)
         self._sampler = CandidateSampler(self._settings, self._index, rng)
+        self._cold_starts: ColdStartLimiter | None = None
+
+    def limit_cold_starts(self, limiter: ColdStartLimiter) -> None:
+        """Limit what is sent to endpoints that may be cold from now on."""
+        self._cold_starts = limiter
+
+    def needed_services(self, now_s: float) -> tuple[ids.ServiceName, ...]:
+        """Return the services to announce before sending to cold endpoints."""
+        if self._cold_starts is None:
+            return ()
+        return self._cold_starts.needed_services(now_s)
 
     def upsert(self, endpoint: Endpoint, now_s: float) -> None:
         """Add an endpoint or replace its description."""
@@ -106,6 +117,39 @@
             for endpoint_id in endpoint_ids
         )
 
+    def cold_wait_s(
+        self, query: RouteQuery, waiting_count: int, now_s: float
+    ) -> float | None:
+        """Return how long a request waits at most if all endpoints are cold.
+
+        The wait ends when the endpoints are warm, or sooner if this process's
+        shares of what they bear suffice for the requests ahead: each second
+        has places for one more share.
+
+        :param waiting_count: requests of the service that wait already.
+        :returns: None if a warm endpoint may serve the request.
+        """
+        limiter = self._cold_starts
+        pool = self._pools.get(query.service)
+        if limiter is None or pool is None:
+            return None
+        limiter.note_need(query.service, now_s)
+        total_per_s = 0
+        ahead_count = waiting_count
+        for endpoint_ids in pool.eligible().values():
+            for endpoint_id in endpoint_ids:
+                if not self._is_allowed(pool, query, endpoint_id):
+                    continue
+                endpoint = pool.endpoints[endpoint_id]
+                if not limiter.is_cold(endpoint, now_s):
+                    return None
+                total_per_s += limiter.share_per_s(endpoint, now_s)
+                ahead_count += limiter.recent_count(endpoint_id, now_s)
+        warm_up_s = limiter.warm_up_s(query.service)
+        if not total_per_s:
+            return warm_up_s
+        return min(warm_up_s, float(ahead_count // total_per_s))
+
     def mean_duration_s(self, service: ids.ServiceName) -> float:
         """Return the mean duration of a service's attempts, in seconds."""
         return self._pool(service).mean_duration_s
@@ -118,7 +162,7 @@
         pool = self._pools.get(query.service)
         if pool is None:
             return None
-        allowed = self._allowed_candidates(pool, query)
+        allowed = self._allowed_candidates(pool, query, now_s)
         probe_id = self._probe_candidate(pool, query, allowed, now_s)
         if probe_id and not self._should_wait_nearby(
             pool, query, [probe_id], now_s
@@ -129,10 +173,16 @@
             return None
         loads = _loads(pool, candidates, now_s)
         scores = {
-            endpoint_id: self._score_s(pool, query, endpoint_id, loads, now_s)
+            endpoint_id: self._costs.score_s(
+                pool, query, endpoint_id, loads, now_s
+            )
             for endpoint_id in candidates
         }
-        available_ids = self._with_free_slots(pool, candidates, loads, query)
+        available_ids = self._warm_first(
+            pool,
+            self._with_free_slots(pool, candidates, loads, query),
+            now_s,
+        )
         if not available_ids:
             return None
         best_id = min(
@@ -154,18 +204,21 @@
         pool = self._pools.get(query.service)
         if pool is None:
             return []
-        allowed = self._allowed_candidates(pool, query)
+        allowed = self._allowed_candidates(pool, query, now_s)
         probe_id = self._probe_candidate(pool, query, allowed, now_s)
         if probe_id:
             candidates = [probe_id]
         else:
             candidates = self._in_rotation(pool, allowed, now_s)
         loads = _loads(pool, candidates, now_s)
+        available_ids = self._warm_first(
+            pool,
+            self._with_free_slots(pool, candidates, loads, query),
+            now_s,
+        )
         return [
             AvailableEndpoint(pool.endpoints[endpoint_id], loads[endpoint_id])
-            for endpoint_id in self._with_free_slots(
-                pool, candidates, loads, query
-            )
+            for endpoint_id in available_ids
         ]
 
     def endpoint(self, endpoint_id: ids.EndpointId) -> Endpoint | None:
@@ -197,6 +250,9 @@
         if load is None:
             return
         load.begin(attempt_id, now_s)
+        endpoint = pool.endpoints.get(endpoint_id)
+        if self._cold_starts is not None and endpoint is not None:
+            self._cold_starts.record_send(endpoint, now_s)
         pool.outliers.begin(endpoint_id, attempt_id, now_s)
         self._index.record_dispatch(endpoint_id, query.prefix)
 
@@ -218,6 +274,10 @@
         if not result.conclusive:
             pool.outliers.abandon(endpoint_id, attempt_id)
             return
+        if self._cold_starts is not None:
+            self._cold_starts.record_result(
+                endpoint_id, failed=result.failed, now_s=now_s
+            )
         s_per_unit = None
         if not result.failed:
             pool.observe(result.duration_s, result.work_units)
@@ -249,14 +309,57 @@
         return pool
 
     def _allowed_candidates(
-        self, pool: EndpointPool, query: RouteQuery
+        self, pool: EndpointPool, query: RouteQuery, now_s: float
     ) -> list[ids.EndpointId]:
-        """Return the sampled endpoints that may serve the attempt."""
-        return [
+        """Return the sampled endpoints that may get the attempt now.
+
+        Cold endpoints are left out while this process has used its share of
+        what they bear.
+        """
+        allowed = [
             endpoint_id
             for endpoint_id in self._sampler.sample(pool, query)
             if self._is_allowed(pool, query, endpoint_id)
         ]
+        limiter = self._cold_starts
+        if limiter is None:
+            return allowed
+        if not query.may_use_cold:
+            return [
+                endpoint_id
+                for endpoint_id in allowed
+                if not self._is_cold(pool, endpoint_id, now_s)
+            ]
+        limiter.note_need(query.service, now_s)
+        return [
+            endpoint_id
+            for endpoint_id in allowed
+            if limiter.may_send(pool.endpoints[endpoint_id], now_s)
+        ]
+
+    def _warm_first(
+        self,
+        pool: EndpointPool,
+        endpoint_ids: list[ids.EndpointId],
+        now_s: float,
+    ) -> list[ids.EndpointId]:
+        """Return the warm endpoints, or all if none of them is warm.
+
+        While warm endpoints have places, cold ones are left to warm up.
+        """
+        warm_ids = [
+            endpoint_id
+            for endpoint_id in endpoint_ids
+            if not self._is_cold(pool, endpoint_id, now_s)
+        ]
+        return warm_ids or endpoint_ids
+
+    def _is_cold(
+        self, pool: EndpointPool, endpoint_id: ids.EndpointId, now_s: float
+    ) -> bool:
+        if self._cold_starts is None:
+            return False
+        return self._cold_starts.is_cold(pool.endpoints[endpoint_id], now_s)
 
     def _probe_candidate(
         self,
@@ -339,79 +442,9 @@
             endpoint_id
             for endpoint_id in candidates
             if loads[endpoint_id]
-            < self._request_limit(pool, endpoint_id, query)
+            < self._costs.request_limit(pool, endpoint_id, query)
         ]
 
-    def _request_limit(
-        self,
-        pool: EndpointPool,
-        endpoint_id: ids.EndpointId,
-        query: RouteQuery,
-    ) -> float:
-        """Return how many requests an endpoint may hold at once.
-
-        This is its capacity multiplied by the overcommit factor.
-        """
-        settings = self._settings
-        factor = settings.overcommit_factor
-        if query.account_underserved:
-            factor = settings.underserved_overcommit_factor
-        return self._capacity(pool, endpoint_id, query) * factor
-
-    def _capacity(
-        self,
-        pool: EndpointPool,
-        endpoint_id: ids.EndpointId,
-        query: RouteQuery,
-    ) -> int:
-        reported_count = pool.endpoints[endpoint_id].capacity_count
-        return reported_count or query.concurrency
-
-    def _score_s(
-        self,
-        pool: EndpointPool,
-        query: RouteQuery,
-        endpoint_id: ids.EndpointId,
-        loads: dict[ids.EndpointId, int],
-        now_s: float,
-    ) -> float:
-        """Return the expected time of the attempt at an endpoint.
-
-        The sum of work, prefill and network delay, in seconds, plus the
-        charge for traffic between regions expressed as seconds.
-        """
-        slowness = max(pool.outliers.slowness(endpoint_id, now_s), 0.5)
-        capacity = self._capacity(pool, endpoint_id, query)
-        load_share = (loads[endpoint_id] + 1) / capacity
-        work_s = pool.mean_duration_s * load_share * slowness
-        matched = 0.0
-        if loads[endpoint_id] <= self._affinity_load_limit(loads):
-            matched = self._index.matched_blocks(endpoint_id, query.prefix)
-        uncached_tokens = max(
-            0.0, query.prompt_tokens - matched * BLOCK_TOKENS
-        )
-        prefill_units = uncached_tokens * self._settings.prompt_token_units
-        prefill_s = prefill_units * pool.mean_s_per_unit
-        distance = pool.distance(pool.endpoints[endpoint_id])
-        return (
-            work_s + prefill_s * slowness + self._distance_s(distance, query)
-        )
-
-    def _affinity_load_limit(self, loads: dict[ids.EndpointId, int]) -> float:
-        """Return the load above which cached prefixes are ignored."""
-        mean = sum(loads.values()) / len(loads)
-        return self._settings.load_bound * (mean + 1.0)
-
-    def _distance_s(self, distance: Distance, query: RouteQuery) -> float:
-        settings = self._settings
-        if distance is Distance.ZONE:
-            return 0.0
-        if distance is Distance.REGION:
-            return settings.zone_delay_s
-        volume_mib = query.volume_bytes / _BYTES_PER_MIB
-        charge_s = volume_mib * settings.region_charge_s_per_mib
-        return settings.region_delay_s + charge_s
-
     def _should_wait(
         self,
         pool: EndpointPool,
@@ -433,13 +466,13 @@
         # leave the region depends on the wait of the whole queue, see
         # _should_wait_nearby.
         distance = pool.distance(pool.endpoints[best_id])
-        best_s = scores[best_id] - self._distance_s(distance, query)
+        best_s = scores[best_id] - self._costs.distance_s(distance, query)
         for endpoint_id, score_s in scores.items():
-            request_limit = self._request_limit(pool, endpoint_id, query)
+            request_limit = self._costs.request_limit(pool, endpoint_id, query)
             excess_count = loads[endpoint_id] - request_limit + 1
             if excess_count <= 0:
                 continue
-            capacity = self._capacity(pool, endpoint_id, query)
+            capacity = self._costs.capacity(pool, endpoint_id, query)
             slot_s = pool.mean_duration_s / capacity
             gain_s = best_s - score_s
             wait_s = max(query.passed_over_s, slot_s * excess_count)
@@ -470,17 +503,18 @@
         eligible = pool.eligible()
         near = eligible[Distance.ZONE] + eligible[Distance.REGION]
         slot_count = sum(
-            self._capacity(pool, endpoint_id, query)
+            self._costs.capacity(pool, endpoint_id, query)
             for endpoint_id in near
             if self._is_allowed(pool, query, endpoint_id)
             and pool.outliers.health(endpoint_id, now_s) is Health.HEALTHY
+            and not self._is_cold(pool, endpoint_id, now_s)
         )
         if not slot_count:
             return False
         near_wait_s = (
             pool.mean_duration_s * (query.waiting_count + 1) / slot_count
         )
-        return near_wait_s < self._distance_s(Distance.REMOTE, query)
+        return near_wait_s < self._costs.distance_s(Distance.REMOTE, query)
 
 
 def _loads(
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -14,6 +14,7 @@
 from dogwoodpost.core.allowed_regions import AllowedRegions
 from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.configuration import ClientAccount
+from dogwoodpost.core.configuration import ColdStart
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import KeyRecord
 from dogwoodpost.core.configuration import NO_LIMITS
@@ -94,9 +95,13 @@
     """A service of the configuration.
 
     :param engine: set for services that generate tokens.
+    :param cold_start_s: how long an endpoint is cold after its start.
+    :param cold_per_s: requests per second that a cold endpoint tolerates.
     """
 
     name: str
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: dict[str, object] | None = None
     scale: dict[str, object] | None = None
 
@@ -142,7 +147,7 @@
         clock: Clock,
         region_by_zone: Mapping[str, str],
         on_evacuation: Callable[
-            [frozenset[ids.AvailabilityZone], float], object
+            [frozenset[ids.AvailabilityZone], float], None
         ],
         *,
         max_age_s: float | None,
@@ -394,6 +399,16 @@
         name=ids.ServiceName(wire.name),
         kind=kind,
         zone_scale=_to_zone_scale(wire),
+        cold_start=_to_cold_start(wire),
+    )
+
+
+def _to_cold_start(wire: _WireService) -> ColdStart | None:
+    """Return the terms of cold endpoints, None if they never are cold."""
+    if wire.cold_start_s <= 0.0:
+        return None
+    return ColdStart(
+        duration_s=wire.cold_start_s, rate_per_s=max(wire.cold_per_s, 0.0)
     )
 
 
--- a/src/dogwoodpost/platform/endpoint_rows.py
+++ b/src/dogwoodpost/platform/endpoint_rows.py
@@ -14,6 +14,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from dogwoodpost.core.cold_starts import ColdTracker
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
     from dogwoodpost.ports.row_store import VersionedRow
 
@@ -21,6 +22,7 @@
 TABLE = 'servers'
 _READY = 'ready'
 _DRAINING = 'draining'
+_MS_PER_S = 1_000
 
 
 class _WireModel(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,6 +36,7 @@
     :param slots: number of requests that the endpoint runs at once.
     :param sequence: counts the endpoint's entries, not the orders that it
         has accepted.
+    :param cold_remaining_ms: how long the endpoint stays cold after its start.
     :param born: Unix time of its start in milliseconds; distinguishes
         incarnations with the same id.
     """
@@ -45,6 +48,7 @@
     state: str
     sequence: int
     born: int = 0
+    cold_remaining_ms: float = 0.0
     models: tuple[_WireModel, ...] = ()
 
 
@@ -58,11 +62,14 @@
     def __init__(
         self,
         registry: EndpointRegistry,
+        cold_tracker: ColdTracker,
         region_by_zone: Mapping[str, str],
     ) -> None:
         self._registry = registry
+        self._cold_tracker = cold_tracker
         self._region_by_zone = region_by_zone
         self._row_versions: dict[ids.EndpointId, int] = {}
+        self._cold_ids: set[ids.EndpointId] = set()
         self._generations: dict[ids.EndpointId, tuple[int, int]] = {}
 
     def apply(self, rows: Sequence[VersionedRow], now_s: float) -> None:
@@ -83,6 +90,7 @@
     def note_contact(self, now_s: float) -> None:
         """Note that the entries are up to date."""
         self._registry.note_contact(now_s)
+        self._cold_tracker.note_contact(now_s)
 
     def _apply_row(
         self, endpoint_id: ids.EndpointId, value: bytes | None, now_s: float
@@ -92,6 +100,8 @@
             if self._generations.get(endpoint_id, (0, 0))[0] == 0:
                 self._generations.pop(endpoint_id, None)
             self._log_removal(endpoint_id)
+            self._cold_tracker.forget(endpoint_id)
+            self._cold_ids.discard(endpoint_id)
             self._registry.remove(endpoint_id, now_s)
             return
         try:
@@ -109,6 +119,9 @@
             )
             return
         self._generations[endpoint_id] = generation
+        self._cold_tracker.note_entry(
+            endpoint_id, entry.cold_remaining_ms / _MS_PER_S, now_s
+        )
         self._upsert(endpoint_id, entry, now_s)
 
     def _upsert(
@@ -129,7 +142,17 @@
             draining=entry.state == _DRAINING,
         )
         registered = self._registry.get(endpoint_id)
-        if registered is None or registered.draining != endpoint.draining:
+        is_cold = entry.cold_remaining_ms > 0
+        was_cold = endpoint_id in self._cold_ids
+        if is_cold:
+            self._cold_ids.add(endpoint_id)
+        else:
+            self._cold_ids.discard(endpoint_id)
+        if (
+            registered is None
+            or registered.draining != endpoint.draining
+            or is_cold != was_cold
+        ):
             _log.info(
                 'endpoint_entry',
                 endpoint=endpoint_id,
@@ -138,6 +161,7 @@
                 availability_zone=entry.zone,
                 draining=endpoint.draining,
                 sequence=entry.sequence,
+                cold_remaining_ms=entry.cold_remaining_ms,
                 incarnation=entry.born,
             )
         self._registry.upsert(endpoint, now_s)
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -14,6 +14,10 @@
 from dogwoodpost.adapters.rows import PartitionTableStore
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
+from dogwoodpost.core.cold_starts import ColdStartLimiter
+from dogwoodpost.core.cold_starts import ColdTracker
+from dogwoodpost.core.cold_starts import DoubtReason
+from dogwoodpost.core.cold_starts import EqualShares
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
@@ -60,6 +64,7 @@
 if TYPE_CHECKING:
     import aiohttp
 
+    from dogwoodpost.core.configuration import ColdStart
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.observability import LogBuffer
     from dogwoodpost.observability import Metrics
@@ -77,7 +82,7 @@
 _JOB_HEAD_READ_PAUSE_S = 0.05
 _VERSION_READ_PAUSE_S = 0.1
 _PRESENCE_READ_PAUSE_S = 0.25
-_LOG_FLUSH_INTERVAL_S = 0.1
+_TICK_INTERVAL_S = 0.1
 _SETTINGS_CHECK_INTERVAL_S = 1.0
 # Share of the process's memory that request bodies may use.
 _BODY_MEMORY_SHARE = 0.2
@@ -131,11 +136,14 @@
             _ROUTER_SETTINGS,
         )
         self._registry = EndpointRegistry(self._router)
+        self._cold_tracker = ColdTracker(
+            settings.heartbeat_ms / _MS_PER_S, self._note_doubt
+        )
         self._configuration = configuration_rows.ConfigurationRows(
             self._announced_versions,
             self._clock,
             settings.zones,
-            self._registry.set_evacuated_zones,
+            self._set_evacuated_zones,
             max_age_s=_max_age_s(settings),
         )
         self._loading_endpoints = LoadingEndpoints()
@@ -162,7 +170,7 @@
 
     async def open_parts(self) -> None:
         """Open the parts; the addresses that clients call come last."""
-        self.add_future(self._flush_logs())
+        self.add_future(self._run_ticks())
         _log.info(
             'process_started',
             availability_zone=self._settings.zone,
@@ -193,6 +201,17 @@
             region=ids.Region(self._settings.region),
             cores=self._settings.limits.cpu_share
             * self._settings.limits.cores,
+            needed_services=self._router.needed_services,
+        )
+        self._router.limit_cold_starts(
+            ColdStartLimiter(
+                self._identity.process_id,
+                self._cold_tracker,
+                EqualShares(),
+                self._presence.senders,
+                self._cold_start_of,
+                overage=self._settings.bounds.cold_overage,
+            )
         )
         self._store.relay = StoreRelay(self._presence, session, self._metrics)
         forwarder = JobForwarder(
@@ -303,7 +322,7 @@
             (
                 endpoint_rows.TABLE,
                 endpoint_rows.EndpointRows(
-                    self._registry, self._settings.zones
+                    self._registry, self._cold_tracker, self._settings.zones
                 ),
                 _ENDPOINT_READ_PAUSE_S,
             ),
@@ -405,7 +424,7 @@
             grace_s=self._settings.bounds.grace_s,
         )
         self._is_leaving = True
-        self._presence.is_leaving = True
+        self._presence.leave()
         self._ingress.closes_connections = True
         release_leases = asyncio.create_task(self._duties.release())
         start_s = self._clock.monotonic_s()
@@ -440,10 +459,36 @@
         self._store.address = settings.platform.address
         self._duties.settings = settings
 
-    async def _flush_logs(self) -> None:
+    def _set_evacuated_zones(
+        self, zones: frozenset[ids.AvailabilityZone], now_s: float
+    ) -> None:
+        """Apply evacuations; endpoints may be cold after the end of one."""
+        released_ids = self._registry.set_evacuated_zones(zones, now_s)
+        self._cold_tracker.doubt(
+            released_ids, DoubtReason.EVACUATION_ENDED, now_s
+        )
+
+    def _note_doubt(
+        self, endpoint_id: ids.EndpointId, reason: DoubtReason
+    ) -> None:
+        self._metrics.events.labels(f'endpoint_doubt_{reason.value}').inc()
+        endpoint = self._registry.get(endpoint_id)
+        if endpoint and self._cold_start_of(endpoint.service) is not None:
+            _log.info(
+                'endpoint_may_be_cold',
+                endpoint=endpoint_id,
+                reason=reason.value,
+            )
+
+    def _cold_start_of(self, service: ids.ServiceName) -> ColdStart | None:
+        configured = self._configuration.current().services.get(service)
+        return configured.cold_start if configured is not None else None
+
+    async def _run_ticks(self) -> None:
         while True:
+            self._cold_tracker.tick(self._clock.monotonic_s())
             self._log_buffer.flush()
-            await asyncio.sleep(_LOG_FLUSH_INTERVAL_S)
+            await asyncio.sleep(_TICK_INTERVAL_S)
 
 
 class _ListenAddress:
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -44,6 +44,8 @@
     :param report_window_s: length of a window of usage reports.
     :param status_s: how long results of a batch job stay readable after its
         acceptance.
+    :param cold_overage: factor on the rate that a cold endpoint tolerates, up
+        to which it may get requests.
     :param revoke_ms: time within which a revoked key must stop working.
     :param strict_revoke: whether routes that need a key are refused while the
         configuration may be older than ``revoke_ms`` allows.
@@ -56,6 +58,7 @@
     status_s: float = 120.0
     revoke_ms: float = 5000.0
     strict_revoke: bool = False
+    cold_overage: float = 1.0
 
 
 class StoreSettings(_SettingsStruct, frozen=True, kw_only=True):
@@ -86,6 +89,7 @@
     """Settings of one process.
 
     :param node: id of the process; the name of the field is the platform's.
+    :param heartbeat_ms: longest time between two entries of an endpoint.
     :param ip: IP address at which other processes reach this one.
     :param zones: region of each availability zone.
     :param listen: listening addresses (host and port) by name: ``front`` for
@@ -103,6 +107,7 @@
     zones: dict[str, str] = {}
     listen: dict[str, str] = {}
     port_range: tuple[int, ...] = ()
+    heartbeat_ms: float = 1200.0
     limits: LimitSettings = LimitSettings()
     bounds: BoundSettings = BoundSettings()
     cloud: DutySettings = DutySettings()
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -143,7 +143,7 @@
         if self._waiting:
             return False
         now_s = self._clock.monotonic_s()
-        candidates = self._available_endpoints(request, now_s, may_probe=False)
+        candidates = self._available_endpoints(request, now_s, is_move=True)
         return self._placement.should_move(
             slot.endpoint.endpoint_id, candidates, now_s
         )
@@ -211,7 +211,7 @@
         request: PlacementRequest,
         now_s: float,
         *,
-        may_probe: bool = True,
+        is_move: bool = False,
     ) -> list[AvailableEndpoint]:
         excluded = self._excluded_endpoints(request.model, now_s)
         if now_s < request.avoided_until_s:
@@ -222,7 +222,8 @@
             min_weight_version=request.min_version,
             excluded=excluded,
             allowed_regions=request.allowed_regions,
-            may_probe=may_probe,
+            may_probe=not is_move,
+            may_use_cold=not is_move,
         )
         return self._router.available_endpoints(query, now_s)
 
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.membership.announced_senders import AnnouncedSenders
 from dogwoodpost.core.membership.presence import PresenceRecord
 from dogwoodpost.core.membership.presence import PresenceTracker
 from dogwoodpost.core.messages import EndpointLoad
@@ -20,6 +21,7 @@
 from dogwoodpost.services.rows import encode_record
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from dogwoodpost.core.allowed_regions import AllowedRegions
@@ -51,6 +53,8 @@
     :param address: address at which clients call this process.
     :param peer_address: address at which other processes call this process.
     :param cores: processor capacity of this process, in cores.
+    :param needed_services: returns the services to announce as a sender; see
+        :class:`AnnouncedSenders`.
     """
 
     def __init__(
@@ -65,6 +69,9 @@
         availability_zone: ids.AvailabilityZone = _NO_ZONE,
         region: ids.Region = _NO_REGION,
         cores: float = 1.0,
+        needed_services: Callable[
+            [float], tuple[ids.ServiceName, ...]
+        ] = lambda _now_s: (),
     ) -> None:
         super().__init__()
         self.availability_zone = availability_zone
@@ -72,7 +79,9 @@
         self._address = address
         self._peer_address = peer_address
         self._cores = cores
+        self._needed_services = needed_services
         self.view = PresenceTracker(HEARTBEAT_TIMEOUT_S, MAX_READ_GAP_S)
+        self.senders = AnnouncedSenders(identity.process_id, self.view)
         self.is_leaving = False
         self._identity = identity
         self._store = store
@@ -84,6 +93,11 @@
         self._contact_since_s: float | None = None
         self._reported_endpoints: frozenset[ids.EndpointId] = frozenset()
 
+    def leave(self) -> None:
+        """Record the beginning of a planned stop."""
+        self.is_leaving = True
+        self.senders.stop()
+
     @property
     def is_confirmed(self) -> bool:
         """Return whether this process has written a heartbeat recently.
@@ -158,6 +172,11 @@
         :raises StoreError: the row is not known to be written.
         """
         self._sequence += 1
+        sent_s = self._clock.monotonic_s()
+        services: tuple[ids.ServiceName, ...] = ()
+        if not self.is_leaving:
+            services = self._needed_services(sent_s)
+        self.senders.begin_heartbeat(services)
         record = PresenceRecord(
             incarnation=self._identity.incarnation,
             sequence=self._sequence,
@@ -168,6 +187,7 @@
             availability_zone=self.availability_zone,
             cores=self._cores,
             region=self.region,
+            sender_services=services,
         )
         key = RowKey(TABLE, '', self._identity.process_id)
         write = RowWrite(key, encode_record(record))
@@ -184,6 +204,9 @@
                 )
             else:
                 self._record_heartbeat()
+                self.senders.note_heartbeat(
+                    services, sent_s, self._clock.monotonic_s()
+                )
                 return
 
     def _record_heartbeat(self) -> None:
--- a/src/dogwoodpost/standins/site/sampler_app.py
+++ b/src/dogwoodpost/standins/site/sampler_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -88,6 +89,12 @@
         # Values of the ``Server-Leaving`` header, which announces a planned
         # stop; sent with all responses.
         self.leaving_values: tuple[str, ...] = ()
+        # A cold endpoint crashes if it gets more requests in a second.
+        self.cold_limit_per_s = float('inf')
+        self.arrivals_s: list[float] = []
+        self.is_crashed = False
+        self._warm_at_s = 0.0
+        self._sequence = 0
         self._event_count = event_count
         self._is_busy = False
 
@@ -104,6 +111,7 @@
         self, service: str, address: str, zone: str, state: str = 'ready'
     ) -> bytes:
         """Return the entry of the endpoint in service discovery."""
+        self._sequence += 1
         return msgspec.json.encode(
             {
                 'service': service,
@@ -112,13 +120,42 @@
                 'version': 'v1',
                 'slots': 8,
                 'state': state,
-                'coldRemainingMs': 0,
+                'coldRemainingMs': round(self.cold_remaining_s * _MS_PER_S),
                 'born': self.born_ms,
-                'sequence': 1,
+                'sequence': self._sequence,
                 'models': self._models(),
             }
         )
 
+    @property
+    def cold_remaining_s(self) -> float:
+        """Return how long the endpoint stays cold."""
+        return max(self._warm_at_s - time.monotonic(), 0.0)
+
+    def become_cold(self, duration_s: float) -> None:
+        """Tolerate few requests from now on, as after a start."""
+        self._warm_at_s = time.monotonic() + duration_s
+
+    def most_arrivals_in_a_second(self) -> int:
+        """Return the largest number of requests in any second."""
+        counts = (
+            sum(
+                start_s <= arrival_s < start_s + 1.0
+                for arrival_s in self.arrivals_s
+            )
+            for start_s in self.arrivals_s
+        )
+        return max(counts, default=0)
+
+    def _record_arrival(self) -> None:
+        now_s = time.monotonic()
+        self.arrivals_s.append(now_s)
+        recent_count = sum(
+            arrival_s > now_s - 1.0 for arrival_s in self.arrivals_s
+        )
+        if self.cold_remaining_s and recent_count > self.cold_limit_per_s:
+            self.is_crashed = True
+
     async def _add_leaving_header(
         self, _request: web.Request, response: web.StreamResponse
     ) -> None:
@@ -156,6 +193,9 @@
         expected = request.headers.get('X-Expect-Instance')
         if expected not in {None, self.endpoint_id}:
             return web.Response(status=421)
+        self._record_arrival()
+        if self.is_crashed:
+            return _abort_connection(request)
         fault = self.faults.popleft() if self.faults else None
         if fault is SamplerFault.FULL:
             return web.Response(status=503, headers={'X-Not-Executed': '1'})
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -45,6 +45,8 @@
 ACCOUNT = 'buyers'
 MODEL = 'model-a'
 EVENT_COUNT = 6
+REGIONS = {'zone-a': 'region-a', 'zone-b': 'region-b'}
+ENTRY_INTERVAL_S = 0.3
 _SIGHUP_INTERVAL_S = 0.05
 _FIRST_PORT = 10_000
 _END_PORT = 30_000
@@ -113,6 +115,7 @@
         # Store addresses of single processes, in place of the common one.
         self.store_addresses: dict[str, str] = {}
         self._addresses: dict[str, str] = {}
+        self._zones: dict[str, str] = {}
 
     async def open(self, stack: contextlib.AsyncExitStack) -> None:
         store = await stack.enter_async_context(_serve(self.store_app.app()))
@@ -129,12 +132,39 @@
         return [*engines, (self.plain, 'plain')]
 
     def register(
-        self, endpoint: SamplerApp, service: str, state: str = 'ready'
+        self,
+        endpoint: SamplerApp,
+        service: str,
+        state: str = 'ready',
+        zone: str | None = None,
     ) -> None:
+        """Write an endpoint's entry; without a zone, it stays in its own."""
+        zone = zone or self._zones.get(endpoint.endpoint_id, 'zone-a')
+        self._zones[endpoint.endpoint_id] = zone
         address = self._addresses[endpoint.endpoint_id]
-        entry = endpoint.entry(service, address, 'zone-a', state)
+        entry = endpoint.entry(service, address, zone, state)
         self.put('servers', endpoint.endpoint_id, entry)
 
+    @contextlib.asynccontextmanager
+    async def heartbeats(self, interval_s: float) -> AsyncIterator[None]:
+        """Register the endpoints again and again during the block."""
+
+        async def register_all() -> None:
+            while True:
+                for endpoint, service in self.endpoints():
+                    self.register(endpoint, service)
+                await asyncio.sleep(interval_s)
+
+        task = asyncio.create_task(register_all())
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.wait({task})
+
+    def evacuate(self, zone: str, *, is_over: bool = False) -> None:
+        self.put('op', f'evacuate/{zone}', None if is_over else b'{}')
+
     @property
     def store_address(self) -> str:
         return self._addresses['store']
@@ -222,13 +252,14 @@
             'tenants': [{'name': ACCOUNT, 'apiKeys': [KEY]}],
         }
 
-    def settings(self, name: str) -> dict[str, Any]:
+    def settings(self, name: str, zone: str = 'zone-a') -> dict[str, Any]:
         peer_port = free_port()
         return {
             'node': name,
-            'zone': 'zone-a',
-            'region': 'region-a',
-            'zones': {'zone-a': 'region-a'},
+            'zone': zone,
+            'region': REGIONS[zone],
+            'zones': REGIONS,
+            'heartbeatMs': ENTRY_INTERVAL_S * 1_000,
             'ip': '127.0.0.1',
             'portRange': [peer_port, peer_port],
             'listen': {
@@ -244,12 +275,19 @@
                 'address': self._addresses['duties'],
                 'duties': ['usage', 'autoscale'],
             },
-            'bounds': {'leaseMs': 1500, 'reportWindowS': 1, 'graceS': 4},
+            'bounds': {
+                'leaseMs': 1500,
+                'reportWindowS': 1,
+                'graceS': 4,
+                'coldOverage': 1.5,
+            },
         }
 
     @contextlib.asynccontextmanager
-    async def node(self, name: str) -> AsyncIterator[Node]:
-        settings = self.settings(name)
+    async def node(
+        self, name: str, zone: str = 'zone-a'
+    ) -> AsyncIterator[Node]:
+        settings = self.settings(name, zone)
         process = PlatformProcess(
             msgspec.convert(settings, ProcessSettings),
             ProcessIdentity(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,6 +7,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.allowed_regions import ANY_REGION
+from dogwoodpost.core.cold_starts import ColdTracker
 from dogwoodpost.core.configuration import RouteKind
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.errors import EndpointError
@@ -60,7 +61,7 @@
 
 @pytest.fixture
 def entries(listener: FakeListener) -> EndpointRows:
-    return EndpointRows(EndpointRegistry(listener), REGIONS)
+    return EndpointRows(EndpointRegistry(listener), ColdTracker(1.2), REGIONS)
 
 
 @pytest.mark.parametrize(
@@ -203,7 +204,7 @@
     A full read of the table replaces the history that the store dropped.
     """
     registry = EndpointRegistry(listener)
-    entries = EndpointRows(registry, REGIONS)
+    entries = EndpointRows(registry, ColdTracker(1.2), REGIONS)
     entries.apply([row('servers', 'e', ENTRY, 1)], 0.0)
     source = operator_rows(VirtualClock(), registry)
     evacuation = row('op', 'evacuate/zone-a', {}, 2)
