Take an endpoint's entry as valid until it changes

Cause: an entry is written when more than its sequence changes, not with each heartbeat.

Change: missing entries are no doubt. An endpoint in doubt is used fully once it has answered and an entry written before that would have been read.

--- a/src/dogwoodpost/platform/endpoint_rows.py
+++ b/src/dogwoodpost/platform/endpoint_rows.py
@@ -90,7 +90,7 @@
     def note_contact(self, now_s: float) -> None:
         """Note that the entries are up to date."""
         self._registry.note_contact(now_s)
-        self._cold_tracker.note_contact(now_s)
+        self._cold_tracker.note_read(now_s)
 
     def _apply_row(
         self, endpoint_id: ids.EndpointId, value: bytes | None, now_s: float
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -136,9 +136,7 @@
             _ROUTER_SETTINGS,
         )
         self._registry = EndpointRegistry(self._router)
-        self._cold_tracker = ColdTracker(
-            settings.heartbeat_ms / _MS_PER_S, self._note_doubt
-        )
+        self._cold_tracker = ColdTracker(self._note_doubt)
         self._configuration = configuration_rows.ConfigurationRows(
             self._announced_versions,
             self._clock,
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -89,7 +89,6 @@
     """Settings of one process.
 
     :param node: id of the process; the name of the field is the platform's.
-    :param heartbeat_ms: longest time between two entries of an endpoint.
     :param ip: IP address at which other processes reach this one.
     :param zones: region of each availability zone.
     :param listen: listening addresses (host and port) by name: ``front`` for
@@ -107,7 +106,6 @@
     zones: dict[str, str] = {}
     listen: dict[str, str] = {}
     port_range: tuple[int, ...] = ()
-    heartbeat_ms: float = 1200.0
     limits: LimitSettings = LimitSettings()
     bounds: BoundSettings = BoundSettings()
     cloud: DutySettings = DutySettings()
