Separate costs and waiting from the router; document regions and cold starts

Tests for a change of the regions in the queue and for peers that relay bodies; the first fails without the check before the first attempt.

--- a/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
+++ b/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Iterable
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.cold_starts.cold_tracker import ColdTracker
@@ -92,10 +93,38 @@
             endpoint.endpoint_id, terms.duration_s, now_s
         )
 
-    def warm_up_s(self, service: ids.ServiceName) -> float:
-        """Return how long an endpoint of a service is cold after its start."""
+    def wait_s(
+        self,
+        service: ids.ServiceName,
+        endpoints: Iterable[Endpoint],
+        waiting_count: int,
+        now_s: float,
+    ) -> float | None:
+        """Return how long a request waits at most if all endpoints are cold.
+
+        The wait ends when the endpoints are warm, or sooner if this process's
+        shares of what they bear suffice for the requests ahead: each second
+        has places for one more share.
+
+        :param endpoints: endpoints that may serve the request.
+        :param waiting_count: requests of the service that wait already.
+        :returns: None if one of the endpoints is warm.
+        """
         terms = self._terms(service)
-        return 0.0 if terms is None else terms.duration_s
+        if terms is None:
+            return None
+        self.note_need(service, now_s)
+        share_per_s = 0
+        ahead_count = waiting_count
+        for endpoint in endpoints:
+            if not self.is_cold(endpoint, now_s):
+                return None
+            share_per_s += self.share_per_s(endpoint, now_s)
+            ahead_count += self.recent_count(endpoint.endpoint_id, now_s)
+        if not share_per_s:
+            return terms.duration_s
+        share_wait_s = ahead_count // share_per_s * _WINDOW_S
+        return min(terms.duration_s, share_wait_s)
 
     def may_send(self, endpoint: Endpoint, now_s: float) -> bool:
         """Return whether a request may be sent to an endpoint now."""
--- a/src/dogwoodpost/core/membership/announced_senders.py
+++ b/src/dogwoodpost/core/membership/announced_senders.py
@@ -37,6 +37,8 @@
         self._view = view
         self._announced_s: dict[ids.ServiceName, float] = {}
         self._heartbeat_s: float | None = None
+        self._cached_for: tuple[ids.ServiceName, float] | None = None
+        self._cached_ids: frozenset[ids.ProcessId] = frozenset()
 
     def begin_heartbeat(self, services: Collection[ids.ServiceName]) -> None:
         """Record that a heartbeat with these services is being written.
@@ -80,4 +82,10 @@
             return ()
         if self._view.read_age_s(now_s) > MAX_READ_AGE_S:
             return ()
-        return {*self._view.senders(service, now_s), self._process_id}
+        # One decision asks for each of many endpoints.
+        if (service, now_s) != self._cached_for:
+            self._cached_for = (service, now_s)
+            self._cached_ids = frozenset(
+                {*self._view.senders(service, now_s), self._process_id}
+            )
+        return self._cached_ids
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -13,6 +13,7 @@
 from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.settings import OutlierSettings
 from dogwoodpost.core.routing.settings import RouterSettings
+from dogwoodpost.core.routing.waiting_policy import WaitingPolicy
 
 if TYPE_CHECKING:
     import random
@@ -50,6 +51,7 @@
             self._settings.max_index_blocks, self._settings.presumed_weight
         )
         self._costs = EndpointCosts(self._settings, self._index)
+        self._waiting_policy = WaitingPolicy(self._settings, self._costs)
         self._sampler = CandidateSampler(self._settings, self._index, rng)
         self._cold_starts: ColdStartLimiter | None = None
 
@@ -122,33 +124,21 @@
     ) -> float | None:
         """Return how long a request waits at most if all endpoints are cold.
 
-        The wait ends when the endpoints are warm, or sooner if this process's
-        shares of what they bear suffice for the requests ahead: each second
-        has places for one more share.
-
         :param waiting_count: requests of the service that wait already.
         :returns: None if a warm endpoint may serve the request.
         """
-        limiter = self._cold_starts
         pool = self._pools.get(query.service)
-        if limiter is None or pool is None:
+        if self._cold_starts is None or pool is None:
             return None
-        limiter.note_need(query.service, now_s)
-        total_per_s = 0
-        ahead_count = waiting_count
-        for endpoint_ids in pool.eligible().values():
-            for endpoint_id in endpoint_ids:
-                if not self._is_allowed(pool, query, endpoint_id):
-                    continue
-                endpoint = pool.endpoints[endpoint_id]
-                if not limiter.is_cold(endpoint, now_s):
-                    return None
-                total_per_s += limiter.share_per_s(endpoint, now_s)
-                ahead_count += limiter.recent_count(endpoint_id, now_s)
-        warm_up_s = limiter.warm_up_s(query.service)
-        if not total_per_s:
-            return warm_up_s
-        return min(warm_up_s, float(ahead_count // total_per_s))
+        allowed = (
+            pool.endpoints[endpoint_id]
+            for endpoint_ids in pool.eligible().values()
+            for endpoint_id in endpoint_ids
+            if self._is_allowed(pool, query, endpoint_id)
+        )
+        return self._cold_starts.wait_s(
+            query.service, allowed, waiting_count, now_s
+        )
 
     def mean_duration_s(self, service: ids.ServiceName) -> float:
         """Return the mean duration of a service's attempts, in seconds."""
@@ -188,7 +178,9 @@
         best_id = min(
             available_ids, key=lambda available_id: scores[available_id]
         )
-        if self._should_wait(pool, query, scores, loads, best_id):
+        if self._waiting_policy.prefers_full_endpoint(
+            pool, query, scores, loads, best_id
+        ):
             return None
         if self._should_wait_nearby(pool, query, available_ids, now_s):
             return None
@@ -445,41 +437,6 @@
             < self._costs.request_limit(pool, endpoint_id, query)
         ]
 
-    def _should_wait(
-        self,
-        pool: EndpointPool,
-        query: RouteQuery,
-        scores: dict[ids.EndpointId, float],
-        loads: dict[ids.EndpointId, int],
-        best_id: ids.EndpointId,
-    ) -> bool:
-        """Return whether a full endpoint is worth waiting for.
-
-        The wait for a full endpoint never exceeds the time that the endpoint
-        would save. So if its slot is not freed in time, the request loses at
-        most the time that it could have gained.
-        """
-        max_wait_s = self._settings.max_prefix_wait_s
-        if not query.requires_free_slot or query.passed_over_s >= max_wait_s:
-            return False
-        # Delay and charge of another region are left out here: whether to
-        # leave the region depends on the wait of the whole queue, see
-        # _should_wait_nearby.
-        distance = pool.distance(pool.endpoints[best_id])
-        best_s = scores[best_id] - self._costs.distance_s(distance, query)
-        for endpoint_id, score_s in scores.items():
-            request_limit = self._costs.request_limit(pool, endpoint_id, query)
-            excess_count = loads[endpoint_id] - request_limit + 1
-            if excess_count <= 0:
-                continue
-            capacity = self._costs.capacity(pool, endpoint_id, query)
-            slot_s = pool.mean_duration_s / capacity
-            gain_s = best_s - score_s
-            wait_s = max(query.passed_over_s, slot_s * excess_count)
-            if wait_s < gain_s:
-                return True
-        return False
-
     def _should_wait_nearby(
         self,
         pool: EndpointPool,
@@ -489,32 +446,22 @@
     ) -> bool:
         """Return whether to wait because only other regions have free slots.
 
-        This is so if a slot of an endpoint in this region is expected to
-        become free in less time than another region costs in delay and
-        charge. Unhealthy endpoints are not counted: they take no work,
-        however many free slots they have.
+        Unhealthy and cold endpoints of this region are not waited for: they
+        take little work, however many free slots they have.
         """
-        if not query.requires_free_slot:
+        if not self._waiting_policy.is_remote(pool, query, available_ids):
             return False
-        for endpoint_id in available_ids:
-            endpoint = pool.endpoints[endpoint_id]
-            if pool.distance(endpoint) is not Distance.REMOTE:
-                return False
         eligible = pool.eligible()
-        near = eligible[Distance.ZONE] + eligible[Distance.REGION]
-        slot_count = sum(
-            self._costs.capacity(pool, endpoint_id, query)
-            for endpoint_id in near
+        near_ids = [
+            endpoint_id
+            for endpoint_id in (
+                eligible[Distance.ZONE] + eligible[Distance.REGION]
+            )
             if self._is_allowed(pool, query, endpoint_id)
             and pool.outliers.health(endpoint_id, now_s) is Health.HEALTHY
             and not self._is_cold(pool, endpoint_id, now_s)
-        )
-        if not slot_count:
-            return False
-        near_wait_s = (
-            pool.mean_duration_s * (query.waiting_count + 1) / slot_count
-        )
-        return near_wait_s < self._costs.distance_s(Distance.REMOTE, query)
+        ]
+        return self._waiting_policy.prefers_nearby(pool, query, near_ids)
 
 
 def _loads(
--- a/tests/platform/test_store_relay.py
+++ b/tests/platform/test_store_relay.py
@@ -7,6 +7,8 @@
 import msgspec
 import pytest
 
+from dogwoodpost.core import ids
+from dogwoodpost.core.allowed_regions import AllowedRegions
 from dogwoodpost.core.membership.presence import PresenceRecord
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
@@ -14,6 +16,7 @@
 from dogwoodpost.platform.store_client import PlatformRowStore
 from dogwoodpost.platform.store_connection import StoreCall
 from dogwoodpost.platform.store_connection import StoreConnection
+from dogwoodpost.platform.store_relay import StoreRelay
 from dogwoodpost.platform.store_relay import TIMEOUT_HEADER
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
@@ -142,6 +145,29 @@
     assert site.store.rows[key].value == b'second'
 
 
+async def test_bodies_pass_only_through_peers_in_allowed_regions(
+    site: Site,
+) -> None:
+    """Guards against bodies that a peer of another region reads."""
+    async with (
+        site.node('node-2', 'zone-a') as inside,
+        site.node('node-3', 'zone-b') as outside,
+    ):
+        presence = inside.process._presence
+        await asyncio.sleep(HEARTBEAT_READ_S)
+        connection = StoreConnection('127.0.0.1:1', site.session, Metrics())
+        connection.relay = StoreRelay(presence, site.session, Metrics())
+        allowed = AllowedRegions(frozenset({ids.Region('region-a')}))
+        rows = PlatformRowStore(connection).within(allowed)
+        with pytest.raises(StoreUnavailableError):
+            await rows.commit([], [RowWrite(RowKey('t', '', 'k'), b'body')])
+        # The same call passes where the peer's region is allowed.
+        allowed = AllowedRegions(frozenset({ids.Region('region-b')}))
+        rows = PlatformRowStore(connection).within(allowed)
+        await rows.commit([], [RowWrite(RowKey('t', '', 'k'), b'body')])
+        assert outside.process.is_ready()
+
+
 @pytest.mark.parametrize('value', [None, '', 'soon', '0', '-5'])
 async def test_peer_call_without_a_time_limit_is_refused(
     site: Site, value: str | None
--- a/tests/services/entry/test_request_pipeline.py
+++ b/tests/services/entry/test_request_pipeline.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
 
 from dogwoodpost.core import messages
+from dogwoodpost.core.admission import Admission
+from dogwoodpost.core.allowed_regions import AllowedRegions
+from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import Route
 from dogwoodpost.core.configuration import Service
 from dogwoodpost.core.configuration import ServiceKind
+from dogwoodpost.core.routing import Router
+from dogwoodpost.core.routing import RouterSettings
 from dogwoodpost.errors import RequestError
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
@@ -19,11 +25,12 @@
 from dogwoodpost.ports.attempt_runner import AttemptNotRunError
 from dogwoodpost.ports.attempt_runner import AttemptOutcomeUnknownError
 from dogwoodpost.services.entry.pipeline_request import PipelineRequest
+from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+from tests.fakes.pipeline import endpoint
+from tests.fakes.pipeline import LoopClock
 
 if TYPE_CHECKING:
-    from dogwoodpost.core.routing import Router
     from dogwoodpost.observability import Metrics
-    from dogwoodpost.services.entry.request_pipeline import RequestPipeline
     from tests.fakes.pipeline import FakeRunner
     from tests.fakes.pipeline import FakeUsage
 
@@ -265,3 +272,59 @@
     assert spec.priority == 4
     assert 0.0 < spec.timeout_s <= 3.0
     assert msgspec.json.encode(spec.headers) == b'[]'
+
+
+async def test_region_change_in_the_queue_moves_the_request(
+    runner: FakeRunner, metrics: Metrics, usage: FakeUsage
+) -> None:
+    """Guards against a waiting request that keeps the regions of its arrival.
+
+    All slots of the allowed region are taken while the regions change.
+    """
+    route = Route(
+        name='q',
+        service='stone',
+        path_prefix='/',
+        allowed_regions=AllowedRegions(frozenset({'near'})),
+    )
+    settings = RouterSettings(
+        overcommit_factor=1.0, underserved_overcommit_factor=1.0
+    )
+    router = Router('a', 'near', random.Random(1), settings)
+    current = [Configuration(routes={'q': route})]
+    pipeline = RequestPipeline(
+        runner=runner,
+        router=router,
+        admission=Admission(),
+        usage=usage,
+        metrics=metrics,
+        clock=LoopClock(),
+        rng=random.Random(1),
+        current_configuration=lambda: current[0],
+    )
+    for region in ('near', 'far'):
+        router.upsert(
+            endpoint(region, 'stone', region=region, capacity_count=1), 0.0
+        )
+    service = Service(name='stone', kind=ServiceKind.PLAIN)
+    release = asyncio.Event()
+    runner.scripts = [[release, HEAD, DONE], GOOD]
+    first = asyncio.create_task(
+        run(pipeline, request(route=route, service=service))
+    )
+    await asyncio.sleep(0.01)
+    second = asyncio.create_task(
+        run(pipeline, request(route=route, service=service, request_id='s'))
+    )
+    await asyncio.sleep(0.05)
+    assert runner.endpoint_ids == ['near']
+    changed = msgspec.structs.replace(
+        route, allowed_regions=AllowedRegions(frozenset({'far'}))
+    )
+    current[0] = Configuration(routes={'q': changed})
+    release.set()
+    for task in (first, second):
+        events, error = await task
+        assert events == GOOD
+        assert error is None
+    assert runner.endpoint_ids == ['near', 'far']
