Keep equal shares of cold endpoints

Equal shares stay, because one sender leaves half of 31 processes without any cold endpoint when all are cold; the other way and the interface go.

--- a/src/dogwoodpost/core/cold_starts/__init__.py
+++ b/src/dogwoodpost/core/cold_starts/__init__.py
@@ -5,15 +5,9 @@
 from dogwoodpost.core.cold_starts.cold_start_limiter import ColdStartLimiter
 from dogwoodpost.core.cold_starts.cold_tracker import ColdTracker
 from dogwoodpost.core.cold_starts.cold_tracker import DoubtReason
-from dogwoodpost.core.cold_starts.send_shares import EqualShares
-from dogwoodpost.core.cold_starts.send_shares import SendShares
-from dogwoodpost.core.cold_starts.send_shares import SingleSender
 
 __all__ = (
     'ColdStartLimiter',
     'ColdTracker',
     'DoubtReason',
-    'EqualShares',
-    'SendShares',
-    'SingleSender',
 )
--- a/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
+++ b/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core.cold_starts.cold_tracker import DoubtReason
+from dogwoodpost.core.cold_starts.send_share import send_share
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,7 +16,6 @@
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.cold_starts.cold_tracker import ColdTracker
-    from dogwoodpost.core.cold_starts.send_shares import SendShares
     from dogwoodpost.core.configuration import ColdStart
     from dogwoodpost.core.routing.endpoint import Endpoint
 
@@ -54,7 +54,6 @@
         self,
         process_id: ids.ProcessId,
         tracker: ColdTracker,
-        shares: SendShares,
         view: SenderView,
         terms: Callable[[ids.ServiceName], ColdStart | None],
         *,
@@ -62,7 +61,6 @@
     ) -> None:
         self._process_id = process_id
         self._tracker = tracker
-        self._shares = shares
         self._view = view
         self._terms = terms
         self._overage = overage
@@ -139,7 +137,7 @@
         sender_ids = self._view.senders(endpoint.service, now_s)
         if terms is None or self._process_id not in sender_ids:
             return 0
-        return self._shares.share(
+        return send_share(
             int(terms.rate_per_s * self._overage),
             endpoint.endpoint_id,
             self._process_id,
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -17,7 +17,6 @@
 from dogwoodpost.core.cold_starts import ColdStartLimiter
 from dogwoodpost.core.cold_starts import ColdTracker
 from dogwoodpost.core.cold_starts import DoubtReason
-from dogwoodpost.core.cold_starts import EqualShares
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
@@ -205,7 +204,6 @@
             ColdStartLimiter(
                 self._identity.process_id,
                 self._cold_tracker,
-                EqualShares(),
                 self._presence.senders,
                 self._cold_start_of,
                 overage=self._settings.bounds.cold_overage,
--- a/tests/core/admission/test_cold_restart_load.py
+++ b/tests/core/admission/test_cold_restart_load.py
@@ -19,7 +19,6 @@
 from dogwoodpost.core.admission.dispatcher import Dispatcher
 from dogwoodpost.core.cold_starts import ColdStartLimiter
 from dogwoodpost.core.cold_starts import ColdTracker
-from dogwoodpost.core.cold_starts import EqualShares
 from dogwoodpost.core.configuration import ColdStart
 from dogwoodpost.core.configuration import NO_LIMITS
 from dogwoodpost.core.routing import AttemptResult
@@ -89,7 +88,6 @@
             ColdStartLimiter(
                 PROCESS,
                 tracker,
-                EqualShares(),
                 KnownSenders(process_count),
                 lambda _service: ColdStart(duration_s=COLD_S, rate_per_s=8.0),
                 overage=ALLOWANCE / 8.0,
--- a/tests/core/cold_starts/test_cold_start_machine.py
+++ b/tests/core/cold_starts/test_cold_start_machine.py
@@ -12,9 +12,6 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.cold_starts import ColdStartLimiter
 from dogwoodpost.core.cold_starts import ColdTracker
-from dogwoodpost.core.cold_starts import EqualShares
-from dogwoodpost.core.cold_starts import SendShares
-from dogwoodpost.core.cold_starts import SingleSender
 from dogwoodpost.core.configuration import ColdStart
 from dogwoodpost.core.membership.announced_senders import AnnouncedSenders
 from dogwoodpost.core.membership.presence import PresenceRecord
@@ -59,9 +56,7 @@
     :param lag_s: time from an answer of the store until it is applied.
     """
 
-    def __init__(
-        self, number: int, run: int, shares: SendShares, lag_s: float
-    ) -> None:
+    def __init__(self, number: int, run: int, lag_s: float) -> None:
         self.process_id = ids.ProcessId(f'p{number}')
         self.lag_s = lag_s
         self.is_cut = False
@@ -78,7 +73,6 @@
         self._limiter = ColdStartLimiter(
             self.process_id,
             tracker,
-            shares,
             self._senders,
             lambda _service: TERMS,
             overage=OVERAGE,
@@ -128,8 +122,6 @@
     All of them want to send as much as they may.
     """
 
-    shares: SendShares
-
     @initialize()
     def start_all(self) -> None:
         self.now_s = 0.0
@@ -143,9 +135,7 @@
 
     def _start(self, number: int, lag_s: float) -> None:
         self.run_count += 1
-        self.processes[number] = Process(
-            number, self.run_count, self.shares, lag_s
-        )
+        self.processes[number] = Process(number, self.run_count, lag_s)
 
     @rule(steps=st.integers(1, 40))
     def pass_time(self, steps: int) -> None:
@@ -209,22 +199,9 @@
         assert len(self.sent_s) >= ALLOWANCE // PROCESS_COUNT * PROCESS_COUNT
 
 
-class EqualSharesMachine(ColdEndpointMachine):
-    """The allowance is divided equally."""
-
-    shares = EqualShares()
-
-
-class SingleSenderMachine(ColdEndpointMachine):
-    """One process has the whole allowance."""
-
-    shares = SingleSender()
-
-
-TestEqualShares = EqualSharesMachine.TestCase
-TestSingleSender = SingleSenderMachine.TestCase
+TestColdEndpoint = ColdEndpointMachine.TestCase
 
 
 @pytest.mark.fuzz
-class TestEqualSharesForLong(EqualSharesMachine.TestCase):
+class TestColdEndpointForLong(ColdEndpointMachine.TestCase):
     """The same for longer."""
