--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -47,6 +47,7 @@
 EVENT_COUNT = 6
 REGIONS = {'zone-a': 'region-a', 'zone-b': 'region-b'}
 _SIGHUP_INTERVAL_S = 0.05
+_START_TIMEOUT_S = 10.0
 _FIRST_PORT = 10_000
 _END_PORT = 30_000
 _chosen_ports: set[int] = set()
@@ -290,8 +291,44 @@
     ) -> AsyncIterator[SpawnedNode]:
         """Start the system in its own process; kill it at the end.
 
+        Another program may take a port between its choice and the start; the
+        process is then started again with other ports.
+
         :param sighup_count: how often SIGHUP is sent while it starts.
         """
+        node = await self._spawn(name, zone)
+        try:
+            await self._send_sighups(node, sighup_count)
+            async with asyncio.timeout(_START_TIMEOUT_S):
+                while await self._ended_without_a_port(name, node):
+                    node = await self._spawn(name, zone)
+                    await self._send_sighups(node, sighup_count)
+            yield node
+        finally:
+            if node.process.returncode is None:
+                node.process.kill()
+                await node.process.wait()
+
+    async def _send_sighups(self, node: SpawnedNode, count: int) -> None:
+        if count:
+            await _wait_until_sighup_survivable(node.process.pid)
+        for _ in range(count):
+            node.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(_SIGHUP_INTERVAL_S)
+
+    async def _ended_without_a_port(
+        self, name: str, node: SpawnedNode
+    ) -> bool:
+        """Return whether a process has ended because a port was taken."""
+        while node.process.returncode is None:
+            if await self._is_ready(node):
+                return False
+            await asyncio.sleep(0.05)
+        log = (self._folder / f'{name}.log').read_text(encoding='utf-8')
+        assert 'Address already in use' in log, log[-2_000:]
+        return True
+
+    async def _spawn(self, name: str, zone: str) -> SpawnedNode:
         settings = self.settings(name, zone)
         path = self._folder / f'{name}.json'
         path.write_bytes(msgspec.json.encode(settings))
@@ -304,33 +341,23 @@
                 stdout=log,
                 stderr=log,
             )
-        try:
-            if sighup_count:
-                await _wait_until_sighup_survivable(process.pid)
-            for _ in range(sighup_count):
-                process.send_signal(signal.SIGHUP)
-                await asyncio.sleep(_SIGHUP_INTERVAL_S)
-            node = SpawnedNode(process, settings)
-            await self.wait_ready(node)
-            yield node
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
+        return SpawnedNode(process, settings)
 
     async def wait_ready(self, node: Node | SpawnedNode) -> None:
         for _ in range(200):
-            try:
-                async with self.session.get(
-                    f'{node.ready}/api/readyz'
-                ) as response:
-                    if response.status == 200:
-                        break
-            except aiohttp.ClientError:
-                pass
+            if await self._is_ready(node):
+                return
             await asyncio.sleep(0.05)
-        else:
-            raise AssertionError('the process has not become ready')
+        raise AssertionError('the process has not become ready')
+
+    async def _is_ready(self, node: Node | SpawnedNode) -> bool:
+        try:
+            async with self.session.get(
+                f'{node.ready}/api/readyz'
+            ) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
 
     async def send(
         self,
