Leave an unchanged build in place

Cause: each build removed the installed sources and copied them again. A build now ends early if the installed sources are the same.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,11 @@
         --no-deps --target "$deps" --requirement "$pins"
     touch "$deps/.complete"
 fi
+# Processes of an earlier build may be starting; unchanged sources stay in place.
+if diff -rq -x __pycache__ src/dogwoodpost "$deps/dogwoodpost" >/dev/null 2>&1
+then
+    exit 0
+fi
 rm -rf "$deps/dogwoodpost"
 cp -r src/dogwoodpost "$deps/dogwoodpost"
 python3 -m compileall -q "$deps"
