Simplify what the regions and cold starts added

Found on reading the change; behaviour stays. A service whose endpoints are never cold no longer asks for each endpoint of each choice whether it is. The two stores of the platform share their constructor and their view by regions. Loads of zones are grouped once, changed evacuations take one branch, and the choice among free slots stands once.

--- a/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
+++ b/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
@@ -67,9 +67,13 @@
         self._sent_s: dict[ids.EndpointId, deque[float]] = {}
         self._needed_s: dict[ids.ServiceName, float] = {}
 
+    def limits(self, service: ids.ServiceName) -> bool:
+        """Return whether the endpoints of a service can be cold."""
+        return self._terms(service) is not None
+
     def note_need(self, service: ids.ServiceName, now_s: float) -> None:
         """Record that work of a service needs a place."""
-        if self._terms(service) is not None:
+        if self.limits(service):
             self._needed_s[service] = now_s
 
     def needed_services(self, now_s: float) -> tuple[ids.ServiceName, ...]:
@@ -146,7 +150,7 @@
 
     def record_send(self, endpoint: Endpoint, now_s: float) -> None:
         """Record that a request is sent to an endpoint, cold or not."""
-        if self._terms(endpoint.service) is None:
+        if not self.limits(endpoint.service):
             return
         if len(self._sent_s) >= _MAX_ENDPOINT_COUNT:
             self._drop_idle(now_s)
--- a/src/dogwoodpost/core/membership/endpoint_registry.py
+++ b/src/dogwoodpost/core/membership/endpoint_registry.py
@@ -105,20 +105,18 @@
 
         :returns: the endpoints whose evacuation has ended.
         """
-        ended_zones = self._evacuated_zones - zones
-        begun_zones = zones - self._evacuated_zones
+        changed_zones = self._evacuated_zones ^ zones
         self._evacuated_zones = zones
         released: list[ids.EndpointId] = []
         for endpoint in self.endpoints():
             zone = endpoint.availability_zone
-            if zone in begun_zones:
-                self._replace(
-                    msgspec.structs.replace(endpoint, ready=False), now_s
-                )
-            elif zone in ended_zones:
-                self._replace(
-                    msgspec.structs.replace(endpoint, ready=True), now_s
-                )
+            if zone not in changed_zones:
+                continue
+            is_released = zone not in zones
+            self._replace(
+                msgspec.structs.replace(endpoint, ready=is_released), now_s
+            )
+            if is_released:
                 released.append(endpoint.endpoint_id)
         return released
 
--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -136,20 +136,6 @@
         ]
         return current + former
 
-    def _note_former_sender(
-        self,
-        process_id: ids.ProcessId,
-        process: _TrackedProcess,
-        record: PresenceRecord,
-        now_s: float,
-    ) -> None:
-        """Remember the services that a process no longer announces."""
-        services = process.record.sender_services
-        for service in set(services) - set(record.sender_services):
-            self._former_senders.add(
-                (service, process_id), now_s + FORMER_SENDER_S
-            )
-
     def read_age_s(self, now_s: float) -> float:
         """Return the time since the rows were last read; infinite if never."""
         return math.inf if self._contact_s is None else now_s - self._contact_s
@@ -166,6 +152,20 @@
                 loads[endpoint_id] = loads.get(endpoint_id, 0) + count
         return loads
 
+    def _note_former_sender(
+        self,
+        process_id: ids.ProcessId,
+        process: _TrackedProcess,
+        record: PresenceRecord,
+        now_s: float,
+    ) -> None:
+        """Remember the services that a process no longer announces."""
+        services = process.record.sender_services
+        for service in set(services) - set(record.sender_services):
+            self._former_senders.add(
+                (service, process_id), now_s + FORMER_SENDER_S
+            )
+
     def _is_silent(self, process: _TrackedProcess, now_s: float) -> bool:
         """Return whether a row stayed unchanged while it could be read."""
         if self._contact_s is None:
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -128,7 +128,8 @@
         :returns: None if a warm endpoint may serve the request.
         """
         pool = self._pools.get(query.service)
-        if self._cold_starts is None or pool is None:
+        limiter = self._limiter(query.service)
+        if limiter is None or pool is None:
             return None
         allowed = (
             pool.endpoints[endpoint_id]
@@ -136,9 +137,7 @@
             for endpoint_id in endpoint_ids
             if self._is_allowed(pool, query, endpoint_id)
         )
-        return self._cold_starts.wait_s(
-            query.service, allowed, waiting_count, now_s
-        )
+        return limiter.wait_s(query.service, allowed, waiting_count, now_s)
 
     def mean_duration_s(self, service: ids.ServiceName) -> float:
         """Return the mean duration of a service's attempts, in seconds."""
@@ -168,10 +167,8 @@
             )
             for endpoint_id in candidates
         }
-        available_ids = self._warm_first(
-            pool,
-            self._with_free_slots(pool, candidates, loads, query),
-            now_s,
+        available_ids = self._available_ids(
+            pool, candidates, loads, query, now_s
         )
         if not available_ids:
             return None
@@ -203,10 +200,8 @@
         else:
             candidates = self._in_rotation(pool, allowed, now_s)
         loads = _loads(pool, candidates, now_s)
-        available_ids = self._warm_first(
-            pool,
-            self._with_free_slots(pool, candidates, loads, query),
-            now_s,
+        available_ids = self._available_ids(
+            pool, candidates, loads, query, now_s
         )
         return [
             AvailableEndpoint(pool.endpoints[endpoint_id], loads[endpoint_id])
@@ -313,14 +308,14 @@
             for endpoint_id in self._sampler.sample(pool, query)
             if self._is_allowed(pool, query, endpoint_id)
         ]
-        limiter = self._cold_starts
+        limiter = self._limiter(query.service)
         if limiter is None:
             return allowed
         if not query.may_use_cold:
             return [
                 endpoint_id
                 for endpoint_id in allowed
-                if not self._is_cold(pool, endpoint_id, now_s)
+                if not limiter.is_cold(pool.endpoints[endpoint_id], now_s)
             ]
         limiter.note_need(query.service, now_s)
         return [
@@ -329,29 +324,35 @@
             if limiter.may_send(pool.endpoints[endpoint_id], now_s)
         ]
 
-    def _warm_first(
+    def _available_ids(
         self,
         pool: EndpointPool,
-        endpoint_ids: list[ids.EndpointId],
+        candidates: Sequence[ids.EndpointId],
+        loads: dict[ids.EndpointId, int],
+        query: RouteQuery,
         now_s: float,
     ) -> list[ids.EndpointId]:
-        """Return the warm endpoints, or all if none of them is warm.
+        """Return the candidates with free slots, only warm ones if there are.
 
         While warm endpoints have places, cold ones are left to warm up.
         """
+        available_ids = self._with_free_slots(pool, candidates, loads, query)
+        limiter = self._limiter(query.service)
+        if limiter is None:
+            return available_ids
         warm_ids = [
             endpoint_id
-            for endpoint_id in endpoint_ids
-            if not self._is_cold(pool, endpoint_id, now_s)
+            for endpoint_id in available_ids
+            if not limiter.is_cold(pool.endpoints[endpoint_id], now_s)
         ]
-        return warm_ids or endpoint_ids
+        return warm_ids or available_ids
 
-    def _is_cold(
-        self, pool: EndpointPool, endpoint_id: ids.EndpointId, now_s: float
-    ) -> bool:
-        if self._cold_starts is None:
-            return False
-        return self._cold_starts.is_cold(pool.endpoints[endpoint_id], now_s)
+    def _limiter(self, service: ids.ServiceName) -> ColdStartLimiter | None:
+        """Return the limiter of cold endpoints, None if it has no effect."""
+        limiter = self._cold_starts
+        if limiter is None or not limiter.limits(service):
+            return None
+        return limiter
 
     def _probe_candidate(
         self,
@@ -451,6 +452,7 @@
         """
         if not self._waiting_policy.is_remote(pool, query, available_ids):
             return False
+        limiter = self._limiter(query.service)
         eligible = pool.eligible()
         near_ids = [
             endpoint_id
@@ -459,7 +461,9 @@
             )
             if self._is_allowed(pool, query, endpoint_id)
             and pool.outliers.health(endpoint_id, now_s) is Health.HEALTHY
-            and not self._is_cold(pool, endpoint_id, now_s)
+            and not (
+                limiter and limiter.is_cold(pool.endpoints[endpoint_id], now_s)
+            )
         ]
         return self._waiting_policy.prefers_nearby(pool, query, near_ids)
 
--- a/src/dogwoodpost/core/scaling/zone_loads.py
+++ b/src/dogwoodpost/core/scaling/zone_loads.py
@@ -29,50 +29,39 @@
     :param endpoints: endpoints of one service.
     :param loads: number of requests in flight by endpoint.
     """
-    unused = {zone for zone in zones if _is_unused(zone, endpoints)}
-    moved_count = sum(
-        loads.get(endpoint.endpoint_id, 0)
-        for endpoint in endpoints
-        if endpoint.availability_zone in unused
-    )
-    other_count = len(zones) - len(unused)
+    by_zone = {
+        zone: [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.availability_zone == zone
+        ]
+        for zone in sorted(zones)
+    }
+    unused = {
+        zone
+        for zone, in_zone in by_zone.items()
+        if in_zone and not any(endpoint.ready for endpoint in in_zone)
+    }
+    moved_count = sum(_running_count(by_zone[zone], loads) for zone in unused)
+    other_count = len(by_zone) - len(unused)
     share = -(-moved_count // other_count) if other_count else 0
     return [
-        _zone_load(zone, endpoints, {})
-        if zone in unused
-        else _zone_load(zone, endpoints, loads, extra_count=share)
-        for zone in sorted(zones)
-    ]
-
-
-def _is_unused(
-    zone: ids.AvailabilityZone, endpoints: Sequence[Endpoint]
-) -> bool:
-    in_zone = [
-        endpoint
-        for endpoint in endpoints
-        if endpoint.availability_zone == zone
+        ZoneLoad(
+            availability_zone=zone,
+            running_count=(
+                0 if zone in unused else _running_count(in_zone, loads) + share
+            ),
+            waiting_count=0,
+            live_endpoint_count=sum(
+                endpoint.ready and not endpoint.draining
+                for endpoint in in_zone
+            ),
+        )
+        for zone, in_zone in by_zone.items()
     ]
-    return bool(in_zone) and not any(endpoint.ready for endpoint in in_zone)
 
 
-def _zone_load(
-    zone: ids.AvailabilityZone,
-    endpoints: Sequence[Endpoint],
-    loads: Mapping[ids.EndpointId, int],
-    extra_count: int = 0,
-) -> ZoneLoad:
-    in_zone = [
-        endpoint
-        for endpoint in endpoints
-        if endpoint.availability_zone == zone
-    ]
-    return ZoneLoad(
-        availability_zone=zone,
-        running_count=extra_count
-        + sum(loads.get(endpoint.endpoint_id, 0) for endpoint in in_zone),
-        waiting_count=0,
-        live_endpoint_count=sum(
-            endpoint.ready and not endpoint.draining for endpoint in in_zone
-        ),
-    )
+def _running_count(
+    endpoints: Sequence[Endpoint], loads: Mapping[ids.EndpointId, int]
+) -> int:
+    return sum(loads.get(endpoint.endpoint_id, 0) for endpoint in endpoints)
--- a/src/dogwoodpost/platform/store_client.py
+++ b/src/dogwoodpost/platform/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Self
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -88,8 +89,8 @@
     delete: list[_WireDelete]
 
 
-class PlatformRowStore(RowStore):
-    """Rows in the platform's store.
+class _RelayedStore:
+    """Store whose calls other processes may relay.
 
     :param allowed_regions: regions of the processes that may relay calls.
     """
@@ -102,9 +103,13 @@
         self._connection = connection
         self._allowed_regions = allowed_regions
 
-    def within(self, allowed_regions: AllowedRegions) -> PlatformRowStore:
+    def within(self, allowed_regions: AllowedRegions) -> Self:
         """Return the store with calls relayed only in some regions."""
-        return PlatformRowStore(self._connection, allowed_regions)
+        return type(self)(self._connection, allowed_regions)
+
+
+class PlatformRowStore(_RelayedStore, RowStore):
+    """Rows in the platform's store."""
 
     async def read(
         self,
@@ -184,23 +189,8 @@
         return _row_page(page)
 
 
-class PlatformObjectStore(ObjectStore):
-    """Objects in the platform's store, where they are called blobs.
-
-    :param allowed_regions: regions of the processes that may relay calls.
-    """
-
-    def __init__(
-        self,
-        connection: StoreConnection,
-        allowed_regions: AllowedRegions = ANY_REGION,
-    ) -> None:
-        self._connection = connection
-        self._allowed_regions = allowed_regions
-
-    def within(self, allowed_regions: AllowedRegions) -> PlatformObjectStore:
-        """Return the store with calls relayed only in some regions."""
-        return PlatformObjectStore(self._connection, allowed_regions)
+class PlatformObjectStore(_RelayedStore, ObjectStore):
+    """Objects in the platform's store, where they are called blobs."""
 
     async def put(self, name: str, data: bytes) -> None:
         """Store an object; a repeat with the same data has no effect."""
