Do not refuse a request without candidates as if all endpoints were cold

Cause: the wait for cold endpoints was the whole warm-up if no endpoint was allowed at all, for example before any has the asked version. Such a request was refused at once with a wrong reason; it waits in the queue now, as it did before. The test fails on the code before.

--- a/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
+++ b/src/dogwoodpost/core/cold_starts/cold_start_limiter.py
@@ -110,19 +110,23 @@
 
         :param endpoints: endpoints that may serve the request.
         :param waiting_count: requests of the service that wait already.
-        :returns: None if one of the endpoints is warm.
+        :returns: None if one of the endpoints is warm, or there is none.
         """
         terms = self._terms(service)
         if terms is None:
             return None
         self.note_need(service, now_s)
+        has_cold = False
         share_per_s = 0
         ahead_count = waiting_count
         for endpoint in endpoints:
             if not self.is_cold(endpoint, now_s):
                 return None
+            has_cold = True
             share_per_s += self.share_per_s(endpoint, now_s)
             ahead_count += self.recent_count(endpoint.endpoint_id, now_s)
+        if not has_cold:
+            return None
         if not share_per_s:
             return terms.duration_s
         share_wait_s = ahead_count // share_per_s * _WINDOW_S
--- a/tests/core/admission/test_cold_restart_load.py
+++ b/tests/core/admission/test_cold_restart_load.py
@@ -99,6 +99,9 @@
         self._by_ticket: dict[int, Request] = {}
         self._running: list[tuple[float, Ticket, ids.EndpointId]] = []
 
+    def cold_wait_s(self, query: RouteQuery) -> float | None:
+        return self._router.cold_wait_s(query, 0, 0.0)
+
     def run(self) -> list[Request]:
         requests = [
             Request(number * REQUEST_INTERVAL_S, 4.0 if number % 2 else 1.0)
@@ -192,3 +195,13 @@
         assert len(recent) <= max(share, ENDPOINT_COUNT)
     if process_count <= ALLOWANCE:
         assert len(cold_sends) >= share * (COLD_S - 1.0)
+
+
+def test_request_without_candidates_is_not_refused_as_cold() -> None:
+    """Guards against a wrong reason while no version is loaded yet."""
+    simulation = Simulation(process_count=4)
+    query = RouteQuery(
+        service=SERVICE, min_weight_version=ids.WeightVersion(2)
+    )
+    assert simulation.cold_wait_s(query) is None
+    assert simulation.cold_wait_s(RouteQuery(service=SERVICE)) is not None
