Prefer other endpoints for a while after a timeout; log ejections

Traced with the scores of each choice: two items had timed out at the silent endpoint (three failures eject it), both went on at the other one, whose score rose to 0.089 s; the silent one had 0.070 s and nothing to do. The next request went there and lost its first second.

Ruled out: a probe (the endpoint had never been ejected), the slowness of the endpoint in use (1.0), load reports (none on this path).

Two ways behind the score and the ejection: eject after two timeouts, or add the time that would be lost to the score for 2 s after a timeout, unless the endpoint answers. The score touches requests only and is kept.

Ejections and their ends were not logged; endpoint_health lines name them.

--- a/src/dogwoodpost/core/routing/endpoint_costs.py
+++ b/src/dogwoodpost/core/routing/endpoint_costs.py
@@ -64,7 +64,8 @@
         """Return the expected time of the attempt at an endpoint.
 
         The sum of work, prefill and network delay, in seconds, plus the
-        charge for traffic between regions expressed as seconds.
+        charge for traffic between regions expressed as seconds, plus the time
+        that is lost if the endpoint lets the attempt time out like the last.
         """
         slowness = max(
             pool.outliers.slowness(endpoint_id, now_s), _MIN_SLOWNESS
@@ -81,7 +82,10 @@
         prefill_units = uncached_tokens * self._settings.prompt_token_units
         prefill_s = prefill_units * pool.mean_s_per_unit
         distance = pool.distance(pool.endpoints[endpoint_id])
-        return work_s + prefill_s * slowness + self.distance_s(distance, query)
+        score_s = work_s + prefill_s * slowness
+        if pool.outliers.timed_out_lately(endpoint_id, now_s):
+            score_s += self._settings.timeout_cost_s
+        return score_s + self.distance_s(distance, query)
 
     def distance_s(self, distance: Distance, query: RouteQuery) -> float:
         """Return the delay and the charge of a distance, in seconds."""
--- a/src/dogwoodpost/core/routing/outlier_detector.py
+++ b/src/dogwoodpost/core/routing/outlier_detector.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self.failures_in_row = 0
+        self.last_timeout_s = -math.inf
         self.failure_share = 0.0
         self.result_count = 0
         self.mean_s_per_unit: float | None = None
@@ -49,6 +50,7 @@
     def reset_results(self) -> None:
         """Discard the results from before an ejection."""
         self.failures_in_row = 0
+        self.last_timeout_s = -math.inf
         self.failure_share = 0.0
         self.result_count = 0
         self.mean_s_per_unit = None
@@ -112,40 +114,28 @@
         attempt_id: ids.AttemptId,
         *,
         failed: bool,
+        timed_out: bool = False,
         s_per_unit: float | None,
         now_s: float,
-    ) -> None:
+    ) -> Health | None:
         """Record a result, and eject the endpoint if it is an outlier.
 
+        :param timed_out: the failure is that nothing came in time.
         :param s_per_unit: time per unit of work in seconds; None if unknown.
+        :returns: the endpoint's health if the result has changed it.
         """
         stats = self._stats.get(endpoint_id)
         if stats is None:
-            return
-        if stats.ejected_until_s is not None:
-            if stats.probe == attempt_id:
-                slow = self._is_slow(s_per_unit, now_s)
-                self._record_probe(stats, failed or slow, now_s)
-            return
-        stats.result_count += 1
-        stats.failures_in_row = stats.failures_in_row + 1 if failed else 0
-        stats.failure_share += _EMA_WEIGHT * (failed - stats.failure_share)
-        if s_per_unit is not None and not failed:
-            stats.timed_sample_count += 1
-            previous = stats.mean_s_per_unit
-            stats.mean_s_per_unit = (
-                s_per_unit
-                if previous is None
-                else previous + _EMA_WEIGHT * (s_per_unit - previous)
-            )
-        has_enough_samples = (
-            stats.timed_sample_count >= self._settings.min_sample_count
-        )
-        slow = has_enough_samples and self._is_slow(
-            stats.mean_s_per_unit, now_s
-        )
-        if slow or self._fails_too_often(stats):
-            self._eject(stats, now_s)
+            return None
+        previous_until_s = stats.ejected_until_s
+        if previous_until_s is None:
+            self._record_result(stats, failed, timed_out, s_per_unit, now_s)
+        elif stats.probe == attempt_id:
+            slow = self._is_slow(s_per_unit, now_s)
+            self._record_probe(stats, failed or slow, now_s)
+        if stats.ejected_until_s == previous_until_s:
+            return None
+        return self.health(endpoint_id, now_s)
 
     def slowness(self, endpoint_id: ids.EndpointId, now_s: float) -> float:
         """Return the time per unit of work, relative to the median.
@@ -158,6 +148,16 @@
             return 1.0
         return stats.mean_s_per_unit / median
 
+    def timed_out_lately(
+        self, endpoint_id: ids.EndpointId, now_s: float
+    ) -> bool:
+        """Return whether an attempt has just timed out at an endpoint.
+
+        An attempt that completes since then ends this.
+        """
+        age_s = now_s - self._stats[endpoint_id].last_timeout_s
+        return age_s < self._settings.timeout_memory_s
+
     def ejected_count(self) -> int:
         """Return how many endpoints are ejected or on probation."""
         return sum(
@@ -173,6 +173,39 @@
         share = math.floor(count * self._settings.max_ejected_share)
         return min(max(share, 1), max(count - 1, 0))
 
+    def _record_result(
+        self,
+        stats: _EndpointStats,
+        failed: bool,
+        timed_out: bool,
+        s_per_unit: float | None,
+        now_s: float,
+    ) -> None:
+        """Record the result of an endpoint that is not ejected."""
+        stats.result_count += 1
+        stats.failures_in_row = stats.failures_in_row + 1 if failed else 0
+        if timed_out:
+            stats.last_timeout_s = now_s
+        elif not failed:
+            stats.last_timeout_s = -math.inf
+        stats.failure_share += _EMA_WEIGHT * (failed - stats.failure_share)
+        if s_per_unit is not None and not failed:
+            stats.timed_sample_count += 1
+            previous = stats.mean_s_per_unit
+            stats.mean_s_per_unit = (
+                s_per_unit
+                if previous is None
+                else previous + _EMA_WEIGHT * (s_per_unit - previous)
+            )
+        has_enough_samples = (
+            stats.timed_sample_count >= self._settings.min_sample_count
+        )
+        slow = has_enough_samples and self._is_slow(
+            stats.mean_s_per_unit, now_s
+        )
+        if slow or self._fails_too_often(stats):
+            self._eject(stats, now_s)
+
     def _record_probe(
         self, stats: _EndpointStats, failed: bool, now_s: float
     ) -> None:
--- a/src/dogwoodpost/core/routing/route_query.py
+++ b/src/dogwoodpost/core/routing/route_query.py
@@ -56,6 +56,7 @@
     """Result of an attempt, as feedback on its endpoint.
 
     :param failed: the endpoint or its agent failed.
+    :param timed_out: the failure is that nothing came in time.
     :param conclusive: the result counts for the health of the endpoint;
         false for attempts that were cancelled, or refused for reasons
         unrelated to the endpoint.
@@ -64,6 +65,7 @@
     """
 
     failed: bool
+    timed_out: bool = False
     conclusive: bool = True
     duration_s: float = 0.0
     work_units: float = 0.0
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from dogwoodpost.core import ids
@@ -26,6 +27,8 @@
     from dogwoodpost.core.routing.route_query import AttemptResult
     from dogwoodpost.core.routing.route_query import RouteQuery
 
+    HealthListener = Callable[[ids.EndpointId, Health, AttemptResult], None]
+
 
 class Router:
     """Selects endpoints by load, distance and cached prompt prefix.
@@ -54,6 +57,11 @@
         self._waiting_policy = WaitingPolicy(self._settings, self._costs)
         self._sampler = CandidateSampler(self._settings, self._index, rng)
         self._cold_starts: ColdStartLimiter | None = None
+        self._on_health_change: HealthListener | None = None
+
+    def listen_to_health(self, listener: HealthListener) -> None:
+        """Call ``listener`` when an endpoint is ejected or is used again."""
+        self._on_health_change = listener
 
     def limit_cold_starts(self, limiter: ColdStartLimiter) -> None:
         """Limit what is sent to endpoints that may be cold from now on."""
@@ -270,13 +278,16 @@
             pool.observe(result.duration_s, result.work_units)
             if result.work_units > 0:
                 s_per_unit = result.duration_s / result.work_units
-        pool.outliers.record(
+        health = pool.outliers.record(
             endpoint_id,
             attempt_id,
             failed=result.failed,
+            timed_out=result.timed_out,
             s_per_unit=s_per_unit,
             now_s=now_s,
         )
+        if health is not None and self._on_health_change is not None:
+            self._on_health_change(endpoint_id, health, result)
 
     def health(self, endpoint_id: ids.EndpointId, now_s: float) -> Health:
         """Return the health of an endpoint.
--- a/src/dogwoodpost/core/routing/settings.py
+++ b/src/dogwoodpost/core/routing/settings.py
@@ -34,6 +34,8 @@
     :param region_delay_s: round trip to another region.
     :param region_charge_s_per_mib: waiting time, in seconds, that must be
         saved for each mebibyte sent to another region.
+    :param timeout_cost_s: time that an attempt is expected to lose at an
+        endpoint that has just let another one time out.
     :param presumed_weight: weight of blocks that are known only from this
         entry's own dispatches; blocks confirmed by cache events weigh 1.
     """
@@ -52,6 +54,7 @@
     zone_delay_s: float = 0.002
     region_delay_s: float = 0.04
     region_charge_s_per_mib: float = 2.0
+    timeout_cost_s: float = 1.0
     presumed_weight: float = 0.8
 
 
@@ -67,6 +70,8 @@
         ``slow_factor`` apply.
     :param max_ejected_share: largest share of a service's endpoints that may
         be ejected at once.
+    :param timeout_memory_s: time after a timeout during which requests prefer
+        other endpoints, in seconds, unless the endpoint answers before.
     :param base_ejection_s: duration of the first ejection, in seconds; it
         doubles with each further ejection.
     :param max_ejection_s: longest duration of an ejection, in seconds.
@@ -79,6 +84,7 @@
     slow_factor: float = 2.5
     min_sample_count: int = 8
     max_ejected_share: float = 0.4
+    timeout_memory_s: float = 2.0
     base_ejection_s: float = 2.0
     max_ejection_s: float = 60.0
     probe_count: int = 2
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -65,6 +65,8 @@
 
     from dogwoodpost.core.configuration import ColdStart
     from dogwoodpost.core.membership import ProcessIdentity
+    from dogwoodpost.core.routing import AttemptResult
+    from dogwoodpost.core.routing import Health
     from dogwoodpost.observability import LogBuffer
     from dogwoodpost.observability import Metrics
     from dogwoodpost.platform.settings import ProcessSettings
@@ -134,6 +136,7 @@
             self._rng,
             _ROUTER_SETTINGS,
         )
+        self._router.listen_to_health(self._note_health)
         self._registry = EndpointRegistry(self._router)
         self._cold_tracker = ColdTracker(self._note_doubt)
         self._configuration = configuration_rows.ConfigurationRows(
@@ -464,6 +467,21 @@
             released_ids, DoubtReason.EVACUATION_ENDED, now_s
         )
 
+    def _note_health(
+        self,
+        endpoint_id: ids.EndpointId,
+        health: Health,
+        result: AttemptResult,
+    ) -> None:
+        self._metrics.events.labels(f'endpoint_{health.value}').inc()
+        _log.info(
+            'endpoint_health',
+            endpoint=endpoint_id,
+            health=health.value,
+            failed=result.failed,
+            timed_out=result.timed_out,
+        )
+
     def _note_doubt(
         self, endpoint_id: ids.EndpointId, reason: DoubtReason
     ) -> None:
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -104,16 +104,20 @@
         *,
         conclusive: bool,
         failed: bool = False,
+        timed_out: bool = False,
     ) -> None:
         """Release a slot and report the attempt's result to the router.
 
         :param conclusive: whether the result says anything about the
             endpoint; False for attempts that were cancelled or refused.
         :param failed: whether the endpoint failed.
+        :param timed_out: whether it failed by sending nothing in time.
         """
         endpoint_id = slot.endpoint.endpoint_id
         self._placement.token_loads.remove(endpoint_id, slot.token_count)
-        result = AttemptResult(failed=failed, conclusive=conclusive)
+        result = AttemptResult(
+            failed=failed, timed_out=timed_out, conclusive=conclusive
+        )
         self._router.finish(
             request.service,
             endpoint_id,
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -212,6 +212,7 @@
                 request,
                 conclusive=failed or run_outcome is _RunOutcome.COMPLETED,
                 failed=failed,
+                timed_out=isinstance(failure, EndpointSilentError),
             )
             self._log_run(slot, run_outcome, failure, start_s)
         if run_outcome is _RunOutcome.FAILED:
--- a/src/dogwoodpost/services/entry/attempt_observation.py
+++ b/src/dogwoodpost/services/entry/attempt_observation.py
@@ -24,7 +24,8 @@
 class AttemptObservation:
     """Collects the result of one attempt for the router.
 
-    ``failed`` counts against the endpoint. ``is_conclusive`` is false for an
+    ``failed`` counts against the endpoint, and ``timed_out`` tells that it
+    failed by sending nothing in time. ``is_conclusive`` is false for an
     attempt that says nothing about the endpoint, such as a refused or a
     cancelled one. ``total_wait_s`` excludes the time that the caller takes to
     read the response.
@@ -39,6 +40,7 @@
         self.failure_reason = ''
         self.total_wait_s = 0.0
         self.failed = False
+        self.timed_out = False
         self.is_conclusive = True
         self.may_have_run = True
         self.head_received = False
@@ -63,7 +65,12 @@
         :param wait_s: time spent waiting for the event that did not arrive.
         """
         if not self.head_received and wait_s >= _HANG_TIMEOUT_S:
-            self.failed = True
+            self.record_attempt_timeout()
+
+    def record_attempt_timeout(self) -> None:
+        """Record that the endpoint sent nothing within an attempt's limit."""
+        self.failed = True
+        self.timed_out = True
 
     def record_status(self, status: int, kind: ServiceKind) -> None:
         """Record the status of the response.
@@ -85,6 +92,7 @@
         )
         return AttemptResult(
             failed=self.failed,
+            timed_out=self.timed_out,
             conclusive=self.is_conclusive and (completed or self.failed),
             duration_s=self.total_wait_s,
             work_units=self._work_units(),
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -124,7 +124,7 @@
             ) from None
         except TimeoutError:
             if state.remaining_s > 0.0:
-                observation.failed = True
+                observation.record_attempt_timeout()
                 raise attempt_failures.outcome_unknown(
                     state,
                     'attempt_timeout',
--- a/tests/core/routing/test_router.py
+++ b/tests/core/routing/test_router.py
@@ -22,6 +22,7 @@
 GOOD = AttemptResult(failed=False, duration_s=1.0, work_units=100.0)
 SLOW = AttemptResult(failed=False, duration_s=9.0, work_units=100.0)
 BAD = AttemptResult(failed=True)
+SILENT = AttemptResult(failed=True, timed_out=True)
 
 
 def endpoint(name: str, zone: str = 'a', **fields: object) -> Endpoint:
@@ -224,7 +225,9 @@
 
 
 @pytest.mark.parametrize(
-    ('result', 'needed'), [(BAD, 3), (SLOW, 8)], ids=['failing', 'slow']
+    ('result', 'needed'),
+    [(BAD, 3), (SILENT, 3), (SLOW, 8)],
+    ids=['failing', 'silent', 'slow'],
 )
 def test_outlier_is_ejected_and_probed(
     result: AttemptResult, needed: int
@@ -232,10 +235,15 @@
     """Guards against work for a bad endpoint and ejection for good."""
     names = ('a1', 'a2', 'a3')
     router = make_router(*(endpoint(name) for name in names))
+    changes: list[Health] = []
+    router.listen_to_health(
+        lambda _name, health, _result: changes.append(health)
+    )
     for number in range(12):
         for name in names[1:]:
             router.finish(SERVICE, name, f'{name}{number}', GOOD, 0.0)
     for number in range(needed):
+        assert router.health('a1', 2.0) is Health.HEALTHY
         router.finish(SERVICE, 'a1', f'b{number}', result, 2.0)
     assert router.health('a1', 2.0) is Health.EJECTED
     assert {send(router, n, GOOD, 2.5) for n in range(9)} <= {'a2', 'a3'}
@@ -249,6 +257,26 @@
     router.finish(SERVICE, 'a1', 'attempt-22', GOOD, 9.5)
     assert send(router, 24, GOOD, 9.5) == 'a1'
     assert router.health('a1', 9.5) is Health.HEALTHY
+    assert changes == [Health.EJECTED, Health.EJECTED, Health.HEALTHY]
+
+
+def test_endpoint_that_timed_out_is_used_last_for_a_while() -> None:
+    """Guards against a timeout for each request until an ejection.
+
+    The endpoint is the least loaded one, as its requests have timed out.
+    """
+    router = make_router(endpoint('a1'), endpoint('a2'))
+    for number in range(2):
+        router.finish(SERVICE, 'a1', f's{number}', SILENT, 1.0)
+        router.begin('a2', f'r{number}', query(), 1.0)
+    assert router.health('a1', 1.0) is Health.HEALTHY
+    assert send(router, 1, None, 1.5) == 'a2'
+    assert send(router, 2, GOOD, 3.1) == 'a1'
+    router.finish(SERVICE, 'a1', 's2', SILENT, 4.0)
+    assert send(router, 3, GOOD, 4.1) == 'a2'
+    # A request that completes shows that the endpoint works.
+    router.finish(SERVICE, 'a1', 's3', GOOD, 4.2)
+    assert send(router, 4, GOOD, 4.3) == 'a1'
 
 
 def eject(router: Router, name: str, now_s: float) -> None:
