Play lost, cut and evacuated zones in the soak

Each soak loses a zone, cuts one and evacuates one, drawn from a generator of its own, so that the other faults of a seed stay as they were. Recovery runs with a zone evacuated, and requests that reach it after 5 s are violations.

The client follows the pages now, and checks that each names the next position.

--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -145,6 +145,9 @@
         entry = endpoint.entry(service, address, zone, state)
         self.put('servers', endpoint.endpoint_id, entry)
 
+    def zone_of(self, endpoint: SamplerApp) -> str:
+        return self._zones[endpoint.endpoint_id]
+
     def evacuate(self, zone: str, *, is_over: bool = False) -> None:
         self.put('op', f'evacuate/{zone}', None if is_over else b'{}')
 
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
+    from dogwoodpost.standins.site.sampler_app import SamplerApp
     from tests.soak.soak_clients import SoakClients
     from tests.soak.soak_site import SoakSite
 
@@ -18,6 +19,11 @@
 _IN_FLIGHT_GRACE_S = 0.5
 
 
+# Nothing new may reach an evacuated zone later than this after the store has
+# accepted the evacuation.
+EVACUATION_BOUND_S = 5.0
+
+
 class DutyCall(Protocol):
     """A call that carries the fencing number of a lease holder."""
 
@@ -53,6 +59,26 @@
     ]
 
 
+def check_evacuation(
+    engines: Iterable[SamplerApp], accepted_s: float
+) -> list[str]:
+    """Return engines of an evacuated zone that got requests too late.
+
+    :param accepted_s: time at which the store accepted the evacuation.
+    """
+    bound_s = accepted_s + EVACUATION_BOUND_S
+    violations: list[str] = []
+    for engine in engines:
+        late_s = [at_s for at_s in engine.arrivals_s if at_s > bound_s]
+        if late_s:
+            violations.append(
+                f'{engine.endpoint_id}: {len(late_s)} requests after its '
+                f'zone was evacuated, the last {late_s[-1] - accepted_s:.2f} '
+                f's after'
+            )
+    return violations
+
+
 def check_usage(site: SoakSite, fault_ends_s: Sequence[float]) -> list[str]:
     """Return usage windows with differing counts and fencing violations."""
     counts: dict[int, set[tuple[tuple[str, int], ...]]] = {}
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -79,19 +79,36 @@
 
     async def read_job(self, job: Job) -> None:
         """Read a job from its start and compare it with earlier results."""
+        results: list[dict[str, Any]] = []
+        has_more = True
+        while has_more:
+            position = len(results)
+            page = await self._read_page(job, position)
+            if page is None:
+                break
+            results += page['results']
+            has_more = position < len(results) < _ITEM_COUNT
+        read_count = len(job.results)
+        if results[:read_count] != job.results[: len(results)]:
+            self.violations.append(f'job {job.job_id}: positions changed')
+        job.results += results[read_count:]
+
+    async def _read_page(
+        self, job: Job, position: int
+    ) -> dict[str, Any] | None:
+        """Return a page of results, None if it could not be read."""
         response = await self._send(
-            f'/api/lots/{job.job_id}?after=0', 'reader', method='GET'
+            f'/api/lots/{job.job_id}?after={position}', 'reader', method='GET'
         )
         if response is None or response[0] != 200:
             self._check_client_error(response, f'job {job.job_id}')
-            return
-        page = msgspec.json.decode(response[2])
-        read_count = len(job.results)
-        if page['results'][:read_count] != job.results[: len(page['results'])]:
-            self.violations.append(f'job {job.job_id}: positions changed')
+            return None
+        page: dict[str, Any] = msgspec.json.decode(response[2])
         if page['total'] != _ITEM_COUNT:
             self.violations.append(f'job {job.job_id}: total {page["total"]}')
-        job.results += page['results'][read_count:]
+        if page['next'] != position + len(page['results']):
+            self.violations.append(f'job {job.job_id}: next {page["next"]}')
+        return page
 
     def is_complete(self, job: Job) -> bool:
         """Return whether all results of a job have been read."""
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -8,10 +8,12 @@
 
 from tests.soak.fault_proxy import Harm
 from tests.soak.soak_plan import FaultKind
+from tests.soak.soak_site import SOAK_ZONES
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from tests.soak.fault_proxy import FaultProxy
     from tests.soak.soak_plan import Fault
@@ -45,6 +47,9 @@
             FaultKind.DRAIN: self._drain,
             FaultKind.CONFIGURATION: self._configuration,
             FaultKind.VERSION: self._version,
+            FaultKind.EVACUATION: self._evacuation,
+            FaultKind.ZONE_LOSS: self._zone_loss,
+            FaultKind.ZONE_CUT: self._zone_cut,
         }
 
     async def run(self, fault: Fault) -> None:
@@ -103,22 +108,30 @@
     async def _hang_up(self, fault: Fault) -> None:
         self._node(fault).hang_up()
 
-    async def _apply_harm(self, link: FaultProxy, fault: Fault) -> None:
-        link.set_harm(fault.harm)
-        await asyncio.sleep(fault.for_s)
-        link.set_harm(Harm.NONE)
+    async def _apply_harm(
+        self, links: Sequence[FaultProxy], harm: Harm, duration_s: float
+    ) -> None:
+        for link in links:
+            link.set_harm(harm)
+        await asyncio.sleep(duration_s)
+        for link in links:
+            link.set_harm(Harm.NONE)
+
+    async def _harm_one(
+        self, links: Sequence[FaultProxy], fault: Fault
+    ) -> None:
+        link = links[fault.target % len(links)]
+        await self._apply_harm([link], fault.harm, fault.for_s)
 
     async def _store_link(self, fault: Fault) -> None:
-        links = self._site.store_links
-        await self._apply_harm(links[fault.target % len(links)], fault)
+        await self._harm_one(self._site.store_links, fault)
 
     async def _endpoint_link(self, fault: Fault) -> None:
         links = list(self._site.endpoint_links.values())
-        await self._apply_harm(links[fault.target % len(links)], fault)
+        await self._harm_one(links, fault)
 
     async def _duty_link(self, fault: Fault) -> None:
-        links = self._site.duty_links
-        await self._apply_harm(links[fault.target % len(links)], fault)
+        await self._harm_one(self._site.duty_links, fault)
 
     async def _store_down(self, fault: Fault) -> None:
         self._site.store.is_down = True
@@ -147,6 +160,27 @@
         self._next_revision += 1
         self._site.configure(configuration)
 
+    async def _evacuation(self, fault: Fault) -> None:
+        zone = self._zone(fault)
+        self._site.evacuate(zone)
+        await asyncio.sleep(fault.for_s)
+        self._site.evacuate(zone, is_over=True)
+
+    async def _zone_loss(self, fault: Fault) -> None:
+        zone = self._zone(fault)
+        nodes = [node for node in self._site.nodes if node.zone == zone]
+        await asyncio.gather(*(node.end(signal.SIGKILL) for node in nodes))
+        links = self._site.endpoint_links_of(zone)
+        await self._apply_harm(links, Harm.SILENT, fault.for_s)
+        await asyncio.gather(*(node.start() for node in nodes))
+
+    async def _zone_cut(self, fault: Fault) -> None:
+        links = self._site.links_of(self._zone(fault))
+        await self._apply_harm(links, Harm.SILENT, fault.for_s)
+
+    def _zone(self, fault: Fault) -> str:
+        return SOAK_ZONES[fault.target % len(SOAK_ZONES)]
+
     async def _version(self, fault: Fault) -> None:
         self._site.name_version(self._next_version)
         self._next_version += 1
--- a/tests/soak/soak_plan.py
+++ b/tests/soak/soak_plan.py
@@ -31,6 +31,9 @@
     DRAIN = 'drain'
     CONFIGURATION = 'configuration'
     VERSION = 'version'
+    EVACUATION = 'evacuation'
+    ZONE_LOSS = 'zone_loss'
+    ZONE_CUT = 'zone_cut'
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,17 +59,37 @@
     FaultKind.ENDPOINT_LINK,
     FaultKind.DUTY_LINK,
 )
+_ZONE_FAULT_KINDS = (
+    FaultKind.EVACUATION,
+    FaultKind.ZONE_LOSS,
+    FaultKind.ZONE_CUT,
+)
+_SINGLE_FAULT_KINDS = tuple(
+    kind for kind in FaultKind if kind not in _ZONE_FAULT_KINDS
+)
 
 
 def draw_plan(seed: int, duration_s: float, count: int) -> list[Fault]:
-    """Return the faults of a soak in the order of their start."""
+    """Return the faults of a soak in the order of their start.
+
+    Each soak has one fault of each kind that affects a whole zone. These have
+    a generator of their own, so the other faults depend on the seed alone.
+    """
     rng = random.Random(seed)
-    faults = [_draw_fault(rng, duration_s) for _ in range(count)]
+    faults = [
+        _draw_fault(rng, rng.choice(_SINGLE_FAULT_KINDS), duration_s)
+        for _ in range(count)
+    ]
+    zone_rng = random.Random(f'{seed}/zones')
+    faults += [
+        _draw_fault(zone_rng, kind, duration_s) for kind in _ZONE_FAULT_KINDS
+    ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _draw_fault(rng: random.Random, duration_s: float) -> Fault:
-    kind = rng.choice(list(FaultKind))
+def _draw_fault(
+    rng: random.Random, kind: FaultKind, duration_s: float
+) -> Fault:
     harms = [harm for harm in Harm if harm is not Harm.NONE]
     return Fault(
         at_s=round(rng.uniform(_FIRST_FAULT_S, duration_s), 2),
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -11,13 +12,16 @@
 
 from dogwoodpost.standins.site.sampler_app import SamplerFault
 from tests.soak.soak_checks import check_endpoints
+from tests.soak.soak_checks import check_evacuation
 from tests.soak.soak_checks import check_orders
 from tests.soak.soak_checks import check_usage
+from tests.soak.soak_checks import EVACUATION_BOUND_S
 from tests.soak.soak_clients import SoakClients
 from tests.soak.soak_faults import FaultRunner
 from tests.soak.soak_plan import draw_plan
 from tests.soak.soak_plan import Fault
 from tests.soak.soak_plan import FaultKind
+from tests.soak.soak_site import SOAK_ZONES
 from tests.soak.soak_site import SoakSite
 
 if TYPE_CHECKING:
@@ -30,6 +34,8 @@
 _RECOVERY_S = 15.0
 _RECOVERY_POLL_S = 0.3
 _MIN_SERVED_AFTER_COUNT = 10
+# How long traffic goes on beyond the time by which a zone must be evacuated.
+_EVACUATED_S = 1.5
 _ITEM_FAILING_FAULTS = frozenset({SamplerFault.FAIL, SamplerFault.NEVER})
 
 
@@ -106,7 +112,7 @@
         await faults.end_all()
         for node in site.nodes:
             await site.wait_ready(node.address())
-        await _recover(clients, _plan_fails_items(plan))
+        await _recover_evacuated(site, clients, _plan_fails_items(plan))
     finally:
         for task in (*traffic_tasks, *fault_tasks):
             task.cancel()
@@ -115,6 +121,19 @@
         )
 
 
+async def _recover_evacuated(
+    site: SoakSite, clients: SoakClients, items_may_fail: bool
+) -> None:
+    """Check the recovery while one of the zones is evacuated."""
+    zone = SOAK_ZONES[1]
+    site.evacuate(zone)
+    accepted_s = time.monotonic()
+    await _recover(clients, items_may_fail)
+    end_s = accepted_s + EVACUATION_BOUND_S + _EVACUATED_S
+    await asyncio.sleep(end_s - time.monotonic())
+    clients.violations += check_evacuation(site.engines_of(zone), accepted_s)
+
+
 async def _recover(clients: SoakClients, items_may_fail: bool) -> None:
     """Wait until requests and jobs are served again; check all jobs."""
     served_before = clients.served_count
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -22,7 +22,12 @@
 
     import aiohttp
 
+    from dogwoodpost.standins.site.sampler_app import SamplerApp
+
 _END_TIMEOUT_S = 10.0
+SOAK_ZONES = ('zone-a', 'zone-b')
+# The first two processes share a zone, so they pass jobs to each other.
+_FIRST_ZONE_NODE_COUNT = 2
 
 
 class SoakNode:
@@ -32,6 +37,7 @@
         self, name: str, settings: dict[str, Any], folder: Path
     ) -> None:
         self.name = name
+        self.zone: str = settings['zone']
         self._settings = settings
         self._path = folder / f'{name}.json'
         self._log_path = folder / f'{name}.log'
@@ -128,11 +134,36 @@
             self.endpoint_links[endpoint.endpoint_id] = link
             self._addresses[endpoint.endpoint_id] = link.address
             self.register(endpoint, service)
+        self.register(self.engines[1], 'engines', zone=SOAK_ZONES[1])
         for number in range(self._node_count):
             await self._open_node(stack, number)
         for node in self.nodes:
             await self.wait_ready(node.address())
 
+    def engines_of(self, zone: str) -> list[SamplerApp]:
+        """Return the engines of a zone."""
+        return [
+            engine for engine in self.engines if self.zone_of(engine) == zone
+        ]
+
+    def endpoint_links_of(self, zone: str) -> list[FaultProxy]:
+        """Return the links to the endpoints of a zone."""
+        return [
+            self.endpoint_links[endpoint.endpoint_id]
+            for endpoint, _ in self.endpoints()
+            if self.zone_of(endpoint) == zone
+        ]
+
+    def links_of(self, zone: str) -> list[FaultProxy]:
+        """Return all links into a zone and out of it."""
+        links = self.endpoint_links_of(zone)
+        for node, store, duties in zip(
+            self.nodes, self.store_links, self.duty_links, strict=True
+        ):
+            if node.zone == zone:
+                links += [store, duties]
+        return links
+
     async def _open_node(
         self, stack: contextlib.AsyncExitStack, number: int
     ) -> None:
@@ -141,7 +172,8 @@
         self.store_links.append(store)
         self.duty_links.append(duties)
         name = f'node-{number}'
-        settings = self.settings(name)
+        zone = SOAK_ZONES[number >= _FIRST_ZONE_NODE_COUNT]
+        settings = self.settings(name, zone)
         settings['platform']['address'] = store.address
         settings['cloud']['address'] = duties.address
         node = SoakNode(name, settings, self._folder)
