Serve more urgent requests first

Ranks of routes and client accounts were read (routes) or not read at all (accounts), and had no effect: waiting requests shared by account alone, and while all endpoints were cold a request was refused for those it should overtake. The platform's rank 0 is the most urgent one, so the adapter turns the sign.

The queue starts the highest priority first and shares by account within it. The expected wait counts what a request does not overtake. While all endpoints are cold, waiting requests whose places went to more urgent ones are refused at once with the time that they would have had to wait.

--- a/src/dogwoodpost/core/admission/admission.py
+++ b/src/dogwoodpost/core/admission/admission.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 from typing import TYPE_CHECKING
 
@@ -85,6 +84,23 @@
         state = self._services.get(service)
         return state.queue.waiting_count if state else 0
 
+    def ahead_count(self, service: ids.ServiceName, priority: int) -> int:
+        """Return how many waiting requests a new one does not overtake."""
+        state = self._services.get(service)
+        return state.queue.count(priority) if state else 0
+
+    def waiting_tickets(self, service: ids.ServiceName) -> list[Ticket]:
+        """Return the waiting requests of a service, in order.
+
+        Limits of accounts, which may delay a start, are not considered.
+        """
+        state = self._services.get(service)
+        if state is None:
+            return []
+        return state.queue.startable_tickets(
+            lambda _account_id: True, state.queue.waiting_count
+        )
+
     def running_count(self, client_account_id: ids.ClientAccountId) -> int:
         """Return the number of running requests of an account."""
         state = self._accounts.get(client_account_id)
@@ -138,7 +154,7 @@
             lambda account_id: self._accounts[account_id].may_start(now_s),
             max_per_account,
         )
-        return list(itertools.islice(tickets, max_count))
+        return tickets[:max_count]
 
     def late_tickets(
         self, service: ids.ServiceName, mean_duration_s: float, now_s: float
@@ -264,6 +280,7 @@
         client_account_id: ids.ClientAccountId,
         service_name: ids.ServiceName,
         now_s: float,
+        priority: int = 0,
     ) -> float:
         """Return the expected wait of a new request, in seconds.
 
@@ -280,13 +297,18 @@
         if drain_rate is None:
             return token_wait_s
         ahead_tokens = service.queue.tokens_ahead(
-            client_account_id, self._weight
+            client_account_id, priority, self._weight
         )
         queue_wait_s = (
             ahead_tokens / drain_rate if drain_rate > 0.0 else math.inf
         )
         return max(token_wait_s, queue_wait_s)
 
+    def _ticket_wait_s(self, ticket: Ticket, now_s: float) -> float:
+        return self.expected_wait_s(
+            ticket.client_account_id, ticket.service, now_s, ticket.priority
+        )
+
     def retry_after_s(self, wait_s: float) -> float:
         """Return the Retry-After for an expected wait, within the bounds."""
         settings = self._settings
@@ -305,18 +327,14 @@
                 'account_queue_full',
                 'the client account has too many waiting requests',
                 _TOO_MANY_REQUESTS,
-                self.expected_wait_s(
-                    ticket.client_account_id, ticket.service, now_s
-                ),
+                self._ticket_wait_s(ticket, now_s),
             )
         if service.queue.waiting_count >= self._settings.max_waiting_count:
             raise self._refusal(
                 'queue_full',
                 'the service has too many waiting requests',
                 _SERVICE_UNAVAILABLE,
-                self.expected_wait_s(
-                    ticket.client_account_id, ticket.service, now_s
-                ),
+                self._ticket_wait_s(ticket, now_s),
             )
 
     def _check_expected_wait(
@@ -336,9 +354,7 @@
                 _TOO_MANY_REQUESTS,
                 token_wait_s,
             )
-        wait_s = self.expected_wait_s(
-            ticket.client_account_id, ticket.service, now_s
-        )
+        wait_s = self._ticket_wait_s(ticket, now_s)
         settings = self._settings
         allowed_s = max(
             allowed_s * settings.max_wait_share,
--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -32,6 +32,13 @@
     endpoint: Endpoint
 
 
+class OvertakenRequest(msgspec.Struct, frozen=True):
+    """A withdrawn request, and how long it would have had to wait."""
+
+    ticket: Ticket
+    wait_s: float
+
+
 class _PendingRequest(msgspec.Struct, eq=False):
     """Routing data of a waiting request.
 
@@ -51,6 +58,7 @@
         self._admission = admission
         self._router = router
         self._pending: dict[int, _PendingRequest] = {}
+        self._overtaken_services: set[ids.ServiceName] = set()
 
     def submit(
         self,
@@ -82,22 +90,28 @@
 
         :raises RequestError: the request would miss its deadline.
         """
-        wait_s = self._router.cold_wait_s(
-            query, self._admission.waiting_count(ticket.service), now_s
-        )
+        service = ticket.service
+        ahead_count = self._admission.ahead_count(service, ticket.priority)
+        wait_s = self._router.cold_wait_s(query, ahead_count, now_s)
         if wait_s is None:
             return
         # The rate at which cold endpoints drain the queue says nothing about
         # the time after that.
-        self._admission.reset_drain_rate(ticket.service)
+        self._admission.reset_drain_rate(service)
         if wait_s and now_s + wait_s + mean_duration_s > ticket.deadline_s:
-            raise RequestError(
-                'endpoints_cold',
-                'all endpoints have just started and take few requests',
-                status=503,
-                not_run=True,
-                retry_after_s=self._admission.retry_after_s(wait_s),
-            )
+            raise self.cold_error(wait_s)
+        if self._admission.waiting_count(service) > ahead_count:
+            self._overtaken_services.add(service)
+
+    def cold_error(self, wait_s: float) -> RequestError:
+        """Return the refusal of a request that can't wait for ``wait_s``."""
+        return RequestError(
+            'endpoints_cold',
+            'all endpoints have just started and take few requests',
+            status=503,
+            not_run=True,
+            retry_after_s=self._admission.retry_after_s(wait_s),
+        )
 
     def _no_endpoint_error(self, query: RouteQuery) -> RequestError:
         code = 'no_endpoint'
@@ -139,6 +153,31 @@
             self.withdraw(ticket, now_s)
         return late_tickets
 
+    def withdraw_overtaken(
+        self, service: ids.ServiceName, now_s: float
+    ) -> list[OvertakenRequest]:
+        """Withdraw and return requests that cold endpoints can't serve now.
+
+        More urgent requests have taken their places since they were queued.
+        """
+        if service not in self._overtaken_services:
+            return []
+        self._overtaken_services.remove(service)
+        mean_duration_s = self._router.mean_duration_s(service)
+        overtaken: list[OvertakenRequest] = []
+        ahead_count = 0
+        for ticket in self._admission.waiting_tickets(service):
+            query = self._pending[id(ticket)].query
+            wait_s = self._router.cold_wait_s(query, ahead_count, now_s)
+            if not wait_s or now_s + wait_s + mean_duration_s <= (
+                ticket.deadline_s
+            ):
+                ahead_count += 1
+                continue
+            self.withdraw(ticket, now_s)
+            overtaken.append(OvertakenRequest(ticket, wait_s))
+        return overtaken
+
     def start_ready(
         self, service: ids.ServiceName, now_s: float
     ) -> list[StartedRequest]:
--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from collections import deque
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.admission.account_queue import AccountQueue
 from dogwoodpost.core.admission.ticket import TicketState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterator
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.admission.ticket import Ticket
@@ -22,20 +21,20 @@
 
 
 class FairQueue:
-    """One first-in, first-out queue per client account.
-
-    The virtual time of an account, in tokens, advances by the cost of each
-    request that starts, divided by the account's weight. The account with the
-    lowest virtual time goes first. An account that was idle resumes at the
-    system's virtual time, which follows the lowest virtual time of accounts
-    with waiting requests, so it gains no advantage from having been idle.
+    """One queue per client account; more urgent requests go first.
+
+    Among requests of the same priority, the account with the lowest virtual
+    time goes first. The virtual time of an account, in tokens, advances by the
+    cost of each request that starts, divided by the account's weight. An
+    account that was idle resumes at the system's virtual time, which follows
+    the lowest virtual time of accounts with waiting requests, so it gains no
+    advantage from having been idle.
     """
 
     def __init__(self) -> None:
-        self._queues: dict[ids.ClientAccountId, deque[Ticket]] = {}
+        self._queues: dict[ids.ClientAccountId, AccountQueue] = {}
         self._virtual_times: dict[ids.ClientAccountId, float] = {}
         self._system_virtual_time = 0.0
-        self._queued_tokens: dict[ids.ClientAccountId, float] = {}
         self.waiting_count = 0
 
     def push(self, ticket: Ticket) -> None:
@@ -43,24 +42,23 @@
         account_id = ticket.client_account_id
         queue = self._queues.get(account_id)
         if queue is None:
-            queue = self._queues[account_id] = deque()
+            queue = self._queues[account_id] = AccountQueue()
             self._virtual_times[account_id] = max(
                 self._virtual_times.get(account_id, 0.0),
                 self._system_virtual_time,
             )
-        queue.append(ticket)
+        queue.push(ticket)
         self.waiting_count += 1
-        queued_tokens = self._queued_tokens.get(account_id, 0.0)
-        self._queued_tokens[account_id] = queued_tokens + ticket.cost_tokens
 
     def startable_tickets(
         self,
         may_start: Callable[[ids.ClientAccountId], bool],
         max_per_account: int,
-    ) -> Iterator[Ticket]:
-        """Yield the requests that may start, in fair order.
+    ) -> list[Ticket]:
+        """Return the requests that may start, in order.
 
-        Accounts follow each other by virtual time, the requests of an account
+        The most urgent ones go first. Among those of the same priority,
+        accounts follow each other by virtual time, the requests of an account
         by arrival.
 
         :param may_start: whether the limits of an account allow a start.
@@ -77,14 +75,25 @@
                 account_id,
             ),
         )
-        for account_id in order:
-            yield from itertools.islice(
-                self._queues[account_id], max_per_account
-            )
+        tickets = itertools.chain.from_iterable(
+            itertools.islice(self._queues[account_id], max_per_account)
+            for account_id in order
+        )
+        return sorted(tickets, key=lambda ticket: -ticket.priority)
 
     def head_tickets(self) -> list[Ticket]:
-        """Return the request at the head of each account's queue."""
-        return [queue[0] for queue in self._queues.values()]
+        """Return the next request of each account and priority."""
+        return [
+            ticket
+            for queue in self._queues.values()
+            for ticket in queue.heads()
+        ]
+
+    def count(self, min_priority: int) -> int:
+        """Return how many requests of a priority or above wait."""
+        return sum(
+            queue.count(min_priority) for queue in self._queues.values()
+        )
 
     def start(self, ticket: Ticket, weight: float) -> None:
         """Dequeue a request that starts, and charge its account for it."""
@@ -104,10 +113,8 @@
         queue = self._queues[account_id]
         queue.remove(ticket)
         self.waiting_count -= 1
-        self._queued_tokens[account_id] -= ticket.cost_tokens
         if not queue:
             del self._queues[account_id]
-            del self._queued_tokens[account_id]
 
     def adjust_cost(
         self,
@@ -135,23 +142,29 @@
     def tokens_ahead(
         self,
         account_id: ids.ClientAccountId,
+        priority: int,
         weight_of: Callable[[ids.ClientAccountId], float],
     ) -> float:
         """Return the tokens that start before a new request of an account.
 
-        Other accounts with waiting requests are assumed to stay backlogged
+        More urgent requests start before it, less urgent ones after it. Other
+        accounts with requests of its priority are assumed to stay backlogged
         until the virtual time at which the new request would start.
         """
-        own_tokens = self._queued_tokens.get(account_id, 0.0)
+        own_queue = self._queues.get(account_id)
+        own_tokens = own_queue.tokens(priority) if own_queue else 0.0
         virtual_time = max(
             self._virtual_times.get(account_id, 0.0), self._system_virtual_time
         )
         virtual_start = virtual_time + own_tokens / weight_of(account_id)
         ahead_tokens = own_tokens
-        for other_id in self._queues:
-            if other_id != account_id:
-                virtual_lag = virtual_start - self._virtual_times[other_id]
-                ahead_tokens += max(virtual_lag, 0.0) * weight_of(other_id)
+        for other_id, queue in self._queues.items():
+            if other_id == account_id or not queue.count(priority):
+                continue
+            virtual_lag = virtual_start - self._virtual_times[other_id]
+            ahead_tokens += max(
+                virtual_lag * weight_of(other_id), queue.tokens(priority + 1)
+            )
         return ahead_tokens
 
     def lag_tokens(self, account_id: ids.ClientAccountId) -> float:
--- a/src/dogwoodpost/core/admission/ticket.py
+++ b/src/dogwoodpost/core/admission/ticket.py
@@ -25,6 +25,7 @@
     :param deadline_s: time after which the response is of no use, on the
         monotonic clock.
     :param enqueued_s: time of arrival, on the monotonic clock.
+    :param priority: requests with a higher one go first.
     :param cost_tokens: expected cost, from the estimate and the account's
         earlier requests; set by :meth:`Admission.submit`.
     """
@@ -35,5 +36,6 @@
     estimated_tokens: float
     deadline_s: float
     enqueued_s: float
+    priority: int = 0
     cost_tokens: float = 0.0
     state: TicketState = TicketState.WAITING
--- a/src/dogwoodpost/core/configuration/model.py
+++ b/src/dogwoodpost/core/configuration/model.py
@@ -62,11 +62,14 @@
 class ClientAccount(msgspec.Struct, frozen=True, kw_only=True):
     """Client account, whose keys may send requests.
 
+    :param priority: priority of its requests in place of their route's, None
+        for the route's own.
     :param allowed_regions: regions in which its requests may be served.
     """
 
     client_account_id: ids.ClientAccountId
     limits: Limits = Limits()
+    priority: int | None = None
     enabled: bool = True
     allowed_regions: AllowedRegions = ANY_REGION
 
@@ -187,6 +190,25 @@
     )
     routes: dict[ids.RouteName, Route] = msgspec.field(default_factory=dict)
 
+    def priority(
+        self,
+        route_name: ids.RouteName,
+        client_account_id: ids.ClientAccountId | None,
+    ) -> int:
+        """Return the priority of the requests of a route and an account.
+
+        That of the account goes before that of the route; 0 if neither has
+        one. Requests with a higher priority go first.
+
+        :param client_account_id: None for requests without an account.
+        """
+        if client_account_id is not None:
+            account = self.client_accounts.get(client_account_id)
+            if account is not None and account.priority is not None:
+                return account.priority
+        route = self.routes.get(route_name)
+        return route.priority if route is not None else 0
+
     def allowed_regions(
         self,
         route_name: ids.RouteName,
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -60,6 +60,7 @@
     """A route of the configuration.
 
     :param public: whether clients need no key.
+    :param priority: rank; 0 is the most urgent one.
     """
 
     name: str
@@ -107,10 +108,14 @@
 
 
 class _WireTenant(_WireStruct, frozen=True, kw_only=True):
-    """A client account, which the platform calls a tenant."""
+    """A client account, which the platform calls a tenant.
+
+    :param priority: rank of its requests, None for that of their route.
+    """
 
     name: str
     api_keys: tuple[str, ...] = ()
+    priority: int | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
@@ -301,6 +306,7 @@
         accounts[account_id] = ClientAccount(
             client_account_id=account_id,
             limits=NO_LIMITS,
+            priority=_to_priority(tenant.priority),
             allowed_regions=_to_allowed_regions(
                 tenant.allowed_regions, known_regions, f'tenant {tenant.name}'
             ),
@@ -373,7 +379,7 @@
         open_to_all=wire.public or not configuration.tenants,
         max_body_bytes=configuration.limits.max_body_bytes,
         timeout_ms=int(timeout_ms),
-        priority=wire.priority,
+        priority=-wire.priority,
         max_attempt_count=wire.max_attempts or 1,
         resumable=wire.resumable,
         single_version=wire.single_version,
@@ -385,6 +391,11 @@
     )
 
 
+def _to_priority(rank: int | None) -> int | None:
+    """Return the priority of a rank; the most urgent rank is 0."""
+    return None if rank is None else -rank
+
+
 def _to_route_kind(kind_name: str) -> RouteKind:
     if kind_name in {'rollout', 'batch'}:
         return RouteKind.BATCH
--- a/src/dogwoodpost/services/entry/request_queue.py
+++ b/src/dogwoodpost/services/entry/request_queue.py
@@ -74,6 +74,10 @@
             self._futures[id(ticket)].set_exception(
                 self._expired_error(ticket)
             )
+        for overtaken in self._dispatcher.withdraw_overtaken(service, now_s):
+            self._futures[id(overtaken.ticket)].set_exception(
+                self._dispatcher.cold_error(overtaken.wait_s)
+            )
         for started in self._dispatcher.start_ready(service, now_s):
             self._futures[id(started.ticket)].set_result(started.endpoint)
         waiting = self._admission.waiting_count(service) > 0
@@ -100,6 +104,7 @@
             ticket.client_account_id,
             ticket.service,
             self._clock.monotonic_s(),
+            ticket.priority,
         )
         return RequestError(
             'expired_in_queue',
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -200,6 +200,9 @@
             estimated_tokens=request.cost_tokens,
             deadline_s=self._state.deadline_s,
             enqueued_s=self._state.start_s,
+            priority=self._pipeline.current_configuration().priority(
+                request.route.name, request.client_account_id
+            ),
         )
 
     def _query(self, *, requires_free_slot: bool) -> RouteQuery:
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -59,6 +59,42 @@
     assert first_startable(admission) is late_request
 
 
+def test_urgent_requests_go_first_and_share_fairly() -> None:
+    """Guards against urgent requests behind others, or out of turn."""
+    admission = Admission()
+    for account in ('large', 'small'):
+        admission.set_limits(account, limits(), 0.0)
+    for account in ('large', 'small', 'large'):
+        admission.submit(ticket(account, priority=-1), 0.0)
+    for account in ('large', 'large', 'small'):
+        admission.submit(ticket(account, priority=2), 0.0)
+    assert admission.ahead_count(SERVICE, 0) == 3
+    started = []
+    while (request := first_startable(admission)) is not None:
+        admission.start(request, 0.0)
+        started.append((request.priority, request.client_account_id))
+    assert [priority for priority, _ in started] == [2, 2, 2, -1, -1, -1]
+    assert {account for _, account in started[:2]} == {'large', 'small'}
+    assert {account for _, account in started[3:5]} == {'large', 'small'}
+
+
+def test_urgent_request_is_not_refused_for_those_behind_it() -> None:
+    """Guards against an expected wait that counts overtaken requests."""
+    admission = Admission()
+    admission.set_limits('a', limits(), 0.0)
+    requests = [ticket('a', 100.0, priority=-1) for _ in range(100)]
+    for request in requests:
+        admission.submit(request, 0.0)
+    for number, request in enumerate(requests[:10]):
+        admission.start(request, float(number))
+        admission.finish(request, 100.0, float(number) + 1.0)
+    with pytest.raises(RequestError):
+        admission.submit(
+            ticket('a', 100.0, priority=-1, deadline_s=30.0), 10.0
+        )
+    admission.submit(ticket('a', 100.0, deadline_s=30.0), 10.0)
+
+
 def test_actual_cost_corrects_the_share() -> None:
     """Guards against accounts that gain an advantage by low estimates."""
     admission = Admission()
--- a/tests/core/admission/test_cold_restart_load.py
+++ b/tests/core/admission/test_cold_restart_load.py
@@ -57,6 +57,7 @@
 
     arrival_s: float
     limit_s: float
+    priority: int = 0
     sent_s: float | None = None
     refused_s: float | None = None
     retry_after_s: float | None = None
@@ -102,11 +103,7 @@
     def cold_wait_s(self, query: RouteQuery) -> float | None:
         return self._router.cold_wait_s(query, 0, 0.0)
 
-    def run(self) -> list[Request]:
-        requests = [
-            Request(number * REQUEST_INTERVAL_S, 4.0 if number % 2 else 1.0)
-            for number in range(int(END_S / REQUEST_INTERVAL_S))
-        ]
+    def run(self, requests: list[Request]) -> list[Request]:
         arriving = list(requests)
         now_s = 0.0
         while now_s < END_S + 4.0:
@@ -115,6 +112,12 @@
                 self._submit(arriving.pop(0), now_s)
             for ticket in self._dispatcher.withdraw_late(SERVICE, now_s):
                 self._by_ticket[id(ticket)].refused_s = now_s
+            for overtaken in self._dispatcher.withdraw_overtaken(
+                SERVICE, now_s
+            ):
+                request = self._by_ticket[id(overtaken.ticket)]
+                request.refused_s = now_s
+                request.retry_after_s = overtaken.wait_s
             for started in self._dispatcher.start_ready(SERVICE, now_s):
                 self._by_ticket[id(started.ticket)].sent_s = now_s
                 self._running.append(
@@ -135,6 +138,7 @@
             estimated_tokens=1.0,
             deadline_s=now_s + request.limit_s,
             enqueued_s=now_s,
+            priority=request.priority,
         )
         self._by_ticket[id(ticket)] = request
         try:
@@ -163,10 +167,25 @@
             self._admission.finish(ticket, 1.0, now_s)
 
 
+def mixed_limits() -> list[Request]:
+    return [
+        Request(number * REQUEST_INTERVAL_S, 4.0 if number % 2 else 1.0)
+        for number in range(int(END_S / REQUEST_INTERVAL_S))
+    ]
+
+
+def two_priorities(lower: int) -> list[Request]:
+    """Return requests of 1.5 s, every second one with a lower priority."""
+    return [
+        Request(number * REQUEST_INTERVAL_S, 1.5, lower if number % 2 else 0)
+        for number in range(int(END_S / REQUEST_INTERVAL_S))
+    ]
+
+
 @pytest.mark.parametrize('process_count', [4, 31])
 def test_callers_are_served_or_refused_at_once(process_count: int) -> None:
     """Guards against requests that wait in vain for cold endpoints."""
-    requests = Simulation(process_count).run()
+    requests = Simulation(process_count).run(mixed_limits())
     for request in requests:
         if request.sent_s is not None:
             assert request.sent_s - request.arrival_s <= request.limit_s
@@ -184,7 +203,7 @@
 @pytest.mark.parametrize('process_count', [4, 31])
 def test_shares_of_cold_endpoints_are_used(process_count: int) -> None:
     """Guards against a limit that is exceeded, or leaves endpoints idle."""
-    requests = Simulation(process_count).run()
+    requests = Simulation(process_count).run(mixed_limits())
     share = ENDPOINT_COUNT * ALLOWANCE // process_count
     sent_s = [request.sent_s for request in requests if request.sent_s]
     cold_sends = sorted(sent for sent in sent_s if sent < COLD_S)
@@ -197,6 +216,31 @@
         assert len(cold_sends) >= share * (COLD_S - 1.0)
 
 
+def test_urgent_requests_get_the_places_of_cold_endpoints() -> None:
+    """Guards against urgent requests that are refused for the sake of others.
+
+    The other requests are refused as soon as they can't be served in time,
+    those that wait already too.
+    """
+    equal = Simulation(4).run(two_priorities(0))
+    requests = Simulation(4).run(two_priorities(-1))
+    urgent = requests[::2]
+    others = requests[1::2]
+    sent_count = sum(one.sent_s is not None for one in urgent)
+    equal_count = sum(one.sent_s is not None for one in equal[::2])
+    assert sent_count > equal_count
+    refused = [one for one in requests if one.refused_s is not None]
+    assert all(one.retry_after_s for one in refused)
+    longest_wait_s = max(
+        one.refused_s - one.arrival_s for one in refused if one.refused_s
+    )
+    assert longest_wait_s < 1.5
+    # All places go to urgent requests while these alone are too many.
+    settled = [one for one in others if 1.0 < one.arrival_s < COLD_S - 1.5]
+    assert settled
+    assert all(one.sent_s is None for one in settled)
+
+
 def test_request_without_candidates_is_not_refused_as_cold() -> None:
     """Guards against a wrong reason while no version is loaded yet."""
     simulation = Simulation(process_count=4)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import pytest
 
@@ -147,6 +149,21 @@
     assert source.current().revision == 3
 
 
+def test_rank_of_the_account_goes_before_that_of_the_route() -> None:
+    """Guards against urgent requests that are put behind others."""
+    source = operator_rows(VirtualClock())
+    document = regional([])
+    document['routes'][0]['priority'] = 2
+    document['tenants'].append({'name': 'first', 'apiKeys': [], 'priority': 0})
+    source.apply([row('op', 'config', document, 1)], 0.0)
+    configuration = source.current()
+    route = ids.RouteName('r')
+    ordinary = configuration.priority(route, ids.ClientAccountId('t'))
+    first = configuration.priority(route, ids.ClientAccountId('first'))
+    assert ordinary == configuration.priority(route, None)
+    assert first > ordinary
+
+
 def test_allowed_regions_of_route_and_account_are_combined() -> None:
     """Guards against work that leaves a region to which it is confined."""
     source = operator_rows(VirtualClock())
@@ -176,7 +193,7 @@
     assert source.current() is before
 
 
-def regional(regions: object) -> dict[str, object]:
+def regional(regions: object) -> dict[str, Any]:
     """Return a configuration whose client account is limited to regions."""
     route = {
         'name': 'r',
