--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -18,7 +18,6 @@
 from dogwoodpost.core.cold_starts import ColdTracker
 from dogwoodpost.core.cold_starts import DoubtReason
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
-from dogwoodpost.core.membership.read_budget import ReadBudget
 from dogwoodpost.core.routing import Router
 from dogwoodpost.core.routing import RouterSettings
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
@@ -28,10 +27,12 @@
 from dogwoodpost.platform.connection_counts import ConnectionCounts
 from dogwoodpost.platform.duties import Duties
 from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
+from dogwoodpost.platform.endpoint_notices import EndpointNotices
 from dogwoodpost.platform.ingress import Ingress
 from dogwoodpost.platform.ingress import readiness_app
 from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
 from dogwoodpost.platform.leave_notices import LeaveNotices
+from dogwoodpost.platform.listen_address import ListenAddress
 from dogwoodpost.platform.sessions import http_session
 from dogwoodpost.platform.settings_watch import SettingsWatch
 from dogwoodpost.platform.store_client import PlatformObjectStore
@@ -39,6 +40,7 @@
 from dogwoodpost.platform.store_connection import StoreConnection
 from dogwoodpost.platform.store_relay import relay_app
 from dogwoodpost.platform.store_relay import StoreRelay
+from dogwoodpost.platform.table_feeds import TableFeeds
 from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.batches.batch_service import BatchService
 from dogwoodpost.services.batches.job_forwarder import JobForwarder
@@ -58,19 +60,15 @@
 from dogwoodpost.services.membership.presence_service import PresenceService
 from dogwoodpost.services.process import running
 from dogwoodpost.services.process import wait_for_stop_signal
-from dogwoodpost.services.rows import TableFollower
 
 if TYPE_CHECKING:
     import aiohttp
 
     from dogwoodpost.core.configuration import ColdStart
     from dogwoodpost.core.membership import ProcessIdentity
-    from dogwoodpost.core.routing import AttemptResult
-    from dogwoodpost.core.routing import Health
     from dogwoodpost.observability import LogBuffer
     from dogwoodpost.observability import Metrics
     from dogwoodpost.platform.settings import ProcessSettings
-    from dogwoodpost.services.rows import RowSink
 
 _log = structlog.get_logger(__name__)
 _MS_PER_S = 1_000
@@ -136,7 +134,8 @@
             self._rng,
             _ROUTER_SETTINGS,
         )
-        self._router.listen_to_health(self._note_health)
+        self._notices = EndpointNotices(metrics)
+        self._router.listen_to_health(self._notices.note_health)
         self._registry = EndpointRegistry(self._router)
         self._cold_tracker = ColdTracker(self._note_doubt)
         self._configuration = configuration_rows.ConfigurationRows(
@@ -312,49 +311,35 @@
     async def _follow_tables(
         self, rows: PlatformRowStore, versions: EndpointVersions
     ) -> None:
-        sinks: list[tuple[str, RowSink, float]] = [
-            (
-                configuration_rows.TABLE,
-                self._configuration,
-                _CONFIGURATION_READ_PAUSE_S,
-            ),
-            (
-                endpoint_rows.TABLE,
-                endpoint_rows.EndpointRows(
-                    self._registry, self._cold_tracker, self._settings.zones
-                ),
-                _ENDPOINT_READ_PAUSE_S,
-            ),
-            (presence_service.TABLE, self._presence, _PRESENCE_READ_PAUSE_S),
-            (endpoint_versions.TABLE, versions, _VERSION_READ_PAUSE_S),
-            (
-                job_rows.HEAD_TABLE,
-                self._batches.directory,
-                _JOB_HEAD_READ_PAUSE_S,
+        endpoint_sink = endpoint_rows.EndpointRows(
+            self._registry, self._cold_tracker, self._settings.zones
+        )
+        feeds = TableFeeds(
+            rows,
+            self._clock,
+            self._metrics,
+            reads_per_s=self._settings.platform.reads_per_s,
+            process_count=lambda: len(
+                self._presence.view.live_process_ids(self._clock.monotonic_s())
             ),
-        ]
-        budget = ReadBudget(
-            self._settings.platform.reads_per_s,
-            sum(1.0 / pause_s for _, _, pause_s in sinks),
         )
-
-        def pause_factor() -> float:
-            now_s = self._clock.monotonic_s()
-            return budget.pause_factor(
-                len(self._presence.view.live_process_ids(now_s))
-            )
-
-        for table, sink, pause_s in sinks:
-            follower = TableFollower(
-                rows,
-                table,
-                sink,
-                self._clock,
-                self._metrics,
-                pause_s=pause_s,
-                pause_factor=pause_factor,
-                partitioned=table == job_rows.HEAD_TABLE,
-            )
+        feeds.add(
+            configuration_rows.TABLE,
+            self._configuration,
+            _CONFIGURATION_READ_PAUSE_S,
+        )
+        feeds.add(endpoint_rows.TABLE, endpoint_sink, _ENDPOINT_READ_PAUSE_S)
+        feeds.add(
+            presence_service.TABLE, self._presence, _PRESENCE_READ_PAUSE_S
+        )
+        feeds.add(endpoint_versions.TABLE, versions, _VERSION_READ_PAUSE_S)
+        feeds.add(
+            job_rows.HEAD_TABLE,
+            self._batches.directory,
+            _JOB_HEAD_READ_PAUSE_S,
+            partitioned=True,
+        )
+        for follower in feeds.followers():
             await self.run_part(follower)
 
     def _compose_duties(
@@ -389,7 +374,7 @@
                 await self.open_part(
                     serving(
                         health,
-                        _ListenAddress(address),
+                        ListenAddress(address),
                         shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
                     )
                 )
@@ -397,7 +382,7 @@
             await self.open_part(
                 serving(
                     relay_app(self._store),
-                    _ListenAddress(self._settings.peer_address),
+                    ListenAddress(self._settings.peer_address),
                     shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
                 )
             )
@@ -405,7 +390,7 @@
             await self.open_part(
                 serving(
                     self._ingress.app(),
-                    _ListenAddress(listen['front']),
+                    ListenAddress(listen['front']),
                     shutdown_timeout_s=_CLIENT_SHUTDOWN_TIMEOUT_S,
                 )
             )
@@ -467,32 +452,15 @@
             released_ids, DoubtReason.EVACUATION_ENDED, now_s
         )
 
-    def _note_health(
-        self,
-        endpoint_id: ids.EndpointId,
-        health: Health,
-        result: AttemptResult,
-    ) -> None:
-        self._metrics.events.labels(f'endpoint_{health.value}').inc()
-        _log.info(
-            'endpoint_health',
-            endpoint=endpoint_id,
-            health=health.value,
-            failed=result.failed,
-            timed_out=result.timed_out,
-        )
-
     def _note_doubt(
         self, endpoint_id: ids.EndpointId, reason: DoubtReason
     ) -> None:
-        self._metrics.events.labels(f'endpoint_doubt_{reason.value}').inc()
         endpoint = self._registry.get(endpoint_id)
-        if endpoint and self._cold_start_of(endpoint.service) is not None:
-            _log.info(
-                'endpoint_may_be_cold',
-                endpoint=endpoint_id,
-                reason=reason.value,
-            )
+        can_be_cold = (
+            endpoint is not None
+            and self._cold_start_of(endpoint.service) is not None
+        )
+        self._notices.note_doubt(endpoint_id, reason, can_be_cold=can_be_cold)
 
     def _cold_start_of(self, service: ids.ServiceName) -> ColdStart | None:
         configured = self._configuration.current().services.get(service)
@@ -505,14 +473,6 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
 
 
-class _ListenAddress:
-    """IP address and port of a listening socket."""
-
-    def __init__(self, address: str) -> None:
-        self.ip, _, port = address.rpartition(':')
-        self.port = int(port)
-
-
 def _max_age_s(settings: ProcessSettings) -> float | None:
     """Return how old the configuration may be for routes that need a key.
 
