Let no priority starve

Strict priority served nothing else while more urgent requests kept coming, also none of an account or kind whose rank is lower. After three starts in a row that overtook others, the request that has waited longest starts. The test that plays 200 urgent requests before 20 others fails without it: none of the others starts in 150 turns.

--- a/src/dogwoodpost/core/admission/fair_queue.py
+++ b/src/dogwoodpost/core/admission/fair_queue.py
@@ -18,6 +18,9 @@
 # used the service at other entries only. Without a limit, it would go first
 # until it had caught up with all of their use.
 _MAX_LAG_TOKENS = 50_000.0
+# Starts in a row that may overtake less urgent requests. The next start goes
+# to the request that has waited longest, so that no rank starves.
+_MAX_OVERTAKING_COUNT = 3
 
 
 class FairQueue:
@@ -35,6 +38,7 @@
         self._queues: dict[ids.ClientAccountId, AccountQueue] = {}
         self._virtual_times: dict[ids.ClientAccountId, float] = {}
         self._system_virtual_time = 0.0
+        self._overtaking_count = 0
         self.waiting_count = 0
 
     def push(self, ticket: Ticket) -> None:
@@ -59,7 +63,8 @@
 
         The most urgent ones go first. Among those of the same priority,
         accounts follow each other by virtual time, the requests of an account
-        by arrival.
+        by arrival. After some starts that overtook others, the request that
+        has waited longest goes before all.
 
         :param may_start: whether the limits of an account allow a start.
         :param max_per_account: bound on the requests of each account.
@@ -79,7 +84,14 @@
             itertools.islice(self._queues[account_id], max_per_account)
             for account_id in order
         )
-        return sorted(tickets, key=lambda ticket: -ticket.priority)
+        ordered = sorted(tickets, key=lambda ticket: -ticket.priority)
+        if not ordered or self._overtaking_count < _MAX_OVERTAKING_COUNT:
+            return ordered
+        heads = itertools.chain.from_iterable(
+            self._queues[account_id].heads() for account_id in order
+        )
+        oldest = min(heads, key=lambda ticket: ticket.enqueued_s)
+        return [oldest, *(one for one in ordered if one is not oldest)]
 
     def head_tickets(self) -> list[Ticket]:
         """Return the next request of each account and priority."""
@@ -104,6 +116,10 @@
                 self._virtual_times[account_id] for account_id in self._queues
             ),
         )
+        if self.waiting_count > self.count(ticket.priority):
+            self._overtaking_count += 1
+        else:
+            self._overtaking_count = 0
         self.remove(ticket)
         self._virtual_times[account_id] += ticket.cost_tokens / weight
 
--- a/tests/core/admission/test_admission.py
+++ b/tests/core/admission/test_admission.py
@@ -78,6 +78,28 @@
     assert {account for _, account in started[3:5]} == {'large', 'small'}
 
 
+def test_urgent_requests_do_not_starve_others() -> None:
+    """Guards against requests that never start while urgent ones come."""
+    admission = Admission()
+    for account in ('urgent', 'other'):
+        admission.set_limits(account, limits(), 0.0)
+    for number in range(200):
+        admission.submit(ticket('urgent', priority=1, enqueued_s=number), 0.0)
+    for number in range(10):
+        admission.submit(ticket('urgent', enqueued_s=number), 0.0)
+        admission.submit(ticket('other', enqueued_s=number), 0.0)
+    started = []
+    for number in range(150):
+        now_s = 200.0 + number
+        request = first_startable(admission, now_s)
+        admission.start(request, now_s)
+        started.append((request.priority, request.client_account_id))
+        admission.finish(request, 10.0, now_s)
+    assert started.count((0, 'other')) == 10
+    assert started.count((0, 'urgent')) == 10
+    assert started[:3] == [(1, 'urgent')] * 3
+
+
 def test_urgent_request_is_not_refused_for_those_behind_it() -> None:
     """Guards against an expected wait that counts overtaken requests."""
     admission = Admission()
