--- a/src/dogwoodpost/core/weights/staggered_loads.py
+++ b/src/dogwoodpost/core/weights/staggered_loads.py
@@ -64,11 +64,12 @@
     in case the next step follows soon. The others load once the items of the
     newest step have been placed, so that they can serve the next step from
     its start. Each version is loaded on an equal share of the endpoints per
-    model, the most outdated endpoints of the model's home first.
+    model, the most outdated endpoints of the model's subset first.
 
-    The homes of the models cover all endpoints evenly. If all models took the
-    same endpoints, these would have long queues while the others have none,
-    and the process that runs a model's jobs would open connections to all.
+    The subsets of the models cover all endpoints evenly. If all models took
+    the same endpoints, these would have long queues while the others have
+    none. If the subset of a model changed with each version, the process that
+    runs its jobs would open connections to all endpoints.
 
     The next load always goes to the model with the fewest endpoints that can
     serve its newest step. Otherwise, models whose versions come in quick
@@ -90,7 +91,7 @@
             model,
             version,
             ring,
-            home_start_share=model_index / len(target_versions),
+            subset_start_share=model_index / len(target_versions),
             model_count=len(target_versions),
             is_settled=model in settled_models,
         )
@@ -118,13 +119,14 @@
     version: ids.WeightVersion,
     ring: Sequence[Endpoint],
     *,
-    home_start_share: float,
+    subset_start_share: float,
     model_count: int,
     is_settled: bool,
 ) -> list[Endpoint]:
     """Return the endpoints to load a version on, the most outdated first.
 
-    :param home_start_share: start of the model's home, as a share of the ring.
+    :param subset_start_share: start of the model's subset, as a share of the
+        ring.
     """
     versions = {
         endpoint.endpoint_id: current
@@ -136,14 +138,14 @@
     ]
     wanted_count = max(round(len(members) / model_count), 1)
     loaded_count = sum(current >= version for current in versions.values())
-    start = int(len(members) * home_start_share)
-    home = (members[start:] + members[:start])[
+    start = int(len(members) * subset_start_share)
+    subset = (members[start:] + members[:start])[
         : wanted_count * _SERVING_VERSION_COUNT
     ]
     outdated = sorted(
         (
             endpoint
-            for endpoint in home
+            for endpoint in subset
             if versions[endpoint.endpoint_id] < version
         ),
         key=lambda endpoint: versions[endpoint.endpoint_id],
@@ -160,10 +162,10 @@
 
 
 def _ring(endpoints: Sequence[Endpoint]) -> list[Endpoint]:
-    """Return the endpoints in an order of which homes are consecutive parts.
+    """Return the endpoints in an order of which subsets are consecutive parts.
 
-    The regions alternate, so that each home has endpoints in all of them. An
-    endpoint that leaves or joins moves each home by one place at most.
+    The regions alternate, so that each subset has endpoints in all of them. An
+    endpoint that leaves or joins moves each subset by one place at most.
     """
     by_region: dict[ids.Region, list[Endpoint]] = {}
     for endpoint in sorted(endpoints, key=_ring_weight):
--- a/tests/core/weights/test_staggered_loads.py
+++ b/tests/core/weights/test_staggered_loads.py
@@ -147,7 +147,7 @@
                 one for one in fleet if one.version_of(model) == version
             ]
             assert len({one.region for one in serving}) == 3
-    # A model stays at its endpoints: half of them have the newest version.
+    # A model stays in its subset: half of them have the newest version.
     assert {len(endpoint_ids) for endpoint_ids in used.values()} == {12}
 
 
@@ -159,7 +159,7 @@
     )
 
 
-def test_home_moves_little_when_an_endpoint_is_lost() -> None:
+def test_subset_moves_little_when_an_endpoint_is_lost() -> None:
     """Guards against loads all over the fleet after a crash."""
     models = [ids.ModelName(f'model-{one}') for one in range(4)]
     fleet = [endpoint_of_models(one, models) for one in range(22)]
