State once when a wait for cold endpoints is too long

The check at the arrival of a request and the one of overtaken requests had the same condition, written twice. A public method of the candidate filter had no doc comment.

--- a/src/dogwoodpost/core/admission/dispatcher.py
+++ b/src/dogwoodpost/core/admission/dispatcher.py
@@ -98,7 +98,7 @@
         # The rate at which cold endpoints drain the queue says nothing about
         # the time after that.
         self._admission.reset_drain_rate(service)
-        if wait_s and now_s + wait_s + mean_duration_s > ticket.deadline_s:
+        if _misses_deadline(ticket, wait_s, mean_duration_s, now_s):
             raise self.cold_error(wait_s)
         if self._admission.waiting_count(service) > ahead_count:
             self._overtaken_services.add(service)
@@ -169,13 +169,13 @@
         for ticket in self._admission.waiting_tickets(service):
             query = self._pending[id(ticket)].query
             wait_s = self._router.cold_wait_s(query, ahead_count, now_s)
-            if not wait_s or now_s + wait_s + mean_duration_s <= (
-                ticket.deadline_s
+            if wait_s is not None and _misses_deadline(
+                ticket, wait_s, mean_duration_s, now_s
             ):
+                self.withdraw(ticket, now_s)
+                overtaken.append(OvertakenRequest(ticket, wait_s))
+            else:
                 ahead_count += 1
-                continue
-            self.withdraw(ticket, now_s)
-            overtaken.append(OvertakenRequest(ticket, wait_s))
         return overtaken
 
     def start_ready(
@@ -231,3 +231,12 @@
             )
             return StartedRequest(ticket, endpoint)
         return None
+
+
+def _misses_deadline(
+    ticket: Ticket, wait_s: float, mean_duration_s: float, now_s: float
+) -> bool:
+    """Return whether a request that has to wait would end too late."""
+    return wait_s > 0.0 and now_s + wait_s + mean_duration_s > (
+        ticket.deadline_s
+    )
--- a/src/dogwoodpost/core/routing/candidate_filter.py
+++ b/src/dogwoodpost/core/routing/candidate_filter.py
@@ -147,6 +147,7 @@
         query: RouteQuery,
         endpoint_id: ids.EndpointId,
     ) -> bool:
+        """Return whether an endpoint may serve the attempt, now or later."""
         if endpoint_id in query.excluded:
             return False
         endpoint = pool.endpoints.get(endpoint_id)
