--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of this review start. They are the
+# project's own, part of the deploy build, and the modules in review/lib.
+set -eu
+cd "$(dirname "$0")/.."
+sh deploy/build.sh
+PYTHONPATH=target/deps:review/lib python3 -c 'import loopback_site'
