--- a/review/1/case.py
+++ b/review/1/case.py
@@ -43,16 +43,22 @@
     return {
         'version': 2,
         'routes': [
-            {'host': site_parts.HOST, 'name': 'bookings',
-             'prefix': '/bookings/', 'kind': 'unsafe', 'service': 'booking',
-             'timeoutMs': 3_000, 'maxAttempts': 3, 'public': False,
-             'priority': 2, 'targetLatencyMs': 200},
+            {
+                'host': site_parts.HOST,
+                'name': 'bookings',
+                'prefix': '/bookings/',
+                'kind': 'unsafe',
+                'service': 'booking',
+                'timeoutMs': 3_000,
+                'maxAttempts': 3,
+                'public': False,
+                'priority': 2,
+                'targetLatencyMs': 200,
+            },
         ],
         'services': [{'name': 'booking'}],
         'limits': {'maxBodyBytes': 33_554_432},
-        'tenants': [
-            {'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}
-        ],
+        'tenants': [{'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}],
     }
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -53,16 +53,23 @@
     return {
         'version': 2,
         'routes': [
-            {'host': site_parts.HOST, 'name': 'jobs', 'prefix': '/jobs/',
-             'kind': 'rollout', 'service': 'models', 'timeoutMs': 10_000,
-             'maxAttempts': 3, 'public': False, 'priority': 0,
-             'dueMs': 7_500, 'queueTtlS': 60},
+            {
+                'host': site_parts.HOST,
+                'name': 'jobs',
+                'prefix': '/jobs/',
+                'kind': 'rollout',
+                'service': 'models',
+                'timeoutMs': 10_000,
+                'maxAttempts': 3,
+                'public': False,
+                'priority': 0,
+                'dueMs': 7_500,
+                'queueTtlS': 60,
+            },
         ],
         'services': [{'name': 'models', 'engine': {'slots': 12}}],
         'limits': {'maxBodyBytes': 33_554_432},
-        'tenants': [
-            {'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}
-        ],
+        'tenants': [{'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}],
     }
 
 
@@ -71,8 +78,10 @@
         {
             'id': item_id,
             'path': f'/jobs/3/{number}',
-            'headers': {'X-Model': site_parts.MODEL,
-                        'X-Token-Usage': '16,400'},
+            'headers': {
+                'X-Model': site_parts.MODEL,
+                'X-Token-Usage': '16,400',
+            },
             'body': b64encode(b'prompt').decode(),
             'tokens': 416,
             'group': f'g{number // GROUP_SIZE}',
@@ -80,8 +89,13 @@
         for number, item_id in enumerate(item_ids)
     ]
     return json.dumps(
-        {'step': 0, 'model': site_parts.MODEL, 'minVersion': 1,
-         'desired': GROUP_COUNT, 'requests': items}
+        {
+            'step': 0,
+            'model': site_parts.MODEL,
+            'minVersion': 1,
+            'desired': GROUP_COUNT,
+            'requests': items,
+        }
     ).encode()
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,4 @@
-"""An unreadable entry in the servers table ends every process, again and again.
-"""
+"""An unreadable entry of service discovery ends every process."""
 
 from __future__ import annotations
 
@@ -20,16 +19,23 @@
     return {
         'version': 2,
         'routes': [
-            {'host': site_parts.HOST, 'name': 'jobs', 'prefix': '/jobs/',
-             'kind': 'rollout', 'service': 'models', 'timeoutMs': 10_000,
-             'maxAttempts': 3, 'public': False, 'priority': 0,
-             'dueMs': 7_500, 'queueTtlS': 60},
+            {
+                'host': site_parts.HOST,
+                'name': 'jobs',
+                'prefix': '/jobs/',
+                'kind': 'rollout',
+                'service': 'models',
+                'timeoutMs': 10_000,
+                'maxAttempts': 3,
+                'public': False,
+                'priority': 0,
+                'dueMs': 7_500,
+                'queueTtlS': 60,
+            },
         ],
         'services': [{'name': 'models', 'engine': {'slots': 12}}],
         'limits': {'maxBodyBytes': 33_554_432},
-        'tenants': [
-            {'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}
-        ],
+        'tenants': [{'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}],
     }
 
 
@@ -38,8 +44,10 @@
         {
             'id': site_parts.item_id(number),
             'path': f'/jobs/3/{number}',
-            'headers': {'X-Model': site_parts.MODEL,
-                        'X-Token-Usage': '16,400'},
+            'headers': {
+                'X-Model': site_parts.MODEL,
+                'X-Token-Usage': '16,400',
+            },
             'body': b64encode(b'prompt').decode(),
             'tokens': 416,
             'group': f'g{number}',
@@ -47,8 +55,13 @@
         for number in range(8)
     ]
     return json.dumps(
-        {'step': 0, 'model': site_parts.MODEL, 'minVersion': 1, 'desired': 8,
-         'requests': items}
+        {
+            'step': 0,
+            'model': site_parts.MODEL,
+            'minVersion': 1,
+            'desired': 8,
+            'requests': items,
+        }
     ).encode()
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,25 +22,39 @@
 
 def configuration() -> dict:
     route = {
-        'host': site_parts.HOST, 'timeoutMs': 10_000, 'maxAttempts': 3,
-        'public': False, 'priority': 0,
+        'host': site_parts.HOST,
+        'timeoutMs': 10_000,
+        'maxAttempts': 3,
+        'public': False,
+        'priority': 0,
     }
     return {
         'version': 2,
         'routes': [
-            {**route, 'name': 'notes', 'prefix': '/notes/',
-             'kind': 'streaming', 'service': 'chat', 'sticky': True},
-            {**route, 'name': 'jobs', 'prefix': '/jobs/', 'kind': 'rollout',
-             'service': 'models', 'dueMs': 7_500, 'queueTtlS': 30},
+            {
+                **route,
+                'name': 'notes',
+                'prefix': '/notes/',
+                'kind': 'streaming',
+                'service': 'chat',
+                'sticky': True,
+            },
+            {
+                **route,
+                'name': 'jobs',
+                'prefix': '/jobs/',
+                'kind': 'rollout',
+                'service': 'models',
+                'dueMs': 7_500,
+                'queueTtlS': 30,
+            },
         ],
         'services': [
             {'name': 'chat', 'engine': {'slots': 12}},
             {'name': 'models', 'engine': {'slots': 12}},
         ],
-        'limits': {'maxBodyBytes': 33_554_432, 'idleTimeoutMs': 20_000},
-        'tenants': [
-            {'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}
-        ],
+        'limits': {'maxBodyBytes': 33_554_432, 'idleTimeoutMs': 15_000},
+        'tenants': [{'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}],
     }
 
 
@@ -49,8 +63,10 @@
         {
             'id': site_parts.item_id(number),
             'path': f'/jobs/3/{number}',
-            'headers': {'X-Model': site_parts.MODEL,
-                        'X-Token-Usage': '16,600'},
+            'headers': {
+                'X-Model': site_parts.MODEL,
+                'X-Token-Usage': '16,600',
+            },
             'body': b64encode(b'prompt').decode(),
             'tokens': 616,
             'group': f'g{number}',
@@ -58,8 +74,13 @@
         for number in range(8)
     ]
     return json.dumps(
-        {'step': 0, 'model': site_parts.MODEL, 'minVersion': 1, 'desired': 8,
-         'requests': items}
+        {
+            'step': 0,
+            'model': site_parts.MODEL,
+            'minVersion': 1,
+            'desired': 8,
+            'requests': items,
+        }
     ).encode()
 
 
@@ -174,9 +195,11 @@
 
     kill_timer = asyncio.get_running_loop().call_later(
         GRACE_S,
-        lambda: node.process.returncode is None
-        and site_parts.has_trouble()
-        and node.process.kill(),
+        lambda: (
+            node.process.returncode is None
+            and site_parts.has_trouble()
+            and node.process.kill()
+        ),
     )
     await asyncio.gather(*map(at, clients, SEND_AFTER_S))
     kill_timer.cancel()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,19 +1,16 @@
-"""Items of an ended job are sent to samplers by the process that took it over.
-"""
+"""Items of an ended job are sent to samplers by the process that took it over."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import os
-import signal
 import time
 from base64 import b64encode
 
 import loopback_site as site_parts
 from aiohttp import web
 
-from dogwoodpost.core.batches import JobState
 from dogwoodpost.services.batches import job_rows
 
 ITEM_COUNT = 40
@@ -31,16 +28,23 @@
     return {
         'version': 2,
         'routes': [
-            {'host': site_parts.HOST, 'name': 'jobs', 'prefix': '/jobs/',
-             'kind': 'rollout', 'service': 'models', 'timeoutMs': 10_000,
-             'maxAttempts': 3, 'public': False, 'priority': 0,
-             'dueMs': 7_500, 'queueTtlS': 60},
+            {
+                'host': site_parts.HOST,
+                'name': 'jobs',
+                'prefix': '/jobs/',
+                'kind': 'rollout',
+                'service': 'models',
+                'timeoutMs': 10_000,
+                'maxAttempts': 3,
+                'public': False,
+                'priority': 0,
+                'dueMs': 7_500,
+                'queueTtlS': 60,
+            },
         ],
         'services': [{'name': 'models', 'engine': {'slots': 12}}],
         'limits': {'maxBodyBytes': 33_554_432},
-        'tenants': [
-            {'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}
-        ],
+        'tenants': [{'name': site_parts.TENANT, 'apiKeys': [site_parts.KEY]}],
     }
 
 
@@ -49,8 +53,10 @@
         {
             'id': item_id,
             'path': f'/jobs/3/{number}',
-            'headers': {'X-Model': site_parts.MODEL,
-                        'X-Token-Usage': '16,400'},
+            'headers': {
+                'X-Model': site_parts.MODEL,
+                'X-Token-Usage': '16,400',
+            },
             'body': b64encode(os.urandom(BODY_BYTES)).decode(),
             'tokens': 416,
             'group': f'g{number // 8}',
@@ -58,8 +64,13 @@
         for number, item_id in enumerate(item_ids)
     ]
     return json.dumps(
-        {'step': 0, 'model': site_parts.MODEL, 'minVersion': 1, 'desired': 5,
-         'requests': items}
+        {
+            'step': 0,
+            'model': site_parts.MODEL,
+            'minVersion': 1,
+            'desired': 5,
+            'requests': items,
+        }
     ).encode()
 
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,6 @@
 # project's own, part of the deploy build, and the modules in review/lib.
 set -eu
 cd "$(dirname "$0")/.."
-sh deploy/build.sh
+[ -e target/deps/.complete ] || sh deploy/build.sh
+export PYTHONDONTWRITEBYTECODE=1
 PYTHONPATH=target/deps:review/lib python3 -c 'import loopback_site'
--- a/review/lib/loopback_site.py
+++ b/review/lib/loopback_site.py
@@ -41,11 +41,22 @@
 HEARTBEAT_S = 1.2
 # Bounds of the sheet of swanmat-ops.
 BOUNDS = {
-    'stableMs': 4000, 'ackMs': 5000, 'drainMs': 2500, 'graceS': 8,
-    'lossSlackMs': 200, 'configApplyMs': 2500, 'strictRevoke': False,
-    'revokeMs': 5000, 'fencingRequired': False, 'leaseMs': 3000,
-    'thawSlackMs': 300, 'reportWindowS': 5, 'usageLateS': 10,
-    'statusS': 120, 'cancelMs': 3000, 'settleMs': 1000,
+    'stableMs': 4000,
+    'ackMs': 5000,
+    'drainMs': 2500,
+    'graceS': 8,
+    'lossSlackMs': 200,
+    'configApplyMs': 2500,
+    'strictRevoke': False,
+    'revokeMs': 5000,
+    'fencingRequired': False,
+    'leaseMs': 3000,
+    'thawSlackMs': 300,
+    'reportWindowS': 5,
+    'usageLateS': 10,
+    'statusS': 120,
+    'cancelMs': 3000,
+    'settleMs': 1000,
 }
 _chosen_ports: set[int] = set()
 
@@ -170,9 +181,14 @@
     def settings(self, name: str, zone: str) -> dict[str, Any]:
         peer_port = free_port()
         return {
-            'node': name, 'role': 'entry', 'machineClass': 'front',
-            'serves': ['front'], 'ip': '127.0.0.1', 'zone': zone,
-            'region': ZONES[zone], 'zones': ZONES,
+            'node': name,
+            'role': 'entry',
+            'machineClass': 'front',
+            'serves': ['front'],
+            'ip': '127.0.0.1',
+            'zone': zone,
+            'region': ZONES[zone],
+            'zones': ZONES,
             'listen': {
                 'front': f'127.0.0.1:{free_port()}',
                 'ready': f'127.0.0.1:{free_port()}',
@@ -182,8 +198,11 @@
             'heartbeatMs': 1200,
             'bounds': BOUNDS,
             'platform': {
-                'address': self.addresses['store'], 'form': 'table',
-                'writesPerS': 800, 'readsPerS': 2000, 'txMs': 5.0,
+                'address': self.addresses['store'],
+                'form': 'table',
+                'writesPerS': 800,
+                'readsPerS': 2000,
+                'txMs': 5.0,
             },
             'cloud': {
                 'address': self.addresses['duties'],
