--- a/review/lib/loopback_site.py
+++ b/review/lib/loopback_site.py
@@ -142,6 +142,10 @@
 
         return delay
 
+    def at_end(self, close: Any) -> None:
+        """Await a function when everything ends."""
+        self._stack.push_async_callback(close)
+
     async def serve(self, app: web.Application) -> str:
         runner = web.AppRunner(app, shutdown_timeout=0.1)
         await runner.setup()
