Report all unreadable bytes with one error

Cause: msgspec raises RecursionError for such bytes, and the 43 places that decode bytes expected its own errors only, or none. The error left the follower of the table and ended the process. On related paths, numbers beyond 64 bits (event ids, weight versions, length hints, tokens) were accepted and could not be encoded later, and entries with an unusable port or id were called. Ruled out: catching everything in TableFollower, which would lose the rest of a page and hide errors of the program.

Change: core/decoding.py is the only place that calls msgspec's decoders, as a test of the layout checks. Integers are bounded, entries need an address and an id that calls can be sent with, submissions that can't be sent get 400. Unreadable rows of the system's own are store errors, which are retried.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -14,9 +14,11 @@
 from dogwoodpost.adapters.http.send_once_middleware import SendOnceMiddleware
 from dogwoodpost.core import messages
 from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.ports.endpoint_client import CacheEventBatch
 from dogwoodpost.ports.endpoint_client import EndpointClient
 from dogwoodpost.ports.endpoint_client import EndpointResponse
@@ -278,6 +280,6 @@
 
 def _decode(body: bytes, body_type: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(body, body_type)
+    except MalformedDataError as error:
         raise EndpointError(f'malformed response: {error}') from None
--- a/src/dogwoodpost/adapters/platform/endpoint_orders.py
+++ b/src/dogwoodpost/adapters/platform/endpoint_orders.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from dogwoodpost.adapters.platform.guarded_http_client import GuardedHttpClient
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.ports.endpoint_orders import EndpointOrder
 from dogwoodpost.ports.endpoint_orders import EndpointOrders
@@ -48,8 +48,8 @@
         """Return the endpoints that were ordered and not yet stopped."""
         body = await self._http.get('/v1/endpoints', service=service)
         try:
-            return msgspec.json.decode(body, type=list[OrderedEndpoint])
-        except msgspec.MsgspecError as error:
+            return decode_json(body, list[OrderedEndpoint])
+        except MalformedDataError as error:
             raise PlatformError(f'malformed endpoint list: {error}') from error
 
     async def close(self) -> None:
--- a/src/dogwoodpost/adapters/platform/host_list.py
+++ b/src/dogwoodpost/adapters/platform/host_list.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import msgspec
 
 from dogwoodpost.adapters.platform import wire
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.ports.host_list import HostList
 
@@ -30,11 +31,11 @@
             async with self._session.get(f'{self._url}/hosts') as response:
                 response.raise_for_status()
                 body = await response.read()
-            return msgspec.json.decode(body, type=wire.HostsResponse).hosts
+            return decode_json(body, wire.HostsResponse).hosts
         except (
             aiohttp.ClientError,
             TimeoutError,
-            msgspec.MsgspecError,
+            MalformedDataError,
         ) as error:
             raise PlatformError(
                 f'cannot read the host list: {error!r}'
--- a/src/dogwoodpost/adapters/platform/scorer.py
+++ b/src/dogwoodpost/adapters/platform/scorer.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.ports.scorer import Scorer
 
@@ -69,8 +71,8 @@
 
 def _parse_score(data: bytes, sample_id: ids.SampleId) -> float:
     try:
-        reply = msgspec.json.decode(data, type=ScoreReply)
-    except msgspec.DecodeError as error:
+        reply = decode_json(data, ScoreReply)
+    except MalformedDataError as error:
         raise PlatformError(
             f'malformed reply of the scorer: {error}'
         ) from None
--- a/src/dogwoodpost/adapters/platform/table_store.py
+++ b/src/dogwoodpost/adapters/platform/table_store.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from dogwoodpost.adapters.platform import wire
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreConflictError
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
@@ -91,7 +93,7 @@
                 versions = _decode(body, wire.CommitResponse).versions
                 self._count_call('commit', 'ok')
                 return versions
-        except msgspec.MsgspecError as error:
+        except MalformedDataError as error:
             self._count_call('commit', 'outcome_unknown')
             message = f'commit: malformed response: {error}'
             raise StoreOutcomeUnknownError(message) from error
@@ -112,7 +114,7 @@
         except (
             aiohttp.ClientError,
             TimeoutError,
-            msgspec.MsgspecError,
+            MalformedDataError,
         ) as error:
             message = f'{operation}: {error!r}'
             cause = error
@@ -135,4 +137,4 @@
 
 
 def _decode(body: bytes, body_type: type[_Body]) -> _Body:
-    return msgspec.json.decode(body, type=body_type)
+    return decode_json(body, body_type)
--- a/src/dogwoodpost/adapters/platform/weight_store.py
+++ b/src/dogwoodpost/adapters/platform/weight_store.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import PlatformRateLimitError
 from dogwoodpost.ports.weight_store import WeightStore
@@ -43,8 +45,8 @@
         if data is None:
             return None
         try:
-            return msgspec.json.decode(data, type=LatestVersion).version
-        except msgspec.DecodeError as error:
+            return decode_json(data, LatestVersion).version
+        except MalformedDataError as error:
             message = f'malformed reply of the weight store: {error}'
             raise PlatformError(message) from None
 
--- a/src/dogwoodpost/client/trainer_client.py
+++ b/src/dogwoodpost/client/trainer_client.py
@@ -14,11 +14,13 @@
 
 from dogwoodpost.client.batch import Batch
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.rollouts.trainer_api import Acknowledgement
 from dogwoodpost.core.rollouts.trainer_api import ErrorReply
 from dogwoodpost.core.rollouts.trainer_api import FetchReply
 from dogwoodpost.core.rollouts.trainer_api import PATH_PREFIX
 from dogwoodpost.core.rollouts.trainer_api import StepView
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import RequestError
 
 if TYPE_CHECKING:
@@ -202,7 +204,7 @@
             self._last_call_s = time.monotonic() - start_s
             if response.status >= 400:
                 raise _request_error(response.status, body)
-            return msgspec.json.decode(body, type=reply_type)
+            return decode_json(body, reply_type)
 
 
 def _is_valid(view: BatchView, transit_s: float) -> bool:
@@ -211,8 +213,8 @@
 
 def _request_error(status: int, body: bytes) -> RequestError:
     try:
-        detail = msgspec.json.decode(body, type=ErrorReply).error
-    except msgspec.DecodeError:
+        detail = decode_json(body, ErrorReply).error
+    except MalformedDataError:
         # The response is not from an entry but, for example, from a load
         # balancer.
         code = 'unavailable' if status >= 500 else 'refused'
--- a/src/dogwoodpost/core/configuration/history.py
+++ b/src/dogwoodpost/core/configuration/history.py
@@ -8,6 +8,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.configuration import records
+from dogwoodpost.core.decoding import decode_json_row
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -92,4 +93,4 @@
 
 
 def _decode(row: Row) -> records.RevisionRecord:
-    return msgspec.json.decode(row.value, type=records.RevisionRecord)
+    return decode_json_row(row.value, records.RevisionRecord)
--- a/src/dogwoodpost/core/http_headers.py
+++ b/src/dogwoodpost/core/http_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -22,6 +23,10 @@
     }
 )
 
+# RFC 9110, sections 5.6.2 and 5.5; tabs are allowed in values.
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_CONTROL_CODE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+
 EVENT_STREAM = 'text/event-stream'
 Headers = tuple[tuple[str, str], ...]
 
@@ -44,6 +49,24 @@
     )
 
 
+def is_header_value(value: str) -> bool:
+    """Return whether a text is a non-empty, visible header value in ASCII."""
+    return bool(value) and value.isascii() and value.isprintable()
+
+
+def is_header(name: str, value: str) -> bool:
+    """Return whether a header can be sent: a token, and no control codes."""
+    return (
+        _TOKEN.fullmatch(name) is not None
+        and _CONTROL_CODE.search(value) is None
+    )
+
+
+def is_request_target(path: str) -> bool:
+    """Return whether a path with its query can stand in a request line."""
+    return path.startswith('/') and is_header_value(path) and ' ' not in path
+
+
 def is_event_stream(headers: Iterable[tuple[str, str]]) -> bool:
     """Return whether the content type is that of an event stream."""
     return any(
--- a/src/dogwoodpost/core/leases/lease.py
+++ b/src/dogwoodpost/core/leases/lease.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json_row
 from dogwoodpost.core.leases.records import fence_key
 from dogwoodpost.core.leases.records import FenceRecord
 from dogwoodpost.core.leases.records import renewal_key
@@ -209,7 +210,7 @@
             return
         if previous and previous.renewal_version == renewal.version:
             return
-        record = msgspec.json.decode(renewal.value, type=RenewalRecord)
+        record = decode_json_row(renewal.value, RenewalRecord)
         fence = rows.get(fence_key(self.shard))
         held_by_predecessor = False
         if fence is not None:
@@ -367,7 +368,7 @@
         )
 
     def _is_predecessor(self, fence: Row) -> bool:
-        record = msgspec.json.decode(fence.value, type=FenceRecord)
+        record = decode_json_row(fence.value, FenceRecord)
         same_process = record.holder == self._process_id
         return same_process and record.incarnation != self._incarnation
 
--- a/src/dogwoodpost/core/orders/intent.py
+++ b/src/dogwoodpost/core/orders/intent.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json_row
 from dogwoodpost.ports.endpoint_orders import EndpointOrder
 from dogwoodpost.ports.endpoint_orders import OrderAction
 
@@ -99,6 +100,6 @@
 def decode_intent(value: bytes) -> OrderIntent:
     """Return the intent of a row value.
 
-    :raises msgspec.DecodeError: the value is not a valid intent.
+    :raises MalformedRowError: the value is not a valid intent.
     """
-    return msgspec.json.decode(value, type=OrderIntent)
+    return decode_json_row(value, OrderIntent)
--- a/src/dogwoodpost/core/usage/ledger.py
+++ b/src/dogwoodpost/core/usage/ledger.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json_row
 from dogwoodpost.core.usage.figures import add
 from dogwoodpost.core.usage.figures import remainder_as_adjustment
 from dogwoodpost.core.usage.rows import encode_part
@@ -215,6 +216,6 @@
 def decode_open_windows(row: Row) -> OpenWindows:
     """Return the content of the row under ``OPEN_WINDOWS_KEY``.
 
-    :raises msgspec.DecodeError: the value is not a valid ``OpenWindows``.
+    :raises MalformedRowError: the value is not a valid ``OpenWindows``.
     """
-    return msgspec.json.decode(row.value, type=OpenWindows)
+    return decode_json_row(row.value, OpenWindows)
--- a/src/dogwoodpost/core/usage/rows.py
+++ b/src/dogwoodpost/core/usage/rows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_msgpack_row
 from dogwoodpost.ports.usage_reports import UsageFigures
 
 # Entries check the version of the open-windows row with each write of
@@ -58,9 +59,9 @@
 def decode_part(value: bytes) -> UsagePart:
     """Return the part of a row value.
 
-    :raises msgspec.DecodeError: the value is not a valid part.
+    :raises MalformedRowError: the value is not a valid part.
     """
-    compact = msgspec.msgpack.decode(value, type=_CompactFigures)
+    compact = decode_msgpack_row(value, _CompactFigures)
     return UsagePart(
         figures={
             client_account_id: UsageFigures(
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -28,6 +28,10 @@
         super().__init__('\n'.join(str(finding) for finding in findings))
 
 
+class MalformedDataError(DogwoodpostError):
+    """Bytes of another process can't be decoded."""
+
+
 class SettingsError(InvalidInputError):
     """A settings file is unreadable or invalid."""
 
@@ -44,6 +48,10 @@
     """The store's answer was lost; the change may have taken effect."""
 
 
+class MalformedRowError(StoreError):
+    """A row's value can't be decoded; its content is unknown."""
+
+
 class StoreConflictError(StoreError):
     """A check of a transaction failed; nothing changed."""
 
--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -11,6 +11,13 @@
 from dogwoodpost.core.batches import BatchItem
 from dogwoodpost.core.batches import BatchJob
 from dogwoodpost.core.batches import ScorerCall
+from dogwoodpost.core.decoding import BoundedInteger
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.core.decoding import MAX_INTEGER
+from dogwoodpost.core.http_headers import is_header
+from dogwoodpost.core.http_headers import is_header_value
+from dogwoodpost.core.http_headers import is_request_target
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.job_forwarding import submission_to_forward
@@ -18,6 +25,8 @@
 from dogwoodpost.platform.request_reader import time_limit_s
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from dogwoodpost.core.configuration import Route
     from dogwoodpost.platform.request_reader import PlatformRequestReader
     from dogwoodpost.ports.clock import Clock
@@ -48,7 +57,7 @@
     path: str
     headers: dict[str, str] = {}
     body: bytes = b''
-    tokens: int = 0
+    tokens: BoundedInteger = 0
     group: str | None = None
     scorer: _WireScorer | None = None
 
@@ -60,10 +69,10 @@
     """
 
     requests: tuple[_WireItem, ...]
-    step: int | None = None
+    step: BoundedInteger | None = None
     model: str | None = None
-    min_version: int | None = None
-    desired: int | None = None
+    min_version: BoundedInteger | None = None
+    desired: BoundedInteger | None = None
 
 
 class _WireResult(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -206,9 +215,9 @@
     wall_s: float,
 ) -> BatchJob:
     try:
-        wire = msgspec.json.decode(body, type=_WireJob)
+        wire = decode_json(body, _WireJob)
         items = tuple(_to_item(wire_item) for wire_item in wire.requests)
-    except (msgspec.MsgspecError, ValueError, OverflowError) as error:
+    except (MalformedDataError, ValueError) as error:
         raise RequestError(
             'malformed_batch_job', str(error), status=400, not_run=True
         ) from None
@@ -235,15 +244,24 @@
 
 
 def _to_item(wire: _WireItem) -> BatchItem:
-    hint = wire.headers.get(header_names.LENGTH_HINT)
+    """Convert an item of a submitted job.
+
+    :raises ValueError: its calls can't be sent, or its length hint is no
+        number.
+    """
+    _check_call(wire.id, wire.path)
+    _check_headers(wire.headers)
     scorer = wire.scorer
+    if scorer is not None:
+        _check_call(scorer.id, scorer.path)
+        _check_headers({'Host': scorer.host})
     return BatchItem(
         item_id=ids.ItemId(wire.id),
         path=wire.path,
         headers=tuple(wire.headers.items()),
         body=wire.body,
         token_count=wire.tokens,
-        expected_token_count=int(float(hint)) if hint else None,
+        expected_token_count=_expected_token_count(wire),
         group_id=ids.GroupId(wire.group) if wire.group else None,
         scorer=(
             ScorerCall(
@@ -258,6 +276,41 @@
     )
 
 
+def _check_call(request_id: str, path: str) -> None:
+    """Check that a call with this id and path can be sent.
+
+    :raises ValueError: it can't.
+    """
+    if not is_header_value(request_id):
+        raise ValueError('an id is not visible ASCII text')
+    if not is_request_target(path):
+        raise ValueError('a path can not stand in a request line')
+
+
+def _check_headers(headers: Mapping[str, str]) -> None:
+    """Check that headers can be sent.
+
+    :raises ValueError: a name or value is not allowed in a header.
+    """
+    for name, value in headers.items():
+        if not is_header(name, value):
+            raise ValueError('a header has an invalid name or value')
+
+
+def _expected_token_count(wire: _WireItem) -> int | None:
+    """Return the client's estimate of the output's length, None without one.
+
+    :raises ValueError: the estimate is no number, or it is too large.
+    """
+    hint = wire.headers.get(header_names.LENGTH_HINT)
+    if not hint:
+        return None
+    count = float(hint)
+    if not abs(count) <= MAX_INTEGER:
+        raise ValueError(f'{header_names.LENGTH_HINT} is out of range')
+    return int(count)
+
+
 def _to_wire_page(page: ResultPage) -> _WirePage:
     results = [
         _WireResult(
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -24,7 +24,11 @@
 from dogwoodpost.core.configuration import ServiceKind
 from dogwoodpost.core.configuration import WeightedService
 from dogwoodpost.core.configuration import ZoneScale
+from dogwoodpost.core.decoding import BoundedInteger
+from dogwoodpost.core.decoding import convert_value
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.keys import key_digest
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.ports.configuration_source import ConfigurationSource
 
 if TYPE_CHECKING:
@@ -53,7 +57,7 @@
 
 class _WireWeightedService(_WireStruct, frozen=True, kw_only=True):
     service: str
-    weight: int
+    weight: BoundedInteger
 
 
 class _WireRoute(_WireStruct, frozen=True, kw_only=True):
@@ -73,8 +77,8 @@
     target_latency_ms: float | None = None
     due_ms: float | None = None
     queue_ttl_s: float | None = None
-    max_attempts: int | None = None
-    priority: int = 0
+    max_attempts: BoundedInteger | None = None
+    priority: BoundedInteger = 0
     public: bool = False
     resumable: bool = False
     single_version: bool = False
@@ -87,8 +91,8 @@
     :param boot_s: seconds from ordering an endpoint until it serves requests.
     """
 
-    min: int
-    max: int
+    min: BoundedInteger
+    max: BoundedInteger
     boot_s: float = _DEFAULT_START_UP_S
 
 
@@ -115,16 +119,16 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: BoundedInteger | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
 class _WireLimits(_WireStruct, frozen=True, kw_only=True):
-    max_body_bytes: int = 33_554_432
+    max_body_bytes: BoundedInteger = 33_554_432
 
 
 class _WireConfiguration(_WireStruct, frozen=True, kw_only=True):
-    version: int
+    version: BoundedInteger
     routes: tuple[_WireRoute, ...] = ()
     services: tuple[_WireService, ...] = ()
     tenants: tuple[_WireTenant, ...] = ()
@@ -133,7 +137,7 @@
 
 class _WireVersion(_WireStruct, frozen=True, kw_only=True):
     model: str
-    version: int
+    version: BoundedInteger
 
 
 class ConfigurationRows(ConfigurationSource):
@@ -245,9 +249,9 @@
         if row_version <= self._row_version:
             return
         try:
-            wire = msgspec.json.decode(value, type=_WireConfiguration)
+            wire = decode_json(value, _WireConfiguration)
             configuration = _to_configuration(wire, self._regions)
-        except (msgspec.MsgspecError, _RegionsError) as error:
+        except (MalformedDataError, _RegionsError) as error:
             _log.error(
                 'configuration_unreadable',
                 row_version=row_version,
@@ -272,8 +276,8 @@
 
     def _apply_announced_version(self, key: str, value: bytes) -> None:
         try:
-            wire = msgspec.json.decode(value, type=_WireVersion)
-        except msgspec.MsgspecError as error:
+            wire = decode_json(value, _WireVersion)
+        except MalformedDataError as error:
             _log.error('version_unreadable', key=key, error=str(error))
             return
         self._announced_versions.record(
@@ -432,8 +436,8 @@
     if wire.scale is None:
         return None
     try:
-        scale = msgspec.convert(wire.scale, _WireScale, strict=False)
-    except msgspec.ValidationError as error:
+        scale = convert_value(wire.scale, _WireScale, strict=False)
+    except MalformedDataError as error:
         _log.error('scale_unreadable', service=wire.name, error=str(error))
         return None
     return ZoneScale(
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -11,9 +11,13 @@
 import yarl
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import BoundedInteger
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.core.decoding import parse_integer
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointSilentError
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.connection_counts import EndpointTraceContext
 from dogwoodpost.platform.event_stream import EventDecoder
@@ -68,7 +72,7 @@
 
 class _WireModel(msgspec.Struct, frozen=True):
     name: str
-    version: int
+    version: BoundedInteger
 
 
 class _WireReport(msgspec.Struct, frozen=True):
@@ -78,7 +82,7 @@
     :param busy: an order is being carried out.
     """
 
-    sequence: int
+    sequence: BoundedInteger
     busy: bool = False
     models: tuple[_WireModel, ...] = ()
 
@@ -192,8 +196,8 @@
         if status != _STATUS_OK:
             raise EndpointError(f'engine report failed with status {status}')
         try:
-            wire = msgspec.json.decode(data, type=_WireReport)
-        except msgspec.MsgspecError as error:
+            wire = decode_json(data, _WireReport)
+        except MalformedDataError as error:
             raise EndpointError(f'malformed engine report: {error}') from error
         return EngineReport(
             order_sequence=wire.sequence,
@@ -398,8 +402,6 @@
     if value is None:
         return None
     try:
-        return ids.WeightVersion(int(value))
-    except ValueError as error:
-        raise EndpointError(
-            f'weight version is not a number: {value!r}'
-        ) from error
+        return ids.WeightVersion(parse_integer(value))
+    except MalformedDataError as error:
+        raise EndpointError(f'malformed weight version: {error}') from error
--- a/src/dogwoodpost/platform/endpoint_rows.py
+++ b/src/dogwoodpost/platform/endpoint_rows.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import BoundedInteger
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.core.decoding import parse_integer
+from dogwoodpost.core.http_headers import is_header_value
 from dogwoodpost.core.routing import Endpoint
+from dogwoodpost.errors import MalformedDataError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -23,11 +29,13 @@
 _READY = 'ready'
 _DRAINING = 'draining'
 _MS_PER_S = 1_000
+_MAX_PORT = 65_535
+_MAX_LOGGED_CHARS = 80
 
 
 class _WireModel(msgspec.Struct, frozen=True, kw_only=True):
     name: str
-    version: int
+    version: BoundedInteger
 
 
 class _WireEntry(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -44,10 +52,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: BoundedInteger
     state: str
-    sequence: int
-    born: int = 0
+    sequence: BoundedInteger
+    born: BoundedInteger = 0
     cold_remaining_ms: float = 0.0
     models: tuple[_WireModel, ...] = ()
 
@@ -106,12 +114,13 @@
                 self._cold_ids.discard(endpoint_id)
             return
         try:
-            entry = msgspec.json.decode(value, type=_WireEntry)
-        except msgspec.MsgspecError as error:
+            entry = decode_json(value, _WireEntry)
+        except MalformedDataError as error:
             self._reject(endpoint_id, str(error), now_s)
             return
-        if entry.state not in {_READY, _DRAINING}:
-            self._reject(endpoint_id, f'unknown state {entry.state!r}', now_s)
+        finding = _finding(endpoint_id, entry)
+        if finding is not None:
+            self._reject(endpoint_id, finding, now_s)
             return
         generation = (entry.born, entry.sequence)
         if generation < self._generations.get(endpoint_id, (0, 0)):
@@ -178,3 +187,24 @@
     def _log_removal(self, endpoint_id: ids.EndpointId) -> None:
         if self._registry.get(endpoint_id) is not None:
             _log.info('endpoint_entry_removed', endpoint=endpoint_id)
+
+
+def _finding(endpoint_id: ids.EndpointId, entry: _WireEntry) -> str | None:
+    """Return why no call can be made with an entry, None if calls can be."""
+    if entry.state not in {_READY, _DRAINING}:
+        return f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}'
+    if not is_header_value(endpoint_id):
+        return 'the id is no valid header value'
+    if not _is_socket_address(entry.address):
+        return f'{entry.address[:_MAX_LOGGED_CHARS]!r} is no address'
+    return None
+
+
+def _is_socket_address(address: str) -> bool:
+    """Return whether an address is an IPv4 address and a port above 0."""
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+        return 0 < parse_integer(port) <= _MAX_PORT
+    except (ValueError, MalformedDataError):
+        return False
--- a/src/dogwoodpost/platform/event_stream.py
+++ b/src/dogwoodpost/platform/event_stream.py
@@ -4,8 +4,10 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import StreamEvent
+from dogwoodpost.core.decoding import parse_integer
 from dogwoodpost.core.streams import EventSplitter
 from dogwoodpost.errors import EndpointError
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.platform.header_names import WEIGHT_VERSION
 
 _VERSION_FIELD = WEIGHT_VERSION.lower()
@@ -47,12 +49,12 @@
             name, _, value = line.rstrip('\r').partition(':')
             value = value.removeprefix(' ')
             if name == 'id':
-                event_id = int(value)
+                event_id = parse_integer(value)
             elif name == 'data':
                 data.append(value)
             elif name.lower() == _VERSION_FIELD:
-                version = ids.WeightVersion(int(value))
-    except ValueError as error:
+                version = ids.WeightVersion(parse_integer(value))
+    except (MalformedDataError, UnicodeDecodeError) as error:
         raise EndpointError(f'malformed event: {error}') from error
     if event_id is None:
         if not data:
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.findings import Finding
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import SettingsError
 
 PATH_VARIABLE = 'DOGWOODPOST_BOOT'
@@ -138,9 +140,9 @@
     :raises SettingsError: the file can't be read or is not valid.
     """
     try:
-        return msgspec.json.decode(path.read_bytes(), type=ProcessSettings)
+        return decode_json(path.read_bytes(), ProcessSettings)
     except OSError as error:
         finding = Finding(str(path), str(error), 'a readable file')
-    except msgspec.MsgspecError as error:
+    except MalformedDataError as error:
         finding = Finding(str(path), str(error), 'settings of a process')
     raise SettingsError([finding]) from None
--- a/src/dogwoodpost/platform/store_connection.py
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -14,8 +14,10 @@
 
 from dogwoodpost.core.allowed_regions import AllowedRegions
 from dogwoodpost.core.allowed_regions import ANY_REGION
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.membership.store_path import StorePath
 from dogwoodpost.errors import HistoryLostError
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
@@ -259,8 +261,8 @@
     :raises StoreUnavailableError: the body does not match ``value_type``.
     """
     try:
-        return msgspec.json.decode(data, type=value_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(data, value_type)
+    except MalformedDataError as error:
         raise StoreUnavailableError(
             f'{name}: malformed response: {error}'
         ) from error
--- a/src/dogwoodpost/services/agent/entry_links.py
+++ b/src/dogwoodpost/services/agent/entry_links.py
@@ -4,14 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 import structlog
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.configuration.known_entries import EntryRow
 from dogwoodpost.core.configuration.known_entries import MEMBER_PREFIX
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.membership import HeartbeatResult
 from dogwoodpost.core.membership import PeerLiveness
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreError
 
 if TYPE_CHECKING:
@@ -93,8 +94,8 @@
         addresses = set()
         for row in rows:
             try:
-                entry = msgspec.json.decode(row.value, type=EntryRow)
-            except msgspec.MsgspecError:
+                entry = decode_json(row.value, EntryRow)
+            except MalformedDataError:
                 _log.warning('malformed_entry_row', key=row.key)
                 continue
             addresses.add(entry.peer_address)
--- a/src/dogwoodpost/services/batches/job_rows.py
+++ b/src/dogwoodpost/services/batches/job_rows.py
@@ -9,6 +9,7 @@
 
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
+from dogwoodpost.core.decoding import decode_msgpack_row
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
 
@@ -48,9 +49,9 @@
 def decode_head(value: bytes) -> JobHead:
     """Return the head encoded in a row's value.
 
-    :raises msgspec.MsgspecError: the value is not an encoded head.
+    :raises MalformedRowError: the value is not an encoded head.
     """
-    return msgspec.msgpack.decode(value, type=JobHead)
+    return decode_msgpack_row(value, JobHead)
 
 
 def result_prefix(position: int) -> str:
@@ -94,5 +95,5 @@
     for row in rows:
         parts.append(row.value or b'')
         if row.key.key.endswith(_LAST_CHUNK_MARK):
-            yield msgspec.msgpack.decode(b''.join(parts), type=value_type)
+            yield decode_msgpack_row(b''.join(parts), value_type)
             parts.clear()
--- a/src/dogwoodpost/services/batches/job_store.py
+++ b/src/dogwoodpost/services/batches/job_store.py
@@ -11,6 +11,7 @@
 from dogwoodpost.core.batches import BatchJob
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
+from dogwoodpost.core.decoding import decode_msgpack_row
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowWrite
@@ -215,7 +216,7 @@
             if part is None:
                 raise StoreUnavailableError(f'object {name} is missing')
             parts.append(part)
-        return msgspec.msgpack.decode(b''.join(parts), type=BatchJob)
+        return decode_msgpack_row(b''.join(parts), BatchJob)
 
     async def _commit(
         self,
--- a/src/dogwoodpost/services/batches/text_archive.py
+++ b/src/dogwoodpost/services/batches/text_archive.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
 import structlog
 
 from dogwoodpost.core.batches import ItemProgress
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.services.batches import job_rows
@@ -48,7 +48,7 @@
             async with asyncio.timeout(_LOAD_TIMEOUT_S):
                 rows = await self._read(group_id)
             values = list(job_rows.joined_values(rows, ItemProgress))
-        except (TimeoutError, StoreError, msgspec.MsgspecError) as error:
+        except (TimeoutError, StoreError, MalformedDataError) as error:
             _log.info(
                 'group_text_not_read', group_id=group_id, error=repr(error)
             )
--- a/src/dogwoodpost/services/control/endpoint_autoscaler.py
+++ b/src/dogwoodpost/services/control/endpoint_autoscaler.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json_row
 from dogwoodpost.core.scaling import DailyProfile
 from dogwoodpost.core.scaling import Scaler
 from dogwoodpost.errors import LeaseLostError
@@ -85,8 +86,8 @@
         await self._controller.take_over()
         rows = await self._store.read([self._profile_key])
         if self._profile_key in rows:
-            profiles = msgspec.json.decode(
-                rows[self._profile_key].value, type=_Profiles
+            profiles = decode_json_row(
+                rows[self._profile_key].value, _Profiles
             )
             self._scaler = Scaler(self._settings, profiles)
 
--- a/src/dogwoodpost/services/control/usage_reporter.py
+++ b/src/dogwoodpost/services/control/usage_reporter.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json_row
 from dogwoodpost.core.usage import decode_open_windows
 from dogwoodpost.core.usage import decode_part
 from dogwoodpost.core.usage import first_window_to_keep_open
@@ -159,7 +160,7 @@
         rows = await self._store.read([key])
         parts = await self._read_parts(window)
         if key in rows:
-            report = msgspec.json.decode(rows[key].value, type=UsageReport)
+            report = decode_json_row(rows[key].value, UsageReport)
         else:
             report = await self._freeze(window, parts)
         await self._platform.submit(report, before_send=self._assert_holder)
@@ -260,4 +261,4 @@
 ) -> ids.UsageWindow:
     if row is None:
         return open_windows.first_window
-    return msgspec.json.decode(row.value, type=ReportedWindows).next_window
+    return decode_json_row(row.value, ReportedWindows).next_window
--- a/src/dogwoodpost/services/entry/configuration_editor.py
+++ b/src/dogwoodpost/services/entry/configuration_editor.py
@@ -18,6 +18,7 @@
 from dogwoodpost.core.configuration.history import prune_revoked_keys
 from dogwoodpost.core.configuration.history import SNAPSHOT_INTERVAL_REVISIONS
 from dogwoodpost.core.configuration.known_entries import member_key
+from dogwoodpost.core.decoding import decode_json_row
 from dogwoodpost.errors import ConfigurationConflictError
 from dogwoodpost.errors import EntryNotReadyError
 from dogwoodpost.errors import InvalidInputError
@@ -159,7 +160,7 @@
         row = read.rows.get(records.operation_key(request.request_id))
         if row is None:
             return None
-        earlier = msgspec.json.decode(row.value, type=records.OperationRecord)
+        earlier = decode_json_row(row.value, records.OperationRecord)
         if earlier.fingerprint != request.fingerprint:
             raise RequestIdReusedError(
                 f'request id {request.request_id!r} was used for another '
--- a/src/dogwoodpost/services/entry/configuration_repository.py
+++ b/src/dogwoodpost/services/entry/configuration_repository.py
@@ -10,6 +10,8 @@
 from dogwoodpost.core.configuration import apply_delta
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import records
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import RevisionNotKeptError
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.ports.table_store import Row
@@ -200,7 +202,7 @@
 
 def _decode(data: bytes, record_type: type[_Record]) -> _Record:
     try:
-        return msgspec.json.decode(data, type=record_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(data, record_type)
+    except MalformedDataError as error:
         # Treated like an outage, because the store's state is unknown.
         raise StoreUnavailableError(f'malformed row: {error}') from error
--- a/src/dogwoodpost/services/entry/configuration_service.py
+++ b/src/dogwoodpost/services/entry/configuration_service.py
@@ -17,7 +17,9 @@
 from dogwoodpost.core.configuration import records
 from dogwoodpost.core.configuration.freshness import Freshness
 from dogwoodpost.core.configuration.known_entries import member_key
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.leases import lease_rank
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.configuration_source import ConfigurationSource
 from dogwoodpost.services.entry.change_spread import ChangeSpread
@@ -374,8 +376,8 @@
         applied = []
         for data in relayed:
             try:
-                record = msgspec.json.decode(data, type=records.RevisionRecord)
-            except msgspec.MsgspecError:
+                record = decode_json(data, records.RevisionRecord)
+            except MalformedDataError:
                 # This entry then keeps an older revision. Answers that name a
                 # newer one do not count, so they do not keep it fresh.
                 _logger.warning('malformed_relayed_revision')
--- a/src/dogwoodpost/services/entry/http/completion.py
+++ b/src/dogwoodpost/services/entry/http/completion.py
@@ -8,9 +8,11 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import estimated_cost_tokens
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.routing import prefix_hashes
 from dogwoodpost.core.routing import prompt_bytes
 from dogwoodpost.core.routing import TYPICAL_BYTES_PER_TOKEN
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import RequestError
 
 # Callers can reach no other paths of an engine, in particular none of its
@@ -58,8 +60,8 @@
     :raises RequestError: the body is malformed.
     """
     try:
-        document = msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError):
+        document = decode_json(body, object)
+    except MalformedDataError:
         raise _malformed('the body is not valid JSON') from None
     if not isinstance(document, dict):
         raise _malformed('the body is not a JSON object')
--- a/src/dogwoodpost/services/entry/registration.py
+++ b/src/dogwoodpost/services/entry/registration.py
@@ -14,6 +14,8 @@
 from dogwoodpost.core.configuration.known_entries import EntryRow
 from dogwoodpost.core.configuration.known_entries import member_key
 from dogwoodpost.core.configuration.known_entries import MEMBER_PREFIX
+from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.table_store import Check
@@ -173,8 +175,8 @@
 
 def _decode(row: Row) -> EntryRow | None:
     try:
-        return msgspec.json.decode(row.value, type=EntryRow)
-    except msgspec.MsgspecError as error:
+        return decode_json(row.value, EntryRow)
+    except MalformedDataError as error:
         _logger.error('malformed_entry_row', key=row.key, error=str(error))
         return None
 
--- a/src/dogwoodpost/services/entry/sample_dispatcher.py
+++ b/src/dogwoodpost/services/entry/sample_dispatcher.py
@@ -15,9 +15,12 @@
 from dogwoodpost.core.configuration import Route
 from dogwoodpost.core.configuration import Service
 from dogwoodpost.core.configuration import ServiceKind
+from dogwoodpost.core.decoding import convert_value
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.routing import prefix_hashes
 from dogwoodpost.core.routing import TYPICAL_BYTES_PER_TOKEN
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
@@ -219,9 +222,9 @@
     :raises RequestError: the body does not follow the engine protocol.
     """
     try:
-        document = msgspec.json.decode(body)
+        document = decode_json(body, dict[str, Any])
         text = document['choices'][0]['text']
-    except (msgspec.DecodeError, KeyError, IndexError, TypeError):
+    except (MalformedDataError, KeyError, IndexError, TypeError):
         text = None
     if not isinstance(text, str):
         raise RequestError(
@@ -240,11 +243,11 @@
     up to that of the completion.
     """
     try:
-        segments = msgspec.convert(
+        segments = convert_value(
             document.get('weight_segments'), tuple[TokenSegment, ...]
         )
         token_count = document['usage']['completion_tokens']
-    except (msgspec.ValidationError, KeyError, TypeError):
+    except (MalformedDataError, KeyError, TypeError):
         return ()
     counts = [segment.token_count for segment in segments]
     if any(count <= 0 for count in counts) or sum(counts) != token_count:
--- a/src/dogwoodpost/services/rollouts/routes.py
+++ b/src/dogwoodpost/services/rollouts/routes.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.rollouts.step_spec import StepSpec
 from dogwoodpost.core.rollouts.trainer_api import Acknowledgement
 from dogwoodpost.core.rollouts.trainer_api import ErrorDetail
@@ -19,6 +20,7 @@
 from dogwoodpost.core.rollouts.trainer_api import PATH_PREFIX
 from dogwoodpost.core.rollouts.trainer_api import StepSubmission
 from dogwoodpost.errors import LeaseLostError
+from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.errors import StoreError
 
@@ -159,8 +161,8 @@
 async def _decode_body(request: web.Request, body_type: type[_Body]) -> _Body:
     data = await request.read()
     try:
-        return msgspec.json.decode(data or b'{}', type=body_type)
-    except msgspec.DecodeError as error:
+        return decode_json(data or b'{}', body_type)
+    except MalformedDataError as error:
         raise _bad_request(str(error)) from None
 
 
--- a/src/dogwoodpost/services/rollouts/trainer_rows.py
+++ b/src/dogwoodpost/services/rollouts/trainer_rows.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from dogwoodpost.core.decoding import decode_msgpack_row
 from dogwoodpost.core.rollouts import records
 from dogwoodpost.core.rollouts.records import BatchBody
 from dogwoodpost.core.rollouts.records import BatchRecord
@@ -59,13 +60,13 @@
         loaded = LoadedRows()
         for row in await self._scan():
             if row.key.startswith(records.step_prefix(self._trainer_id)):
-                step = msgspec.msgpack.decode(row.value, type=StepRecord)
+                step = decode_msgpack_row(row.value, StepRecord)
                 loaded.steps.append((step, row.version))
             elif row.key.startswith(records.batch_prefix(self._trainer_id)):
-                batch = msgspec.msgpack.decode(row.value, type=BatchRecord)
+                batch = decode_msgpack_row(row.value, BatchRecord)
                 loaded.batches.append((batch, row.version))
             elif row.key == records.cursor_key(self._trainer_id):
-                cursor = msgspec.msgpack.decode(row.value, type=CursorRecord)
+                cursor = decode_msgpack_row(row.value, CursorRecord)
                 loaded.cursor = cursor
                 loaded.cursor_version = row.version
         return loaded
@@ -78,7 +79,7 @@
         name = records.spec_object(
             self._trainer_id, record.step_id, record.digest
         )
-        return msgspec.msgpack.decode(await self._get(name), type=StepSpec)
+        return decode_msgpack_row(await self._get(name), StepSpec)
 
     async def body(self, record: BatchRecord) -> BatchBody:
         """Return the samples of a batch.
@@ -86,7 +87,7 @@
         :raises MissingObjectError: their object does not exist.
         """
         data = await self._get(record.object_name)
-        return msgspec.msgpack.decode(data, type=BatchBody)
+        return decode_msgpack_row(data, BatchBody)
 
     async def _get(self, name: str) -> bytes:
         data = await self._retrier.run('get', lambda: self._objects.get(name))
--- a/src/dogwoodpost/services/rows/row_records.py
+++ b/src/dogwoodpost/services/rows/row_records.py
@@ -8,6 +8,9 @@
 import msgspec
 import structlog
 
+from dogwoodpost.core.decoding import decode_msgpack
+from dogwoodpost.errors import MalformedDataError
+
 if TYPE_CHECKING:
     from dogwoodpost.ports.row_store import VersionedRow
 
@@ -31,8 +34,8 @@
     if row.value is None:
         return None
     try:
-        return msgspec.msgpack.decode(row.value, type=record_type)
-    except msgspec.MsgspecError as error:
+        return decode_msgpack(row.value, record_type)
+    except MalformedDataError as error:
         _log.warning(
             'row_unreadable',
             table=row.key.table,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -86,6 +86,22 @@
         assert not module.startswith('dogwoodpost.platform'), module
 
 
+DIRECT_DECODING = re.compile(r'msgspec\.((json|msgpack)\.decode|convert)\(')
+# Stand-ins and the demonstration decode only what this project sends them.
+DECODING_EXEMPT_PACKAGES = ('standins', 'demo')
+
+
+def test_bytes_are_decoded_in_one_place() -> None:
+    """Guards against a decoder whose RecursionError ends the process."""
+    direct = [
+        str(path.relative_to(ROOT))
+        for path in sorted(ROOT.rglob('*.py'))
+        if path.relative_to(ROOT).parts[0] not in DECODING_EXEMPT_PACKAGES
+        and DIRECT_DECODING.search(path.read_text())
+    ]
+    assert direct == ['core/decoding.py']
+
+
 def test_platform_process_imports_no_unused_libraries() -> None:
     """Guards against longer start-up and more memory by unused libraries."""
     program = (
