Send no request of the platform's sessions twice

Cause: aiohttp repeats a request by its method when the connection ends before the response; the sessions of a process on the platform did not prevent it. Store writes by PUT and DELETE, also for peers, were repeated in the same way. Ruled out: a repeat by the pipeline, which does not look at the method; POST ran once.

Change: a middleware of the whole session turns the errors that aiohttp repeats into one that it does not repeat. Reads of the store and engine reports name at their call that they may be repeated. The agent's path uses the same middleware, in place of one with state for each call.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -11,7 +11,7 @@
 import msgspec
 import yarl
 
-from dogwoodpost.adapters.http.send_once_middleware import SendOnceMiddleware
+from dogwoodpost.adapters.http.send_once import send_once
 from dogwoodpost.core import messages
 from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
 from dogwoodpost.core.decoding import decode_json
@@ -218,7 +218,7 @@
                     allow_redirects=False,
                     skip_auto_headers=_AIOHTTP_DEFAULT_HEADERS,
                     timeout=aiohttp.ClientTimeout(total=None),
-                    middlewares=(SendOnceMiddleware(),),
+                    middlewares=(send_once,),
                 )
         except TimeoutError:
             raise EndpointError(
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -10,6 +10,8 @@
 import msgspec
 import yarl
 
+from dogwoodpost.adapters.http.send_once import MAY_REPEAT
+from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
 from dogwoodpost.core import ids
 from dogwoodpost.core.decoding import BoundedInteger
 from dogwoodpost.core.decoding import decode_json
@@ -22,7 +24,6 @@
 from dogwoodpost.platform.connection_counts import EndpointTraceContext
 from dogwoodpost.platform.event_stream import EventDecoder
 from dogwoodpost.platform.sent_ids import SentIds
-from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
 from dogwoodpost.ports.endpoint_gateway import EndpointReply
@@ -300,6 +301,7 @@
                 data=body,
                 headers=headers,
                 allow_redirects=False,
+                middlewares=MAY_REPEAT if method == 'GET' else None,
                 trace_request_ctx=EndpointTraceContext(endpoint.address),
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
--- a/src/dogwoodpost/platform/job_forwarding.py
+++ b/src/dogwoodpost/platform/job_forwarding.py
@@ -8,8 +8,8 @@
 import aiohttp
 import yarl
 
+from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
 from dogwoodpost.core.http_headers import end_to_end_headers
-from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
 from dogwoodpost.ports.job_forwarding import ForwardOutcome
 from dogwoodpost.ports.job_forwarding import JobForwardingClient
 from dogwoodpost.ports.job_forwarding import JobSubmission
--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from dogwoodpost.adapters.http.send_once import send_once
 from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
 
 if TYPE_CHECKING:
@@ -24,11 +25,6 @@
 # Endpoints close idle connections earlier or later; a request that fails
 # because its connection was closed is repeated.
 _POOL_KEEPALIVE_S = 12.0
-# Errors that occur before any part of a request is sent.
-NOT_CONNECTED_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 
 
 class BoundedProtocolConnector(aiohttp.TCPConnector):
@@ -75,6 +71,8 @@
 ) -> AsyncIterator[aiohttp.ClientSession]:
     """Open a session and count its new connections.
 
+    No request is sent twice, except for calls with ``MAY_REPEAT``.
+
     :param reuse: keep connections for later calls.
     """
     connector = (
@@ -87,5 +85,6 @@
         trace_configs=[counts.trace_config(reuse=reuse)],
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(send_once,),
     ) as session:
         yield session
--- a/src/dogwoodpost/platform/store_connection.py
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -12,6 +12,8 @@
 import structlog
 import yarl
 
+from dogwoodpost.adapters.http.send_once import MAY_REPEAT
+from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
 from dogwoodpost.core.allowed_regions import AllowedRegions
 from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.core.decoding import decode_json
@@ -20,7 +22,6 @@
 from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
-from dogwoodpost.platform.sessions import NOT_CONNECTED_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -178,6 +179,7 @@
                     data=call.body,
                     headers=call.headers,
                     allow_redirects=False,
+                    middlewares=MAY_REPEAT if call.is_read_only else None,
                     timeout=aiohttp.ClientTimeout(
                         total=call.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                     ),
--- a/src/dogwoodpost/platform/store_relay.py
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -10,6 +10,7 @@
 import yarl
 from aiohttp import web
 
+from dogwoodpost.adapters.http.send_once import MAY_REPEAT
 from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
@@ -108,6 +109,7 @@
                 data=call.body,
                 headers=headers,
                 allow_redirects=False,
+                middlewares=MAY_REPEAT if call.is_read_only else None,
                 timeout=aiohttp.ClientTimeout(
                     total=call.timeout_s + _RELAY_OVERHEAD_S,
                     sock_connect=_CONNECT_TIMEOUT_S,
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -93,6 +93,26 @@
     assert site.plain.runs['once'] == unsafe_runs
 
 
+@pytest.mark.parametrize(
+    'method', ['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST']
+)
+@pytest.mark.parametrize('path', ['/unsafe/a', '/stream/a'])
+async def test_request_that_may_run_once_is_sent_once_with_any_method(
+    site: Site, path: str, method: str
+) -> None:
+    """Guards against a library that repeats methods it takes for safe."""
+    async with site.node('node-1') as node:
+        assert (await site.send(node, '/unsafe/a'))[0] == 200
+        for endpoint, _ in site.endpoints():
+            endpoint.faults.append(SamplerFault.RESET)
+        status, _, _ = await site.send(
+            node, path, request_id='once', method=method
+        )
+    assert status == 502
+    runs = sum(endpoint.runs['once'] for endpoint, _ in site.endpoints())
+    assert runs == 1
+
+
 async def test_request_for_a_reused_address_is_refused(
     site: Site,
 ) -> None:
