Bound transactions in bytes, and end a worker's write with its job

Cause: sizes were estimated in characters, while the store limits encoded bytes; a refusal for size was taken for an outage and repeated without end; and the worker did not look at its job's head inside that write. Pages of results, texts of many events and checkpoints had the wrong unit too. Ruled out: only a lower estimate, as the next forgotten unit blocks a job again.

Change: TransactionSize bounds the JSON of a transaction. A refusal by a 4xx status is an error that is not repeated: the worker writes fewer results, and gives up one that is refused alone at the end of its lifetime. A head that ends a job or gives it away cancels its items and the running write; so does a hand-over. A worker does not start under a newer such head. Lost responses of object writes, which aiohttp repeated before, are repeated by the job store.

--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -12,8 +12,10 @@
     from dogwoodpost.core.batches.stream_event import StreamEvent
 
 
-# Encoded in Base64, a text of this size fits into a transaction of 1 MB.
+# Encoded in Base64, a result of this size fits into a transaction of 1 MB.
 _MAX_TEXT_BYTES = 700_000
+# An integer in MessagePack.
+_VERSION_BYTES = 9
 
 
 class ItemText:
@@ -68,13 +70,14 @@
                 f'event id {event.event_id} received after {self._last_id};'
                 ' expected consecutive ids'
             )
+        is_new_version = event.weight_version not in {None, self._run_version}
         if event.weight_version is not None:
             self._run_version = event.weight_version
         if self._run_version is None:
             raise EndpointError(
                 'neither the event nor its response names a weight version'
             )
-        self._check_size(event)
+        self._check_size(event, is_new_version=is_new_version)
         self._last_id = event.event_id
         self._data.append(event.data)
         self._versions.append(self._run_version)
@@ -96,7 +99,8 @@
     def restore(self, progress: ItemProgress) -> None:
         """Replace the contents by the events of earlier runs."""
         self._data = list(progress.events)
-        self._size_bytes = sum(len(data.encode()) for data in self._data)
+        self._size_bytes = sum(map(_event_size_bytes, self._data))
+        self._size_bytes += _VERSION_BYTES * len(set(progress.versions))
         self._versions = list(progress.versions)
         self._last_id = progress.last_event_id
 
@@ -123,12 +127,14 @@
             return True
         return versions[0] >= min_version
 
-    def _check_size(self, event: StreamEvent) -> None:
+    def _check_size(self, event: StreamEvent, *, is_new_version: bool) -> None:
         """Add an event's size; discard the text if it becomes too long.
 
+        :param is_new_version: whether the result may name one more version.
         :raises EndpointError: the text exceeds its maximum length.
         """
-        self._size_bytes += len(event.data.encode())
+        self._size_bytes += _event_size_bytes(event.data)
+        self._size_bytes += _VERSION_BYTES * is_new_version
         limit = self._max_event_count
         has_room = limit is None or len(self._data) < limit
         if has_room and self._size_bytes <= _MAX_TEXT_BYTES:
@@ -138,3 +144,8 @@
         raise EndpointError(
             f'text exceeds its maximum length after {count} events'
         )
+
+
+def _event_size_bytes(data: str) -> int:
+    """Return the size of an event in a text, with its line feed."""
+    return len(data.encode()) + 1
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -48,6 +48,10 @@
     """The store's answer was lost; the change may have taken effect."""
 
 
+class StoreRejectedError(StoreError):
+    """The store refused a call for its content; a repeat is refused too."""
+
+
 class MalformedRowError(StoreError):
     """A row's value can't be decoded; its content is unknown."""
 
--- a/src/dogwoodpost/platform/store_client.py
+++ b/src/dogwoodpost/platform/store_client.py
@@ -10,6 +10,7 @@
 from dogwoodpost.core.allowed_regions import ANY_REGION
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.errors import StoreRejectedError
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.platform.store_connection import CALL_TIMEOUT_S
 from dogwoodpost.platform.store_connection import decode_response
@@ -36,6 +37,9 @@
 _STATUS_OK = 200
 _STATUS_PRECONDITION_FAILED = 412
 _STATUS_NOT_FOUND = 404
+_FIRST_CLIENT_ERROR = 400
+_FIRST_SERVER_ERROR = 500
+_STATUS_NO_ROOM = 507
 
 
 class _WireRow(msgspec.Struct, frozen=True):
@@ -164,10 +168,7 @@
         if status == _STATUS_PRECONDITION_FAILED:
             page = decode_response('rows-tx', data, _WirePage)
             raise RowConflictError(_row_page(page).rows)
-        if status != _STATUS_OK:
-            raise StoreUnavailableError(
-                f'rows-tx failed with status {status}: {data[:200]!r}'
-            )
+        _check_change('rows-tx', status, data)
         try:
             return decode_response('rows-tx', data, _WirePage).ver
         except StoreUnavailableError as error:
@@ -194,7 +195,7 @@
 
     async def put(self, name: str, data: bytes) -> None:
         """Store an object; a repeat with the same data has no effect."""
-        status, _ = await self._connection.call(
+        status, answer = await self._connection.call(
             StoreCall(
                 method='PUT',
                 name=f'blob-put/{name}',
@@ -204,10 +205,8 @@
                 allowed_regions=self._allowed_regions,
             )
         )
-        if status not in {_STATUS_OK, _STATUS_PRECONDITION_FAILED}:
-            raise StoreUnavailableError(
-                f'blob-put failed with status {status}'
-            )
+        if status != _STATUS_PRECONDITION_FAILED:
+            _check_change('blob-put', status, answer)
 
     async def get(self, name: str) -> bytes | None:
         """Return an object's data, or None if there is none."""
@@ -229,13 +228,29 @@
 
     async def delete(self, name: str) -> None:
         """Delete an object; deleting a missing one has no effect."""
-        status, _ = await self._connection.call(
+        status, answer = await self._connection.call(
             StoreCall(method='DELETE', name=f'blob-drop/{name}')
         )
-        if status not in {_STATUS_OK, _STATUS_NOT_FOUND}:
-            raise StoreUnavailableError(
-                f'blob-drop failed with status {status}'
-            )
+        if status != _STATUS_NOT_FOUND:
+            _check_change('blob-drop', status, answer)
+
+
+def _check_change(name: str, status: int, data: bytes) -> None:
+    """Check the response to a call that changes something.
+
+    :raises StoreRejectedError: the call is refused whenever it is made.
+    :raises StoreUnavailableError: the store has no room left.
+    :raises StoreOutcomeUnknownError: the store failed; the call may have been
+        performed.
+    """
+    if status == _STATUS_OK:
+        return
+    message = f'{name} failed with status {status}: {data[:200]!r}'
+    if _FIRST_CLIENT_ERROR <= status < _FIRST_SERVER_ERROR:
+        raise StoreRejectedError(message)
+    if status == _STATUS_NO_ROOM:
+        raise StoreUnavailableError(message)
+    raise StoreOutcomeUnknownError(message)
 
 
 def _transaction(
--- a/src/dogwoodpost/ports/row_store.py
+++ b/src/dogwoodpost/ports/row_store.py
@@ -98,6 +98,8 @@
         """Apply all writes if all checks hold; return the new version.
 
         :raises RowConflictError: a check failed; nothing changed.
+        :raises StoreRejectedError: the transaction is over the store's limits
+            or malformed; nothing changed, and a repeat is refused too.
         :raises StoreOutcomeUnknownError: the response was lost. The
             transaction may still be applied later if its checks hold then.
         """
--- a/src/dogwoodpost/services/batches/job_store.py
+++ b/src/dogwoodpost/services/batches/job_store.py
@@ -12,11 +12,13 @@
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.decoding import decode_msgpack_row
+from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.rows import commit_rows
+from dogwoodpost.services.rows import TransactionSize
 
 if TYPE_CHECKING:
     import random
@@ -28,16 +30,15 @@
     from dogwoodpost.ports.row_store import RowStore
     from dogwoodpost.ports.row_store import VersionedRow
 
-# A transaction holds at most 100 entries and 1 MB, including the overhead of
-# Base64 and JSON.
-MAX_INLINE_BYTES = 600_000
-MAX_RESULT_BYTES = 600_000
 MAX_RESULT_COUNT = 40
+# In Base64 this takes 0.8 of the 1 MB that a transaction may have.
+MAX_INLINE_BYTES = 600_000
 # Larger jobs are split into objects; the object store accepts up to 8 MiB
 # for each.
 _MAX_OBJECT_BYTES = 4 * 1024 * 1024
 _MAX_DELETE_COUNT = 90
 _OBJECT_LIST_KEY = 'objects'
+_MAX_PUT_COUNT = 3
 
 
 class _ObjectList(msgspec.Struct, frozen=True):
@@ -127,6 +128,25 @@
                 return StoredHead(job_rows.decode_head(row.value), row.version)
         return None
 
+    def fitting_count(
+        self, job_id: ids.JobId, head: JobHead, results: Sequence[ItemResult]
+    ) -> int:
+        """Return how many of the results one transaction can hold.
+
+        It is at least 1: a result that does not fit alone is for the store to
+        refuse.
+        """
+        size = TransactionSize().plus([job_rows.head_write(job_id, head)])
+        for count, result in enumerate(results[:MAX_RESULT_COUNT]):
+            size = size.plus(
+                job_rows.result_writes(
+                    job_id, head.listed_count + count, result
+                )
+            )
+            if not size.is_allowed(check_count=1):
+                return max(count, 1)
+        return min(len(results), MAX_RESULT_COUNT)
+
     async def write_head(
         self,
         job_id: ids.JobId,
@@ -140,6 +160,7 @@
         The results get the positions before the head's ``listed_count``.
 
         :raises RowConflictError: the head has changed.
+        :raises StoreRejectedError: the store refuses the results.
         :raises StoreError: the outcome is unknown, or nothing has changed.
         """
         writes = [job_rows.head_write(job_id, head)]
@@ -202,7 +223,7 @@
         for number, start in enumerate(range(0, len(data), _MAX_OBJECT_BYTES)):
             name = f'job-{job_id}-{number}'
             part = data[start : start + _MAX_OBJECT_BYTES]
-            await objects.put(name, part)
+            await _put_object(objects, name, part)
             names.append(name)
         return tuple(names)
 
@@ -232,3 +253,21 @@
             rng=self._rng,
             deadline_s=deadline_s,
         )
+
+
+async def _put_object(objects: ObjectStore, name: str, data: bytes) -> None:
+    """Store an object, again if the response is lost.
+
+    A second copy has no effect, and an object without the head of a job is
+    never read, so an unknown outcome means that the job is not stored.
+
+    :raises StoreUnavailableError: the object may be missing.
+    """
+    for _ in range(_MAX_PUT_COUNT):
+        try:
+            await objects.put(name, data)
+        except StoreOutcomeUnknownError as error:
+            failure = error
+        else:
+            return
+    raise StoreUnavailableError(str(failure)) from failure
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from contextlib import asynccontextmanager
 from contextlib import suppress
 from typing import Any
 from typing import TYPE_CHECKING
@@ -12,18 +13,19 @@
 import structlog
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobState
+from dogwoodpost.core.batches import ResultState
 from dogwoodpost.core.batches.listing_schedule import ListingSchedule
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
+from dogwoodpost.errors import StoreRejectedError
 from dogwoodpost.services.batches.group_checkpoints import GroupCheckpoints
 from dogwoodpost.services.batches.item_run import ItemRun
-from dogwoodpost.services.batches.job_store import MAX_RESULT_BYTES
-from dogwoodpost.services.batches.job_store import MAX_RESULT_COUNT
 from dogwoodpost.services.batches.job_store import StoredHead
-from dogwoodpost.services.batches.result_cache import result_size_bytes
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Iterable
@@ -32,7 +34,6 @@
     from dogwoodpost.core.batches import BatchItem
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.batches import ItemProgress
-    from dogwoodpost.core.batches import ItemResult
     from dogwoodpost.services.batches.batch_context import BatchContext
 
 _log = structlog.get_logger(__name__)
@@ -41,6 +42,8 @@
 # texts arrive.
 _TEXT_LOAD_WAIT_S = 0.1
 _HAND_OVER_TIMEOUT_S = 0.8
+# Shortest time until a result is written again that the store has refused.
+_REJECTED_DELAY_S = 5.0
 
 
 class JobWorker:
@@ -75,6 +78,10 @@
         self._wake_event = asyncio.Event()
         self._run_ended = asyncio.Event()
         self._is_handing_over = False
+        # Set while results are being written.
+        self._write_timeout: asyncio.Timeout | None = None
+        # Lowered after the store has refused a transaction.
+        self._max_batch_count: int | None = None
         self._item_tasks: set[asyncio.Task[None]] = set()
         self._auxiliary_tasks: list[asyncio.Task[Any]] = []
         self._runs: dict[ids.ItemId, ItemRun] = {}
@@ -110,7 +117,8 @@
         while self._owns_job() and not self._stored_head.head.is_complete:
             await self._wait_for_results()
             while self._pending and self._owns_job():
-                await self._list_next_batch()
+                if not await self._list_next_batch():
+                    break
             self._schedule.note_listed(self._context.clock.monotonic_s())
             if self._is_handing_over:
                 return
@@ -153,14 +161,27 @@
             and not self._assigns_job_here(stored_head)
         ):
             self._stored_head = stored_head
+            self._cancel_items()
+            self._limit_write(0.0)
             self._wake_event.set()
 
     async def hand_over(self) -> None:
         """Stop running the job and release it to other processes."""
         self._is_handing_over = True
+        self._limit_write(_HAND_OVER_TIMEOUT_S)
         self._wake_event.set()
         await self._run_ended.wait()
 
+    def _limit_write(self, timeout_s: float) -> None:
+        """Abandon a running write of results after a time.
+
+        Otherwise a write that the store refuses would be repeated for as long
+        as this process lives.
+        """
+        if self._write_timeout is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._write_timeout.reschedule(now_s + timeout_s)
+
     async def _write_hand_over(self) -> None:
         head = msgspec.structs.replace(
             self._stored_head.head, owner_id=ids.ProcessId('')
@@ -225,6 +246,9 @@
         items: Iterable[BatchItem],
         saved_progress: Mapping[ids.ItemId, ItemProgress],
     ) -> None:
+        if not self._owns_job():
+            # The job ended while the saved texts were being read.
+            return
         for item in items:
             run = ItemRun(
                 self._context,
@@ -259,9 +283,37 @@
         self._schedule.note_finished(result.item_id)
         self._wake_event.set()
 
-    async def _list_next_batch(self) -> None:
-        """List as many pending results as fit in one transaction."""
+    async def _list_next_batch(self) -> bool:
+        """List as many pending results as fit in one transaction.
+
+        :returns: False if the write was abandoned because the job has ended,
+            has another owner or is being handed over.
+        """
         batch = self._next_batch()
+        try:
+            async with self._abandonable_write():
+                await self._write_batch(batch)
+        except TimeoutError:
+            _log.info(
+                'listing_abandoned',
+                job_id=self._job.job_id,
+                results=len(batch),
+            )
+            return False
+        return True
+
+    @asynccontextmanager
+    async def _abandonable_write(self) -> AsyncIterator[None]:
+        """Let :meth:`_limit_write` end the block with a TimeoutError."""
+        timeout_s = _HAND_OVER_TIMEOUT_S if self._is_handing_over else None
+        async with asyncio.timeout(timeout_s) as self._write_timeout:
+            try:
+                yield
+            finally:
+                self._write_timeout = None
+
+    async def _write_batch(self, batch: list[ItemResult]) -> None:
+        """Write results and the head that counts them."""
         head = self._stored_head.head
         new_head = msgspec.structs.replace(
             head, listed_count=head.listed_count + len(batch)
@@ -277,6 +329,9 @@
         except RowConflictError:
             await self._resolve_conflict()
             return
+        except StoreRejectedError as error:
+            self._note_rejected(batch, error)
+            return
         except StoreError as error:
             _log.warning(
                 'results_not_listed',
@@ -285,6 +340,7 @@
             )
             await self._context.clock.sleep(_STORE_RETRY_DELAY_S)
             return
+        self._max_batch_count = None
         del self._pending[: len(batch)]
         self._note_listed(batch)
         self._stored_head = StoredHead(new_head, version)
@@ -297,14 +353,40 @@
             self._schedule.note_finished(result.item_id)
 
     def _next_batch(self) -> list[ItemResult]:
-        batch: list[ItemResult] = []
-        total_bytes = 0
-        for result in self._pending[:MAX_RESULT_COUNT]:
-            total_bytes += result_size_bytes(result)
-            if batch and total_bytes > MAX_RESULT_BYTES:
-                break
-            batch.append(result)
-        return batch
+        count = self._context.store.fitting_count(
+            self._job.job_id, self._stored_head.head, self._pending
+        )
+        return self._pending[: min(count, self._max_batch_count or count)]
+
+    def _note_rejected(
+        self, batch: list[ItemResult], error: StoreRejectedError
+    ) -> None:
+        """Write fewer results next; put aside one that is refused alone."""
+        _log.error(
+            'results_rejected',
+            job_id=self._job.job_id,
+            results=len(batch),
+            first_item_id=batch[0].item_id,
+            error=str(error),
+        )
+        self._max_batch_count = max(len(batch) // 2, 1)
+        if len(batch) == 1:
+            self._pending.remove(batch[0])
+            self._spawn_auxiliary(self._give_up_later(batch[0].item_id))
+
+    async def _give_up_later(self, item_id: ids.ItemId) -> None:
+        """List an item as errored once its lifetime has ended.
+
+        Before that, an item must not be given up.
+        """
+        end_s = self._job.accepted_wall_s + self._job.item_lifetime_s
+        remaining_s = end_s - self._context.clock.wall_s()
+        await self._context.clock.sleep(max(remaining_s, _REJECTED_DELAY_S))
+        self._pending.append(
+            ItemResult(item_id=item_id, state=ResultState.ERRORED)
+        )
+        self._schedule.note_finished(item_id)
+        self._wake_event.set()
 
     async def _resolve_conflict(self) -> None:
         """Read the current head and the results listed since."""
--- a/src/dogwoodpost/services/batches/job_workers.py
+++ b/src/dogwoodpost/services/batches/job_workers.py
@@ -87,7 +87,7 @@
         :param listed_item_ids: items whose results are already listed.
         """
         job_id = job.job_id
-        if job_id in self._workers:
+        if job_id in self._workers or not self._may_run(job_id, stored_head):
             return
 
         def on_listed(
@@ -158,6 +158,26 @@
         if job is not None:
             self.start(job, stored_head, listed)
 
+    def _may_run(self, job_id: ids.JobId, stored_head: StoredHead) -> bool:
+        """Return whether no newer head ends the job or gives it away.
+
+        The feed may deliver such a head while the job is being stored or
+        loaded, when no worker is there yet to receive it.
+        """
+        newest = self.directory.get(job_id)
+        if newest is None or newest.version <= stored_head.version:
+            return True
+        may_run = not newest.head.is_complete and self.owns(newest.head)
+        if not may_run:
+            _log.info(
+                'job_not_started',
+                job_id=job_id,
+                version=newest.version,
+                owner=newest.head.owner_id,
+                state=newest.head.state.value,
+            )
+        return may_run
+
     async def _load_listed_item_ids(
         self, job_id: ids.JobId, head: JobHead
     ) -> list[ids.ItemId]:
--- a/src/dogwoodpost/services/batches/result_cache.py
+++ b/src/dogwoodpost/services/batches/result_cache.py
@@ -5,24 +5,33 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from dogwoodpost.core.batches import ItemResult
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dogwoodpost.core import ids
-    from dogwoodpost.core.batches import ItemResult
 
 _MAX_BYTES = 8 * 1024 * 1024
+# A response holds at most 1 MB of JSON.
 _MAX_PAGE_BYTES = 700_000
 # Estimate for ids, versions and score, which are stored with the text.
 _RESULT_OVERHEAD_BYTES = 300
 
 
+class _CachedResult(msgspec.Struct, frozen=True):
+    result: ItemResult
+    size_bytes: int
+
+
 class ResultCache:
     """Caches immutable results by job and position, up to a total size."""
 
     def __init__(self, max_bytes: int = _MAX_BYTES) -> None:
         self._max_bytes = max_bytes
-        self._results: OrderedDict[tuple[ids.JobId, int], ItemResult]
+        self._results: OrderedDict[tuple[ids.JobId, int], _CachedResult]
         self._results = OrderedDict()
         self._total_size_bytes = 0
 
@@ -39,26 +48,27 @@
         for position, result in enumerate(results, first_position):
             key = (job_id, position)
             if key not in self._results:
-                self._results[key] = result
-                self._total_size_bytes += result_size_bytes(result)
+                cached = _CachedResult(result, _result_size_bytes(result))
+                self._results[key] = cached
+                self._total_size_bytes += cached.size_bytes
         while self._total_size_bytes > self._max_bytes:
             _, dropped = self._results.popitem(last=False)
-            self._total_size_bytes -= result_size_bytes(dropped)
+            self._total_size_bytes -= dropped.size_bytes
 
     def page(self, job_id: ids.JobId, first_position: int) -> list[ItemResult]:
         """Return consecutive cached results, up to the size of a page."""
         page_results: list[ItemResult] = []
         page_bytes = 0
         position = first_position
-        while (result := self._results.get((job_id, position))) is not None:
-            page_bytes += result_size_bytes(result)
+        while (cached := self._results.get((job_id, position))) is not None:
+            page_bytes += cached.size_bytes
             if page_results and page_bytes > _MAX_PAGE_BYTES:
                 break
-            page_results.append(result)
+            page_results.append(cached.result)
             position += 1
         return page_results
 
 
-def result_size_bytes(result: ItemResult) -> int:
-    """Return the approximate size of a result in bytes."""
-    return len(result.text) + _RESULT_OVERHEAD_BYTES
+def _result_size_bytes(result: ItemResult) -> int:
+    """Return the approximate size of a result in JSON, in bytes."""
+    return len(msgspec.json.encode(result.text)) + _RESULT_OVERHEAD_BYTES
--- a/src/dogwoodpost/services/batches/text_archive.py
+++ b/src/dogwoodpost/services/batches/text_archive.py
@@ -12,6 +12,7 @@
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.services.batches import job_rows
+from dogwoodpost.services.rows import TransactionSize
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -23,10 +24,7 @@
 _log = structlog.get_logger(__name__)
 # A job's items start without their saved texts if loading takes longer.
 _LOAD_TIMEOUT_S = 0.5
-# A transaction holds at most 100 entries and 1 MB, including the overhead of
-# Base64 and JSON.
-_MAX_TRANSACTION_ROWS = 80
-_MAX_TRANSACTION_BYTES = 600_000
+_MAX_DELETE_COUNT = 80
 _MAX_READ_PAGES = 8
 
 
@@ -60,7 +58,7 @@
     ) -> None:
         """Store the progress of items of a group; failures are only logged."""
         batch: list[RowWrite] = []
-        size_bytes = 0
+        size = TransactionSize()
         for item_progress in progress:
             writes = job_rows.chunk_writes(
                 group_id,
@@ -68,19 +66,20 @@
                 item_progress,
                 job_rows.TEXT_TABLE,
             )
-            added_bytes = sum(len(write.value or b'') for write in writes)
-            has_too_many_rows = (
-                len(batch) + len(writes) > _MAX_TRANSACTION_ROWS
-            )
-            if batch and (
-                has_too_many_rows
-                or size_bytes + added_bytes > _MAX_TRANSACTION_BYTES
-            ):
+            if not TransactionSize().plus(writes).is_allowed():
+                # The store would refuse it, now and at each later checkpoint.
+                _log.info(
+                    'item_text_too_long_to_store',
+                    group_id=group_id,
+                    item_id=item_progress.item_id,
+                )
+                continue
+            if not size.plus(writes).is_allowed():
                 await self._commit(group_id, batch)
                 batch = []
-                size_bytes = 0
+                size = TransactionSize()
             batch += writes
-            size_bytes += added_bytes
+            size = size.plus(writes)
         if batch:
             await self._commit(group_id, batch)
 
@@ -95,8 +94,8 @@
                 error=str(error),
             )
             return
-        for start in range(0, len(rows), _MAX_TRANSACTION_ROWS):
-            row_batch = rows[start : start + _MAX_TRANSACTION_ROWS]
+        for start in range(0, len(rows), _MAX_DELETE_COUNT):
+            row_batch = rows[start : start + _MAX_DELETE_COUNT]
             await self._commit(
                 group_id, [RowWrite(row.key, None) for row in row_batch]
             )
--- a/src/dogwoodpost/services/rows/row_commit.py
+++ b/src/dogwoodpost/services/rows/row_commit.py
@@ -7,6 +7,7 @@
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.errors import StoreOutcomeUnknownError
+from dogwoodpost.errors import StoreRejectedError
 from dogwoodpost.ports.row_store import applied_version
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
     :param deadline_s: monotonic time in seconds at which to stop repeating.
     :raises RowConflictError: another transaction changed a checked row first.
     :raises StoreOutcomeUnknownError: an attempt may still take effect.
+    :raises StoreRejectedError: the store refuses the content.
     :raises StoreUnavailableError: no attempt has taken effect.
     """
     unknown_outcome: StoreOutcomeUnknownError | None = None
@@ -57,6 +59,8 @@
             if version is None:
                 raise
             return version
+        except StoreRejectedError:
+            raise
         except StoreOutcomeUnknownError as error:
             unknown_outcome = error
             failure: StoreError = error
--- a/src/dogwoodpost/standins/site/store_app.py
+++ b/src/dogwoodpost/standins/site/store_app.py
@@ -16,11 +16,18 @@
 from dogwoodpost.ports.row_store import RowWrite
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
     from dogwoodpost.ports.row_store import RowPage
     from dogwoodpost.ports.row_store import VersionedRow
     from dogwoodpost.standins.memory_row_store import MemoryRowStore
 
 _MS_PER_S = 1_000
+_MAX_CALL_BYTES = 1_000_000
+_MAX_ENTRY_COUNT = 100
+_MAX_ROW_BYTES = 65_536
+_MAX_NAME_BYTES = 200
 
 
 class _WireRow(msgspec.Struct):
@@ -39,6 +46,18 @@
     put: list[_WireRow] = []
     delete: list[_WireRow] = []
 
+    def is_within_limits(self) -> bool:
+        """Return whether the store accepts its number and sizes of rows."""
+        rows = [*self.expected, *self.put, *self.delete]
+        names = {
+            name for row in rows for name in (row.table, row.part, row.key)
+        }
+        return (
+            len(rows) <= _MAX_ENTRY_COUNT
+            and all(len(name.encode()) <= _MAX_NAME_BYTES for name in names)
+            and all(len(row.value) <= _MAX_ROW_BYTES for row in self.put)
+        )
+
 
 class StoreApp:
     """HTTP handlers of a row store and an object store."""
@@ -46,6 +65,12 @@
     def __init__(self, store: MemoryRowStore) -> None:
         self._store = store
         self.objects: dict[str, bytes] = {}
+        # Return whether to refuse a transaction for its content, or with a
+        # status that invites a repeat.
+        self.refuses: Callable[[Sequence[RowWrite]], bool] = lambda _: False
+        self.refuses_for_now: Callable[[Sequence[RowWrite]], bool]
+        self.refuses_for_now = lambda _: False
+        self.refused_count = 0
 
     def app(self) -> web.Application:
         """Return the application."""
@@ -60,12 +85,19 @@
         return app
 
     async def _transact(self, request: web.Request) -> web.Response:
-        body = msgspec.json.decode(await request.read(), type=_Transaction)
+        data = await request.read()
+        body = msgspec.json.decode(data, type=_Transaction)
         checks = [RowCheck(item.row_key(), item.ver) for item in body.expected]
         writes = [RowWrite(item.row_key(), item.value) for item in body.put]
         writes += [RowWrite(item.row_key(), None) for item in body.delete]
         parts = {check.key.partition for check in checks}
         parts |= {write.key.partition for write in writes}
+        is_allowed = len(data) <= _MAX_CALL_BYTES and body.is_within_limits()
+        if not is_allowed or self.refuses(writes):
+            self.refused_count += 1
+            return web.Response(status=413, text='over the limits')
+        if self.refuses_for_now(writes):
+            return web.Response(status=503)
         if len(parts) > 1:
             return web.Response(status=400, text='several partitions')
         try:
