Discard the bytes of a call with its lease

Cause: an abandoned call's connection was closed, not reset, so the kernel sent its bytes when the path healed. Orders to engines and usage reports went the same way, and the lease was checked before the connection stood. Ruled out: a longer wait of the next holder, as TCP may send again after any time; writes of the store, which are conditional.

Change: guarded_post is the one way for calls under a lease: a connection of its own whose socket discards unacknowledged bytes when it is closed or after 0.7 s, and a check of the lease and its number directly before the send. It uses the body and the socket of the product's own guarded client. Costs one new connection for each order to an engine.

--- a/src/dogwoodpost/adapters/platform/guarded_http_client.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http_client.py
@@ -112,7 +112,7 @@
         """
         data = msgspec.json.encode(document)
         body = GuardedBody(data, before_send)
-        async with self._translate_errors(path, body):
+        async with translate_guarded_errors(path, body):
             async with self._open_session().post(
                 self._base_url + path,
                 data=body,
@@ -124,21 +124,6 @@
                 await response.read()
             self._check_status(path, response.status)
 
-    @asynccontextmanager
-    async def _translate_errors(
-        self, path: str, body: GuardedBody
-    ) -> AsyncIterator[None]:
-        try:
-            yield
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            if body.guard_error is not None:
-                raise body.guard_error from None
-            if body.was_sent:
-                raise PlatformOutcomeUnknownError(
-                    f'{path}: {error!r}'
-                ) from error
-            raise PlatformError(f'{path}: not sent: {error!r}') from error
-
     def _check_status(self, path: str, status: int) -> None:
         """Distinguish a refusal from a failure with an unknown outcome.
 
@@ -169,6 +154,27 @@
         return self._session
 
 
+@asynccontextmanager
+async def translate_guarded_errors(
+    path: str, body: GuardedBody
+) -> AsyncIterator[None]:
+    """Translate errors of a call by whether its body was sent.
+
+    An error of the body's guard is raised as it is.
+
+    :raises PlatformError: nothing was sent.
+    :raises PlatformOutcomeUnknownError: the call may have taken effect.
+    """
+    try:
+        yield
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        if body.guard_error is not None:
+            raise body.guard_error from None
+        if body.was_sent:
+            raise PlatformOutcomeUnknownError(f'{path}: {error!r}') from error
+        raise PlatformError(f'{path}: not sent: {error!r}') from error
+
+
 def create_reset_on_close_socket(address: Any) -> socket.socket:
     """Return a socket that discards unsent bytes when it is closed."""
     family, kind, protocol, _, _ = address
--- a/src/dogwoodpost/platform/duties.py
+++ b/src/dogwoodpost/platform/duties.py
@@ -8,7 +8,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.platform.duty_calls import DutyConnection
-from dogwoodpost.platform.endpoint_calls import ORDER_TIMEOUT_S
+from dogwoodpost.platform.guarded_calls import GUARDED_CALL_TIMEOUT_S
 from dogwoodpost.platform.scale_calls import HttpZoneOrders
 from dogwoodpost.platform.usage_calls import HttpUsageReports
 from dogwoodpost.ports.endpoint_gateway import SwitchMode
@@ -114,7 +114,7 @@
             duration_s=settings.bounds.lease_ms
             / _MS_PER_S
             * _LEASE_DURATION_FACTOR,
-            longest_call_s=ORDER_TIMEOUT_S,
+            longest_call_s=GUARDED_CALL_TIMEOUT_S,
         )
         self._leases = LeaseManager(
             tables,
--- a/src/dogwoodpost/platform/duty_calls.py
+++ b/src/dogwoodpost/platform/duty_calls.py
@@ -4,20 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-import aiohttp
+import yarl
 
+from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import PlatformError
-from dogwoodpost.errors import PlatformOutcomeUnknownError
 from dogwoodpost.errors import PlatformRateLimitError
 from dogwoodpost.platform import header_names
+from dogwoodpost.platform.guarded_calls import guarded_post
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import aiohttp
+
     from dogwoodpost.core import ids
 
-_TIMEOUT_S = 0.7
-_CONNECT_TIMEOUT_S = 0.5
 _STATUS_OK = 200
 _STATUS_TOO_MANY = 429
 _RETRY_AFTER_S = 0.5
@@ -27,6 +28,7 @@
     """Sends calls under the fencing number of a lease.
 
     :param address: returns the current host and port.
+    :param session: session for calls under a lease.
     :param holder_name: name of this process as holder of the lease.
     :param fencing_number: returns the fencing number of the lease.
     """
@@ -53,33 +55,33 @@
 
         :param before_send: called directly before the request is sent; if it
             raises, nothing is sent.
+        :raises LeaseLostError: the lease is not held; nothing was sent.
         :raises PlatformRateLimitError: the rate limit was exceeded.
         :raises PlatformError: the call was refused.
         :raises PlatformOutcomeUnknownError: no response arrived; the call
             may have taken effect.
         """
-        if before_send is not None:
-            before_send()
-        headers = {
-            'Content-Type': 'application/json',
-            header_names.DUTY_HOLDER: self._holder_name,
-            header_names.FENCING_TOKEN: str(self._fencing_number()),
-        }
-        try:
-            async with self._session.post(
-                f'http://{self._address()}{path}',
-                data=body,
-                headers=headers,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(
-                    total=_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
-                ),
-            ) as response:
-                status = response.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise PlatformOutcomeUnknownError(
-                f'{path}: no response: {error!r}'
-            ) from error
+        number = self._fencing_number()
+
+        def check_lease() -> None:
+            if before_send is not None:
+                before_send()
+            if self._fencing_number() != number:
+                raise LeaseLostError(
+                    f'{path}: fencing number {number} is no longer valid'
+                )
+
+        async with guarded_post(
+            self._session,
+            yarl.URL(f'http://{self._address()}{path}'),
+            body,
+            headers={
+                header_names.DUTY_HOLDER: self._holder_name,
+                header_names.FENCING_TOKEN: str(number),
+            },
+            before_send=check_lease,
+        ) as response:
+            status = response.status
         if status == _STATUS_TOO_MANY:
             raise PlatformRateLimitError(
                 f'{path}: rate limit exceeded, status 429', _RETRY_AFTER_S
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -19,10 +19,13 @@
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointSilentError
+from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import MalformedDataError
+from dogwoodpost.errors import PlatformError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.connection_counts import EndpointTraceContext
 from dogwoodpost.platform.event_stream import EventDecoder
+from dogwoodpost.platform.guarded_calls import guarded_post
 from dogwoodpost.platform.sent_ids import SentIds
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
@@ -46,8 +49,8 @@
 
 _CONNECT_TIMEOUT_S = 0.5
 _REPORT_TIMEOUT_S = 0.7
-# Ends a call well before the lease that its order is sent under expires.
-ORDER_TIMEOUT_S = 0.7
+_REPORT_PATH = '/api/report'
+_ORDER_PATH = '/api/order'
 _MS_PER_S = 1_000
 _STATUS_OK = 200
 _STATUS_MISDIRECTED = 421
@@ -158,6 +161,7 @@
 
     :param session: keeps connections for later calls.
     :param fresh_session: opens a new connection for each call.
+    :param guarded_session: session for orders, which need a lease.
     :param holder_name: name of this process in orders.
     :param leave_notices: receives the headers of all responses.
     """
@@ -166,11 +170,13 @@
         self,
         session: aiohttp.ClientSession,
         fresh_session: aiohttp.ClientSession,
+        guarded_session: aiohttp.ClientSession,
         holder_name: str,
         leave_notices: LeaveNotices,
     ) -> None:
         self._session = session
         self._fresh_session = fresh_session
+        self._guarded_session = guarded_session
         self._holder_name = holder_name
         self._leave_notices = leave_notices
         self._sent_ids = SentIds()
@@ -191,9 +197,7 @@
 
     async def report(self, endpoint: Endpoint) -> EngineReport:
         """Request and return an engine's report."""
-        status, data = await self._call_api(
-            endpoint, 'GET', '/api/report', None, _REPORT_TIMEOUT_S
-        )
+        status, data = await self._read_report(endpoint)
         if status != _STATUS_OK:
             raise EndpointError(f'engine report failed with status {status}')
         try:
@@ -216,22 +220,38 @@
         before_send: Callable[[], ids.FencingNumber],
     ) -> OrderOutcome:
         """Order an engine to load a weight version of a model."""
+        number = before_send()
+
+        def check_lease() -> None:
+            if before_send() != number:
+                raise LeaseLostError(
+                    f'fencing number {number} is no longer valid'
+                )
+
         wire = _WireOrder(
             operation='version',
             model=order.model,
             version=order.version,
             mode=_WIRE_MODES[order.mode],
             holder=self._holder_name,
-            fencing_token=before_send(),
+            fencing_token=number,
             expected=order.expected_sequence,
         )
-        status, _ = await self._call_api(
-            endpoint,
-            'POST',
-            '/api/order',
-            msgspec.json.encode(wire),
-            ORDER_TIMEOUT_S,
-        )
+        try:
+            async with guarded_post(
+                self._guarded_session,
+                _url(endpoint, _ORDER_PATH),
+                msgspec.json.encode(wire),
+                headers={
+                    header_names.EXPECTED_ENDPOINT: str(endpoint.endpoint_id)
+                },
+                before_send=check_lease,
+                trace_request_ctx=EndpointTraceContext(endpoint.address),
+            ) as response:
+                self._leave_notices.handle_response(endpoint, response)
+                status = response.status
+        except PlatformError as error:
+            raise EndpointError(str(error)) from error
         return _OUTCOME_BY_STATUS.get(status, OrderOutcome.REFUSED)
 
     async def _send(
@@ -283,36 +303,26 @@
             return self._session
         return self._fresh_session
 
-    async def _call_api(
-        self,
-        endpoint: Endpoint,
-        method: str,
-        path: str,
-        body: bytes | None,
-        timeout_s: float,
-    ) -> tuple[int, bytes]:
-        headers = {header_names.EXPECTED_ENDPOINT: str(endpoint.endpoint_id)}
-        if body is not None:
-            headers['Content-Type'] = 'application/json'
+    async def _read_report(self, endpoint: Endpoint) -> tuple[int, bytes]:
         try:
-            async with self._session.request(
-                method,
-                _url(endpoint, path),
-                data=body,
-                headers=headers,
+            async with self._session.get(
+                _url(endpoint, _REPORT_PATH),
+                headers={
+                    header_names.EXPECTED_ENDPOINT: str(endpoint.endpoint_id)
+                },
                 allow_redirects=False,
-                middlewares=MAY_REPEAT if method == 'GET' else None,
+                middlewares=MAY_REPEAT,
                 trace_request_ctx=EndpointTraceContext(endpoint.address),
                 timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+                    total=_REPORT_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
                 ),
             ) as response:
                 self._leave_notices.handle_response(endpoint, response)
                 return response.status, await response.read()
         except TimeoutError as error:
-            raise EndpointError(f'{path}: no response in time') from error
+            raise EndpointError('no engine report in time') from error
         except _CALL_ERRORS as error:
-            raise EndpointError(f'{path}: call failed: {error!r}') from error
+            raise EndpointError(f'no engine report: {error!r}') from error
 
 
 def _url(endpoint: Endpoint, path: str) -> yarl.URL:
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -33,6 +33,7 @@
 from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
 from dogwoodpost.platform.leave_notices import LeaveNotices
 from dogwoodpost.platform.listen_address import ListenAddress
+from dogwoodpost.platform.sessions import guarded_session
 from dogwoodpost.platform.sessions import http_session
 from dogwoodpost.platform.settings_watch import SettingsWatch
 from dogwoodpost.platform.store_client import PlatformObjectStore
@@ -179,6 +180,7 @@
         counts = ConnectionCounts(self._metrics)
         session = await self.open_part(http_session(counts, reuse=True))
         fresh_session = await self.open_part(http_session(counts, reuse=False))
+        under_lease = await self.open_part(guarded_session(counts))
         self._store = StoreConnection(
             self._settings.platform.address, session, self._metrics
         )
@@ -186,6 +188,7 @@
         gateway = HttpEndpointGateway(
             session,
             fresh_session,
+            under_lease,
             self._identity.process_id,
             LeaveNotices(self._registry, self._clock),
         )
@@ -253,7 +256,7 @@
         await self.run_part(usage)
         await self.run_part(self._batches)
         self._duties = await self.run_part(
-            self._compose_duties(tables, gateway, versions, session)
+            self._compose_duties(tables, gateway, versions, under_lease)
         )
         self._ingress = Ingress(
             pipeline=pipeline,
--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -5,15 +5,19 @@
 import asyncio
 from contextlib import asynccontextmanager
 from functools import partial
+from typing import Any
 from typing import TYPE_CHECKING
 
 import aiohttp
 
 from dogwoodpost.adapters.http.send_once import send_once
 from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
+from dogwoodpost.platform.guarded_calls import create_guarded_socket
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ConnectionKey
@@ -32,11 +36,20 @@
 
     :param keepalive_s: how long to keep idle connections; None closes each
         connection after its request.
+    :param socket_factory: creates the sockets of connections that are not
+        kept.
     """
 
-    def __init__(self, *, keepalive_s: float | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        keepalive_s: float | None = None,
+        socket_factory: Callable[[Any], socket.socket] | None = None,
+    ) -> None:
         if keepalive_s is None:
-            super().__init__(limit=0, force_close=True)
+            super().__init__(
+                limit=0, force_close=True, socket_factory=socket_factory
+            )
         else:
             super().__init__(limit=0, keepalive_timeout=keepalive_s)
         handler: type[ResponseHandler] = BoundedResponseHandler
@@ -80,11 +93,27 @@
         if reuse
         else BoundedProtocolConnector()
     )
-    async with aiohttp.ClientSession(
+    async with _session(connector, counts, reuse=reuse) as session:
+        yield session
+
+
+@asynccontextmanager
+async def guarded_session(
+    counts: ConnectionCounts,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    """Open a session for calls under a lease; see ``guarded_calls``."""
+    connector = BoundedProtocolConnector(socket_factory=create_guarded_socket)
+    async with _session(connector, counts, reuse=False) as session:
+        yield session
+
+
+def _session(
+    connector: aiohttp.TCPConnector, counts: ConnectionCounts, *, reuse: bool
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
         connector=connector,
         trace_configs=[counts.trace_config(reuse=reuse)],
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(send_once,),
-    ) as session:
-        yield session
+    )
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -112,6 +112,8 @@
         self.plain = SamplerApp('plain-0', faults=deque())
         self.session = session
         self._folder = folder
+        # Replaces the address of the stand-in of the duty API.
+        self.duty_address = ''
         # Store addresses of single processes, in place of the common one.
         self.store_addresses: dict[str, str] = {}
         self._addresses: dict[str, str] = {}
@@ -257,7 +259,7 @@
                 )
             },
             'cloud': {
-                'address': self._addresses['duties'],
+                'address': self.duty_address or self._addresses['duties'],
                 'duties': ['usage', 'autoscale'],
             },
             'bounds': {
