Take no request that a planned stop would cut

Cause: the process took every request until its exit, and closing the clients' address took longer than was left. On related paths, the hand-over of jobs, the release of leases and the last usage totals waited for the store until the process was killed, and SIGTERM during the start ended it by default. Ruled out: a refusal of everything from SIGTERM on, as new connections arrive for 2.6 s.

Change: StopSchedule sets the end of each stage. After the notice of the load balancer, requests whose time limit goes beyond the stage are refused as not run. The address is closed before running requests are awaited; stages that call the store are abandoned at their end.

--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -38,6 +38,7 @@
 _MS_PER_S = 1_000
 _MAX_WAIT_S = 2.0
 _WRITE_TIME_LIMIT_S = 4.0
+_RESPONSE_TIME_S = 0.3
 
 
 class _WireScorer(msgspec.Struct, frozen=True):
@@ -115,6 +116,7 @@
         start_s = self._clock.monotonic_s()
         timeout_s = min(time_limit_s(request, route), _WRITE_TIME_LIMIT_S)
         identity = self._reader.identify(request, route, active)
+        self._reader.check_time(timeout_s)
         job_id = ids.JobId(request_id_of(request))
         active.request_id = job_id
         with self._reader.memory.reservation() as reservation:
@@ -151,7 +153,7 @@
             job_id,
             account_id,
             first_position,
-            min(wait_ms / _MS_PER_S, _MAX_WAIT_S),
+            min(wait_ms / _MS_PER_S, _MAX_WAIT_S, self._left_s()),
         )
         return web.Response(
             body=msgspec.json.encode(_to_wire_page(page)),
@@ -180,10 +182,16 @@
             the store did not confirm its end.
         """
         job_id, account_id = self._identify_job(request, active)
-        deadline_s = self._clock.monotonic_s() + _WRITE_TIME_LIMIT_S
+        limit_s = min(_WRITE_TIME_LIMIT_S, self._left_s())
+        deadline_s = self._clock.monotonic_s() + limit_s
         await self._batches.end(job_id, account_id, deadline_s)
         return web.Response(status=200)
 
+    def _left_s(self) -> float:
+        """Return the time until a stop cuts calls, less that of a response."""
+        left_s = self._reader.lifecycle.left_s(self._clock.monotonic_s())
+        return max(left_s - _RESPONSE_TIME_S, 0.0)
+
     def _identify_job(
         self, request: web.Request, active: ActiveRequest
     ) -> tuple[ids.JobId, ids.ClientAccountId | None]:
--- a/src/dogwoodpost/platform/ingress.py
+++ b/src/dogwoodpost/platform/ingress.py
@@ -67,7 +67,11 @@
         self._lifecycle = lifecycle
         self._authenticator = Authenticator(configuration)
         self._reader = PlatformRequestReader(
-            routes, self._authenticator, max_body_memory_bytes
+            routes,
+            self._authenticator,
+            lifecycle,
+            pipeline.clock,
+            max_body_memory_bytes,
         )
         self._handler = RequestHandler(
             pipeline, self._reader, ends_streams_with_error=False
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.core.routing import Router
 from dogwoodpost.core.routing import RouterSettings
+from dogwoodpost.core.stop_schedule import StopSchedule
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
 from dogwoodpost.platform import configuration_rows
 from dogwoodpost.platform import endpoint_rows
@@ -56,13 +58,15 @@
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
 from dogwoodpost.services.entry.route_finder import RouteFinder
 from dogwoodpost.services.entry.usage_totals import UsageTotals
+from dogwoodpost.services.http_server import listening
 from dogwoodpost.services.http_server import serving
 from dogwoodpost.services.membership import presence_service
 from dogwoodpost.services.membership.presence_service import PresenceService
-from dogwoodpost.services.process import running
 from dogwoodpost.services.process import wait_for_stop_signal
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     import aiohttp
 
     from dogwoodpost.core.configuration import ColdStart
@@ -70,6 +74,7 @@
     from dogwoodpost.observability import LogBuffer
     from dogwoodpost.observability import Metrics
     from dogwoodpost.platform.settings import ProcessSettings
+    from dogwoodpost.services.http_server import Listener
 
 _log = structlog.get_logger(__name__)
 _MS_PER_S = 1_000
@@ -86,15 +91,12 @@
 _SETTINGS_CHECK_INTERVAL_S = 1.0
 # Share of the process's memory that request bodies may use.
 _BODY_MEMORY_SHARE = 0.2
-_SHUTDOWN_TIMEOUT_S = 0.5
-# Time for requests that arrived just before the clients' address was closed.
-_CLIENT_SHUTDOWN_TIMEOUT_S = 0.9
-# The load balancer notices the stop after two readiness checks, which are a
-# second apart. Until then, new connections arrive and are served.
-_BALANCER_NOTICE_S = 2.6
-# Part of the grace period that is left when the process stops waiting for
-# running work, so that it ends before the grace period does.
-_EXIT_MARGIN_S = 1.8
+# Requests have ended, or are out of time, when an address is closed.
+_SHUTDOWN_TIMEOUT_S = 0.1
+# Clients that a stop refuses may turn to another process at once.
+_STOP_RETRY_AFTER_S = 0.05
+# Time to stop the parts after a crash; the process is started again later.
+_CRASH_STOP_S = 2.0
 _IDLE_POLL_INTERVAL_S = 0.05
 # Endpoints refuse requests that they have no slot for, so the router sends
 # them no more than that. The longest items determine when a training step
@@ -126,7 +128,8 @@
         self._log_buffer = log_buffer
         self._clock = BoottimeClock()
         self._rng = random.Random()
-        self._lifecycle = Lifecycle()
+        self._lifecycle = Lifecycle(_STOP_RETRY_AFTER_S)
+        self._front_listener: Listener | None = None
         self._is_leaving = False
         self._announced_versions = AnnouncedVersions(self._clock)
         self._router = Router(
@@ -150,13 +153,18 @@
 
     async def run(self) -> int:
         """Run until a stop signal or a crash; return the exit code."""
-        loop = asyncio.get_running_loop()
-        async with running(self):
+        stop_signal = asyncio.create_task(wait_for_stop_signal())
+        # Lets the task install its handlers before the start begins.
+        await asyncio.sleep(0)
+        if not await self._start_unless_stopped(stop_signal):
+            _log.info('process_stopped', while_starting=True)
+            return 0
+        stop_end_s: float | None = None
+        try:
             # The parts that changed settings are passed to now exist.
-            loop.add_signal_handler(
+            asyncio.get_running_loop().add_signal_handler(
                 signal.SIGHUP, partial(self._reload_settings, force=True)
             )
-            stop_signal = asyncio.create_task(wait_for_stop_signal())
             crash = asyncio.create_task(self.wait_until_stopped())
             await asyncio.wait(
                 {stop_signal, crash}, return_when=asyncio.FIRST_COMPLETED
@@ -164,10 +172,49 @@
             if self.crash_reason is not None:
                 _log.error('process_crashed', reason=repr(self.crash_reason))
                 return 1
-            await self._drain()
+            schedule = StopSchedule(
+                start_s=self._clock.monotonic_s(),
+                grace_s=self._settings.bounds.grace_s,
+            )
+            stop_end_s = schedule.exit_s
+            await self._drain(schedule)
+        finally:
+            await self._stop_parts(stop_end_s)
         _log.info('process_stopped')
         return 0
 
+    async def _start_unless_stopped(
+        self, stop_signal: asyncio.Task[None]
+    ) -> bool:
+        """Start the parts; return False if a stop signal comes first."""
+        start = asyncio.create_task(self.start())
+        await asyncio.wait(
+            {start, stop_signal}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not start.done():
+            start.cancel()
+            await asyncio.wait({start})
+            return False
+        await start
+        return True
+
+    async def _stop_parts(self, end_s: float | None) -> None:
+        """Stop all parts.
+
+        A part that writes to the store would wait while the store is away.
+
+        :param end_s: when to leave the rest to the end of the process, on the
+            process's clock; None after a crash.
+        """
+        left_s = _CRASH_STOP_S
+        if end_s is not None:
+            left_s = max(end_s - self._clock.monotonic_s(), 0.0)
+        try:
+            async with asyncio.timeout(left_s):
+                await self.stop()
+        except TimeoutError:
+            _log.warning('stop_cut_short')
+
     async def open_parts(self) -> None:
         """Open the parts; the addresses that clients call come last."""
         self.add_future(self._run_ticks())
@@ -390,43 +437,61 @@
                 )
             )
         if 'front' in listen:
-            await self.open_part(
-                serving(
+            self._front_listener = await self.open_part(
+                listening(
                     self._ingress.app(),
                     ListenAddress(listen['front']),
-                    shutdown_timeout_s=_CLIENT_SHUTDOWN_TIMEOUT_S,
+                    shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
                 )
             )
 
-    async def _drain(self) -> None:
+    async def _drain(self, schedule: StopSchedule) -> None:
         """Stop gracefully.
 
-        Requests are served until the load balancer has noticed the stop. Batch
-        items may finish within the grace period; unfinished jobs are handed
-        over to other processes.
+        Requests are served until the load balancer has noticed the stop, and
+        later those that can end in time. Batch items may finish within the
+        grace period; unfinished jobs are handed over to other processes.
         """
         _log.info(
             'process_leaving',
             running_items=self._batches.running_count,
-            grace_s=self._settings.bounds.grace_s,
+            grace_s=schedule.grace_s,
         )
         self._is_leaving = True
         self._presence.leave()
         self._ingress.closes_connections = True
+        self._lifecycle.begin_drain(schedule)
         release_leases = asyncio.create_task(self._duties.release())
-        start_s = self._clock.monotonic_s()
-        end_s = start_s + self._settings.bounds.grace_s - _EXIT_MARGIN_S
         while self._batches.running_count:
-            if self._clock.monotonic_s() > end_s:
+            if self._clock.monotonic_s() > schedule.items_end_s:
                 break
             await self._clock.sleep(_IDLE_POLL_INTERVAL_S)
-        await self._batches.hand_over()
-        left_s = start_s + _BALANCER_NOTICE_S - self._clock.monotonic_s()
+        async with self._stage('jobs', schedule.requests_end_s):
+            await self._batches.hand_over()
+        left_s = schedule.notice_end_s - self._clock.monotonic_s()
         await self._clock.sleep(max(left_s, 0.0))
-        await release_leases
-        left_s = end_s - self._clock.monotonic_s()
-        if not await self._lifecycle.wait_idle(max(left_s, 0.1)):
+        async with self._stage('leases', schedule.requests_end_s):
+            await release_leases
+        await self._end_requests(schedule)
+
+    async def _end_requests(self, schedule: StopSchedule) -> None:
+        """Close the clients' address, then wait for running requests."""
+        if self._front_listener is not None:
+            await self._front_listener.stop()
+        left_s = schedule.requests_end_s - self._clock.monotonic_s()
+        if not await self._lifecycle.wait_idle(max(left_s, 0.0)):
             _log.warning('requests_cut_by_stop')
+        self._lifecycle.begin_stop()
+
+    @asynccontextmanager
+    async def _stage(self, name: str, end_s: float) -> AsyncIterator[None]:
+        """Abandon the block when a stage of the stop ends."""
+        left_s = max(end_s - self._clock.monotonic_s(), 0.0)
+        try:
+            async with asyncio.timeout(left_s):
+                yield
+        except TimeoutError:
+            _log.warning('stop_stage_abandoned', stage=name)
 
     async def _watch_settings(self) -> None:
         """Check the settings file for changes made without a signal."""
--- a/src/dogwoodpost/platform/request_reader.py
+++ b/src/dogwoodpost/platform/request_reader.py
@@ -19,9 +19,11 @@
     from aiohttp import web
 
     from dogwoodpost.core.configuration import Route
+    from dogwoodpost.ports.clock import Clock
     from dogwoodpost.services.entry.http.active_requests import ActiveRequest
     from dogwoodpost.services.entry.http.authentication import Authenticator
     from dogwoodpost.services.entry.http.authentication import Identity
+    from dogwoodpost.services.entry.http.lifecycle import Lifecycle
     from dogwoodpost.services.entry.http.request_body import BodyReservation
     from dogwoodpost.services.entry.route_finder import RouteFinder
 
@@ -43,6 +45,7 @@
 class PlatformRequestReader:
     """Reads and checks requests.
 
+    :param lifecycle: knows when a stop of this process cuts requests.
     :param max_body_memory_bytes: bound on the memory of all request bodies.
     """
 
@@ -50,8 +53,12 @@
         self,
         routes: RouteFinder,
         authenticator: Authenticator,
+        lifecycle: Lifecycle,
+        clock: Clock,
         max_body_memory_bytes: int,
     ) -> None:
+        self.lifecycle = lifecycle
+        self._clock = clock
         self.memory = BodyMemory(max_body_memory_bytes)
         self._routes = routes
         self._authenticator = authenticator
@@ -87,6 +94,13 @@
                 retry_after_s=0.5,
             )
 
+    def check_time(self, time_limit_s: float) -> None:
+        """Check that a stop of this process will not cut a request.
+
+        :raises RequestError: it could.
+        """
+        self.lifecycle.check_time(time_limit_s, self._clock.monotonic_s())
+
     def has_client_accounts(self) -> bool:
         """Return whether the configuration has client accounts."""
         return bool(self._routes.configuration.client_accounts)
@@ -117,10 +131,12 @@
         route = self.route(request)
         timeout_s = time_limit_s(request, route)
         self.identify(request, route, active)
+        self.check_time(timeout_s)
         body = await reservation.read(request, route.max_body_bytes, timeout_s)
         # The configuration may have changed while the body was being read.
         route = self.route(request)
         identity = self.identify(request, route, active)
+        self.check_time(timeout_s)
         return self._build(request, route, identity, body, timeout_s)
 
     def _build(
--- a/src/dogwoodpost/services/entry/http/lifecycle.py
+++ b/src/dogwoodpost/services/entry/http/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -11,13 +12,20 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from dogwoodpost.core.stop_schedule import StopSchedule
+
 _RETRY_AFTER_S = 1.0
 
 
 class Lifecycle:
-    """Counts running requests and refuses new ones during a stop."""
+    """Counts running requests and refuses new ones during a stop.
+
+    :param retry_after_s: when a refused client may come back.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, retry_after_s: float = _RETRY_AFTER_S) -> None:
+        self._retry_after_s = retry_after_s
+        self._schedule: StopSchedule | None = None
         self._running_count = 0
         self._stopping = False
         self._idle = asyncio.Event()
@@ -28,6 +36,26 @@
         """Return whether a stop has begun."""
         return self._stopping
 
+    def begin_drain(self, schedule: StopSchedule) -> None:
+        """Refuse requests from now on that the stop could cut."""
+        self._schedule = schedule
+
+    def check_time(self, time_limit_s: float, now_s: float) -> None:
+        """Check that a request can end before a stop cuts it.
+
+        :param time_limit_s: longest time that the request may take.
+        :raises RequestError: it may not; it has not run.
+        """
+        schedule = self._schedule
+        if schedule and not schedule.may_take(time_limit_s, now_s):
+            raise self._stopping_error()
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time until requests are cut, infinite without a stop."""
+        if self._schedule is None:
+            return math.inf
+        return max(self._schedule.requests_end_s - now_s, 0.0)
+
     def begin_stop(self) -> None:
         """Refuse new requests from now on; running requests continue."""
         self._stopping = True
@@ -48,13 +76,7 @@
         :raises RequestError: a stop has begun.
         """
         if self._stopping:
-            raise RequestError(
-                'stopping',
-                'this entry is stopping',
-                status=503,
-                not_run=True,
-                retry_after_s=_RETRY_AFTER_S,
-            )
+            raise self._stopping_error()
         self._running_count += 1
         self._idle.clear()
         try:
@@ -63,3 +85,12 @@
             self._running_count -= 1
             if not self._running_count:
                 self._idle.set()
+
+    def _stopping_error(self) -> RequestError:
+        return RequestError(
+            'stopping',
+            'this process is stopping',
+            status=503,
+            not_run=True,
+            retry_after_s=self._retry_after_s,
+        )
--- a/src/dogwoodpost/services/http_server.py
+++ b/src/dogwoodpost/services/http_server.py
@@ -32,38 +32,83 @@
         """Return the port."""
 
 
+class Listener:
+    """Accepts connections for an application.
+
+    :param runner: the application, which is set up.
+    :param listener: the listening socket.
+    """
+
+    def __init__(self, runner: web.AppRunner, listener: socket.socket) -> None:
+        self._runner = runner
+        self._listener = listener
+        self._site = web.SockSite(runner, listener, backlog=_BACKLOG_COUNT)
+        self._is_accepting = False
+
+    @property
+    def port(self) -> int:
+        """Return the port."""
+        port: int = self._listener.getsockname()[1]
+        return port
+
+    async def start(self) -> None:
+        """Begin to accept connections."""
+        await self._site.start()
+        self._is_accepting = True
+
+    async def stop(self) -> None:
+        """Accept no more connections; those that are open stay open.
+
+        Connections that only the kernel has accepted would be reset when the
+        socket closes, so they are taken over first. At the end, all of them
+        have had time for their first request: aiohttp takes connections that
+        were just accepted for idle, and would close them before it reads it.
+        """
+        if not self._is_accepting:
+            return
+        self._is_accepting = False
+        # Nothing may be awaited between these two steps.
+        queued = _accept_queued(self._listener)
+        await self._site.stop()
+        await _serve_connections(self._runner, queued)
+        await asyncio.sleep(_PENDING_REQUEST_DELAY_S)
+
+
 @contextlib.asynccontextmanager
-async def serving(
+async def listening(
     app: web.Application, listen: Address, *, shutdown_timeout_s: float
-) -> AsyncIterator[int]:
-    """Serve an application during the block and yield the port.
-
-    At the end of the block the listening socket is closed, then running
-    requests may finish within ``shutdown_timeout_s`` seconds. A short delay
-    comes between the two: aiohttp takes connections that were just accepted
-    for idle and would close them before it reads their first request.
-    Connections that only the kernel has accepted would be reset when the
-    socket closes, so they are taken over first.
+) -> AsyncIterator[Listener]:
+    """Serve an application during the block.
+
+    At the end of the block, running requests may finish within
+    ``shutdown_timeout_s`` seconds; handlers that then ignore their
+    cancellation are given the same time once more.
     """
     runner = web.AppRunner(app, shutdown_timeout=shutdown_timeout_s)
     await runner.setup()
-    listener = socket.create_server(
+    listener_socket = socket.create_server(
         (listen.ip, listen.port), backlog=_BACKLOG_COUNT
     )
-    listener.setblocking(False)
-    site = web.SockSite(runner, listener, backlog=_BACKLOG_COUNT)
+    listener_socket.setblocking(False)
+    listener = Listener(runner, listener_socket)
     try:
-        await site.start()
-        port: int = listener.getsockname()[1]
-        yield port
-        # Nothing may be awaited between these two steps.
-        queued = _accept_queued(listener)
-        await site.stop()
-        await _serve_connections(runner, queued)
-        await asyncio.sleep(_PENDING_REQUEST_DELAY_S)
+        await listener.start()
+        yield listener
+        await listener.stop()
     finally:
         await runner.cleanup()
-        listener.close()
+        listener_socket.close()
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: web.Application, listen: Address, *, shutdown_timeout_s: float
+) -> AsyncIterator[int]:
+    """Serve an application as :func:`listening` does; yield the port."""
+    async with listening(
+        app, listen, shutdown_timeout_s=shutdown_timeout_s
+    ) as listener:
+        yield listener.port
 
 
 def _accept_queued(listener: socket.socket) -> list[socket.socket]:
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -112,6 +112,7 @@
         self.plain = SamplerApp('plain-0', faults=deque())
         self.session = session
         self._folder = folder
+        self.grace_s = 4
         # Replaces the address of the stand-in of the duty API.
         self.duty_address = ''
         # Store addresses of single processes, in place of the common one.
@@ -265,7 +266,7 @@
             'bounds': {
                 'leaseMs': 1500,
                 'reportWindowS': 1,
-                'graceS': 4,
+                'graceS': self.grace_s,
                 'coldOverage': 1.5,
             },
         }
--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,144 @@
+"""Stages of a planned stop, with processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.platform.platform_site import EVENT_COUNT
+from tests.platform.platform_site import HOST
+from tests.platform.platform_site import KEY
+from tests.platform.platform_site import MODEL
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from tests.platform.platform_site import Site
+    from tests.platform.platform_site import SpawnedNode
+
+LONG_DEADLINE_MS = 12_000
+SHORT_DEADLINE_MS = 400
+
+
+class KeptConnection:
+    """Client connection that is used for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(
+        self, path: str, request_id: str, deadline_ms: int
+    ) -> tuple[int, bool]:
+        """Return the status, and whether the whole response arrived."""
+        self._writer.write(
+            (
+                f'POST {path} HTTP/1.1\r\n'
+                f'Host: {HOST}\r\n'
+                f'Authorization: Bearer {KEY}\r\n'
+                f'X-Request-Id: {request_id}\r\n'
+                f'X-Deadline-Ms: {deadline_ms}\r\n'
+                f'X-Model: {MODEL}\r\n'
+                'Content-Length: 0\r\n\r\n'
+            ).encode()
+        )
+        status = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            head = await self._reader.readuntil(b'\r\n\r\n')
+            status = int(head.split(b' ', 2)[1])
+            await self._read_body(head.lower())
+            return status, True
+        return status, False
+
+    async def _read_body(self, head: bytes) -> None:
+        for line in head.split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                await self._reader.readexactly(int(line.split(b':')[1]))
+                return
+        size = -1
+        while size:
+            size = int(await self._reader.readuntil(b'\r\n'), 16)
+            await self._reader.readexactly(size + 2)
+
+
+@contextlib.asynccontextmanager
+async def kept_connection(node: SpawnedNode) -> AsyncIterator[KeptConnection]:
+    """Open a connection that has served a request already."""
+    host, port = node.front.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    connection = KeptConnection(reader, writer)
+    assert await connection.send('/safe/a', 'first', 3_000) == (200, True)
+    yield connection
+    writer.close()
+
+
+async def test_stopping_process_takes_no_request_that_it_would_cut(
+    site: Site,
+) -> None:
+    """Guards against late requests that are passed on and then cut.
+
+    Items keep the process alive, and the clients' connections have been open
+    since before the stop.
+    """
+    site.grace_s = 6
+    async with contextlib.AsyncExitStack() as stack:
+        node = await stack.enter_async_context(site.spawned('node-1'))
+        long_client, short_client = [
+            await stack.enter_async_context(kept_connection(node))
+            for _ in range(2)
+        ]
+        for engine in site.engines:
+            engine.event_gap_s = 5.0 / EVENT_COUNT
+        assert await site.submit(node, site.job(item_count=2), 'job-1') == 202
+        await asyncio.sleep(0.3)
+        node.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(3.5)
+        short = await short_client.send('/safe/a', 'short', SHORT_DEADLINE_MS)
+        late = await long_client.send('/stream/a', 'late', LONG_DEADLINE_MS)
+        async with asyncio.timeout(2.5):
+            assert await node.process.wait() == 0
+    assert short == (200, True)
+    assert late == (503, True)
+    assert sum(engine.runs['late'] for engine in site.engines) == 0
+
+
+async def test_stop_serves_what_it_took_before_the_notice(site: Site) -> None:
+    """Guards against a stop that ends while such a request still runs."""
+    site.grace_s = 8
+    for engine in site.engines:
+        engine.event_gap_s = 2.4 / EVENT_COUNT
+    async with (
+        site.spawned('node-1') as node,
+        kept_connection(node) as client,
+    ):
+        node.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.5)
+        answer = await client.send('/stream/a', 'long', LONG_DEADLINE_MS)
+        assert answer == (200, True)
+        async with asyncio.timeout(2.0):
+            assert await node.process.wait() == 0
+
+
+@pytest.mark.parametrize('item_count', [0, 2])
+async def test_stop_ends_in_time_while_the_store_is_away(
+    site: Site, item_count: int
+) -> None:
+    """Guards against a stop that waits for the store until it is killed."""
+    for engine in site.engines:
+        engine.event_gap_s = 5.0 / EVENT_COUNT
+    async with site.spawned('node-1') as node:
+        assert (await site.send(node, '/safe/a'))[0] == 200
+        if item_count:
+            job = site.job(item_count=item_count)
+            assert await site.submit(node, job, 'job-1') == 202
+            await asyncio.sleep(0.3)
+        site.store.is_down = True
+        node.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(site.grace_s):
+            assert await node.process.wait() == 0
