Limit the size of all response bodies that are read whole

Cause: engine reports were limited by their time only. The store, peers and the product's own services were read in the same way, and errors quoted up to 17 KB of an endpoint's malformed bytes to the caller and in the log.

Weights stay without a limit.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -11,6 +11,9 @@
 import msgspec
 import yarl
 
+from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import send_once
 from dogwoodpost.core import messages
 from dogwoodpost.core.attempts.response_usage import ENGINE_PATHS
@@ -104,7 +107,9 @@
                     f'no bytes of the body for {self._idle_timeout_s} s'
                 ) from None
             except _CALL_ERRORS as error:
-                raise EndpointError(f'body ended early: {error!r}') from error
+                raise EndpointError(
+                    f'body ended early: {call_failure(error)}'
+                ) from error
             if not data:
                 return
             for start in range(0, len(data), _MAX_CHUNK_BYTES):
@@ -225,7 +230,7 @@
                 f'no answer within {timeout_s:.3f} s'
             ) from None
         except _CALL_ERRORS as error:
-            raise EndpointError(f'no answer: {error!r}') from error
+            raise EndpointError(f'no answer: {call_failure(error)}') from error
 
     async def _call_control(
         self,
@@ -242,11 +247,11 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                body = await response.read()
+                body = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
         except TimeoutError:
             raise EndpointError(f'{path}: no answer') from None
         except _CALL_ERRORS as error:
-            raise EndpointError(f'{path}: {error!r}') from error
+            raise EndpointError(f'{path}: {call_failure(error)}') from error
         if response.status in _UNSUPPORTED_STATUSES:
             raise EndpointUnsupportedError(
                 f'{path}: not supported by the endpoint'
--- a/src/dogwoodpost/adapters/platform/guarded_http_client.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http_client.py
@@ -11,6 +11,9 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import PlatformError
@@ -89,7 +92,7 @@
             async with self._open_session().get(
                 self._base_url + path, params=query
             ) as response:
-                body = await response.read()
+                body = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformError(f'{path}: {error!r}') from error
         if response.status != 200:
@@ -121,7 +124,7 @@
                 # calling the guard.
                 allow_redirects=False,
             ) as response:
-                await response.read()
+                await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
             self._check_status(path, response.status)
 
     def _check_status(self, path: str, status: int) -> None:
@@ -171,8 +174,12 @@
         if body.guard_error is not None:
             raise body.guard_error from None
         if body.was_sent:
-            raise PlatformOutcomeUnknownError(f'{path}: {error!r}') from error
-        raise PlatformError(f'{path}: not sent: {error!r}') from error
+            raise PlatformOutcomeUnknownError(
+                f'{path}: {call_failure(error)}'
+            ) from error
+        raise PlatformError(
+            f'{path}: not sent: {call_failure(error)}'
+        ) from error
 
 
 def create_reset_on_close_socket(address: Any) -> socket.socket:
--- a/src/dogwoodpost/adapters/platform/host_list.py
+++ b/src/dogwoodpost/adapters/platform/host_list.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.platform import wire
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.errors import MalformedDataError
@@ -30,7 +32,7 @@
         try:
             async with self._session.get(f'{self._url}/hosts') as response:
                 response.raise_for_status()
-                body = await response.read()
+                body = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
             return decode_json(body, wire.HostsResponse).hosts
         except (
             aiohttp.ClientError,
--- a/src/dogwoodpost/adapters/platform/scorer.py
+++ b/src/dogwoodpost/adapters/platform/scorer.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
@@ -60,7 +62,7 @@
                 headers=self._headers,
                 timeout=self._timeout,
             ) as response:
-                data = await response.read()
+                data = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             message = f'the scorer did not answer: {error!r}'
             raise PlatformError(message) from None
--- a/src/dogwoodpost/adapters/platform/table_store.py
+++ b/src/dogwoodpost/adapters/platform/table_store.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.platform import wire
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.errors import MalformedDataError
@@ -129,7 +131,9 @@
             data=msgspec.json.encode(request),
             headers={'Content-Type': 'application/json'},
         ) as response:
-            return response.status, await response.read()
+            return response.status, await read_body(
+                response, max_bytes=MAX_DOCUMENT_BYTES
+            )
 
     def _count_call(self, operation: str, result: str) -> None:
         if self._metrics is not None:
--- a/src/dogwoodpost/core/decoding.py
+++ b/src/dogwoodpost/core/decoding.py
@@ -80,8 +80,11 @@
 
     :raises MalformedDataError: the text is no integer, or it is too large.
     """
-    with _translate_decode_errors():
+    try:
         value = int(text)
+    except ValueError:
+        # The error of int() quotes the whole text.
+        raise MalformedDataError('the text is no integer') from None
     if abs(value) > MAX_INTEGER:
         raise MalformedDataError(
             f'an integer of {len(text)} characters is out of range'
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,8 @@
 import msgspec
 import yarl
 
+from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import MAY_REPEAT
 from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
 from dogwoodpost.core import ids
@@ -50,6 +53,8 @@
 _CONNECT_TIMEOUT_S = 0.5
 _REPORT_TIMEOUT_S = 0.7
 _REPORT_PATH = '/api/report'
+# Reports of engines with many models have some KB.
+_MAX_REPORT_BYTES = 1024 * 1024
 _ORDER_PATH = '/api/order'
 _MS_PER_S = 1_000
 _STATUS_OK = 200
@@ -129,7 +134,7 @@
                 yield data
         except _CALL_ERRORS as error:
             raise EndpointError(
-                f'response body ended early: {error!r}'
+                f'response body ended early: {call_failure(error)}'
             ) from error
         self._check_not_reset()
 
@@ -153,7 +158,9 @@
             return
         error = self._body_connection.exception()
         if isinstance(error, OSError):
-            raise EndpointError(f'response body ended early: {error!r}')
+            raise EndpointError(
+                f'response body ended early: {call_failure(error)}'
+            )
 
 
 class HttpEndpointGateway(EndpointGateway):
@@ -277,7 +284,8 @@
                 )
         except NOT_CONNECTED_ERRORS as error:
             raise EndpointNotRunError(
-                NotRunReason.UNREACHABLE, f'endpoint is unreachable: {error!r}'
+                NotRunReason.UNREACHABLE,
+                f'endpoint is unreachable: {call_failure(error)}',
             ) from error
         except TimeoutError as error:
             raise EndpointSilentError(
@@ -285,7 +293,7 @@
             ) from error
         except _CALL_ERRORS as error:
             raise EndpointError(
-                f'call failed without a response: {error!r}'
+                f'call failed without a response: {call_failure(error)}'
             ) from error
 
     def _session_for(
@@ -318,11 +326,14 @@
                 ),
             ) as response:
                 self._leave_notices.handle_response(endpoint, response)
-                return response.status, await response.read()
+                data = await read_body(response, max_bytes=_MAX_REPORT_BYTES)
+                return response.status, data
         except TimeoutError as error:
             raise EndpointError('no engine report in time') from error
         except _CALL_ERRORS as error:
-            raise EndpointError(f'no engine report: {error!r}') from error
+            raise EndpointError(
+                f'no engine report: {call_failure(error)}'
+            ) from error
 
 
 def _url(endpoint: Endpoint, path: str) -> yarl.URL:
@@ -402,9 +413,10 @@
 
 def _retry_after_s(value: str | None) -> float | None:
     try:
-        return float(value) if value is not None else None
+        delay_s = float(value) if value is not None else math.nan
     except ValueError:
         return None
+    return delay_s if 0.0 <= delay_s < math.inf else None
 
 
 def _weight_version(
--- a/src/dogwoodpost/platform/store_connection.py
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -12,6 +12,8 @@
 import structlog
 import yarl
 
+from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import MAY_REPEAT
 from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
 from dogwoodpost.core.allowed_regions import AllowedRegions
@@ -32,6 +34,8 @@
 _log = structlog.get_logger(__name__)
 CALL_TIMEOUT_S = 0.8
 _CONNECT_TIMEOUT_S = 0.5
+# Objects have up to 8 MiB, pages of rows 1 MB.
+MAX_RESPONSE_BYTES = 12 * 1024 * 1024
 _STATUS_OK = 200
 _STATUS_GONE = 410
 _STATUS_TOO_MANY = 429
@@ -184,7 +188,9 @@
                         total=call.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                     ),
                 ) as response:
-                    data = await response.read()
+                    data = await read_body(
+                        response, max_bytes=MAX_RESPONSE_BYTES
+                    )
         except StoreUnavailableError:
             self._count(operation, 'unreachable')
             raise
@@ -248,9 +254,13 @@
     try:
         yield
     except NOT_CONNECTED_ERRORS as error:
-        raise StoreUnavailableError(f'{name}: {error!r}') from error
+        raise StoreUnavailableError(
+            f'{name}: {call_failure(error)}'
+        ) from error
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        raise StoreOutcomeUnknownError(f'{name}: {error!r}') from error
+        raise StoreOutcomeUnknownError(
+            f'{name}: {call_failure(error)}'
+        ) from error
 
 
 def _now_s() -> float:
--- a/src/dogwoodpost/platform/store_relay.py
+++ b/src/dogwoodpost/platform/store_relay.py
@@ -10,10 +10,12 @@
 import yarl
 from aiohttp import web
 
+from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import MAY_REPEAT
 from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.errors import StoreOutcomeUnknownError
 from dogwoodpost.errors import StoreUnavailableError
+from dogwoodpost.platform.store_connection import MAX_RESPONSE_BYTES
 from dogwoodpost.platform.store_connection import StoreCall
 from dogwoodpost.platform.store_connection import translate_call_errors
 
@@ -115,7 +117,7 @@
                     sock_connect=_CONNECT_TIMEOUT_S,
                 ),
             ) as response:
-                data = await response.read()
+                data = await read_body(response, max_bytes=MAX_RESPONSE_BYTES)
         if response.status == _STATUS_UNAVAILABLE:
             raise StoreUnavailableError(
                 f'{call.name}: a peer has not performed the call'
--- a/tests/platform/test_endpoint_troubles.py
+++ b/tests/platform/test_endpoint_troubles.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+import structlog.testing
 from multidict import CIMultiDict
 
 from tests.platform.platform_site import EVENT_COUNT
@@ -25,6 +26,8 @@
 MIB = 1024 * 1024
 # Limit on the whole memory of one process at the target size.
 MEMORY_LIMIT_BYTES = 128 * MIB
+# A process has 45 MiB without load; a report may use one MiB.
+REPORT_MEMORY_BYTES = 80 * 1024 * 1024
 
 
 @pytest.mark.parametrize('names_request', [True, False])
@@ -146,6 +149,11 @@
     await response.write_endlessly(CHUNK)
 
 
+async def _endless_unframed(_: RawRequest, response: RawResponse) -> None:
+    await response.write_head()
+    await response.write_endlessly(CHUNK)
+
+
 @pytest.mark.parametrize(
     'answer',
     [
@@ -184,6 +192,43 @@
         assert _peak_memory_bytes(node.process.pid) < MEMORY_LIMIT_BYTES
 
 
+@pytest.mark.parametrize(
+    'answer', [_endless_body, _endless_chunks, _endless_unframed]
+)
+async def test_endless_engine_report_uses_bounded_memory(
+    site: Site, answer: Callable[[RawRequest, RawResponse], Awaitable[None]]
+) -> None:
+    """Guards against a report that fills a process's memory.
+
+    Several engines send one, and the process asks for them all the time.
+    """
+    async with raw_endpoint(answer) as endpoint, site.spawned('node') as node:
+        for engine in site.engines:
+            site.move(engine, 'engines', endpoint.address)
+        site.name_version(2)
+        await asyncio.sleep(4.0)
+        assert endpoint.request_count > 2
+        assert _peak_memory_bytes(node.process.pid) < REPORT_MEMORY_BYTES
+        assert (await site.send(node, '/safe/a'))[0] == 200
+
+
+async def test_error_does_not_quote_what_an_endpoint_sent(site: Site) -> None:
+    """Guards against errors that pass an endpoint's bytes on to a caller."""
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write(b'secret ' * 2_000 + b'\r\n\r\n')
+
+    async with raw_endpoint(answer) as endpoint, site.node('node') as node:
+        site.move(site.plain, 'plain', endpoint.address)
+        await asyncio.sleep(0.5)
+        with structlog.testing.capture_logs() as logs:
+            status, _, body = await site.send(node, '/unsafe/a')
+    assert status == 502
+    assert b'secret' not in body
+    assert len(body) < 1_000
+    assert 'secret' not in str(logs)
+
+
 async def _status_of(site: Site, node: object, path: str) -> int:
     """Return the status of a call, 0 if its connection fails."""
     try:
