Wait at the start for what is not there yet

Reproduced as causes: a port in use ended the process at each start until it was free; half of a settings file, a table of the settings without a value, or memory as a fraction ended it with code 2; log calls raised for text that is not Unicode. Not proved to be what the users saw. Ruled out by runs: the store late or odd at the start, unread or closed output, malformed bodies of peers. Not mended: SIGHUP before the first line runs.

Change: the process tries to bind its addresses until they are available, and is not ready before; it reads the settings again for a second, and empty fields have their defaults. A log line that can't be encoded is written in another form, messages of libraries go to the same buffer, closed standard descriptors are opened. A start that fails is logged.

--- a/src/dogwoodpost/observability/log_buffer.py
+++ b/src/dogwoodpost/observability/log_buffer.py
@@ -4,6 +4,7 @@
 
 import os
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -30,7 +31,9 @@
         on_drop: Callable[[], object],
         max_bytes: int = _MAX_BUFFER_BYTES,
     ) -> None:
-        os.set_blocking(descriptor, False)
+        with suppress(OSError):
+            # A closed descriptor drops all lines.
+            os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._on_drop = on_drop
         self._max_bytes = max_bytes
@@ -40,7 +43,7 @@
 
     def msg(self, message: str) -> None:
         """Buffer a line; part of the interface of structlog loggers."""
-        line = message.encode() + b'\n'
+        line = message.encode(errors='backslashreplace') + b'\n'
         if self._size_bytes + len(line) > self._max_bytes:
             self.dropped_count += 1
             self._on_drop()
--- a/src/dogwoodpost/observability/logs.py
+++ b/src/dogwoodpost/observability/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 from typing import TYPE_CHECKING
@@ -13,6 +14,8 @@
     from dogwoodpost.config.settings import LogSettings
     from dogwoodpost.observability.log_buffer import LogBuffer
 
+_log = structlog.get_logger(__name__)
+
 
 def configure_buffered_logs(
     buffer: LogBuffer, *, process_id: str, incarnation: str
@@ -33,11 +36,37 @@
     structlog.contextvars.bind_contextvars(
         process_id=process_id, incarnation=incarnation
     )
-    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+    handler = _StructuredHandler(logging.WARNING)
+    logging.basicConfig(level=logging.WARNING, handlers=[handler], force=True)
+
+
+class _StructuredHandler(logging.Handler):
+    """Passes messages of libraries on as structured log lines.
+
+    Standard error may be a pipe that nobody reads, which would block.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a message; part of the interface of handlers."""
+        try:
+            _log.log(
+                record.levelno,
+                'library_message',
+                logger=record.name,
+                message=record.getMessage(),
+                exc_info=record.exc_info,
+            )
+        except Exception:  # noqa: BLE001
+            self.handleError(record)
 
 
 def _serialize(event: object, **_options: object) -> str:
-    return msgspec.json.encode(event, enc_hook=str).decode()
+    try:
+        return msgspec.json.encode(event, enc_hook=str).decode()
+    except (ValueError, OverflowError, TypeError, RecursionError):
+        # Text of other parties may not be valid Unicode, and integers may be
+        # too large. A line that can't be written must not end its caller.
+        return json.dumps({'event': 'unencodable_line', 'line': ascii(event)})
 
 
 def configure_logs(settings: LogSettings, *, process_id: str = '') -> None:
--- a/src/dogwoodpost/platform/__main__.py
+++ b/src/dogwoodpost/platform/__main__.py
@@ -9,11 +9,26 @@
 _CERTIFICATE_FILE_VARIABLE = 'SSL_CERT_FILE'
 
 
+def _open_standard_descriptors() -> None:
+    """Open closed standard descriptors on the null device.
+
+    Otherwise the first socket would get the number of the closed one, and log
+    lines would be written into its connection.
+    """
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free number is this one.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def run() -> int:
     """Run the process; return its exit code."""
     # SIGHUP by default ends the process, and its handler is only installed
     # after all modules have been imported.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _open_standard_descriptors()
     # No call uses TLS, but aiohttp loads all certificate authorities of the
     # host when it is imported, which takes 0.1 s of CPU time.
     os.environ[_CERTIFICATE_FILE_VARIABLE] = os.devnull
--- a/src/dogwoodpost/platform/launch.py
+++ b/src/dogwoodpost/platform/launch.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import sys
+import time
 import uuid
 from typing import TYPE_CHECKING
 
+import structlog
+
 from dogwoodpost.core import ids
 from dogwoodpost.core.membership import ProcessIdentity
 from dogwoodpost.errors import SettingsError
@@ -20,20 +23,39 @@
 if TYPE_CHECKING:
     from dogwoodpost.platform.settings import ProcessSettings
 
+_log = structlog.get_logger(__name__)
+_FAILED_EXIT_CODE = 1
 _INVALID_SETTINGS_EXIT_CODE = 2
+# The platform writes the file at each start and whenever settings change.
+_SETTINGS_RETRY_COUNT = 10
+_SETTINGS_RETRY_S = 0.1
 _STDOUT_FD = 1
 
 
 def main() -> int:
     """Run the process until it is stopped; return its exit code."""
     try:
-        settings = load_settings(settings_path())
+        settings = _load_settings_patiently()
     except SettingsError as error:
         print(error, file=sys.stderr)  # noqa: T201
         return _INVALID_SETTINGS_EXIT_CODE
     return asyncio.run(_run(settings))
 
 
+def _load_settings_patiently() -> ProcessSettings:
+    """Read the settings, again if the file is just being written.
+
+    :raises SettingsError: the file can't be read or is not valid for longer.
+    """
+    path = settings_path()
+    for _ in range(_SETTINGS_RETRY_COUNT):
+        try:
+            return load_settings(path)
+        except SettingsError:
+            time.sleep(_SETTINGS_RETRY_S)
+    return load_settings(path)
+
+
 async def _run(settings: ProcessSettings) -> int:
     metrics = Metrics()
     dropped_lines = metrics.events.labels('log_line_dropped')
@@ -51,5 +73,8 @@
     process = PlatformProcess(settings, identity, metrics, log_buffer)
     try:
         return await process.run()
+    except Exception:
+        _log.exception('process_failed')
+        return _FAILED_EXIT_CODE
     finally:
         log_buffer.flush()
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -91,6 +91,8 @@
 _SETTINGS_CHECK_INTERVAL_S = 1.0
 # Share of the process's memory that request bodies may use.
 _BODY_MEMORY_SHARE = 0.2
+# An end of the process would only delay its start further.
+_BIND_RETRY_S = 0.2
 # Requests have ended, or are out of time, when an address is closed.
 _SHUTDOWN_TIMEOUT_S = 0.1
 # Clients that a stop refuses may turn to another process at once.
@@ -329,7 +331,11 @@
         has_started = (
             self._configuration.is_loaded and self._presence.has_started
         )
-        return has_started and not self._is_leaving
+        listens = (
+            self._front_listener is not None
+            or 'front' not in self._settings.listen
+        )
+        return has_started and listens and not self._is_leaving
 
     def _compose_batches(
         self,
@@ -426,6 +432,7 @@
                         health,
                         ListenAddress(address),
                         shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
+                        bind_retry_s=_BIND_RETRY_S,
                     )
                 )
         if self._settings.peer_address:
@@ -434,6 +441,7 @@
                     relay_app(self._store),
                     ListenAddress(self._settings.peer_address),
                     shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
+                    bind_retry_s=_BIND_RETRY_S,
                 )
             )
         if 'front' in listen:
@@ -442,6 +450,7 @@
                     self._ingress.app(),
                     ListenAddress(listen['front']),
                     shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
+                    bind_retry_s=_BIND_RETRY_S,
                 )
             )
 
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -4,13 +4,16 @@
 
 import os
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
+from dogwoodpost.core.decoding import convert_value
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.findings import Finding
 from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import SettingsError
+from dogwoodpost.platform.listen_address import ListenAddress
 
 PATH_VARIABLE = 'DOGWOODPOST_BOOT'
 
@@ -30,7 +33,7 @@
         platform's reference core.
     """
 
-    memory_mb: int = 128
+    memory_mb: float = 128.0
     cpu_share: float = 1.0
     cores: float = 1.0
 
@@ -137,12 +140,29 @@
 def load_settings(path: Path) -> ProcessSettings:
     """Read the settings of a process from a file.
 
+    Fields without a value count as missing.
+
     :raises SettingsError: the file can't be read or is not valid.
     """
     try:
-        return decode_json(path.read_bytes(), ProcessSettings)
+        document = decode_json(path.read_bytes(), dict[str, Any])
+        settings = convert_value(_without_empty(document), ProcessSettings)
+        for address in settings.listen.values():
+            ListenAddress(address)
+        return settings
+    except ValueError:
+        finding = Finding(str(path), 'a malformed address', 'host:port')
     except OSError as error:
         finding = Finding(str(path), str(error), 'a readable file')
     except MalformedDataError as error:
         finding = Finding(str(path), str(error), 'settings of a process')
     raise SettingsError([finding]) from None
+
+
+def _without_empty(document: dict[str, Any]) -> dict[str, Any]:
+    """Return a table without the fields that have no value."""
+    return {
+        name: _without_empty(value) if isinstance(value, dict) else value
+        for name, value in document.items()
+        if value is not None
+    }
--- a/src/dogwoodpost/services/http_server.py
+++ b/src/dogwoodpost/services/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -16,6 +17,8 @@
 
 _log = structlog.get_logger(__name__)
 _BACKLOG_COUNT = 128
+# Another process has the address, or the host does not have it yet.
+_UNAVAILABLE_ERRORS = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL})
 # Time for the first requests on connections accepted just before the stop.
 _PENDING_REQUEST_DELAY_S = 0.1
 
@@ -76,20 +79,28 @@
 
 @contextlib.asynccontextmanager
 async def listening(
-    app: web.Application, listen: Address, *, shutdown_timeout_s: float
+    app: web.Application,
+    listen: Address,
+    *,
+    shutdown_timeout_s: float,
+    bind_retry_s: float | None = None,
 ) -> AsyncIterator[Listener]:
     """Serve an application during the block.
 
     At the end of the block, running requests may finish within
     ``shutdown_timeout_s`` seconds; handlers that then ignore their
     cancellation are given the same time once more.
+
+    :param bind_retry_s: pause between two tries to bind the address while it
+        is not available; None to fail at the first one.
     """
     runner = web.AppRunner(app, shutdown_timeout=shutdown_timeout_s)
     await runner.setup()
-    listener_socket = socket.create_server(
-        (listen.ip, listen.port), backlog=_BACKLOG_COUNT
-    )
-    listener_socket.setblocking(False)
+    try:
+        listener_socket = await _bound_socket(listen, bind_retry_s)
+    except BaseException:
+        await runner.cleanup()
+        raise
     listener = Listener(runner, listener_socket)
     try:
         await listener.start()
@@ -102,15 +113,55 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    app: web.Application, listen: Address, *, shutdown_timeout_s: float
+    app: web.Application,
+    listen: Address,
+    *,
+    shutdown_timeout_s: float,
+    bind_retry_s: float | None = None,
 ) -> AsyncIterator[int]:
     """Serve an application as :func:`listening` does; yield the port."""
     async with listening(
-        app, listen, shutdown_timeout_s=shutdown_timeout_s
+        app,
+        listen,
+        shutdown_timeout_s=shutdown_timeout_s,
+        bind_retry_s=bind_retry_s,
     ) as listener:
         yield listener.port
 
 
+async def _bound_socket(
+    listen: Address, retry_s: float | None
+) -> socket.socket:
+    """Return a listening socket, once the address is available.
+
+    :param retry_s: pause between two tries; None to fail at the first one.
+    :raises OSError: the address can't be bound.
+    """
+    is_delayed = False
+    while True:
+        try:
+            created = socket.create_server(
+                (listen.ip, listen.port), backlog=_BACKLOG_COUNT
+            )
+        except OSError as error:
+            if retry_s is None or error.errno not in _UNAVAILABLE_ERRORS:
+                raise
+            if not is_delayed:
+                is_delayed = True
+                _log.warning(
+                    'address_not_available',
+                    address=f'{listen.ip}:{listen.port}',
+                    error=str(error),
+                )
+            await asyncio.sleep(retry_s)
+        else:
+            break
+    if is_delayed:
+        _log.info('address_bound', address=f'{listen.ip}:{listen.port}')
+    created.setblocking(False)
+    return created
+
+
 def _accept_queued(listener: socket.socket) -> list[socket.socket]:
     """Accept the connections that wait in the kernel's queue."""
     accepted: list[socket.socket] = []
