Pass a request's path and query on unchanged

Cause: the URL of the call was parsed from text, and a parsed URL has no empty query and sends no fragment. Forwarded jobs had the same. Ruled out: the ingress, whose raw path is complete.

Change: unchanged_url builds the URL with the whole target as its path.

--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -9,7 +9,6 @@
 
 import aiohttp
 import msgspec
-import yarl
 
 from dogwoodpost.adapters.http.response_body import call_failure
 from dogwoodpost.adapters.http.response_body import read_body
@@ -30,6 +29,7 @@
 from dogwoodpost.platform.event_stream import EventDecoder
 from dogwoodpost.platform.guarded_calls import guarded_post
 from dogwoodpost.platform.sent_ids import SentIds
+from dogwoodpost.platform.sessions import unchanged_url
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
 from dogwoodpost.ports.endpoint_gateway import EndpointReply
@@ -42,6 +42,7 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
+    import yarl
     from aiohttp.client_proto import ResponseHandler
 
     from dogwoodpost.core.batches import StreamEvent
@@ -337,7 +338,7 @@
 
 
 def _url(endpoint: Endpoint, path: str) -> yarl.URL:
-    return yarl.URL(f'http://{endpoint.address}{path}', encoded=True)
+    return unchanged_url(endpoint.address, path)
 
 
 def _request_headers(
--- a/src/dogwoodpost/platform/job_forwarding.py
+++ b/src/dogwoodpost/platform/job_forwarding.py
@@ -6,15 +6,16 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import yarl
 
 from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
 from dogwoodpost.core.http_headers import end_to_end_headers
+from dogwoodpost.platform.sessions import unchanged_url
 from dogwoodpost.ports.job_forwarding import ForwardOutcome
 from dogwoodpost.ports.job_forwarding import JobForwardingClient
 from dogwoodpost.ports.job_forwarding import JobSubmission
 
 if TYPE_CHECKING:
+    import yarl
     from aiohttp import web
 
 # Header of a forwarded job; the receiving process does not forward it again.
@@ -60,7 +61,7 @@
         self, address: str, submission: JobSubmission
     ) -> ForwardOutcome:
         """Submit a batch job to another process."""
-        url = yarl.URL(f'http://{address}{submission.path}', encoded=True)
+        url = unchanged_url(address, submission.path)
         try:
             async with asyncio.timeout(_TIMEOUT_S):
                 status = await self._post(url, submission)
--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import yarl
 
 from dogwoodpost.adapters.http.send_once import send_once
 from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
@@ -107,6 +108,18 @@
         yield session
 
 
+def unchanged_url(address: str, target: str) -> yarl.URL:
+    """Return a URL whose requests have exactly a target.
+
+    A parsed URL would lose an empty query, and whatever follows a hash sign.
+
+    :param target: path and query of the request line.
+    """
+    return yarl.URL.build(
+        scheme='http', authority=address, path=target, encoded=True
+    )
+
+
 def _session(
     connector: aiohttp.TCPConnector, counts: ConnectionCounts, *, reuse: bool
 ) -> aiohttp.ClientSession:
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -15,6 +15,7 @@
 from dogwoodpost.standins.site.sampler_app import SamplerFault
 from tests.platform.platform_site import ACCOUNT
 from tests.platform.platform_site import EVENT_COUNT
+from tests.platform.platform_site import HOST
 from tests.platform.platform_site import KEY
 from tests.platform.platform_site import MODEL
 
@@ -47,6 +48,30 @@
     assert KEY not in str(seen.headers)
 
 
+@pytest.mark.parametrize(
+    'target',
+    ['/safe/a?', '/safe/a??', '/safe/a#b', '/safe/a?x=1#y', '/safe//a?%2F&'],
+)
+async def test_path_and_query_reach_the_endpoint_unchanged(
+    site: Site, target: str
+) -> None:
+    """Guards against a query that is dropped or changed on the way."""
+    async with site.node('node-1') as node:
+        host, port = node.front.removeprefix('http://').split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            (
+                f'POST {target} HTTP/1.1\r\nHost: {HOST}\r\n'
+                f'Authorization: Bearer {KEY}\r\nX-Request-Id: r\r\n'
+                'X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n'
+            ).encode()
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+    assert head.startswith(b'HTTP/1.1 200')
+    assert [seen.path for seen in site.plain.requests] == [target]
+
+
 @pytest.mark.parametrize(
     ('path', 'key', 'status'),
     [
