Translate unreadable rows in one place

Both decoders of rows translated the same error in the same lines, and the archive of texts still expected an error that rows no longer raise. Behaviour is unchanged.

--- a/src/dogwoodpost/core/decoding.py
+++ b/src/dogwoodpost/core/decoding.py
@@ -92,15 +92,25 @@
     return value
 
 
+@contextmanager
+def _as_row_errors() -> Iterator[None]:
+    """Translate unreadable bytes of a row into a failure of the store.
+
+    :raises MalformedRowError: the bytes are not the expected value.
+    """
+    try:
+        yield
+    except MalformedDataError as error:
+        raise MalformedRowError(str(error)) from error
+
+
 def decode_json_row(value: bytes, value_type: type[_T]) -> _T:
     """Return the JSON value of a row that a process of the system wrote.
 
     :raises MalformedRowError: the row is not JSON of this type.
     """
-    try:
+    with _as_row_errors():
         return decode_json(value, value_type)
-    except MalformedDataError as error:
-        raise MalformedRowError(str(error)) from error
 
 
 def decode_msgpack_row(value: bytes, value_type: type[_T]) -> _T:
@@ -108,7 +118,5 @@
 
     :raises MalformedRowError: the row is not MessagePack of this type.
     """
-    try:
+    with _as_row_errors():
         return decode_msgpack(value, value_type)
-    except MalformedDataError as error:
-        raise MalformedRowError(str(error)) from error
--- a/src/dogwoodpost/services/batches/text_archive.py
+++ b/src/dogwoodpost/services/batches/text_archive.py
@@ -8,7 +8,6 @@
 import structlog
 
 from dogwoodpost.core.batches import ItemProgress
-from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.services.batches import job_rows
@@ -46,7 +45,7 @@
             async with asyncio.timeout(_LOAD_TIMEOUT_S):
                 rows = await self._read(group_id)
             values = list(job_rows.joined_values(rows, ItemProgress))
-        except (TimeoutError, StoreError, MalformedDataError) as error:
+        except (TimeoutError, StoreError) as error:
             _log.info(
                 'group_text_not_read', group_id=group_id, error=repr(error)
             )
