--- a/src/dogwoodpost/platform/duty_calls.py
+++ b/src/dogwoodpost/platform/duty_calls.py
@@ -6,11 +6,11 @@
 
 import yarl
 
-from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import PlatformRateLimitError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.guarded_calls import guarded_post
+from dogwoodpost.platform.guarded_calls import same_lease
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,14 +62,12 @@
             may have taken effect.
         """
         number = self._fencing_number()
+        check_number = same_lease(self._fencing_number, number)
 
         def check_lease() -> None:
             if before_send is not None:
                 before_send()
-            if self._fencing_number() != number:
-                raise LeaseLostError(
-                    f'{path}: fencing number {number} is no longer valid'
-                )
+            check_number()
 
         async with guarded_post(
             self._session,
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -21,13 +21,13 @@
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointSilentError
-from dogwoodpost.errors import LeaseLostError
 from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.connection_counts import EndpointTraceContext
 from dogwoodpost.platform.event_stream import EventDecoder
 from dogwoodpost.platform.guarded_calls import guarded_post
+from dogwoodpost.platform.guarded_calls import same_lease
 from dogwoodpost.platform.sent_ids import SentIds
 from dogwoodpost.platform.sessions import unchanged_url
 from dogwoodpost.ports.endpoint_gateway import EndpointGateway
@@ -229,13 +229,6 @@
     ) -> OrderOutcome:
         """Order an engine to load a weight version of a model."""
         number = before_send()
-
-        def check_lease() -> None:
-            if before_send() != number:
-                raise LeaseLostError(
-                    f'fencing number {number} is no longer valid'
-                )
-
         wire = _WireOrder(
             operation='version',
             model=order.model,
@@ -253,7 +246,7 @@
                 headers={
                     header_names.EXPECTED_ENDPOINT: str(endpoint.endpoint_id)
                 },
-                before_send=check_lease,
+                before_send=same_lease(before_send, number),
                 trace_request_ctx=EndpointTraceContext(endpoint.address),
             ) as response:
                 self._leave_notices.handle_response(endpoint, response)
--- a/src/dogwoodpost/platform/guarded_calls.py
+++ b/src/dogwoodpost/platform/guarded_calls.py
@@ -16,6 +16,7 @@
 from dogwoodpost.adapters.platform.guarded_http_client import (
     translate_guarded_errors,
 )
+from dogwoodpost.errors import LeaseLostError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -24,6 +25,8 @@
 
     import yarl
 
+    from dogwoodpost.core import ids
+
 # Longest time from the check of the lease until the call has ended.
 GUARDED_CALL_TIMEOUT_S = 0.7
 _CONNECT_TIMEOUT_S = 0.5
@@ -42,6 +45,24 @@
     return created
 
 
+def same_lease(
+    fencing_number: Callable[[], ids.FencingNumber],
+    number: ids.FencingNumber,
+) -> Callable[[], None]:
+    """Return a check that a lease still has its fencing number.
+
+    :param fencing_number: returns the current number; raises
+        ``LeaseLostError`` if the lease is not held.
+    :param number: the number that the call states.
+    """
+
+    def check() -> None:
+        if fencing_number() != number:
+            raise LeaseLostError(f'fencing number {number} is no longer valid')
+
+    return check
+
+
 @asynccontextmanager
 async def guarded_post(
     session: aiohttp.ClientSession,
