Reset connections of HTTP/1.0 clients whose response breaks off

Callers of HTTP/1.0 saw: a response that broke off after its head ended with an ordinary close, which is also how a whole body without a length ends, so any part looked whole. A response with a length lost it on the way.

Cause: HTTP/1.0 has no chunks, and RequestHandler closed the connection whether or not the body was complete.

Ruled out: clients of HTTP/1.1 get chunks or a length; they saw the missing end, also when they read late. Buffered requests become a 502.

Change: while a response without a length goes to a client of HTTP/1.0, its socket is set to end with a reset; this is undone once the whole response has been handed to the kernel. So each way in which the response can end early resets it, a killed process included. The linger option now stands in adapters/reset_on_close.py for both of its users.

Measured: 9 of 32 cases of tests/platform/test_broken_responses.py fail on (broken streams of HTTP/1.0 clients and the lost length), all 32 pass here; that with the killed process needs the new code in a process of its own and was not run on the old one.

--- a/src/dogwoodpost/adapters/platform/guarded_http_client.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from contextlib import asynccontextmanager
 from typing import Any
 from typing import TYPE_CHECKING
@@ -14,6 +13,7 @@
 from dogwoodpost.adapters.http.response_body import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
+from dogwoodpost.adapters.reset_on_close import set_reset_on_close
 from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import PlatformError
@@ -23,9 +23,6 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
-# struct linger: enabled with a time-out of 0 s, so close() sends a reset.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
 
 class GuardedBody:
     """Request body that calls a guard directly before it is sent.
@@ -186,6 +183,6 @@
     """Return a socket that discards unsent bytes when it is closed."""
     family, kind, protocol, _, _ = address
     created = socket.socket(family, kind, protocol)
-    created.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    set_reset_on_close(created, enabled=True)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return created
--- a/src/dogwoodpost/services/entry/http/request_handler.py
+++ b/src/dogwoodpost/services/entry/http/request_handler.py
@@ -17,6 +17,7 @@
 from dogwoodpost.services.entry.http.error_body import error_event
 from dogwoodpost.services.entry.http.header_filter import response_headers
 from dogwoodpost.services.entry.http.request_reader import REQUEST_ID_HEADER
+from dogwoodpost.services.entry.http.response_end import reset_unless_ended
 from dogwoodpost.services.entry.http.used_request_ids import UsedRequestIds
 from dogwoodpost.services.entry.refusals import count_refusal
 
@@ -156,11 +157,12 @@
         active: ActiveRequest,
     ) -> None:
         try:
-            with active.cancellation_as_error():
-                async for event in events:
-                    if isinstance(event, AttemptData):
-                        await _write(request, response, event.data)
-                active.phase = RequestPhase.FINISHED
+            async with reset_unless_ended(request, response, _WRITE_TIMEOUT_S):
+                with active.cancellation_as_error():
+                    async for event in events:
+                        if isinstance(event, AttemptData):
+                            await _write(request, response, event.data)
+                    active.phase = RequestPhase.FINISHED
         except RequestError as error:
             count_refusal(self._pipeline.metrics, error)
             await self._fail_response(request, response, error)
--- /dev/null
+++ b/tests/platform/test_broken_responses.py
@@ -0,0 +1,149 @@
+"""Responses that break off never look whole to a client."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.platform.platform_site import EVENT_COUNT
+from tests.platform.raw_client import raw_call
+from tests.platform.raw_endpoint import raw_endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.platform.platform_site import Site
+    from tests.platform.raw_endpoint import RawRequest
+    from tests.platform.raw_endpoint import RawResponse
+
+    Answer = Callable[[RawRequest, RawResponse], Awaitable[None]]
+
+STREAM_FIELDS = ('Content-Type: text/event-stream', 'X-Weight-Versions: 1')
+PLAIN_FIELDS = ('Content-Type: text/plain',)
+CHUNKED = 'Transfer-Encoding: chunked'
+BIG_BYTES = 4 * 1024 * 1024
+
+
+def chunk(data: bytes) -> bytes:
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+
+
+def event(number: int) -> bytes:
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+def broken(fields: tuple[str, ...], body: bytes, *, resets: bool) -> Answer:
+    """Return an endpoint's response that breaks off after a part."""
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_head(*fields)
+        await response.write(body)
+        await asyncio.sleep(0.05)
+        if resets:
+            response.reset()
+        else:
+            response.close()
+
+    return answer
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('path', ['/unsafe/a', '/stream/a', '/resumable/a'])
+@pytest.mark.parametrize('resets', [False, True])
+@pytest.mark.parametrize('read_delay_s', [0.0, 0.6])
+async def test_response_that_breaks_off_does_not_look_whole(
+    site: Site, version: str, path: str, resets: bool, read_delay_s: float
+) -> None:
+    """Guards against parts of a response that a client takes for all of it.
+
+    A client of HTTP/1.0 saw an ordinary close, which ends a body without a
+    length.
+    """
+    fields = PLAIN_FIELDS if 'unsafe' in path else STREAM_FIELDS
+    parts = [b'', chunk(event(0)), chunk(event(0)) + b'8\r\nid']
+    endpoints = [site.plain] if 'unsafe' in path else site.engines
+    service = 'plain' if 'unsafe' in path else 'engines'
+    async with site.node('node-1') as node:
+        for part in parts:
+            answer = broken((*fields, CHUNKED), part, resets=resets)
+            async with raw_endpoint(answer) as endpoint:
+                for one in endpoints:
+                    site.move(one, service, endpoint.address)
+                await asyncio.sleep(0.3)
+                received = await raw_call(
+                    node, path, version=version, read_delay_s=read_delay_s
+                )
+            assert endpoint.request_count
+            assert received.status in {0, 200, 502}
+            if received.status == 200:
+                assert not received.looks_whole
+
+
+async def test_length_of_a_response_is_passed_on(site: Site) -> None:
+    """Guards against a response that loses its length on the way.
+
+    Without it, a client of HTTP/1.0 can't tell how much is missing.
+    """
+
+    methods = ['POST'] * 4 + ['HEAD']
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_head('Content-Length: 8')
+        if methods.pop(0) == 'POST':
+            await response.write(b'all of i')
+
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        site.move(site.plain, 'plain', endpoint.address)
+        await asyncio.sleep(0.5)
+        for path in ('/safe/a', '/unsafe/a'):
+            for version in ('1.0', '1.1'):
+                received = await raw_call(node, path, version=version)
+                assert received.headers['content-length'] == '8'
+                assert received.body == b'all of i'
+        head = await raw_call(node, '/safe/a', method='HEAD')
+        assert (head.headers['content-length'], head.body) == ('8', b'')
+
+
+@pytest.mark.parametrize('read_delay_s', [0.0, 1.0])
+@pytest.mark.parametrize('path', ['/safe/a', '/unsafe/a', '/stream/a'])
+async def test_whole_response_reaches_a_client_of_http_1_0(
+    site: Site, path: str, read_delay_s: float
+) -> None:
+    """Guards against resets that discard the end of a sound response."""
+    body = b'x' * BIG_BYTES
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_head(CHUNKED)
+        await response.write(chunk(body) + chunk(b''))
+
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        site.move(site.plain, 'plain', endpoint.address)
+        await asyncio.sleep(0.5)
+        received = await raw_call(node, path, read_delay_s=read_delay_s)
+    assert received.looks_whole
+    if 'stream' in path:
+        assert received.body.count(b'data: ') == EVENT_COUNT
+    else:
+        assert received.body == body
+
+
+async def test_killed_process_leaves_no_whole_response(site: Site) -> None:
+    """Guards against a stream that looks whole when its process is killed."""
+    for engine in site.engines:
+        engine.event_gap_s = 0.5
+    async with site.spawned('node-1') as node:
+        call = asyncio.create_task(raw_call(node, '/stream/a'))
+        await asyncio.sleep(0.9)
+        node.process.kill()
+        received = await call
+    assert received.status == 200
+    assert not received.looks_whole
