Quote no bytes of a peer in errors of calls

Callers saw: when an endpoint closed in the middle of its response's head, the 502 quoted up to 200 characters of that head: status line, names and values of headers. Log lines had them too.

Cause: aiohttp's ServerDisconnectedError carries the parsed message. send_once put its repr into ConnectionLostError, before call_failure could leave it out, and call_failure left out only ClientResponseError. Other clients put repr(error) into their errors without that filter, the clients of the store and of engines' control paths up to 200 bytes of a body. Errors of msgspec and of UTF-8 quote unknown values and fields.

Ruled out: resets carry no message. No cut head gave a client a 2xx: the HTTP library refuses them, which no test of this project showed.

Change: call_failure, in a module of its own, names the type of an error and what the operating system says; only the project's own CallErrors keep their text. All HTTP clients use it. MalformedDataError has msgspec's reason and the place in the document, without the values, and no cause that a traceback would print. An unusable entry's log line names the field, not its value.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -11,7 +11,7 @@
 import msgspec
 import yarl
 
-from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import send_once
@@ -257,8 +257,7 @@
                 f'{path}: not supported by the endpoint'
             )
         if response.status not in _SUCCESS_STATUSES:
-            text = body[:200].decode(errors='replace')
-            raise EndpointError(f'{path}: status {response.status}: {text}')
+            raise EndpointError(f'{path}: status {response.status}')
         return body
 
 
--- a/src/dogwoodpost/adapters/http/response_body.py
+++ b/src/dogwoodpost/adapters/http/response_body.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
-import aiohttp
+from typing import TYPE_CHECKING
+
+from dogwoodpost.adapters.http.call_errors import CallError
+
+if TYPE_CHECKING:
+    import aiohttp
 
 # Largest document of a service, such as a page of rows; objects are larger.
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 _READ_BYTES = 64 * 1024
-_MAX_ERROR_CHARS = 200
 
 
-class ResponseTooLargeError(aiohttp.ClientError):
+class ResponseTooLargeError(CallError):
     """A response body is larger than any that its call can have."""
 
 
@@ -35,13 +39,3 @@
             )
         parts.append(part)
     return b''.join(parts)
-
-
-def call_failure(error: Exception) -> str:
-    """Return what happened to a call, without bytes that its peer sent.
-
-    aiohttp quotes the malformed part of a response in its errors.
-    """
-    if isinstance(error, aiohttp.ClientResponseError):
-        return f'{type(error).__name__}: the response is malformed'
-    return repr(error)[:_MAX_ERROR_CHARS]
--- a/src/dogwoodpost/adapters/http/send_once.py
+++ b/src/dogwoodpost/adapters/http/send_once.py
@@ -6,6 +6,9 @@
 
 import aiohttp
 
+from dogwoodpost.adapters.http.call_errors import call_failure
+from dogwoodpost.adapters.http.call_errors import CallError
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -18,7 +21,7 @@
 )
 
 
-class ConnectionLostError(aiohttp.ClientError):
+class ConnectionLostError(CallError):
     """The connection was lost before the response; the request may run."""
 
 
@@ -39,4 +42,4 @@
     except NOT_CONNECTED_ERRORS:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ConnectionLostError(repr(error)) from error
+        raise ConnectionLostError(call_failure(error)) from error
--- a/src/dogwoodpost/adapters/platform/guarded_http_client.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http_client.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.reset_on_close import set_reset_on_close
@@ -91,7 +91,7 @@
             ) as response:
                 body = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise PlatformError(f'{path}: {error!r}') from error
+            raise PlatformError(f'{path}: {call_failure(error)}') from error
         if response.status != 200:
             raise PlatformError(f'{path}: status {response.status}')
         return body
--- a/src/dogwoodpost/adapters/platform/host_list.py
+++ b/src/dogwoodpost/adapters/platform/host_list.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.platform import wire
@@ -34,11 +35,9 @@
                 response.raise_for_status()
                 body = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
             return decode_json(body, wire.HostsResponse).hosts
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            MalformedDataError,
-        ) as error:
+        except MalformedDataError as error:
+            raise PlatformError(f'malformed host list: {error}') from error
+        except (aiohttp.ClientError, TimeoutError) as error:
             raise PlatformError(
-                f'cannot read the host list: {error!r}'
+                f'cannot read the host list: {call_failure(error)}'
             ) from error
--- a/src/dogwoodpost/adapters/platform/object_store.py
+++ b/src/dogwoodpost/adapters/platform/object_store.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.ports.object_store import ObjectStore
 
@@ -61,7 +62,7 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             self._count_call(operation, 'unavailable')
-            message = f'{operation} {name}: {error!r}'
+            message = f'{operation} {name}: {call_failure(error)}'
             raise StoreUnavailableError(message) from error
         self._count_call(operation, 'ok')
         return body
--- a/src/dogwoodpost/adapters/platform/scorer.py
+++ b/src/dogwoodpost/adapters/platform/scorer.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.core.decoding import decode_json
@@ -64,7 +65,7 @@
             ) as response:
                 data = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
-            message = f'the scorer did not answer: {error!r}'
+            message = f'the scorer did not answer: {call_failure(error)}'
             raise PlatformError(message) from None
         if response.status != 200:
             raise PlatformError(f'scorer: HTTP status {response.status}')
--- a/src/dogwoodpost/adapters/platform/table_store.py
+++ b/src/dogwoodpost/adapters/platform/table_store.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.platform import wire
@@ -76,10 +77,14 @@
         except aiohttp.ClientConnectorError as error:
             # Without a connection the service cannot have received the call.
             self._count_call('commit', 'unavailable')
-            raise StoreUnavailableError(f'commit: {error}') from error
+            raise StoreUnavailableError(
+                f'commit: {call_failure(error)}'
+            ) from error
         except (aiohttp.ClientError, TimeoutError) as error:
             self._count_call('commit', 'outcome_unknown')
-            raise StoreOutcomeUnknownError(f'commit: {error!r}') from error
+            raise StoreOutcomeUnknownError(
+                f'commit: {call_failure(error)}'
+            ) from error
         return self._commit_result(status, body)
 
     def _commit_result(self, status: int, body: bytes) -> dict[str, int]:
@@ -113,12 +118,11 @@
                 return response
             message = f'{operation}: status {status}'
             cause: Exception | None = None
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            MalformedDataError,
-        ) as error:
-            message = f'{operation}: {error!r}'
+        except MalformedDataError as error:
+            message = f'{operation}: malformed response: {error}'
+            cause = error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            message = f'{operation}: {call_failure(error)}'
             cause = error
         self._count_call(operation, 'unavailable')
         raise StoreUnavailableError(message) from cause
--- a/src/dogwoodpost/adapters/platform/weight_store.py
+++ b/src/dogwoodpost/adapters/platform/weight_store.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.core import ids
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.errors import MalformedDataError
@@ -68,7 +69,7 @@
             ) as response:
                 data = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
-            message = f'the weight store did not answer: {error!r}'
+            message = f'the weight store did not answer: {call_failure(error)}'
             raise PlatformError(message) from None
         if response.status == 404:
             return None
--- a/src/dogwoodpost/core/decoding.py
+++ b/src/dogwoodpost/core/decoding.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from contextlib import contextmanager
 from typing import Annotated
 from typing import Any
@@ -25,9 +26,20 @@
 # Integers that JSON implementations represent exactly (RFC 8259, section 6).
 # Larger ones can't be encoded in MessagePack rows.
 MAX_INTEGER = 2**53 - 1
+# msgspec quotes unknown fields, and unknown values of enums and tags, and
+# ends with the place in the document.
+_QUOTED_VALUE = re.compile(
+    r'\b(unknown field|invalid (?:enum )?value) .*?( - at `\$[^`]*`)?$',
+    re.DOTALL | re.IGNORECASE,
+)
 BoundedInteger = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
+def _without_values(text: str) -> str:
+    """Return the text of an error without the values that it quotes."""
+    return _QUOTED_VALUE.sub(r'\1\2', text)
+
+
 @contextmanager
 def _translate_decode_errors() -> Iterator[None]:
     """Translate all errors of unreadable bytes.
@@ -36,13 +48,13 @@
     """
     try:
         yield
-    except (
-        msgspec.MsgspecError,
-        RecursionError,
-        ValueError,
-        OverflowError,
-    ) as error:
-        raise MalformedDataError(str(error)) from error
+    except msgspec.MsgspecError as error:
+        raise MalformedDataError(_without_values(str(error))) from None
+    except UnicodeDecodeError as error:
+        # The text of the error quotes the bytes.
+        raise MalformedDataError(error.reason) from None
+    except (RecursionError, ValueError, OverflowError) as error:
+        raise MalformedDataError(_without_values(str(error))) from None
 
 
 def decode_json(data: bytes, value_type: type[_T]) -> _T:
--- a/src/dogwoodpost/platform/endpoint_rows.py
+++ b/src/dogwoodpost/platform/endpoint_rows.py
@@ -30,7 +30,6 @@
 _DRAINING = 'draining'
 _MS_PER_S = 1_000
 _MAX_PORT = 65_535
-_MAX_LOGGED_CHARS = 80
 
 
 class _WireModel(msgspec.Struct, frozen=True, kw_only=True):
@@ -192,11 +191,11 @@
 def _finding(endpoint_id: ids.EndpointId, entry: _WireEntry) -> str | None:
     """Return why no call can be made with an entry, None if calls can be."""
     if entry.state not in {_READY, _DRAINING}:
-        return f'unknown state {entry.state[:_MAX_LOGGED_CHARS]!r}'
+        return 'its state is unknown'
     if not is_header_value(endpoint_id):
         return 'the id is no valid header value'
     if not _is_socket_address(entry.address):
-        return f'{entry.address[:_MAX_LOGGED_CHARS]!r} is no address'
+        return 'its address is not IPv4 with a port'
     return None
 
 
--- a/src/dogwoodpost/platform/store_client.py
+++ b/src/dogwoodpost/platform/store_client.py
@@ -245,7 +245,7 @@
     """
     if status == _STATUS_OK:
         return
-    message = f'{name} failed with status {status}: {data[:200]!r}'
+    message = f'{name} failed with status {status}'
     if _FIRST_CLIENT_ERROR <= status < _FIRST_SERVER_ERROR:
         raise StoreRejectedError(message)
     if status == _STATUS_NO_ROOM:
--- a/src/dogwoodpost/platform/store_connection.py
+++ b/src/dogwoodpost/platform/store_connection.py
@@ -12,7 +12,7 @@
 import structlog
 import yarl
 
-from dogwoodpost.adapters.http.response_body import call_failure
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import MAY_REPEAT
 from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
--- a/src/dogwoodpost/services/agent/weights/weight_cache.py
+++ b/src/dogwoodpost/services/agent/weights/weight_cache.py
@@ -8,6 +8,7 @@
 import aiohttp
 import structlog
 
+from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.core.weights.weight_plan import FROM_WEIGHT_STORE
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.services.agent.weights.weight_copy import CHUNK_BYTES
@@ -132,9 +133,10 @@
                 else:
                     await self._fetch_from_agent(key, copy, source)
                 copy.finish()
-            except (PlatformError, aiohttp.ClientError, TimeoutError) as error:
-                _log.info('weight_source_failed', source=source, error=error)
-                last_error = PlatformError(f'{source}: {error!r}')
+            except PlatformError as error:
+                last_error = _source_error(source, str(error))
+            except (aiohttp.ClientError, TimeoutError) as error:
+                last_error = _source_error(source, call_failure(error))
             else:
                 return
         raise last_error
@@ -178,3 +180,9 @@
             fetch = self._fetches.pop((model, version), None)
             if fetch is not None:
                 fetch.cancel()
+
+
+def _source_error(source: str, reason: str) -> PlatformError:
+    """Log the failure of a source and return its error."""
+    _log.info('weight_source_failed', source=source, error=reason)
+    return PlatformError(f'{source}: {reason}')
--- a/tests/core/test_byte_decoding.py
+++ b/tests/core/test_byte_decoding.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Any
+from typing import Literal
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -24,6 +26,7 @@
     from collections.abc import Callable
 
 DEPTH = 3_000
+QUOTED = 'bytes of the peer'
 DECODERS = (decode_json, decode_msgpack)
 
 
@@ -88,6 +91,42 @@
         decode_json(data, Document)
 
 
+class Kind(Enum):
+    """Values that a document may have."""
+
+    SMALL = 'small'
+
+
+class StrictDocument(msgspec.Struct, forbid_unknown_fields=True):
+    """A document whose errors msgspec describes with its values."""
+
+    kind: Kind = Kind.SMALL
+    level: Literal[1, 2] = 1
+    count: int = 0
+    name: str = ''
+
+
+@given(
+    field=strategies.sampled_from(['kind', 'level', 'count', 'name', QUOTED]),
+    value=strategies.sampled_from(
+        [QUOTED, f"it's {QUOTED}", f'`{QUOTED}`', 424_242, [QUOTED], None]
+    ),
+    decode=strategies.sampled_from(DECODERS),
+)
+def test_errors_do_not_quote_the_document(
+    field: str, value: object, decode: Callable[..., object]
+) -> None:
+    """Guards against errors that pass on what another process sent."""
+    encoder = msgspec.json if decode is decode_json else msgspec.msgpack
+    data = encoder.encode({field: value})
+    try:
+        decode(data, StrictDocument)
+    except MalformedDataError as error:
+        assert QUOTED not in str(error)
+        assert '424242' not in str(error)
+        assert error.__cause__ is None
+
+
 def test_unreadable_rows_count_as_store_failures() -> None:
     """Guards against a row that ends a duty instead of being retried."""
     with pytest.raises(MalformedRowError):
