--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -16,39 +15,32 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.cold_starts import ColdStartLimiter
-from dogwoodpost.core.cold_starts import ColdTracker
-from dogwoodpost.core.cold_starts import DoubtReason
-from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
-from dogwoodpost.core.routing import Router
-from dogwoodpost.core.routing import RouterSettings
 from dogwoodpost.core.stop_schedule import StopSchedule
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
 from dogwoodpost.platform import configuration_rows
 from dogwoodpost.platform import endpoint_rows
+from dogwoodpost.platform import followed_tables
 from dogwoodpost.platform.batch_parts import build_batch_context
 from dogwoodpost.platform.connection_counts import ConnectionCounts
 from dogwoodpost.platform.duties import Duties
 from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
-from dogwoodpost.platform.endpoint_notices import EndpointNotices
+from dogwoodpost.platform.endpoint_state import EndpointState
 from dogwoodpost.platform.ingress import Ingress
-from dogwoodpost.platform.ingress import readiness_app
 from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
 from dogwoodpost.platform.leave_notices import LeaveNotices
-from dogwoodpost.platform.listen_address import ListenAddress
+from dogwoodpost.platform.planned_stop import PlannedStop
+from dogwoodpost.platform.process_addresses import ProcessAddresses
 from dogwoodpost.platform.sessions import guarded_session
 from dogwoodpost.platform.sessions import http_session
 from dogwoodpost.platform.settings_watch import SettingsWatch
 from dogwoodpost.platform.store_client import PlatformObjectStore
 from dogwoodpost.platform.store_client import PlatformRowStore
 from dogwoodpost.platform.store_connection import StoreConnection
-from dogwoodpost.platform.store_relay import relay_app
 from dogwoodpost.platform.store_relay import StoreRelay
 from dogwoodpost.platform.table_feeds import TableFeeds
-from dogwoodpost.services.batches import job_rows
 from dogwoodpost.services.batches.batch_service import BatchService
 from dogwoodpost.services.batches.job_forwarder import JobForwarder
 from dogwoodpost.services.composite_service import CompositeService
-from dogwoodpost.services.control import endpoint_versions
 from dogwoodpost.services.control.announced_versions import AnnouncedVersions
 from dogwoodpost.services.control.endpoint_versions import EndpointVersions
 from dogwoodpost.services.entry.direct_attempt_runner import (
@@ -58,18 +50,12 @@
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
 from dogwoodpost.services.entry.route_finder import RouteFinder
 from dogwoodpost.services.entry.usage_totals import UsageTotals
-from dogwoodpost.services.http_server import listening
-from dogwoodpost.services.http_server import serving
-from dogwoodpost.services.membership import presence_service
 from dogwoodpost.services.membership.presence_service import PresenceService
 from dogwoodpost.services.process import wait_for_stop_signal
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     import aiohttp
 
-    from dogwoodpost.core.configuration import ColdStart
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.observability import LogBuffer
     from dogwoodpost.observability import Metrics
@@ -81,35 +67,14 @@
 _MIB = 1024 * 1024
 _CONTROL_TABLE = 'control'
 _USAGE_WRITE_INTERVAL_S = 0.7
-# Shortest pauses between two reads of the same table's feed.
-_CONFIGURATION_READ_PAUSE_S = 0.15
-_ENDPOINT_READ_PAUSE_S = 0.2
-_JOB_HEAD_READ_PAUSE_S = 0.05
-_VERSION_READ_PAUSE_S = 0.1
-_PRESENCE_READ_PAUSE_S = 0.25
 _TICK_INTERVAL_S = 0.1
 _SETTINGS_CHECK_INTERVAL_S = 1.0
 # Share of the process's memory that request bodies may use.
 _BODY_MEMORY_SHARE = 0.2
-# An end of the process would only delay its start further.
-_BIND_RETRY_S = 0.2
-# Requests have ended, or are out of time, when an address is closed.
-_SHUTDOWN_TIMEOUT_S = 0.1
 # Clients that a stop refuses may turn to another process at once.
 _STOP_RETRY_AFTER_S = 0.05
 # Time to stop the parts after a crash or during the start.
 _CRASH_STOP_S = 2.0
-_IDLE_POLL_INTERVAL_S = 0.05
-# Endpoints refuse requests that they have no slot for, so the router sends
-# them no more than that. The longest items determine when a training step
-# ends, so many endpoints are compared to place them.
-_ROUTER_SETTINGS = RouterSettings(
-    overcommit_factor=1.0,
-    underserved_overcommit_factor=1.0,
-    compare_all_count=48,
-    random_count=8,
-    remote_count=8,
-)
 
 
 class PlatformProcess(CompositeService):
@@ -134,21 +99,22 @@
         self._front_listener: Listener | None = None
         self._is_leaving = False
         self._announced_versions = AnnouncedVersions(self._clock)
-        self._router = Router(
+        endpoints = EndpointState(
             ids.AvailabilityZone(settings.zone),
             ids.Region(settings.region),
             self._rng,
-            _ROUTER_SETTINGS,
+            metrics,
+            lambda: self._configuration.current(),
         )
-        self._notices = EndpointNotices(metrics)
-        self._router.listen_to_health(self._notices.note_health)
-        self._registry = EndpointRegistry(self._router)
-        self._cold_tracker = ColdTracker(self._note_doubt)
+        self._endpoints = endpoints
+        self._router = endpoints.router
+        self._registry = endpoints.registry
+        self._cold_tracker = endpoints.cold_tracker
         self._configuration = configuration_rows.ConfigurationRows(
             self._announced_versions,
             self._clock,
             settings.zones,
-            self._set_evacuated_zones,
+            endpoints.set_evacuated_zones,
             max_age_s=_max_age_s(settings),
         )
         self._loading_endpoints = LoadingEndpoints()
@@ -260,7 +226,7 @@
                 self._identity.process_id,
                 self._cold_tracker,
                 self._presence.senders,
-                self._cold_start_of,
+                self._endpoints.cold_start_of,
                 overage=self._settings.bounds.cold_overage,
             )
         )
@@ -368,9 +334,6 @@
     async def _follow_tables(
         self, rows: PlatformRowStore, versions: EndpointVersions
     ) -> None:
-        endpoint_sink = endpoint_rows.EndpointRows(
-            self._registry, self._cold_tracker, self._settings.zones
-        )
         feeds = TableFeeds(
             rows,
             self._clock,
@@ -380,21 +343,15 @@
                 self._presence.view.live_process_ids(self._clock.monotonic_s())
             ),
         )
-        feeds.add(
-            configuration_rows.TABLE,
-            self._configuration,
-            _CONFIGURATION_READ_PAUSE_S,
-        )
-        feeds.add(endpoint_rows.TABLE, endpoint_sink, _ENDPOINT_READ_PAUSE_S)
-        feeds.add(
-            presence_service.TABLE, self._presence, _PRESENCE_READ_PAUSE_S
-        )
-        feeds.add(endpoint_versions.TABLE, versions, _VERSION_READ_PAUSE_S)
-        feeds.add(
-            job_rows.HEAD_TABLE,
-            self._batches.directory,
-            _JOB_HEAD_READ_PAUSE_S,
-            partitioned=True,
+        followed_tables.add_followed_tables(
+            feeds,
+            configuration=self._configuration,
+            endpoints=endpoint_rows.EndpointRows(
+                self._registry, self._cold_tracker, self._settings.zones
+            ),
+            presence=self._presence,
+            versions=versions,
+            jobs=self._batches.directory,
         )
         for follower in feeds.followers():
             await self.run_part(follower)
@@ -423,85 +380,28 @@
         )
 
     async def _open_addresses(self) -> None:
-        listen = self._settings.listen
-        health = readiness_app(self.is_ready, self._metrics.render)
-        for name in ('ready', 'metrics'):
-            address = listen.get(name)
-            if address is not None:
-                await self.open_part(
-                    serving(
-                        health,
-                        ListenAddress(address),
-                        shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
-                        bind_retry_s=_BIND_RETRY_S,
-                    )
-                )
-        if self._settings.peer_address:
-            await self.open_part(
-                serving(
-                    relay_app(self._store),
-                    ListenAddress(self._settings.peer_address),
-                    shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
-                    bind_retry_s=_BIND_RETRY_S,
-                )
-            )
-        if 'front' in listen:
-            self._front_listener = await self.open_part(
-                listening(
-                    self._ingress.app(),
-                    ListenAddress(listen['front']),
-                    shutdown_timeout_s=_SHUTDOWN_TIMEOUT_S,
-                    bind_retry_s=_BIND_RETRY_S,
-                )
-            )
+        addresses = ProcessAddresses(
+            self._settings, self.is_ready, self._metrics.render, self._store
+        )
+        for address in addresses.internal():
+            await self.open_part(address)
+        front = addresses.front(self._ingress)
+        if front is not None:
+            self._front_listener = await self.open_part(front)
 
     async def _drain(self, schedule: StopSchedule) -> None:
-        """Stop gracefully.
-
-        Requests are served until the load balancer has noticed the stop, and
-        later those that can end in time. Batch items may finish within the
-        grace period; unfinished jobs are handed over to other processes.
-        """
-        _log.info(
-            'process_leaving',
-            running_items=self._batches.running_count,
-            grace_s=schedule.grace_s,
-        )
+        """Stop gracefully; see ``PlannedStop``."""
         self._is_leaving = True
-        self._presence.leave()
-        self._ingress.closes_connections = True
-        self._lifecycle.begin_drain(schedule)
-        release_leases = asyncio.create_task(self._duties.release())
-        while self._batches.running_count:
-            if self._clock.monotonic_s() > schedule.items_end_s:
-                break
-            await self._clock.sleep(_IDLE_POLL_INTERVAL_S)
-        async with self._stage('jobs', schedule.requests_end_s):
-            await self._batches.hand_over()
-        left_s = schedule.notice_end_s - self._clock.monotonic_s()
-        await self._clock.sleep(max(left_s, 0.0))
-        async with self._stage('leases', schedule.requests_end_s):
-            await release_leases
-        await self._end_requests(schedule)
-
-    async def _end_requests(self, schedule: StopSchedule) -> None:
-        """Close the clients' address, then wait for running requests."""
-        if self._front_listener is not None:
-            await self._front_listener.stop()
-        left_s = schedule.requests_end_s - self._clock.monotonic_s()
-        if not await self._lifecycle.wait_idle(max(left_s, 0.0)):
-            _log.warning('requests_cut_by_stop')
-        self._lifecycle.begin_stop()
-
-    @asynccontextmanager
-    async def _stage(self, name: str, end_s: float) -> AsyncIterator[None]:
-        """Abandon the block when a stage of the stop ends."""
-        left_s = max(end_s - self._clock.monotonic_s(), 0.0)
-        try:
-            async with asyncio.timeout(left_s):
-                yield
-        except TimeoutError:
-            _log.warning('stop_stage_abandoned', stage=name)
+        await PlannedStop(
+            schedule,
+            self._clock,
+            presence=self._presence,
+            ingress=self._ingress,
+            lifecycle=self._lifecycle,
+            batches=self._batches,
+            duties=self._duties,
+            front_listener=self._front_listener,
+        ).run()
 
     async def _watch_settings(self) -> None:
         """Check the settings file for changes made without a signal."""
@@ -521,29 +421,6 @@
         self._store.address = settings.platform.address
         self._duties.settings = settings
 
-    def _set_evacuated_zones(
-        self, zones: frozenset[ids.AvailabilityZone], now_s: float
-    ) -> None:
-        """Apply evacuations; endpoints may be cold after the end of one."""
-        released_ids = self._registry.set_evacuated_zones(zones, now_s)
-        self._cold_tracker.doubt(
-            released_ids, DoubtReason.EVACUATION_ENDED, now_s
-        )
-
-    def _note_doubt(
-        self, endpoint_id: ids.EndpointId, reason: DoubtReason
-    ) -> None:
-        endpoint = self._registry.get(endpoint_id)
-        can_be_cold = (
-            endpoint is not None
-            and self._cold_start_of(endpoint.service) is not None
-        )
-        self._notices.note_doubt(endpoint_id, reason, can_be_cold=can_be_cold)
-
-    def _cold_start_of(self, service: ids.ServiceName) -> ColdStart | None:
-        configured = self._configuration.current().services.get(service)
-        return configured.cold_start if configured is not None else None
-
     async def _run_ticks(self) -> None:
         while True:
             self._cold_tracker.tick(self._clock.monotonic_s())
