Refuse requests that still wait near the end of a planned stop

Callers saw (in a test with full endpoints): a request that a stopping process had read after SIGTERM waited for a slot until the stop cut it, without an answer and without having been passed on (LOST).

Cause: requests are taken until the load balancer has noticed the stop, whatever their time limit, and nothing ended those that were still waiting when the stop closed the connections. The lifecycle only counted them.

Ruled out: requests that run at that time are cut as before; they were sent right after the signal, and their endpoint is at work in the last sixth of the grace period. Requests that arrive later are only taken if they can end.

Submissions and ends of batch jobs count as running once the store may have them, so that neither this nor a withdrawn key calls them "not run".

--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -23,6 +23,7 @@
 from dogwoodpost.platform.job_forwarding import submission_to_forward
 from dogwoodpost.platform.request_reader import request_id_of
 from dogwoodpost.platform.request_reader import time_limit_s
+from dogwoodpost.services.entry.http.active_requests import RequestPhase
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -131,6 +132,8 @@
                 identity.client_account_id if identity else None,
                 self._clock.wall_s(),
             )
+            # From here on, the store may have the job.
+            active.phase = RequestPhase.RUNNING
             await self._batches.submit(
                 job, start_s + timeout_s, submission_to_forward(request, body)
             )
@@ -184,6 +187,8 @@
         job_id, account_id = self._identify_job(request, active)
         limit_s = min(_WRITE_TIME_LIMIT_S, self._left_s())
         deadline_s = self._clock.monotonic_s() + limit_s
+        # From here on, the store may have the end of the job.
+        active.phase = RequestPhase.RUNNING
         await self._batches.end(job_id, account_id, deadline_s)
         return web.Response(status=200)
 
--- a/src/dogwoodpost/platform/planned_stop.py
+++ b/src/dogwoodpost/platform/planned_stop.py
@@ -68,6 +68,7 @@
         self._presence.leave()
         self._ingress.closes_connections = True
         self._lifecycle.begin_drain(schedule)
+        refuse_waiting = asyncio.create_task(self._refuse_waiting())
         release_leases = asyncio.create_task(self._duties.release())
         while self._batches.running_count:
             if self._clock.monotonic_s() > schedule.items_end_s:
@@ -79,6 +80,18 @@
         async with self._stage('leases', schedule.requests_end_s):
             await release_leases
         await self._end_requests()
+        refuse_waiting.cancel()
+
+    async def _refuse_waiting(self) -> None:
+        """Refuse the requests that wait when batch items are handed over.
+
+        Those that begin to run later would be cut, and those that still wait
+        at the end would get no answer.
+        """
+        await self._clock.sleep(self._left_s(self._schedule.items_end_s))
+        self._ingress.active_requests.refuse_waiting(
+            self._lifecycle.stopping_error()
+        )
 
     async def _end_requests(self) -> None:
         """Close the clients' address, then wait for running requests."""
--- a/src/dogwoodpost/services/entry/http/active_requests.py
+++ b/src/dogwoodpost/services/entry/http/active_requests.py
@@ -112,6 +112,12 @@
         finally:
             del self._active[id(active)]
 
+    def refuse_waiting(self, error: RequestError) -> None:
+        """End the requests that no endpoint has been asked to run."""
+        for active in list(self._active.values()):
+            if active.phase is RequestPhase.WAITING:
+                active.fail(error)
+
     def recheck(self, configuration: Configuration) -> None:
         """End the requests whose key or client account is no longer valid."""
         for active in list(self._active.values()):
--- a/src/dogwoodpost/services/entry/http/lifecycle.py
+++ b/src/dogwoodpost/services/entry/http/lifecycle.py
@@ -48,7 +48,7 @@
         """
         schedule = self._schedule
         if schedule and not schedule.may_take(time_limit_s, now_s):
-            raise self._stopping_error()
+            raise self.stopping_error()
 
     def left_s(self, now_s: float) -> float:
         """Return the time until requests are cut, infinite without a stop."""
@@ -76,7 +76,7 @@
         :raises RequestError: a stop has begun.
         """
         if self._stopping:
-            raise self._stopping_error()
+            raise self.stopping_error()
         self._running_count += 1
         self._idle.clear()
         try:
@@ -86,7 +86,8 @@
             if not self._running_count:
                 self._idle.set()
 
-    def _stopping_error(self) -> RequestError:
+    def stopping_error(self) -> RequestError:
+        """Return the refusal of a request because of the stop."""
         return RequestError(
             'stopping',
             'this process is stopping',
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
@@ -13,12 +14,15 @@
 from tests.platform.platform_site import HOST
 from tests.platform.platform_site import KEY
 from tests.platform.platform_site import MODEL
+from tests.platform.raw_endpoint import raw_endpoint
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from tests.platform.platform_site import Site
     from tests.platform.platform_site import SpawnedNode
+    from tests.platform.raw_endpoint import RawRequest
+    from tests.platform.raw_endpoint import RawResponse
 
 LONG_DEADLINE_MS = 12_000
 SHORT_DEADLINE_MS = 400
@@ -142,3 +146,110 @@
         node.process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(site.grace_s):
             assert await node.process.wait() == 0
+
+
+SLOTS = 8
+
+
+def allow_long_requests(site: Site) -> None:
+    configuration = site.configuration(version=3)
+    for route in configuration['routes']:
+        route['timeoutMs'] = LONG_DEADLINE_MS
+    site.configure(configuration)
+
+
+async def test_stop_refuses_requests_that_still_wait(site: Site) -> None:
+    """Guards against waiting requests that a stop cuts without an answer.
+
+    All slots are taken until the end of the stop, and the request has time
+    left.
+    """
+    allow_long_requests(site)
+    async with contextlib.AsyncExitStack() as stack:
+        node = await stack.enter_async_context(site.spawned('node-1'))
+        clients = [
+            await stack.enter_async_context(kept_connection(node))
+            for _ in range(SLOTS + 2)
+        ]
+        site.plain.work_s = 10.0
+        calls = [
+            asyncio.create_task(
+                client.send('/unsafe/a', f'call-{number}', LONG_DEADLINE_MS)
+            )
+            for number, client in enumerate(clients[:SLOTS])
+        ]
+        await asyncio.sleep(0.3)
+        node.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        waiting = [
+            client.send('/unsafe/a', f'waiting-{number}', LONG_DEADLINE_MS)
+            for number, client in enumerate(clients[SLOTS:])
+        ]
+        answers = await asyncio.gather(*waiting)
+        await asyncio.gather(*calls)
+        assert await node.process.wait() == 0
+    assert site.plain.runs['waiting-0'] + site.plain.runs['waiting-1'] == 0
+    assert answers == [(503, True)] * 2
+
+
+BODY_BYTES = 12 * 1024 * 1024
+READ_BYTES = 256 * 1024
+READ_PAUSE_S = 0.1
+
+
+async def test_stop_waits_until_a_slow_client_has_its_response(
+    site: Site,
+) -> None:
+    """Guards against the end of a response that is lost with the process.
+
+    The kernel takes some megabytes, the rest waits in the process after the
+    request has been handled.
+    """
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_response(b'x' * BODY_BYTES)
+
+    allow_long_requests(site)
+    site.grace_s = 8
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.spawned('node-1') as node,
+    ):
+        site.move(site.plain, 'plain', endpoint.address)
+        await asyncio.sleep(0.5)
+        received_bytes = asyncio.create_task(_read_slowly(node))
+        await asyncio.sleep(0.5)
+        node.process.send_signal(signal.SIGTERM)
+        assert await received_bytes == BODY_BYTES
+        async with asyncio.timeout(site.grace_s):
+            assert await node.process.wait() == 0
+
+
+async def _read_slowly(node: SpawnedNode) -> int:
+    """Return how many bytes of a body a slow client gets."""
+    host, port = node.front.removeprefix('http://').split(':')
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+    connection.connect((host, int(port)))
+    reader, writer = await asyncio.open_connection(
+        sock=connection, limit=READ_BYTES
+    )
+    writer.write(
+        (
+            f'POST /unsafe/a HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'Authorization: Bearer {KEY}\r\nX-Request-Id: slow\r\n'
+            f'X-Deadline-Ms: {LONG_DEADLINE_MS}\r\n'
+            'Content-Length: 0\r\n\r\n'
+        ).encode()
+    )
+    await reader.readuntil(b'\r\n\r\n')
+    received_bytes = 0
+    with contextlib.suppress(ConnectionError):
+        while received_bytes < BODY_BYTES:
+            data = await reader.read(READ_BYTES)
+            if not data:
+                break
+            received_bytes += len(data)
+            await asyncio.sleep(READ_PAUSE_S)
+    writer.close()
+    return received_bytes
