Give running requests five sixths of a short grace period

Callers would see, where graceS is below 6 s: a request that was sent right after SIGTERM is cut before the last sixth of the grace period (LOST).

Cause: the stages of a stop kept fixed margins before the kill. With 2 s, requests were cut after 1.0 s; the last sixth begins after 1.67 s.

Change: below 6.25 s, the margins shrink with the grace period. No request is taken any more from the moment at which requests are cut.

--- a/src/dogwoodpost/core/stop_schedule.py
+++ b/src/dogwoodpost/core/stop_schedule.py
@@ -14,6 +14,9 @@
 _HAND_OVER_S = 1.8
 _CLOSING_S = 1.0
 _EXIT_MARGIN_S = 0.5
+# They shrink with shorter grace periods: requests that were sent right after
+# the signal may be cut in the last sixth only.
+_FULL_GRACE_S = 6.25
 
 
 class StopSchedule(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,9 +57,12 @@
 
         :param time_limit_s: longest time that the request may take.
         """
+        if now_s >= self.requests_end_s:
+            return False
         if now_s <= self.notice_end_s + _LATE_ARRIVAL_S:
             return True
         return now_s + time_limit_s <= self.requests_end_s
 
     def _before_kill(self, left_s: float) -> float:
-        return self.start_s + max(self.grace_s - left_s, 0.0)
+        share = min(self.grace_s / _FULL_GRACE_S, 1.0)
+        return self.start_s + self.grace_s - left_s * share
--- a/tests/core/test_stop_schedule.py
+++ b/tests/core/test_stop_schedule.py
@@ -44,3 +44,17 @@
         assert is_taken
     elif after_s > BALANCER_NOTICE_S + 0.3:
         assert is_taken == (now_s + limit_s <= schedule.requests_end_s)
+
+
+@given(grace_s=strategies.floats(0.1, 60.0))
+def test_running_requests_have_five_sixths_of_the_grace(
+    grace_s: float,
+) -> None:
+    """Guards against requests that a stop with a short grace period cuts.
+
+    A request that was sent right after the signal may be cut only in the last
+    sixth of the grace period.
+    """
+    schedule = StopSchedule(start_s=0.0, grace_s=grace_s)
+    assert schedule.requests_end_s >= grace_s * 5 / 6
+    assert not schedule.may_take(0.01, schedule.requests_end_s)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -129,6 +129,28 @@
             assert await node.process.wait() == 0
 
 
+async def test_short_stop_serves_what_it_took_at_its_start(
+    site: Site,
+) -> None:
+    """Guards against a short grace period that cuts a request too early.
+
+    The endpoint's work ends before the last sixth of the grace period.
+    """
+    site.grace_s = 2
+    for engine in site.engines:
+        engine.event_gap_s = 1.35 / EVENT_COUNT
+    async with (
+        site.spawned('node-1') as node,
+        kept_connection(node) as client,
+    ):
+        node.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        answer = await client.send('/stream/a', 'long', LONG_DEADLINE_MS)
+        assert answer == (200, True)
+        async with asyncio.timeout(1.0):
+            assert await node.process.wait() == 0
+
+
 @pytest.mark.parametrize('item_count', [0, 2])
 async def test_stop_ends_in_time_while_the_store_is_away(
     site: Site, item_count: int
