Test planned stops with clients at any moment of the grace period

This test keeps it: two processes and a job, 24 clients on open connections, four kinds of routes, with and without a SIGHUP, a second SIGTERM, configurations and a weight version on top. Nothing is cut, and nothing that was refused has run.

With deadlines of 1 s and streams of 1.2 to 2 s, streams end at their deadline; the test leaves such deadlines out.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import socket
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from tests.platform.platform_site import EVENT_COUNT
@@ -275,3 +277,114 @@
             await asyncio.sleep(READ_PAUSE_S)
     writer.close()
     return received_bytes
+
+
+CLIENT_COUNT = 24
+PATHS = ('/safe/a', '/unsafe/a', '/stream/a', '/resumable/a')
+
+
+class LateCall(msgspec.Struct, frozen=True):
+    """A request on a kept connection, with the time of its sending."""
+
+    request_id: str
+    path: str
+    after_s: float
+    deadline_ms: int
+
+
+def random_calls(rng: random.Random) -> list[LateCall]:
+    """Return requests at any moment of a grace period of 8 s.
+
+    Half of them come while all requests are taken.
+    """
+    return [
+        LateCall(
+            f'call-{number}',
+            rng.choice(PATHS),
+            rng.uniform(0.0, 2.6) if number % 2 else rng.uniform(2.6, 7.6),
+            rng.choice([3_000, 6_000, LONG_DEADLINE_MS]),
+        )
+        for number in range(CLIENT_COUNT)
+    ]
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('with_changes', [False, True])
+async def test_stop_cuts_no_request_on_open_connections(
+    site: Site, seed: int, with_changes: bool
+) -> None:
+    """Guards against requests that any moment of a planned stop cuts.
+
+    Two processes run a job; one of them is stopped while clients use their
+    open connections. On top come a SIGHUP, a configuration, a weight version
+    and the job's end.
+    """
+    rng = random.Random(seed)
+    site.grace_s = 8
+    allow_long_requests(site)
+    for engine in site.engines:
+        engine.event_gap_s = 1.2 / EVENT_COUNT
+    calls = random_calls(rng)
+    async with contextlib.AsyncExitStack() as stack:
+        node = await stack.enter_async_context(site.spawned('node-1'))
+        other = await stack.enter_async_context(site.spawned('node-2'))
+        clients = [
+            await stack.enter_async_context(kept_connection(node))
+            for _ in calls
+        ]
+        assert await site.submit(node, site.job(item_count=12), 'job-1') == 202
+        await asyncio.sleep(0.2)
+        node.process.send_signal(signal.SIGTERM)
+        sent = [
+            asyncio.create_task(_send_late(client, call))
+            for client, call in zip(clients, calls, strict=True)
+        ]
+        if with_changes:
+            await _change_everything(site, node, rng)
+        answers = await asyncio.gather(*sent)
+        async with asyncio.timeout(3.0):
+            assert await node.process.wait() == 0
+        results = await site.results(other, 'job-1', 12, timeout_s=15.0)
+    assert {result['state'] for result in results} == {'completed'}
+    _check_answers(site, calls, answers)
+
+
+async def _send_late(
+    client: KeptConnection, call: LateCall
+) -> tuple[int, bool]:
+    await asyncio.sleep(call.after_s)
+    return await client.send(call.path, call.request_id, call.deadline_ms)
+
+
+async def _change_everything(
+    site: Site, node: SpawnedNode, rng: random.Random
+) -> None:
+    """Change configuration, settings and weights during a stop."""
+    for version in (4, 5):
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        node.process.send_signal(signal.SIGHUP)
+        configuration = site.configuration(version=version)
+        for route in configuration['routes']:
+            route['timeoutMs'] = LONG_DEADLINE_MS - version
+        site.configure(configuration)
+        site.name_version(version - 2)
+        node.process.send_signal(signal.SIGTERM)
+
+
+def _check_answers(
+    site: Site, calls: list[LateCall], answers: list[tuple[int, bool]]
+) -> None:
+    """Check that nothing was cut, and that refused requests have not run."""
+    for call, (status, is_whole) in zip(calls, answers, strict=True):
+        runs = sum(
+            endpoint.runs[call.request_id] for endpoint, _ in site.endpoints()
+        )
+        if status == 0:
+            # The connection was closed before the request was read.
+            assert runs == 0, call
+            continue
+        assert is_whole, call
+        assert status in {200, 503, 504}, (call, status)
+        assert status != 503 or runs == 0, call
+    statuses = [status for status, _ in answers]
+    assert statuses.count(200) > CLIENT_COUNT / 4
