--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import pytest
@@ -147,3 +148,94 @@
         received = await call
     assert received.status == 200
     assert not received.looks_whole
+
+
+EMPTY_CHUNK = chunk(b'')
+FOREIGN = b'upstream failure'
+# Fields and body of responses that continue no stream.
+OTHER_RESPONSES = {
+    'no_content': ('204 No Content', (), b''),
+    'empty': ('200 OK', ('Content-Length: 0',), b''),
+    'empty_stream_of_a_length': (
+        '200 OK',
+        ('Content-Type: text/event-stream', 'Content-Length: 0'),
+        b'',
+    ),
+    'stream_without_its_events': (
+        '200 OK',
+        (*STREAM_FIELDS, CHUNKED),
+        EMPTY_CHUNK,
+    ),
+    'partial_content': (
+        '206 Partial Content',
+        (*STREAM_FIELDS, CHUNKED),
+        chunk(event(2)) + EMPTY_CHUNK,
+    ),
+    'other_type': (
+        '200 OK',
+        ('Content-Type: text/plain', 'Content-Length: 16'),
+        FOREIGN,
+    ),
+    'no_ids': (
+        '200 OK',
+        (*STREAM_FIELDS, CHUNKED),
+        chunk(b'data: ' + FOREIGN + b'\n\n') + EMPTY_CHUNK,
+    ),
+    'no_event': (
+        '200 OK',
+        (*STREAM_FIELDS, CHUNKED),
+        chunk(FOREIGN + b'\n\n') + EMPTY_CHUNK,
+    ),
+    'error': ('500 Failed', ('Content-Length: 16',), FOREIGN),
+}
+
+
+class InterruptedStreams:
+    """Breaks each stream off, answers otherwise, then continues it."""
+
+    def __init__(self, status: str, fields: tuple[str, ...], body: bytes):
+        self._other = (status, fields, body)
+        self._counts: Counter[str] = Counter()
+
+    async def answer(self, request: RawRequest, response: RawResponse) -> None:
+        self._counts[request.request_id] += 1
+        number = self._counts[request.request_id]
+        if number == 2:
+            status, fields, body = self._other
+            await response.write_head(*fields, status=status)
+            await response.write(body)
+            return
+        await response.write_head(*STREAM_FIELDS, CHUNKED)
+        if number == 1:
+            await response.write(chunk(event(0) + event(1)))
+            response.close()
+            return
+        for left in range(2, EVENT_COUNT):
+            await response.write(chunk(event(left)))
+        await response.write(EMPTY_CHUNK)
+
+
+@pytest.mark.parametrize('name', OTHER_RESPONSES)
+async def test_broken_stream_goes_on_only_with_its_continuation(
+    site: Site, name: str
+) -> None:
+    """Guards against other responses in streams and in items' texts.
+
+    The next endpoint answers something else; the one after it continues.
+    """
+    streams = InterruptedStreams(*OTHER_RESPONSES[name])
+    whole = b''.join(event(number) for number in range(EVENT_COUNT))
+    async with (
+        raw_endpoint(streams.answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        for engine in site.engines:
+            site.move(engine, 'engines', endpoint.address)
+        await asyncio.sleep(0.5)
+        status, _, body = await site.send(node, '/resumable/a')
+        assert (status, body) == (200, whole)
+        assert await site.submit(node, site.job(item_count=2), 'job-1') == 202
+        results = await site.results(node, 'job-1', 2)
+    assert {result['text'] for result in results} == {
+        '\n'.join(f'piece {number}' for number in range(EVENT_COUNT))
+    }
