Bound the digits of ids and lengths in headers

Ids have up to 15 digits, lengths up to 18; longer values count as no number, and the endpoint judges them.

Measured: test_stream_that_a_client_resumes_starts_after_its_event, whose case with 5,000 digits failed before; it also shows that such a stream has to start after the client's event.

--- a/src/dogwoodpost/core/http_headers.py
+++ b/src/dogwoodpost/core/http_headers.py
@@ -28,6 +28,8 @@
 _CONTROL_CODE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
 CONTENT_LENGTH = 'content-length'
+# More digits than any length has; int() refuses thousands of them.
+_MAX_DIGITS = 18
 EVENT_STREAM = 'text/event-stream'
 Headers = tuple[tuple[str, str], ...]
 
@@ -85,9 +87,8 @@
         if name.lower() == CONTENT_LENGTH
     }
     value = values.pop() if len(values) == 1 else ''
-    if not value.isascii() or not value.isdigit():
-        return None
-    return int(value)
+    is_number = value.isascii() and value.isdigit()
+    return int(value) if is_number and len(value) <= _MAX_DIGITS else None
 
 
 def _listed_in_connection(
--- a/src/dogwoodpost/core/streams/__init__.py
+++ b/src/dogwoodpost/core/streams/__init__.py
@@ -4,6 +4,7 @@
 
 from dogwoodpost.core.streams.event_block import event_fields
 from dogwoodpost.core.streams.event_block import is_comment
+from dogwoodpost.core.streams.event_block import is_event_id
 from dogwoodpost.core.streams.event_block import parse_event_id
 from dogwoodpost.core.streams.event_splitter import EventSplitter
 from dogwoodpost.core.streams.ordered_event_splitter import EventChunk
@@ -22,6 +23,7 @@
     'StreamRun',
     'event_fields',
     'is_comment',
+    'is_event_id',
     'is_stream_head',
     'parse_event_id',
 )
--- a/src/dogwoodpost/core/streams/event_block.py
+++ b/src/dogwoodpost/core/streams/event_block.py
@@ -44,11 +44,16 @@
     :raises EndpointError: the value is not a number.
     """
     # The error of int() would quote the value.
-    if not value.isdigit() or len(value) > _MAX_ID_DIGITS:
+    if not is_event_id(value):
         raise EndpointError('malformed event: its id is not a number')
     return int(value)
 
 
+def is_event_id(value: bytes) -> bool:
+    """Return whether a value is a number that can be the id of an event."""
+    return value.isdigit() and len(value) <= _MAX_ID_DIGITS
+
+
 def is_comment(block: bytes) -> bool:
     """Return whether a block has no fields, such as a keep-alive."""
     return all(
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -7,6 +7,7 @@
 from dogwoodpost.core.http_headers import is_event_stream
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.messages import RefusalReason
+from dogwoodpost.core.streams import is_event_id
 from dogwoodpost.core.streams import OrderedEventSplitter
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.ports.attempt_runner import AttemptData
@@ -119,6 +120,6 @@
     if spec.resume_after is not None:
         return spec.resume_after
     for name, value in spec.headers:
-        if name.lower() == _LAST_EVENT_ID and value.isascii():
-            return int(value) if value.isdigit() else None
+        if name.lower() == _LAST_EVENT_ID and is_event_id(value.encode()):
+            return int(value)
     return None
--- a/tests/services/test_continued_streams.py
+++ b/tests/services/test_continued_streams.py
@@ -214,7 +214,9 @@
 
 
 async def client_stream(
-    gateway: ScriptedGateway, max_attempt_count: int = 2
+    gateway: ScriptedGateway,
+    max_attempt_count: int = 2,
+    headers: tuple[tuple[str, str], ...] = (),
 ) -> tuple[bytes, RequestError | None]:
     """Return what a client receives, and the error of a broken stream."""
     router = Router('a', 'r', random.Random(1))
@@ -236,6 +238,7 @@
         client_account_id=None,
         method='POST',
         path='/',
+        headers=headers,
         timeout_s=5.0,
         idempotent=True,
         max_attempt_count=max_attempt_count,
@@ -409,3 +412,30 @@
     data, error = await client_stream(gateway)
     assert data == event(0)
     assert error is not None
+
+
+@pytest.mark.parametrize(
+    ('value', 'start', 'is_sound'),
+    [
+        ('1', 2, True),
+        ('1', 0, False),
+        ('1', 3, False),
+        ('x', 0, True),
+        ('9' * 5_000, 0, True),
+    ],
+)
+async def test_stream_that_a_client_resumes_starts_after_its_event(
+    value: str, start: int, is_sound: bool
+) -> None:
+    """Guards against events that a resuming client gets twice or never.
+
+    Values that are no number are the endpoint's to judge.
+    """
+    gateway = ScriptedGateway(
+        lambda *_: ScriptedResponse(body=events(start, EVENT_COUNT + 1))
+    )
+    data, error = await client_stream(
+        gateway, headers=(('Last-Event-ID', value),)
+    )
+    assert (error is None) == is_sound
+    assert data == (events(start, EVENT_COUNT + 1) if is_sound else b'')
