Expect the reason of a refused role from the engine itself

test_orders_load_models_and_adapters_and_change_the_role expected the engine's reason in the client's error, which since has only path and status. It now expects exactly these, and the reason in the engine's own response.

--- a/tests/standins/engine/test_engine_app.py
+++ b/tests/standins/engine/test_engine_app.py
@@ -232,8 +232,15 @@
         await command(EndpointAction.SET_ROLE, 'prefill', 1)
         document = await caller.complete(prompt='a', max_tokens=5)
         assert document['choices'][0]['finish_reason'] == 'prefilled'
-        with pytest.raises(EndpointError, match='unknown_role'):
+        with pytest.raises(EndpointError, match='^/control/role: status 400$'):
             await command(EndpointAction.SET_ROLE, 'cook', 1)
+        status, document = await caller.direct(
+            'POST',
+            '/control/role',
+            json={'role': 'cook', 'fencing_number': 1, 'fetch_from': []},
+        )
+        assert status == 400
+        assert 'unknown_role' in str(document)
 
 
 async def test_imported_kv_cache_replaces_the_prefill() -> None:
