Revert the wait for handled responses at the end of a stop

Cause: finish_responses called pre_shutdown of aiohttp's server, which ends the readers of idle connections and leaves these open; the process then waited up to 4 s for them to close. Requests in that time were not read. Before, the same gap lasted 0.1 s.

The fault that the reverted commit was meant for was never shown with a whole process; it stays suspected.

--- a/src/dogwoodpost/platform/planned_stop.py
+++ b/src/dogwoodpost/platform/planned_stop.py
@@ -101,11 +101,6 @@
         if not await self._lifecycle.wait_idle(left_s):
             _log.warning('requests_cut_by_stop')
         self._lifecycle.begin_stop()
-        if self._front_listener is not None:
-            # A request counts as ended before its response has been sent.
-            left_s = self._left_s(self._schedule.requests_end_s)
-            if not await self._front_listener.finish_responses(left_s):
-                _log.warning('responses_cut_by_stop')
 
     @asynccontextmanager
     async def _stage(self, name: str, end_s: float) -> AsyncIterator[None]:
--- a/src/dogwoodpost/services/http_server.py
+++ b/src/dogwoodpost/services/http_server.py
@@ -19,7 +19,6 @@
 _BACKLOG_COUNT = 128
 # Another process has the address, or the host does not have it yet.
 _UNAVAILABLE_ERRORS = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL})
-_CLOSE_CHECK_INTERVAL_S = 0.02
 # Time for the first requests on connections accepted just before the stop.
 _PENDING_REQUEST_DELAY_S = 0.1
 
@@ -77,25 +76,6 @@
         await _serve_connections(self._runner, queued)
         await asyncio.sleep(_PENDING_REQUEST_DELAY_S)
 
-    async def finish_responses(self, timeout_s: float) -> bool:
-        """Close idle connections, and others after their last response.
-
-        A handled request may have bytes of its response in the connection's
-        buffer, which would be lost with the process.
-
-        :returns: whether all connections have closed in time.
-        """
-        server = self._runner.server
-        if server is None:
-            return True
-        server.pre_shutdown()
-        end_s = asyncio.get_running_loop().time() + timeout_s
-        while server.connections:
-            if asyncio.get_running_loop().time() >= end_s:
-                return False
-            await asyncio.sleep(_CLOSE_CHECK_INTERVAL_S)
-        return True
-
 
 @contextlib.asynccontextmanager
 async def listening(
