Add a policy section to the settings of a process

Cause: mechanisms for hard load and hedging are to be switched on by a deployment, and a limit has to change without a restart. Change: the settings template gets a table policy with a section for each mechanism, all off.

--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -22,6 +22,9 @@
     """An item's requirements for an endpoint, and its urgency.
 
     :param allowed_regions: regions of the endpoints that may run the item.
+    :param job_id: job of the item; empty for items outside of jobs.
+    :param group_id: group of the item within its job, None without groups.
+    :param client_account_id: account of the job, None if it has none.
     :param due_s: when the job's results are due, on the process's clock.
     :param expected_token_count: expected output length, in tokens.
     :param expected_duration_s: expected time to generate the rest of the
@@ -44,6 +47,10 @@
     avoided_until_s: float = 0.0
     interrupted_endpoint_id: ids.EndpointId | None = None
     allowed_regions: AllowedRegions = ANY_REGION
+    job_id: ids.JobId = ids.JobId('')
+    item_id: ids.ItemId = ids.ItemId('')
+    group_id: ids.GroupId | None = None
+    client_account_id: ids.ClientAccountId | None = None
 
 
 def urgency_key(request: PlacementRequest) -> tuple[float, int]:
--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -63,4 +63,5 @@
         clock=clock,
         rng=rng,
         metrics=pipeline.metrics,
+        policy=pipeline.policy,
     )
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -15,6 +15,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.cold_starts import ColdStartLimiter
+from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.stop_schedule import StopSchedule
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
 from dogwoodpost.platform import configuration_rows
@@ -29,6 +30,7 @@
 from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
 from dogwoodpost.platform.leave_notices import LeaveNotices
 from dogwoodpost.platform.planned_stop import PlannedStop
+from dogwoodpost.platform.policy_settings import apply_policy
 from dogwoodpost.platform.process_addresses import ProcessAddresses
 from dogwoodpost.platform.sessions import guarded_session
 from dogwoodpost.platform.sessions import http_session
@@ -90,6 +92,8 @@
         super().__init__()
         self._settings = settings
         self._settings_watch = SettingsWatch(settings)
+        self._policy = PolicyHolder()
+        apply_policy(self._policy, settings)
         self._identity = identity
         self._metrics = metrics
         self._log_buffer = log_buffer
@@ -259,6 +263,7 @@
             rng=self._rng,
             current_configuration=self._configuration.current,
             bills_begun_requests=True,
+            policy=self._policy,
         )
         routes = RouteFinder(self._configuration)
         self._batches = self._compose_batches(
@@ -410,7 +415,7 @@
             self._reload_settings()
 
     def _reload_settings(self, *, force: bool = False) -> None:
-        """Apply changed addresses from the settings file.
+        """Apply changed addresses and policy from the settings file.
 
         :param force: read the file even if its modification time is the same.
         """
@@ -420,6 +425,7 @@
         self._settings = settings
         self._store.address = settings.platform.address
         self._duties.settings = settings
+        apply_policy(self._policy, settings)
 
     async def _run_ticks(self) -> None:
         while True:
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -101,6 +101,8 @@
     :param port_range: ports of the process; other processes call the first.
     :param platform: the metadata store.
     :param cloud: the API for singleton duties.
+    :param policy: the operators' table of switches, in the names of this
+        project; ``PolicyReader`` checks it.
     """
 
     node: str
@@ -114,6 +116,7 @@
     limits: LimitSettings = LimitSettings()
     bounds: BoundSettings = BoundSettings()
     cloud: DutySettings = DutySettings()
+    policy: Any = None
 
     @property
     def peer_address(self) -> str:
--- a/src/dogwoodpost/services/batches/batch_context.py
+++ b/src/dogwoodpost/services/batches/batch_context.py
@@ -13,6 +13,7 @@
     from dogwoodpost.core.batches.output_lengths import OutputLengths
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+    from dogwoodpost.core.policy import PolicyHolder
     from dogwoodpost.core.routing import Router
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.clock import Clock
@@ -44,6 +45,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
+        policy: PolicyHolder,
     ) -> None:
         self.identity = identity
         self.store = store
@@ -59,6 +61,7 @@
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
+        self.policy = policy
 
     def head_regions(self, head: JobHead) -> AllowedRegions:
         """Return the regions in which a job may be kept now."""
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -415,6 +415,10 @@
             allowed_regions=routes.allowed_regions(
                 route.name, self._job.client_account_id
             ),
+            job_id=self._job.job_id,
+            item_id=self._item.item_id,
+            group_id=self._item.group_id,
+            client_account_id=self._job.client_account_id,
         )
 
     def _accepted_at_s(self) -> float:
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core.configuration import Configuration
+from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.retries import RetryBudget
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
@@ -53,6 +54,7 @@
         retry_policy: RetryPolicy | None = None,
         current_configuration: Callable[[], Configuration] = Configuration,
         bills_begun_requests: bool = False,
+        policy: PolicyHolder | None = None,
     ) -> None:
         self.runner = runner
         self.router = router
@@ -64,6 +66,7 @@
         self.retry_policy = retry_policy or RetryPolicy()
         self.current_configuration = current_configuration
         self.bills_begun_requests = bills_begun_requests
+        self.policy = policy or PolicyHolder()
         self.queue = RequestQueue(admission, router, clock)
         self.response_buffer = ResponseBuffer()
         self._budgets: dict[ids.RouteName, RetryBudget] = {}
