Report the newer of a peer's row and its direct state to the router

The router learns the loads of other processes only from heartbeat rows. Load reports move from PresenceService to LoadReports, which takes the direct state of a process where it is at least as new as its row, and then reports only endpoints whose count has changed, and all of them once a second. Without direct states the reports are as before. PresenceRecord gets datagram_address and owns_items; the router tells a listener when an own attempt begins or ends.

--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.expiring_keys import ExpiringKeys
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 # A process that sends no longer still counts as a sender until its last sends
 # are over a second old.
 FORMER_SENDER_S = 1.2
@@ -24,6 +28,10 @@
     :param sender_services: services with endpoints that can be cold, to which
         the process may send.
     :param cores: processor capacity, in cores.
+    :param datagram_address: address for datagrams of other processes; empty
+        if it takes none.
+    :param owns_items: whether batch items wait or run in the process; False
+        if it exchanges no loads.
     """
 
     incarnation: ids.Incarnation
@@ -36,6 +44,8 @@
     cores: float = 1.0
     region: ids.Region = ids.Region('')
     sender_services: tuple[ids.ServiceName, ...] = ()
+    datagram_address: str = ''
+    owns_items: bool = False
 
 
 class _TrackedProcess(msgspec.Struct):
@@ -140,6 +150,25 @@
         """Return the time since the rows were last read; infinite if never."""
         return math.inf if self._contact_s is None else now_s - self._contact_s
 
+    def last_record(self, process_id: ids.ProcessId) -> PresenceRecord | None:
+        """Return the last record of a process, None if it is unknown."""
+        process = self._processes.get(process_id)
+        return None if process is None else process.record
+
+    def others(
+        self, own_id: ids.ProcessId, now_s: float
+    ) -> Iterator[tuple[ids.ProcessId, PresenceRecord, bool]]:
+        """Yield the other processes, and whether each of them is silent."""
+        for process_id, process in self._processes.items():
+            if process_id != own_id:
+                is_silent = self._is_silent(process, now_s)
+                yield process_id, process.record, is_silent
+
+    def is_silent(self, process_id: ids.ProcessId, now_s: float) -> bool:
+        """Return whether a process is unknown or has no current row."""
+        process = self._processes.get(process_id)
+        return process is None or self._is_silent(process, now_s)
+
     def loads_of_others(
         self, own_id: ids.ProcessId, now_s: float
     ) -> dict[ids.EndpointId, int]:
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -28,6 +28,7 @@
     from dogwoodpost.core.routing.route_query import RouteQuery
 
     HealthListener = Callable[[ids.EndpointId, Health, AttemptResult], None]
+    LoadListener = Callable[[ids.EndpointId], None]
 
 
 class Router:
@@ -60,11 +61,16 @@
             self._sampler, self._costs, self._waiting_policy
         )
         self._on_health_change: HealthListener | None = None
+        self._on_own_load_change: LoadListener | None = None
 
     def listen_to_health(self, listener: HealthListener) -> None:
         """Call ``listener`` when an endpoint is ejected or is used again."""
         self._on_health_change = listener
 
+    def listen_to_own_loads(self, listener: LoadListener | None) -> None:
+        """Call ``listener`` when an own attempt begins or ends."""
+        self._on_own_load_change = listener
+
     def limit_cold_starts(self, limiter: ColdStartLimiter) -> None:
         """Limit what is sent to endpoints that may be cold from now on."""
         self._filter.cold_starts = limiter
@@ -234,6 +240,11 @@
             if load.own_count
         }
 
+    def is_engine(self, endpoint_id: ids.EndpointId) -> bool:
+        """Return whether an endpoint is known to hold weights."""
+        endpoint = self.endpoint(endpoint_id)
+        return endpoint is not None and bool(endpoint.weight_versions)
+
     def begin(
         self,
         endpoint_id: ids.EndpointId,
@@ -247,6 +258,8 @@
         if load is None:
             return
         load.begin(attempt_id, now_s)
+        if self._on_own_load_change is not None:
+            self._on_own_load_change(endpoint_id)
         endpoint = pool.endpoints.get(endpoint_id)
         if self._filter.cold_starts is not None and endpoint is not None:
             self._filter.cold_starts.record_send(endpoint, now_s)
@@ -267,6 +280,8 @@
         if load is None:
             return
         load.finish(attempt_id, now_s)
+        if self._on_own_load_change is not None:
+            self._on_own_load_change(endpoint_id)
         pool.drop_idle_load(endpoint_id)
         if not result.conclusive:
             pool.outliers.abandon(endpoint_id, attempt_id)
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -11,12 +11,12 @@
 from dogwoodpost.core.membership.announced_senders import AnnouncedSenders
 from dogwoodpost.core.membership.presence import PresenceRecord
 from dogwoodpost.core.membership.presence import PresenceTracker
-from dogwoodpost.core.messages import EndpointLoad
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.ports.row_store import RowCheck
 from dogwoodpost.ports.row_store import RowKey
 from dogwoodpost.ports.row_store import RowWrite
+from dogwoodpost.services.membership.load_reports import LoadReports
 from dogwoodpost.services.rows import decode_record
 from dogwoodpost.services.rows import encode_record
 
@@ -91,7 +91,10 @@
         self._row_version = 0
         self._last_heartbeat_s: float | None = None
         self._contact_since_s: float | None = None
-        self._reported_endpoints: frozenset[ids.EndpointId] = frozenset()
+        self.load_reports = LoadReports(identity.process_id, self.view, router)
+        # Set while this process exchanges loads with others directly.
+        self.datagram_address = ''
+        self.owns_items: Callable[[], bool] = lambda: False
 
     def leave(self) -> None:
         """Record the beginning of a planned stop."""
@@ -115,6 +118,11 @@
         """Return whether this process has ever written a heartbeat."""
         return self._last_heartbeat_s is not None
 
+    @property
+    def heartbeat_sequence(self) -> int:
+        """Return the number of the last heartbeat whose row was built."""
+        return self._sequence
+
     def live_peers(self) -> dict[ids.ProcessId, PresenceRecord]:
         """Return the records of other live processes that aren't leaving."""
         live = self.view.live(self._clock.monotonic_s())
@@ -152,7 +160,7 @@
         """Apply changed rows and report the loads."""
         for row in rows:
             self._apply_row(row, now_s)
-        self._report_loads(now_s)
+        self.load_reports.report_rows(now_s)
 
     def replace(self, rows: Sequence[VersionedRow], now_s: float) -> None:
         """Apply all rows of the table."""
@@ -188,6 +196,8 @@
             cores=self._cores,
             region=self.region,
             sender_services=services,
+            datagram_address=self.datagram_address,
+            owns_items=bool(self.datagram_address) and self.owns_items(),
         )
         key = RowKey(TABLE, '', self._identity.process_id)
         write = RowWrite(key, encode_record(record))
@@ -235,22 +245,3 @@
         record = decode_record(row, PresenceRecord)
         if record is not None:
             self.view.observe(process_id, record, row.version, now_s)
-
-    def _report_loads(self, now_s: float) -> None:
-        """Report the requests in flight at all processes to the router.
-
-        Only engines are reported. Requests to plain services end before the
-        next heartbeat, so the last reported load would block idle endpoints.
-        """
-        others = self.view.loads_of_others(self._identity.process_id, now_s)
-        own = self._router.own_loads()
-        for endpoint_id in self._reported_endpoints | others.keys():
-            endpoint = self._router.endpoint(endpoint_id)
-            if endpoint is None or not endpoint.weight_versions:
-                continue
-            count = others.get(endpoint_id, 0) + own.get(endpoint_id, 0)
-            load = EndpointLoad(
-                endpoint_id=endpoint_id, running_count=count, waiting_count=0
-            )
-            self._router.report_load(load, now_s)
-        self._reported_endpoints = frozenset(others)
