--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -14,7 +14,7 @@
 from dogwoodpost.adapters.rows import PartitionTableStore
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
-from dogwoodpost.core.cold_starts import ColdStartLimiter
+from dogwoodpost.core.membership.peer_states import PeerStates
 from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.stop_schedule import StopSchedule
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
@@ -29,6 +29,8 @@
 from dogwoodpost.platform.ingress import Ingress
 from dogwoodpost.platform.job_forwarding import HttpJobForwardingClient
 from dogwoodpost.platform.leave_notices import LeaveNotices
+from dogwoodpost.platform.membership_parts import compose_load_exchange
+from dogwoodpost.platform.membership_parts import compose_presence
 from dogwoodpost.platform.planned_stop import PlannedStop
 from dogwoodpost.platform.policy_settings import apply_policy
 from dogwoodpost.platform.process_addresses import ProcessAddresses
@@ -52,7 +54,6 @@
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
 from dogwoodpost.services.entry.route_finder import RouteFinder
 from dogwoodpost.services.entry.usage_totals import UsageTotals
-from dogwoodpost.services.membership.presence_service import PresenceService
 from dogwoodpost.services.process import wait_for_stop_signal
 
 if TYPE_CHECKING:
@@ -212,27 +213,8 @@
             self._identity.process_id,
             LeaveNotices(self._registry, self._clock),
         )
-        self._presence = PresenceService(
-            self._identity,
-            rows,
-            self._router,
-            self._clock,
-            address=self._settings.listen.get('front', ''),
-            peer_address=self._settings.peer_address,
-            availability_zone=ids.AvailabilityZone(self._settings.zone),
-            region=ids.Region(self._settings.region),
-            cores=self._settings.limits.cpu_share
-            * self._settings.limits.cores,
-            needed_services=self._router.needed_services,
-        )
-        self._router.limit_cold_starts(
-            ColdStartLimiter(
-                self._identity.process_id,
-                self._cold_tracker,
-                self._presence.senders,
-                self._endpoints.cold_start_of,
-                overage=self._settings.bounds.cold_overage,
-            )
+        self._presence = compose_presence(
+            self._settings, self._identity, rows, self._endpoints, self._clock
         )
         self._store.relay = StoreRelay(self._presence, session, self._metrics)
         forwarder = JobForwarder(
@@ -276,6 +258,16 @@
         await self.run_part(self._presence)
         await self.run_part(usage)
         await self.run_part(self._batches)
+        await self.run_part(
+            compose_load_exchange(
+                self._settings,
+                self._identity,
+                PeerStates(),
+                self._presence,
+                pipeline,
+                self._batches,
+            )
+        )
         self._duties = await self.run_part(
             self._compose_duties(tables, gateway, versions, under_lease)
         )
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -98,7 +98,8 @@
     :param zones: region of each availability zone.
     :param listen: listening addresses (host and port) by name: ``front`` for
         clients, ``ready`` for readiness checks, ``metrics``.
-    :param port_range: ports of the process; other processes call the first.
+    :param port_range: first and last of the ports of the process; other
+        processes call the first, and send datagrams to the second.
     :param platform: the metadata store.
     :param cloud: the API for singleton duties.
     :param policy: the operators' table of switches, in the names of this
@@ -125,6 +126,18 @@
             return ''
         return f'{self.ip}:{self.port_range[0]}'
 
+    @property
+    def datagram_address(self) -> str:
+        """Return the address for datagrams of others, empty if none.
+
+        A range of one port serves both, as TCP and UDP ports are separate.
+        """
+        if not self.ip or not self.port_range:
+            return ''
+        first_port = self.port_range[0]
+        port = min(first_port + 1, max(first_port, self.port_range[-1]))
+        return f'{self.ip}:{port}'
+
 
 def settings_path() -> Path:
     """Return the path of the settings file.
