--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -115,6 +115,10 @@
         self.grace_s = 4
         # Replaces the address of the stand-in of the duty API.
         self.duty_address = ''
+        # Table of the settings of processes that start from now on.
+        self.policy: dict[str, Any] = {}
+        # Replaces the port of the next process for calls of others.
+        self.peer_port = 0
         # Store addresses of single processes, in place of the common one.
         self.store_addresses: dict[str, str] = {}
         self._addresses: dict[str, str] = {}
@@ -242,7 +246,7 @@
         }
 
     def settings(self, name: str, zone: str = 'zone-a') -> dict[str, Any]:
-        peer_port = free_port()
+        peer_port = self.peer_port or free_port()
         return {
             'node': name,
             'zone': zone,
@@ -263,6 +267,7 @@
                 'address': self.duty_address or self._addresses['duties'],
                 'duties': ['usage', 'autoscale'],
             },
+            'policy': self.policy,
             'bounds': {
                 'leaseMs': 1500,
                 'reportWindowS': 1,
