Choose owners of jobs by all resources of their hosts

Cause: the preferred owner of a model is weighted by processor capacity only, so a host with little memory, few descriptors or a narrow link may own as many jobs as a large one. Change: heartbeat rows state memory, descriptors and link, from limits of the settings (memoryMb, maxFds, linkMbps; 0 is unknown). Measured: tests with small fakes; not played on a site.

--- a/src/dogwoodpost/core/batches/preferred_owner.py
+++ b/src/dogwoodpost/core/batches/preferred_owner.py
@@ -22,7 +22,7 @@
 
 
 def preferred_owner(
-    key: str, core_counts: Mapping[ids.ProcessId, float]
+    key: str, weights: Mapping[ids.ProcessId, float]
 ) -> ids.ProcessId | None:
     """Return the process that should run the jobs of an affinity key.
 
@@ -36,21 +36,22 @@
     the same owner without exchanging messages, and the loss of a process
     moves only the keys of that process.
 
-    :param core_counts: number of processor cores of each candidate process.
+    :param weights: weight of each candidate process, such as its number of
+        processor cores.
     :return: the chosen process, None without candidates.
     """
-    if not core_counts:
+    if not weights:
         return None
     return max(
-        core_counts,
+        weights,
         key=lambda process_id: (
-            _score(key, process_id, core_counts[process_id]),
+            _score(key, process_id, weights[process_id]),
             process_id,
         ),
     )
 
 
-def _score(key: str, process_id: ids.ProcessId, cores: float) -> float:
+def _score(key: str, process_id: ids.ProcessId, weight: float) -> float:
     digest = xxhash.xxh3_64_intdigest(f'{key}/{process_id}')
     fraction = (digest + 1) / (_HASH_RANGE + 1)
-    return -cores / math.log(fraction)
+    return -weight / math.log(fraction)
--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -24,6 +24,10 @@
     :param sender_services: services with endpoints that can be cold, to which
         the process may send.
     :param cores: processor capacity, in cores.
+    :param memory_mb: memory in mebibytes; 0 if unknown.
+    :param descriptor_count: descriptors that the process may open; 0 if
+        unknown.
+    :param link_mbps: bandwidth of the host's link in Mbit/s; 0 if unknown.
     """
 
     incarnation: ids.Incarnation
@@ -36,6 +40,9 @@
     cores: float = 1.0
     region: ids.Region = ids.Region('')
     sender_services: tuple[ids.ServiceName, ...] = ()
+    memory_mb: float = 0.0
+    descriptor_count: int = 0
+    link_mbps: float = 0.0
 
 
 class _TrackedProcess(msgspec.Struct):
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -66,7 +66,6 @@
 
 _log = structlog.get_logger(__name__)
 _MS_PER_S = 1_000
-_MIB = 1024 * 1024
 _CONTROL_TABLE = 'control'
 _USAGE_WRITE_INTERVAL_S = 0.7
 _TICK_INTERVAL_S = 0.1
@@ -221,8 +220,7 @@
             peer_address=self._settings.peer_address,
             availability_zone=ids.AvailabilityZone(self._settings.zone),
             region=ids.Region(self._settings.region),
-            cores=self._settings.limits.cpu_share
-            * self._settings.limits.cores,
+            resources=self._settings.limits.resources,
             needed_services=self._router.needed_services,
         )
         self._router.limit_cold_starts(
@@ -241,6 +239,7 @@
             HttpJobForwardingClient(fresh_session, self._settings.node),
             self._clock,
             self._metrics,
+            self._policy,
         )
         tables = PartitionTableStore(rows, _CONTROL_TABLE)
         usage = UsageTotals(
@@ -287,7 +286,7 @@
             lifecycle=self._lifecycle,
             metrics=self._metrics,
             max_body_memory_bytes=int(
-                self._settings.limits.memory_mb * _MIB * _BODY_MEMORY_SHARE
+                self._settings.limits.memory_bytes * _BODY_MEMORY_SHARE
             ),
         )
         await self._open_addresses()
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -11,11 +11,14 @@
 from dogwoodpost.core.decoding import convert_value
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.findings import Finding
+from dogwoodpost.core.membership.host_weight import HostResources
 from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.errors import SettingsError
 from dogwoodpost.platform.listen_address import ListenAddress
 
 PATH_VARIABLE = 'DOGWOODPOST_BOOT'
+_MIB = 1024 * 1024
+_DEFAULT_MEMORY_MB = 128.0
 
 
 class _SettingsStruct(
@@ -25,17 +28,36 @@
 
 
 class LimitSettings(_SettingsStruct, frozen=True, kw_only=True):
-    """Resources that the host grants to a process.
+    """Resources that the host grants to a process; 0 if not stated.
 
     :param memory_mb: memory in mebibytes.
     :param cpu_share: share of a core.
     :param cores: speed of the host's core, as a multiple of the speed of the
         platform's reference core.
+    :param max_fds: descriptors that the process may open.
+    :param link_mbps: bandwidth of the host's link, in Mbit/s.
     """
 
-    memory_mb: float = 128.0
+    memory_mb: float = 0.0
     cpu_share: float = 1.0
     cores: float = 1.0
+    max_fds: float = 0.0
+    link_mbps: float = 0.0
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory to count on, in bytes."""
+        return int((self.memory_mb or _DEFAULT_MEMORY_MB) * _MIB)
+
+    @property
+    def resources(self) -> HostResources:
+        """Return the resources to announce to other processes."""
+        return HostResources(
+            cores=self.cpu_share * self.cores,
+            memory_mb=self.memory_mb,
+            descriptor_count=int(self.max_fds),
+            link_mbps=self.link_mbps,
+        )
 
 
 class BoundSettings(_SettingsStruct, frozen=True, kw_only=True):
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -9,6 +9,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.membership.announced_senders import AnnouncedSenders
+from dogwoodpost.core.membership.host_weight import HostResources
 from dogwoodpost.core.membership.presence import PresenceRecord
 from dogwoodpost.core.membership.presence import PresenceTracker
 from dogwoodpost.core.messages import EndpointLoad
@@ -42,6 +43,7 @@
 MAX_READ_GAP_S = 2.2
 _NO_ZONE = ids.AvailabilityZone('')
 _NO_REGION = ids.Region('')
+_DEFAULT_RESOURCES = HostResources(cores=1.0)
 
 
 class PresenceService(mode.Service):
@@ -52,7 +54,7 @@
 
     :param address: address at which clients call this process.
     :param peer_address: address at which other processes call this process.
-    :param cores: processor capacity of this process, in cores.
+    :param resources: resources of this process's host.
     :param needed_services: returns the services to announce as a sender; see
         :class:`AnnouncedSenders`.
     """
@@ -68,7 +70,7 @@
         peer_address: str = '',
         availability_zone: ids.AvailabilityZone = _NO_ZONE,
         region: ids.Region = _NO_REGION,
-        cores: float = 1.0,
+        resources: HostResources = _DEFAULT_RESOURCES,
         needed_services: Callable[
             [float], tuple[ids.ServiceName, ...]
         ] = lambda _now_s: (),
@@ -78,7 +80,7 @@
         self.region = region
         self._address = address
         self._peer_address = peer_address
-        self._cores = cores
+        self._resources = resources
         self._needed_services = needed_services
         self.view = PresenceTracker(HEARTBEAT_TIMEOUT_S, MAX_READ_GAP_S)
         self.senders = AnnouncedSenders(identity.process_id, self.view)
@@ -148,6 +150,19 @@
             loads[endpoint_id] = loads.get(endpoint_id, 0) + count
         return loads
 
+    def owner_count(self) -> int:
+        """Return the number of live processes that own batch items.
+
+        This process counts in any case. Others count if their heartbeat says
+        so or shows loads of engines.
+        """
+        return 1 + sum(
+            # Builds that don't announce it lack the field.
+            bool(getattr(record, 'owns_items', False))
+            or any(map(self._is_engine, record.loads))
+            for record in self.live_peers().values()
+        )
+
     def apply(self, rows: Sequence[VersionedRow], now_s: float) -> None:
         """Apply changed rows and report the loads."""
         for row in rows:
@@ -185,9 +200,12 @@
             address=self._address,
             peer_address=self._peer_address,
             availability_zone=self.availability_zone,
-            cores=self._cores,
+            cores=self._resources.cores,
             region=self.region,
             sender_services=services,
+            memory_mb=self._resources.memory_mb,
+            descriptor_count=self._resources.descriptor_count,
+            link_mbps=self._resources.link_mbps,
         )
         key = RowKey(TABLE, '', self._identity.process_id)
         write = RowWrite(key, encode_record(record))
@@ -236,6 +254,10 @@
         if record is not None:
             self.view.observe(process_id, record, row.version, now_s)
 
+    def _is_engine(self, endpoint_id: ids.EndpointId) -> bool:
+        endpoint = self._router.endpoint(endpoint_id)
+        return endpoint is not None and bool(endpoint.weight_versions)
+
     def _report_loads(self, now_s: float) -> None:
         """Report the requests in flight at all processes to the router.
 
--- a/tests/platform/test_settings_watch.py
+++ b/tests/platform/test_settings_watch.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from dogwoodpost.core.membership.host_weight import HostResources
 from dogwoodpost.platform.settings import load_settings
 from dogwoodpost.platform.settings_watch import SettingsWatch
 
@@ -65,3 +66,21 @@
     assert watch.check() is None
     write_settings(path, 'new:1', 102)
     assert watch.check() is not None
+
+
+def test_resources_that_are_not_stated_are_unknown(tmp_path: Path) -> None:
+    """Guards against announcing a default as the host's amount."""
+    path = tmp_path / 'settings.json'
+    write_settings(path, 'a:1', 100)
+    assert load_settings(path).limits.resources == HostResources(cores=1.0)
+    document = msgspec.json.decode(path.read_bytes())
+    document['limits'] = {
+        'memoryMb': 200,
+        'maxFds': 4100,
+        'linkMbps': 30.5,
+        'cpuShare': 0.5,
+    }
+    path.write_bytes(msgspec.json.encode(document))
+    assert load_settings(path).limits.resources == HostResources(
+        cores=0.5, memory_mb=200.0, descriptor_count=4_100, link_mbps=30.5
+    )
--- a/tests/services/membership/test_presence_service.py
+++ b/tests/services/membership/test_presence_service.py
@@ -10,6 +10,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.core.membership.host_weight import HostResources
 from dogwoodpost.core.membership.presence import PresenceRecord
 from dogwoodpost.core.routing import Endpoint
 from dogwoodpost.core.routing import RouteQuery
@@ -181,3 +182,25 @@
         len(router.available_endpoints(query, clock.monotonic_s()))
         == available_count
     )
+
+
+async def test_heartbeat_states_the_resources_of_the_host(
+    store: MemoryRowStore, clock: VirtualClock, router: Router
+) -> None:
+    """Guards against owners chosen without the amounts of a host."""
+    identity = ProcessIdentity(
+        process_id=ids.ProcessId('a'),
+        incarnation=ids.Incarnation('first'),
+        address='',
+    )
+    resources = HostResources(
+        cores=0.5, memory_mb=200.0, descriptor_count=4_100, link_mbps=30.0
+    )
+    service = PresenceService(
+        identity, store, router, clock, resources=resources
+    )
+    await service.write_heartbeat()
+    (row,) = (await store.read(TABLE, '')).rows
+    record = msgspec.msgpack.decode(row.value, type=PresenceRecord)
+    assert (record.cores, record.memory_mb) == (0.5, 200.0)
+    assert (record.descriptor_count, record.link_mbps) == (4_100, 30.0)
