--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -11,6 +11,7 @@
 from dogwoodpost.core.routing.candidate_sampler import CandidateSampler
 from dogwoodpost.core.routing.endpoint_costs import EndpointCosts
 from dogwoodpost.core.routing.endpoint_pool import EndpointPool
+from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.settings import OutlierSettings
 from dogwoodpost.core.routing.settings import RouterSettings
 from dogwoodpost.core.routing.waiting_policy import WaitingPolicy
@@ -23,7 +24,6 @@
     from dogwoodpost.core import messages
     from dogwoodpost.core.cold_starts import ColdStartLimiter
     from dogwoodpost.core.routing.endpoint import Endpoint
-    from dogwoodpost.core.routing.outlier_detector import Health
     from dogwoodpost.core.routing.route_query import AttemptResult
     from dogwoodpost.core.routing.route_query import RouteQuery
 
@@ -225,6 +225,23 @@
             return None
         return self._pools[service].endpoints.get(endpoint_id)
 
+    def healthy_slot_count(
+        self, service: ids.ServiceName, concurrency: int, now_s: float
+    ) -> int:
+        """Return the slots of the ready and healthy endpoints of a service.
+
+        :param concurrency: slots of an endpoint that reports no capacity.
+        """
+        pool = self._pools.get(service)
+        if pool is None:
+            return 0
+        return sum(
+            pool.endpoints[endpoint_id].capacity_count or concurrency
+            for endpoint_ids in pool.eligible().values()
+            for endpoint_id in endpoint_ids
+            if pool.outliers.health(endpoint_id, now_s) is Health.HEALTHY
+        )
+
     def own_loads(self) -> dict[ids.EndpointId, int]:
         """Return the number of own attempts in flight, by endpoint."""
         return {
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -140,7 +140,8 @@
     :param retry_after_s: delay before the caller may retry, in seconds.
 
     The attribute ``counted`` is set once the refusal counter has counted the
-    error, so that outer layers don't count it again.
+    error, so that outer layers don't count it again. ``refused_as_full`` is
+    set if an endpoint refused the last attempt because it was full.
     """
 
     def __init__(
@@ -157,6 +158,7 @@
         self.not_run = not_run
         self.retry_after_s = retry_after_s
         self.counted = False
+        self.refused_as_full = False
         super().__init__(message)
 
 
--- a/src/dogwoodpost/services/entry/attempt_failures.py
+++ b/src/dogwoodpost/services/entry/attempt_failures.py
@@ -25,12 +25,14 @@
             may_retry=False,
             error=_request_error(state, 'deadline_passed', str(error), 504),
         )
+    request_error = _request_error(
+        state, 'not_run', str(error), 503, error.retry_after_s
+    )
+    request_error.refused_as_full = reason is RefusalReason.OVERLOADED
     return AttemptFailure(
         reason.value if reason else 'not_sent',
         may_retry=True,
-        error=_request_error(
-            state, 'not_run', str(error), 503, error.retry_after_s
-        ),
+        error=request_error,
     )
 
 
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -37,6 +37,8 @@
         stream is resumed at another endpoint.
     :param whole_response: forward nothing before the response is complete, so
         that the request can still be retried after a partial response.
+    :param is_scoring_call: whether this process sends the request to score a
+        batch item, instead of a client.
     """
 
     request_id: ids.RequestId
@@ -62,3 +64,4 @@
     attempt_timeout_s: float | None = None
     event_timeout_s: float | None = None
     whole_response: bool = False
+    is_scoring_call: bool = False
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager
 from contextlib import aclosing
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.batches.client_activity import ClientActivity
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.retries import RetryBudget
@@ -69,6 +72,7 @@
         self.policy = policy or PolicyHolder()
         self.queue = RequestQueue(admission, router, clock)
         self.response_buffer = ResponseBuffer()
+        self.client_activity = ClientActivity()
         self._budgets: dict[ids.RouteName, RetryBudget] = {}
 
     async def execute(
@@ -86,9 +90,10 @@
         """
         run = RequestRun(self, request, on_attempt)
         try:
-            async with aclosing(run.events()) as events:
-                async for event in events:
-                    yield event
+            with self._client_use(request):
+                async with aclosing(run.events()) as events:
+                    async for event in events:
+                        yield event
         except RequestError as error:
             count_refusal(self.metrics, error)
             raise
@@ -99,3 +104,13 @@
         if budget is None:
             budget = self._budgets[route] = RetryBudget()
         return budget
+
+    def _client_use(
+        self, request: PipelineRequest
+    ) -> AbstractContextManager[None]:
+        """Count a client's request as use of its service."""
+        if request.is_scoring_call:
+            return nullcontext()
+        return self.client_activity.request(
+            request.service.name, self.clock.monotonic_s
+        )
