Limit the scoring calls of a process by the policy

Cause: 64 scoring calls at once take all slots of a plain service, and clients wait behind them; two owners send more calls than there are slots. Change: scoring calls wait for their limit in the order of their step's due time. With scoring_limit off, or switched off while calls wait, they run at once, and delays between attempts are as before. Owners are counted from the heartbeat rows.

--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -12,10 +12,12 @@
 from dogwoodpost.services.batches.item_dispatcher import ItemDispatcher
 from dogwoodpost.services.batches.item_scorer import ItemScorer
 from dogwoodpost.services.batches.job_store import JobStore
+from dogwoodpost.services.batches.scoring_queue import ScoringQueue
 from dogwoodpost.services.batches.text_archive import TextArchive
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
@@ -40,8 +42,12 @@
     registry: EndpointRegistry,
     loading_endpoints: LoadingEndpoints,
     rng: random.Random,
+    owner_count: Callable[[], int],
 ) -> BatchContext:
-    """Build the collaborators that all batch jobs of a process share."""
+    """Build the collaborators that all batch jobs of a process share.
+
+    :param owner_count: returns the number of processes that own batch items.
+    """
     clock = pipeline.clock
     pace = EndpointEventPace()
     dispatcher = ItemDispatcher(
@@ -59,7 +65,13 @@
         endpoints=registry,
         router=pipeline.router,
         routes=routes,
-        scorer=ItemScorer(pipeline, routes, clock, header_names.SIGNATURE),
+        scorer=ItemScorer(
+            pipeline,
+            routes,
+            clock,
+            header_names.SIGNATURE,
+            ScoringQueue(pipeline, owner_count),
+        ),
         clock=clock,
         rng=rng,
         metrics=pipeline.metrics,
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -327,6 +327,7 @@
             registry=self._registry,
             loading_endpoints=self._loading_endpoints,
             rng=self._rng,
+            owner_count=self._presence.owner_count,
         )
         return BatchService(
             context,
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -173,7 +173,9 @@
         if self._item.scorer is not None and self._score is None:
             try:
                 self._score = await self._context.scorer.score(
-                    self._item.scorer, self._job.client_account_id
+                    self._item.scorer,
+                    self._job.client_account_id,
+                    self._accepted_at_s() + self._job.due_s,
                 )
             except ScoringFailedError:
                 return self._errored_result('scorer_failed')
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -12,30 +12,27 @@
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.ports.attempt_runner import AttemptHead
+from dogwoodpost.services.batches.scoring_attempts import ScoringAttempts
+from dogwoodpost.services.batches.scoring_signs import sign_of_error
+from dogwoodpost.services.batches.scoring_signs import sign_of_response
 from dogwoodpost.services.entry.pipeline_request import PipelineRequest
 from dogwoodpost.services.entry.service_choice import chosen_service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import ScorerCall
+    from dogwoodpost.core.batches.scoring_limit import OverloadSign
     from dogwoodpost.core.configuration import Route
+    from dogwoodpost.core.configuration import Service
     from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.services.batches.scoring_queue import ScoringQueue
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
     from dogwoodpost.services.entry.route_finder import RouteFinder
 
 _log = structlog.get_logger(__name__)
-# Most responses arrive much sooner; bounds the delay caused by an endpoint
-# that does not respond.
-_INITIAL_TIMEOUT_S = 1.0
-# Some texts take longer to score at every endpoint, so each attempt that times
-# out raises the limit of the next one.
-_TIMEOUT_GROWTH_FACTOR = 2.0
-_RETRY_DELAY_S = 0.1
-_STATUS_FAILED = 500
 _MS_PER_S = 1_000
 
 
@@ -43,42 +40,11 @@
     """The scorer has failed as often as its route allows."""
 
 
-class _ScoringAttempts:
-    """Failures, timeout and endpoints of the attempts to score one text.
-
-    :param client_account_id: account that the text belongs to.
-    """
-
-    def __init__(self, client_account_id: ids.ClientAccountId | None) -> None:
-        self.client_account_id = client_account_id
-        self.failure_count = 0
-        self.attempt_timeout_s = _INITIAL_TIMEOUT_S
-        self.attempted_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
-
-    def record(
-        self,
-        head: AttemptHead | None,
-        attempted_endpoint_ids: Iterable[ids.EndpointId],
-        duration_s: float,
-    ) -> None:
-        """Record the outcome of an attempt.
-
-        :param head: head of the response, None without a response.
-        :param duration_s: duration of the attempt in seconds.
-        """
-        self.attempted_endpoint_ids = self.attempted_endpoint_ids.union(
-            attempted_endpoint_ids
-        )
-        if duration_s >= self.attempt_timeout_s:
-            self.attempt_timeout_s *= _TIMEOUT_GROWTH_FACTOR
-        if head is not None and head.status == _STATUS_FAILED:
-            self.failure_count += 1
-
-
 class ItemScorer:
     """Calls the scorer of a text until it returns a score.
 
     :param score_header: name of the response header that holds the score.
+    :param queue: limits the calls that run at once.
     """
 
     def __init__(
@@ -87,25 +53,30 @@
         routes: RouteFinder,
         clock: Clock,
         score_header: str,
+        queue: ScoringQueue,
     ) -> None:
         self._pipeline = pipeline
         self._routes = routes
         self._clock = clock
         self._score_header = score_header.lower()
+        self._queue = queue
 
     async def score(
         self,
         call: ScorerCall,
         client_account_id: ids.ClientAccountId | None,
+        due_s: float,
     ) -> str:
         """Return the score of a text.
 
         :param client_account_id: account of the job. It is not billed for the
             call, but the text may only be sent to regions that it allows.
+        :param due_s: when the step of the text is due, on the process's
+            clock; the order of calls that wait.
         :raises ScoringFailedError: the scorer failed as often as its route
             allows.
         """
-        attempts = _ScoringAttempts(client_account_id)
+        attempts = ScoringAttempts(client_account_id, due_s)
         while True:
             route = self._routes.find(call.host, call.path)
             if route is not None:
@@ -113,42 +84,87 @@
                     raise ScoringFailedError(
                         f'scorer failed {attempts.failure_count} times'
                     )
-                score = await self._score_once(call, route, attempts)
+                score = await self._score_in_turn(call, route, attempts)
                 if score is not None:
                     return score
-            await self._clock.sleep(_RETRY_DELAY_S)
+            delay_s = attempts.retry_delay_s(
+                self._pipeline.rng, backs_off=self._queue.is_enabled
+            )
+            await self._clock.sleep(delay_s)
+
+    async def _score_in_turn(
+        self, call: ScorerCall, route: Route, attempts: ScoringAttempts
+    ) -> str | None:
+        """Return the score, None if this attempt returned none."""
+        service = self._service(call, route)
+        if service is None:
+            return None
+        async with self._queue.turn(service, attempts.due_s):
+            # The configuration may change while the call waits.
+            current_route = self._routes.find(call.host, call.path)
+            if current_route is None:
+                return None
+            if self._service(call, current_route) != service:
+                return None
+            return await self._score_once(
+                call, current_route, service, attempts
+            )
 
     async def _score_once(
-        self, call: ScorerCall, route: Route, attempts: _ScoringAttempts
+        self,
+        call: ScorerCall,
+        route: Route,
+        service: Service,
+        attempts: ScoringAttempts,
     ) -> str | None:
         """Return the score, None if this attempt returned none."""
         start_s = self._clock.monotonic_s()
-        new_endpoint_ids: list[ids.EndpointId] = []
-        head = await self._send_request(
-            call, route, attempts, new_endpoint_ids.append
-        )
+        sent: list[tuple[ids.EndpointId, float]] = []
+        sign: OverloadSign | None
+        try:
+            head = await self._send_request(
+                call,
+                self._request(call, route, service, attempts),
+                lambda endpoint_id: sent.append(
+                    (endpoint_id, self._clock.monotonic_s())
+                ),
+            )
+            sign = sign_of_response(head)
+        except RequestError as error:
+            head = None
+            sign = sign_of_error(error)
+        now_s = self._clock.monotonic_s()
+        score = self._score_from(head)
         attempts.record(
-            head, new_endpoint_ids, self._clock.monotonic_s() - start_s
+            head,
+            sign,
+            [endpoint_id for endpoint_id, _ in sent],
+            now_s - start_s,
         )
-        return self._score_from(head)
+        self._queue.record(
+            service.name,
+            succeeded=score is not None,
+            sign=sign,
+            latency_s=now_s - sent[-1][1] if sent else None,
+        )
+        return score
 
-    async def _send_request(
+    def _service(self, call: ScorerCall, route: Route) -> Service | None:
+        return chosen_service(
+            self._routes.configuration, route, call.request_id
+        )
+
+    def _request(
         self,
         call: ScorerCall,
         route: Route,
-        attempts: _ScoringAttempts,
-        on_attempt: Callable[[ids.EndpointId], None],
-    ) -> AttemptHead | None:
-        """Return the head of the response, None without a response."""
-        service = chosen_service(
-            self._routes.configuration, route, call.request_id
-        )
-        if service is None:
-            return None
+        service: Service,
+        attempts: ScoringAttempts,
+    ) -> PipelineRequest:
         allowed_regions = self._routes.allowed_regions(
             route.name, attempts.client_account_id
         )
-        request = PipelineRequest(
+        return PipelineRequest(
             request_id=call.request_id,
             route=route,
             service=service,
@@ -164,11 +180,23 @@
             idempotent=True,
             max_attempt_count=1,
             whole_response=True,
+            is_scoring_call=True,
             excluded=self._excluded_endpoints(
                 service.name, allowed_regions, attempts.attempted_endpoint_ids
             ),
             allowed_regions=allowed_regions,
         )
+
+    async def _send_request(
+        self,
+        call: ScorerCall,
+        request: PipelineRequest,
+        on_attempt: Callable[[ids.EndpointId], None],
+    ) -> AttemptHead | None:
+        """Return the head of the response, None without a response.
+
+        :raises RequestError: the request was refused or failed.
+        """
         head: AttemptHead | None = None
         try:
             async with aclosing(
@@ -184,7 +212,7 @@
                 code=error.code,
                 error=str(error),
             )
-            return None
+            raise
         return head
 
     def _excluded_endpoints(
