--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -32,6 +32,10 @@
         if it takes none.
     :param owns_items: whether batch items wait or run in the process; False
         if it exchanges no loads.
+    :param memory_mb: memory in mebibytes; 0 if unknown.
+    :param descriptor_count: descriptors that the process may open; 0 if
+        unknown.
+    :param link_mbps: bandwidth of the host's link in Mbit/s; 0 if unknown.
     """
 
     incarnation: ids.Incarnation
@@ -46,6 +50,9 @@
     sender_services: tuple[ids.ServiceName, ...] = ()
     datagram_address: str = ''
     owns_items: bool = False
+    memory_mb: float = 0.0
+    descriptor_count: int = 0
+    link_mbps: float = 0.0
 
 
 class _TrackedProcess(msgspec.Struct):
--- a/src/dogwoodpost/platform/membership_parts.py
+++ b/src/dogwoodpost/platform/membership_parts.py
@@ -43,7 +43,7 @@
         peer_address=settings.peer_address,
         availability_zone=ids.AvailabilityZone(settings.zone),
         region=ids.Region(settings.region),
-        cores=settings.limits.cpu_share * settings.limits.cores,
+        resources=settings.limits.resources,
         needed_services=router.needed_services,
     )
     router.limit_cold_starts(
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -67,7 +67,6 @@
 
 _log = structlog.get_logger(__name__)
 _MS_PER_S = 1_000
-_MIB = 1024 * 1024
 _CONTROL_TABLE = 'control'
 _USAGE_WRITE_INTERVAL_S = 0.7
 _TICK_INTERVAL_S = 0.1
@@ -223,6 +222,7 @@
             HttpJobForwardingClient(fresh_session, self._settings.node),
             self._clock,
             self._metrics,
+            self._policy,
         )
         tables = PartitionTableStore(rows, _CONTROL_TABLE)
         usage = UsageTotals(
@@ -279,7 +279,7 @@
             lifecycle=self._lifecycle,
             metrics=self._metrics,
             max_body_memory_bytes=int(
-                self._settings.limits.memory_mb * _MIB * _BODY_MEMORY_SHARE
+                self._settings.limits.memory_bytes * _BODY_MEMORY_SHARE
             ),
         )
         await self._open_addresses()
@@ -320,6 +320,7 @@
             registry=self._registry,
             loading_endpoints=self._loading_endpoints,
             rng=self._rng,
+            owner_count=self._presence.owner_count,
         )
         return BatchService(
             context,
