Share the version check of events and classify each block once

Cause: the same check stood in StreamRun.note_event and ItemText.add, and OrderedEventSplitter.feed asked is_comment twice for each block. Change: event_version holds the check, with the same errors; feed classifies a block once. Measured: tests/core/streams, tests/core/batches and tests/services/test_continued_streams.py pass; no timing measured.

--- a/src/dogwoodpost/core/batches/item_text.py
+++ b/src/dogwoodpost/core/batches/item_text.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core.batches.item_progress import ItemProgress
+from dogwoodpost.core.streams.event_version import event_version
 from dogwoodpost.errors import EndpointError
 
 if TYPE_CHECKING:
@@ -68,16 +69,12 @@
         if self._last_id is not None and event.event_id != self._last_id + 1:
             raise EndpointError("an event's id does not follow the last one")
         is_new_version = event.weight_version not in {None, self._run_version}
-        if event.weight_version is not None:
-            self._run_version = event.weight_version
-        if self._run_version is None:
-            raise EndpointError(
-                'neither the event nor its response names a weight version'
-            )
+        version = event_version(event.weight_version, self._run_version)
+        self._run_version = version
         self._check_size(event, is_new_version=is_new_version)
         self._last_id = event.event_id
         self._data.append(event.data)
-        self._versions.append(self._run_version)
+        self._versions.append(version)
 
     def progress(
         self, item_id: ids.ItemId, *, is_complete: bool = False
--- a/src/dogwoodpost/core/streams/ordered_event_splitter.py
+++ b/src/dogwoodpost/core/streams/ordered_event_splitter.py
@@ -57,8 +57,15 @@
         blocks = self._splitter.feed(data)
         if not blocks:
             return None
-        has_events = not all(map(is_comment, blocks))
-        checked = [self._checked(block) for block in blocks]
+        has_events = False
+        checked: list[bytes] = []
+        for block in blocks:
+            if is_comment(block):
+                checked.append(_EMPTY_COMMENT if self._continues else block)
+            else:
+                has_events = True
+                self._check_event(block)
+                checked.append(block)
         joined = EVENT_END.join(checked) + EVENT_END
         return EventChunk(joined, self._last_id, has_events, self._can_resume)
 
@@ -69,10 +76,8 @@
         """
         self._splitter.finish()
 
-    def _checked(self, block: bytes) -> bytes:
-        """Record the id of an event and return the bytes to forward."""
-        if is_comment(block):
-            return _EMPTY_COMMENT if self._continues else block
+    def _check_event(self, block: bytes) -> None:
+        """Check and record the id of an event."""
         number = event_id(block)
         if number is not None:
             self._record_id(number)
@@ -81,7 +86,6 @@
         else:
             # A run that resumes could not tell that this event was received.
             self._can_resume = False
-        return block
 
     def _record_id(self, number: int) -> None:
         if self._last_id is not None and number != self._last_id + 1:
--- a/src/dogwoodpost/core/streams/stream_run.py
+++ b/src/dogwoodpost/core/streams/stream_run.py
@@ -6,6 +6,7 @@
 
 from dogwoodpost.core.http_headers import content_length
 from dogwoodpost.core.http_headers import is_event_stream
+from dogwoodpost.core.streams.event_version import event_version
 from dogwoodpost.errors import EndpointError
 
 if TYPE_CHECKING:
@@ -60,12 +61,8 @@
             event's weight version.
         """
         self._has_events = True
-        if version is not None:
-            self._version = version
-        if self._names_versions and self._version is None:
-            raise EndpointError(
-                'neither the event nor its response names a weight version'
-            )
+        if self._names_versions:
+            self._version = event_version(version, self._version)
 
     def check_end(self) -> None:
         """Check that a response which has ended owes no more events.
--- a/tests/core/batches/test_item_text.py
+++ b/tests/core/batches/test_item_text.py
@@ -7,6 +7,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import ItemText
 from dogwoodpost.core.batches import StreamEvent
+from dogwoodpost.core.streams import StreamRun
 from dogwoodpost.errors import EndpointError
 
 
@@ -46,6 +47,22 @@
         text.add(event(number))
 
 
+def test_an_event_without_any_version_is_refused() -> None:
+    """Guards against texts whose weight version is unknown."""
+    text = ItemText()
+    run = StreamRun(after=None, names_versions=True)
+    message = 'neither the event nor its response names a weight version'
+    with pytest.raises(EndpointError, match=message):
+        text.add(event(0))
+    with pytest.raises(EndpointError, match=message):
+        run.note_event()
+    run.note_event(ids.WeightVersion(3))
+    run.note_event()
+    text.add(event(0, version=3))
+    text.add(event(1))
+    assert text.versions() == (3,)
+
+
 def test_first_event_may_have_any_id(text: ItemText) -> None:
     """Guards against the assumption that event ids start at 0."""
     text.add(event(1))
