--- a/src/dogwoodpost/core/batches/output_lengths.py
+++ b/src/dogwoodpost/core/batches/output_lengths.py
@@ -21,6 +21,11 @@
         self._estimated_tokens = 0.0
         self._event_count = 0.0
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the number of tokens per event is known."""
+        return self._event_count > 0.0
+
     def record(self, estimated_tokens: int | None, event_count: int) -> None:
         """Record the length of a complete output and its estimate.
 
--- a/src/dogwoodpost/core/batches/waiting_items.py
+++ b/src/dogwoodpost/core/batches/waiting_items.py
@@ -29,6 +29,8 @@
     :param expected_token_count: expected output length, in tokens.
     :param expected_duration_s: expected time to generate the rest of the
         output; 0.0 if the time between events is unknown.
+    :param expected_event_count: expected number of events left, 0.0 if
+        unknown; None if endpoints are compared without regard to it.
     :param avoided_endpoint_ids: endpoints at which the item failed.
     :param avoided_until_s: when those endpoints may be used again, since there
         may be no others.
@@ -43,6 +45,7 @@
     due_s: float
     expected_token_count: int
     expected_duration_s: float = 0.0
+    expected_event_count: float | None = None
     avoided_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
     avoided_until_s: float = 0.0
     interrupted_endpoint_id: ids.EndpointId | None = None
