--- a/src/dogwoodpost/core/batches/endpoint_gaps.py
+++ b/src/dogwoodpost/core/batches/endpoint_gaps.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dogwoodpost.core.batches.expected_gap import ExpectedGap
+from dogwoodpost.core.batches.expected_gap import SLOW_WINDOW_S
 
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
@@ -22,19 +23,21 @@
 # Events of one read of a socket are recorded within this time. Their gaps are
 # added up before they count: the first one includes the time of the others,
 # which are nearly zero.
-_READ_DURATION_S = 0.001
+READ_DURATION_S = 0.001
 # Without newer events for this long, an endpoint counts as average again, so
 # that one that was slow gets items and is measured anew.
 _MAX_AGE_S = 6.0
 _MIN_GAP_COUNT = 5
 _MIN_ENDPOINT_COUNT = 2
+# Avoids a division by zero where all events of an endpoint came at once.
+_MIN_GAP_SUM_S = 1e-6
 # The median is cached, so that all candidates of a decision are compared with
 # the same value.
 _MEDIAN_LIFETIME_S = 0.1
 # Used for all endpoints while there are too few to compare.
 _DEFAULT_GAP_S = 0.04
-_BUCKET_DURATION_S = 0.25
 _BUCKET_COUNT = 12
+_BUCKET_DURATION_S = SLOW_WINDOW_S / _BUCKET_COUNT
 
 
 class _Gaps(msgspec.Struct):
@@ -55,6 +58,7 @@
     fast_count: float = 0.0
     slow_sum_s: float = 0.0
     slow_count: float = 0.0
+    covered_s: float = 0.0
     gap_count: int = 0
 
 
@@ -80,7 +84,7 @@
                 now_s, now_s, _bucket_number(now_s), [0.0] * _BUCKET_COUNT
             )
             self._gaps[endpoint_id] = gaps
-        elif now_s - gaps.pending_since_s >= _READ_DURATION_S:
+        elif now_s - gaps.pending_since_s >= READ_DURATION_S:
             self._add_pending(gaps, now_s)
             gaps.pending_since_s = now_s
         gaps.pending_s += gap_s
@@ -96,14 +100,13 @@
         gaps = self._gaps.get(endpoint_id)
         if gaps is None or not self._is_current(gaps, now_s):
             return ExpectedGap(median_s, median_s)
-        slow_s = gaps.slow_sum_s / gaps.slow_count
+        slow_s = _slow_average_s(gaps, median_s, now_s)
         decay = math.exp((gaps.updated_s - now_s) / _FAST_TIME_CONSTANT_S)
         fast_s = _fast_average_s(
             gaps.fast_sum_s * decay, gaps.fast_count * decay, slow_s
         )
         _advance_buckets(gaps, now_s)
-        window_s = _BUCKET_DURATION_S * _BUCKET_COUNT
-        share = min(sum(gaps.slow_buckets_s) / window_s, 1.0)
+        share = min(sum(gaps.slow_buckets_s) / SLOW_WINDOW_S, 1.0)
         return ExpectedGap(fast_s, slow_s, share)
 
     def typical_gap_s(self, now_s: float) -> float:
@@ -122,6 +125,9 @@
         decay = math.exp(-elapsed_s / _SLOW_TIME_CONSTANT_S)
         gaps.slow_sum_s = gaps.slow_sum_s * decay + gap_s
         gaps.slow_count = gaps.slow_count * decay + count
+        # A silence without streams is not covered by their gaps.
+        active_s = min(elapsed_s, gap_s)
+        gaps.covered_s = gaps.covered_s * decay + active_s
         gaps.gap_count += count
         gaps.updated_s = time_s
         gaps.pending_s = 0.0
@@ -129,14 +135,12 @@
         median_s = self._current_median_s(now_s)
         if median_s is None:
             return
-        slow_s = gaps.slow_sum_s / gaps.slow_count
+        slow_s = _slow_average_s(gaps, median_s, time_s)
         fast_s = _fast_average_s(gaps.fast_sum_s, gaps.fast_count, slow_s)
         if fast_s >= _SLOW_RATIO * median_s:
             _advance_buckets(gaps, time_s)
-            # A silence without streams is no slow time.
-            gaps.slow_buckets_s[gaps.bucket_number % _BUCKET_COUNT] += min(
-                elapsed_s, gap_s
-            )
+            index = gaps.bucket_number % _BUCKET_COUNT
+            gaps.slow_buckets_s[index] += active_s
 
     def _remove_old(self, now_s: float) -> None:
         """Forget endpoints without newer events, some of which have left."""
@@ -151,7 +155,7 @@
     def _is_current(self, gaps: _Gaps, now_s: float) -> bool:
         if (
             gaps.pending_count
-            and now_s - gaps.pending_since_s >= _READ_DURATION_S
+            and now_s - gaps.pending_since_s >= READ_DURATION_S
         ):
             self._add_pending(gaps, now_s)
         is_recent = now_s - gaps.updated_s <= _MAX_AGE_S
@@ -164,7 +168,7 @@
         self._median_until_s = now_s + _MEDIAN_LIFETIME_S
         self._remove_old(now_s)
         averages_s = [
-            gaps.slow_sum_s / gaps.slow_count
+            max(gaps.slow_sum_s, _MIN_GAP_SUM_S) / gaps.slow_count
             for gaps in self._gaps.values()
             if gaps.gap_count >= _MIN_GAP_COUNT
         ]
@@ -177,6 +181,18 @@
         return self._median_s
 
 
+def _slow_average_s(gaps: _Gaps, median_s: float, now_s: float) -> float:
+    """Return the slow average; time without events counts as average.
+
+    Otherwise an endpoint whose first events fall into a temporary slowdown
+    would count as slow for seconds.
+    """
+    decay = math.exp((gaps.updated_s - now_s) / _SLOW_TIME_CONSTANT_S)
+    share = min(gaps.covered_s * decay / _SLOW_TIME_CONSTANT_S, 1.0)
+    rate = gaps.slow_count / max(gaps.slow_sum_s, _MIN_GAP_SUM_S)
+    return 1.0 / (share * rate + (1.0 - share) / median_s)
+
+
 def _fast_average_s(sum_s: float, count: float, slow_s: float) -> float:
     return (sum_s + _SLOW_WEIGHT_COUNT * slow_s) / (count + _SLOW_WEIGHT_COUNT)
 
