Move running items by their expected end if the policy says so

Change: with adaptive_moves on, an item's events feed EndpointGaps, endpoints are chosen and moves decided by expected ends, and moves are counted, logged and compared with the end expected at the endpoint that was left. ItemMoves, RunReports, ItemVersions and RunOutcome are split from ItemRun. With the policy off the rule and its data are as before; the policy is asked at each event.

--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.batches.endpoint_gaps import EndpointGaps
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+from dogwoodpost.core.batches.move_cost import MoveCost
 from dogwoodpost.core.batches.output_lengths import OutputLengths
 from dogwoodpost.core.batches.placement import ItemPlacement
 from dogwoodpost.platform import header_names
@@ -44,8 +46,12 @@
     """Build the collaborators that all batch jobs of a process share."""
     clock = pipeline.clock
     pace = EndpointEventPace()
+    gaps = EndpointGaps()
     dispatcher = ItemDispatcher(
-        pipeline.router, ItemPlacement(pace), clock, loading_endpoints
+        pipeline.router,
+        ItemPlacement(pace, gaps=gaps),
+        clock,
+        loading_endpoints,
     )
     configuration.subscribe(lambda _: dispatcher.restart_waiting())
     return BatchContext(
@@ -55,6 +61,8 @@
         gateway=gateway,
         dispatcher=dispatcher,
         pace=pace,
+        gaps=gaps,
+        move_cost=MoveCost(),
         lengths=OutputLengths(),
         endpoints=registry,
         router=pipeline.router,
--- a/src/dogwoodpost/services/batches/batch_context.py
+++ b/src/dogwoodpost/services/batches/batch_context.py
@@ -9,7 +9,9 @@
 
     from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import JobHead
+    from dogwoodpost.core.batches.endpoint_gaps import EndpointGaps
     from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+    from dogwoodpost.core.batches.move_cost import MoveCost
     from dogwoodpost.core.batches.output_lengths import OutputLengths
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
@@ -37,6 +39,8 @@
         gateway: EndpointGateway,
         dispatcher: ItemDispatcher,
         pace: EndpointEventPace,
+        gaps: EndpointGaps,
+        move_cost: MoveCost,
         lengths: OutputLengths,
         endpoints: EndpointRegistry,
         router: Router,
@@ -53,6 +57,8 @@
         self.gateway = gateway
         self.dispatcher = dispatcher
         self.pace = pace
+        self.gaps = gaps
+        self.move_cost = move_cost
         self.lengths = lengths
         self.endpoints = endpoints
         self.router = router
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from dogwoodpost.core import ids
+from dogwoodpost.core.batches.move_decision import early_decline
+from dogwoodpost.core.batches.move_decision import MoveDecision
 from dogwoodpost.core.batches.waiting_items import WaitingItems
 from dogwoodpost.core.expiring_keys import ExpiringKeys
 from dogwoodpost.core.routing import AttemptResult
@@ -17,6 +19,7 @@
 
 if TYPE_CHECKING:
     from dogwoodpost.core.batches.placement import ItemPlacement
+    from dogwoodpost.core.batches.running_item import RunningItem
     from dogwoodpost.core.batches.waiting_items import PlacementRequest
     from dogwoodpost.core.routing import AvailableEndpoint
     from dogwoodpost.core.routing import Router
@@ -152,6 +155,22 @@
             slot.endpoint.endpoint_id, candidates, now_s
         )
 
+    def decide_move(
+        self, slot: EndpointSlot, request: PlacementRequest, item: RunningItem
+    ) -> MoveDecision:
+        """Decide by the expected ends whether a running item moves.
+
+        Items don't move while others wait for a slot.
+        """
+        declined = early_decline(item, items_wait=bool(self._waiting))
+        if declined is not None:
+            return MoveDecision(declined)
+        now_s = self._clock.monotonic_s()
+        candidates = self._available_endpoints(request, now_s, is_move=True)
+        return self._placement.decide_move(
+            slot.endpoint.endpoint_id, candidates, item, now_s
+        )
+
     def _schedule_start(self) -> None:
         """Assign slots once the tasks that are ready now have run."""
         if not self._is_start_scheduled:
@@ -177,7 +196,9 @@
                 continue
             candidates = self._available_endpoints(request, now_s)
             chosen = self._placement.choose(
-                _excluding(candidates, request.interrupted_endpoint_id), now_s
+                _excluding(candidates, request.interrupted_endpoint_id),
+                now_s,
+                request.expected_event_count,
             )
             if chosen is None:
                 unmet.add(requirements)
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -8,18 +8,17 @@
 
 import asyncio
 from contextlib import aclosing
-from enum import Enum
 from typing import cast
 from typing import TYPE_CHECKING
 
 import msgspec
-import structlog
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import ItemText
 from dogwoodpost.core.batches import ResultState
 from dogwoodpost.core.batches.item_failures import ItemFailures
+from dogwoodpost.core.batches.item_length import ItemLength
 from dogwoodpost.core.batches.run_timeouts import RunTimeouts
 from dogwoodpost.core.batches.waiting_items import PlacementRequest
 from dogwoodpost.core.streams import StreamRun
@@ -28,7 +27,11 @@
 from dogwoodpost.ports.endpoint_gateway import EndpointCall
 from dogwoodpost.ports.endpoint_gateway import EndpointNotRunError
 from dogwoodpost.ports.endpoint_gateway import NotRunReason
+from dogwoodpost.services.batches.item_moves import ItemMoves
 from dogwoodpost.services.batches.item_scorer import ScoringFailedError
+from dogwoodpost.services.batches.item_versions import ItemVersions
+from dogwoodpost.services.batches.run_outcome import RunOutcome
+from dogwoodpost.services.batches.run_reports import RunReports
 from dogwoodpost.services.entry.service_choice import chosen_service
 
 if TYPE_CHECKING:
@@ -38,15 +41,11 @@
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.batches import ItemProgress
     from dogwoodpost.core.batches import StreamEvent
-    from dogwoodpost.ports.endpoint_gateway import EndpointReply
     from dogwoodpost.services.batches.batch_context import BatchContext
     from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
 
-_log = structlog.get_logger(__name__)
 _STATUS_FAILED = 500
 _STATUS_REJECTED = 422
-_MOVE_CHECK_INTERVAL_S = 0.2
-_MAX_MOVE_COUNT = 4
 # How long an endpoint that is overloaded or changing its weights gets no new
 # items of the model.
 _OVERLOADED_BLOCK_S = 0.25
@@ -57,22 +56,6 @@
 _FAILED_ENDPOINT_AVOIDANCE_S = 1.0
 
 
-class _RunOutcome(Enum):
-    """Outcome of one run of an item; values are metric labels and log fields.
-
-    ``REJECTED``: the endpoint will never accept the request.
-    ``VERSION_MISMATCH``: the weight version is not allowed for the job.
-    """
-
-    COMPLETED = 'completed'
-    FAILED = 'failed'
-    REJECTED = 'never'
-    BROKEN = 'broken'
-    NOT_RUN = 'not_run'
-    MOVED = 'moved'
-    VERSION_MISMATCH = 'unfit'
-
-
 class ItemRun:
     """Runs one item at the process that owns its job.
 
@@ -90,16 +73,17 @@
         self._job = job
         self._item = item
         self._text = ItemText(item.token_count or None)
+        self._versions = ItemVersions(context, job, self._text)
         self._timeouts = RunTimeouts()
         self._interrupted_endpoint_id: ids.EndpointId | None = None
         self._is_text_complete = False
         self._score: str | None = None
-        self._longest_event_count = 0
+        self._length = ItemLength(context.lengths, item.expected_token_count)
+        self._moves = ItemMoves(context, self._length)
+        self._reports = RunReports(context, job, item)
         if saved_progress is not None:
             self._restore(saved_progress)
         self._failures = ItemFailures(job.max_attempt_count)
-        self._move_count = 0
-        self._run_count = 0
 
     async def run(self) -> ItemResult:
         """Return the item's result.
@@ -138,32 +122,28 @@
     def _restore(self, saved_progress: ItemProgress) -> None:
         """Resume from earlier runs if their weight versions are allowed."""
         self._text.restore(saved_progress)
-        self._longest_event_count = self._text.event_count
-        if not self._has_allowed_versions():
+        self._length.note_event_count(self._text.event_count)
+        if not self._versions.are_allowed():
             self._text.clear()
             return
         self._is_text_complete = saved_progress.is_complete
         scorer = self._item.scorer
         if scorer and scorer.request_id == saved_progress.scorer_request_id:
             self._score = saved_progress.score
-        _log.info(
-            'item_restored',
-            job_id=self._job.job_id,
-            item_id=self._item.item_id,
-            events=self._text.event_count,
-            complete=self._is_text_complete,
-            scored=self._score is not None,
+        self._reports.log_restored(
+            self._text.event_count,
+            is_complete=self._is_text_complete,
+            is_scored=self._score is not None,
         )
 
     async def _run_to_result(self) -> ItemResult:
         while not self._is_text_complete:
             run_outcome = await self._run_once()
-            if run_outcome is _RunOutcome.COMPLETED:
+            if run_outcome is RunOutcome.COMPLETED:
                 self._is_text_complete = True
-                self._context.lengths.record(
-                    self._item.expected_token_count, self._text.event_count
-                )
-            if run_outcome is _RunOutcome.REJECTED:
+                self._length.record_end(self._text.event_count)
+                self._moves.note_end(self._text.event_count)
+            if run_outcome is RunOutcome.REJECTED:
                 return self._errored_result('rejected_by_endpoint')
             if self._failures.is_final:
                 return self._errored_result('failed_too_often')
@@ -185,40 +165,48 @@
             score=self._score,
         )
 
-    async def _run_once(self) -> _RunOutcome:
+    async def _run_once(self) -> RunOutcome:
         request = self._placement_request()
         if request is None:
             await self._context.clock.sleep(_NO_ROUTE_RETRY_DELAY_S)
-            return _RunOutcome.NOT_RUN
+            return RunOutcome.NOT_RUN
         slot = await self._context.dispatcher.acquire(request)
         if slot is None:
-            return _RunOutcome.NOT_RUN
+            return RunOutcome.NOT_RUN
+        self._moves.begin_run()
         start_s = self._context.clock.monotonic_s()
         event_count = self._text.event_count
-        run_outcome: _RunOutcome | None = None
+        run_outcome: RunOutcome | None = None
         failure: EndpointError | None = None
         try:
             run_outcome = await self._receive_stream(slot, request)
         except EndpointNotRunError as error:
-            run_outcome = _RunOutcome.NOT_RUN
+            run_outcome = RunOutcome.NOT_RUN
             failure = error
             self._block_endpoint(slot, error.reason)
         except EndpointError as error:
-            run_outcome = _RunOutcome.BROKEN
+            run_outcome = RunOutcome.BROKEN
             failure = error
         finally:
             failed = _is_endpoint_failure(run_outcome, failure)
             self._context.dispatcher.release(
                 slot,
                 request,
-                conclusive=failed or run_outcome is _RunOutcome.COMPLETED,
+                conclusive=failed or run_outcome is RunOutcome.COMPLETED,
                 failed=failed,
                 timed_out=isinstance(failure, EndpointSilentError),
             )
-            self._log_run(slot, run_outcome, failure, start_s)
-        if run_outcome is _RunOutcome.FAILED:
+            self._reports.log_run(
+                slot,
+                run_outcome,
+                failure,
+                start_s=start_s,
+                event_count=self._text.event_count,
+                move_fields=self._moves.log_fields(),
+            )
+        if run_outcome is RunOutcome.FAILED:
             self._failures.record(slot.endpoint.endpoint_id)
-        elif run_outcome is _RunOutcome.BROKEN:
+        elif run_outcome is RunOutcome.BROKEN:
             self._interrupted_endpoint_id = slot.endpoint.endpoint_id
             pause_s = self._timeouts.record_interruption(
                 is_silent=isinstance(failure, EndpointSilentError),
@@ -229,30 +217,29 @@
 
     async def _receive_stream(
         self, slot: EndpointSlot, request: PlacementRequest
-    ) -> _RunOutcome:
+    ) -> RunOutcome:
         """Send the request to a slot's endpoint and receive its stream.
 
         :raises EndpointError: the run failed or its stream broke off.
         """
-        if self._job.single_version or not self._has_allowed_versions():
-            self._clear_unusable_text(slot)
-        self._run_count += 1
-        context = self._context
-        async with context.gateway.open(
+        if self._job.single_version or not self._versions.are_allowed():
+            self._versions.clear_unusable_text(slot)
+        self._reports.count_run()
+        async with self._context.gateway.open(
             slot.endpoint, self._endpoint_call()
         ) as reply:
             if reply.status == _STATUS_FAILED:
-                return _RunOutcome.FAILED
+                return RunOutcome.FAILED
             if reply.status == _STATUS_REJECTED:
-                return _RunOutcome.REJECTED
+                return RunOutcome.REJECTED
             stream_run = StreamRun(
                 after=self._text.last_event_id, names_versions=True
             )
             stream_run.check_head(
                 reply.status, reply.headers, reply.weight_version
             )
-            if not self._accept_reply_version(slot, reply):
-                return _RunOutcome.VERSION_MISMATCH
+            if not self._versions.accept_reply(slot, reply.weight_version):
+                return RunOutcome.VERSION_MISMATCH
             events = cast('AsyncGenerator[StreamEvent, None]', reply.events())
             async with aclosing(events):
                 return await self._receive_events(
@@ -265,90 +252,30 @@
         events: AsyncGenerator[StreamEvent, None],
         slot: EndpointSlot,
         request: PlacementRequest,
-    ) -> _RunOutcome:
+    ) -> RunOutcome:
         clock = self._context.clock
-        endpoint_id = slot.endpoint.endpoint_id
-        last_event_s: float | None = None
-        next_move_check_s = clock.monotonic_s() + _MOVE_CHECK_INTERVAL_S
+        self._moves.begin_events(clock.monotonic_s())
         while True:
             try:
                 async with asyncio.timeout(self._timeouts.idle_timeout_s):
                     event = await anext(events)
             except StopAsyncIteration:
                 stream_run.check_end()
-                return _RunOutcome.COMPLETED
+                return RunOutcome.COMPLETED
             except TimeoutError:
                 raise EndpointSilentError(
                     f'no event for {self._timeouts.idle_timeout_s} s'
                 ) from None
             stream_run.note_event(event.weight_version)
             self._text.add(event)
-            if not self._has_allowed_versions():
-                return _RunOutcome.VERSION_MISMATCH
+            if not self._versions.are_allowed():
+                return RunOutcome.VERSION_MISMATCH
             now_s = clock.monotonic_s()
-            if last_event_s is not None:
-                self._context.pace.record(
-                    endpoint_id, now_s - last_event_s, now_s
-                )
-            last_event_s = now_s
-            if now_s >= next_move_check_s:
-                next_move_check_s = now_s + _MOVE_CHECK_INTERVAL_S
-                if self._should_move(slot, request):
-                    self._move_count += 1
-                    return _RunOutcome.MOVED
-
-    def _should_move(
-        self, slot: EndpointSlot, request: PlacementRequest
-    ) -> bool:
-        if self._move_count >= _MAX_MOVE_COUNT:
-            return False
-        return self._context.dispatcher.should_move(slot, request)
-
-    def _accept_reply_version(
-        self, slot: EndpointSlot, reply: EndpointReply
-    ) -> bool:
-        """Return whether the job allows the reply's weight version."""
-        version = reply.weight_version
-        if version is None:
-            # The reply names no version if all events were received before.
-            self._text.begin_run(None)
-            return True
-        if self._job.model is not None:
-            self._context.endpoints.note_versions(
-                slot.endpoint.endpoint_id,
-                slot.endpoint.agent_incarnation,
-                {self._job.model: version},
-                self._context.clock.monotonic_s(),
-            )
-        if self._job.min_version and version < self._job.min_version:
-            self._context.dispatcher.block(
-                slot.endpoint.endpoint_id, self._job.model, _OVERLOADED_BLOCK_S
-            )
-            return False
-        text_versions = self._text.versions()
-        if (
-            self._job.single_version
-            and text_versions
-            and text_versions != (version,)
-        ):
-            self._text.clear()
-            return False
-        self._text.begin_run(version)
-        return True
-
-    def _has_allowed_versions(self) -> bool:
-        return self._text.has_allowed_versions(
-            self._job.min_version, single_version=self._job.single_version
-        )
-
-    def _clear_unusable_text(self, slot: EndpointSlot) -> None:
-        """Clear the text unless its versions allow continuing it at a slot."""
-        version = slot.endpoint.version_of(self._job.model)
-        versions = self._text.versions()
-        if not self._has_allowed_versions() or (
-            versions and versions != (version,)
-        ):
-            self._text.clear()
+            self._moves.note_event(slot, now_s)
+            if self._moves.moves_now(
+                slot, request, self._text.event_count, now_s
+            ):
+                return RunOutcome.MOVED
 
     def _block_endpoint(
         self, slot: EndpointSlot, reason: NotRunReason
@@ -390,25 +317,20 @@
         )
         if service is None:
             return None
-        self._longest_event_count = max(
-            self._longest_event_count, self._text.event_count
-        )
-        context = self._context
-        now_s = context.clock.monotonic_s()
-        expected_tokens = context.lengths.expected_tokens(
-            self._item.expected_token_count, self._longest_event_count
-        )
-        events_left = context.lengths.events_left(
-            expected_tokens, self._text.event_count
-        )
-        duration_s = events_left * context.pace.typical_gap_s(now_s)
+        event_count = self._text.event_count
+        self._length.note_event_count(event_count)
+        now_s = self._context.clock.monotonic_s()
+        gap_s = self._moves.typical_gap_s(now_s)
         return PlacementRequest(
             service=service.name,
             model=self._job.model,
             min_version=self._job.min_version,
             due_s=self._accepted_at_s() + self._job.due_s,
-            expected_token_count=expected_tokens,
-            expected_duration_s=duration_s,
+            expected_token_count=self._length.expected_tokens(),
+            expected_duration_s=self._length.events_left(event_count) * gap_s,
+            expected_event_count=self._moves.placement_event_count(
+                event_count
+            ),
             avoided_endpoint_ids=self._failures.endpoint_ids,
             avoided_until_s=now_s + _FAILED_ENDPOINT_AVOIDANCE_S,
             interrupted_endpoint_id=self._interrupted_endpoint_id,
@@ -432,47 +354,20 @@
         return end_s - self._context.clock.monotonic_s()
 
     def _errored_result(self, reason: str) -> ItemResult:
-        _log.warning(
-            'item_errored',
-            job_id=self._job.job_id,
-            item_id=self._item.item_id,
-            reason=reason,
-            failures=self._failures.count,
-            events=self._text.event_count,
+        self._reports.log_errored(
+            reason,
+            failure_count=self._failures.count,
+            event_count=self._text.event_count,
         )
         return ItemResult(
             item_id=self._item.item_id, state=ResultState.ERRORED
         )
 
-    def _log_run(
-        self,
-        slot: EndpointSlot,
-        run_outcome: _RunOutcome | None,
-        failure: EndpointError | None,
-        start_s: float,
-    ) -> None:
-        now_s = self._context.clock.monotonic_s()
-        outcome = 'cancelled' if run_outcome is None else run_outcome.value
-        self._context.metrics.events.labels(f'item_run_{outcome}').inc()
-        self._context.metrics.observe('item_run', now_s - start_s)
-        _log.info(
-            'item_run',
-            job_id=self._job.job_id,
-            item_id=self._item.item_id,
-            endpoint=slot.endpoint.endpoint_id,
-            endpoint_version=slot.endpoint.version_of(self._job.model),
-            outcome=outcome,
-            detail=str(failure or ''),
-            number=self._run_count,
-            events=self._text.event_count,
-            duration_ms=round((now_s - start_s) * 1_000),
-        )
-
 
 def _is_endpoint_failure(
-    run_outcome: _RunOutcome | None, failure: EndpointError | None
+    run_outcome: RunOutcome | None, failure: EndpointError | None
 ) -> bool:
     """Return whether a run counts as a failure of its endpoint."""
     if isinstance(failure, EndpointNotRunError):
         return failure.reason is NotRunReason.UNREACHABLE
-    return run_outcome in {_RunOutcome.BROKEN, _RunOutcome.FAILED}
+    return run_outcome in {RunOutcome.BROKEN, RunOutcome.FAILED}
--- a/tests/services/batches/test_item_dispatcher.py
+++ b/tests/services/batches/test_item_dispatcher.py
@@ -10,7 +10,9 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+from dogwoodpost.core.batches.move_decision import MoveOutcome
 from dogwoodpost.core.batches.placement import ItemPlacement
+from dogwoodpost.core.batches.running_item import RunningItem
 from dogwoodpost.core.batches.waiting_items import PlacementRequest
 from dogwoodpost.core.routing import AttemptResult
 from dogwoodpost.core.routing import Endpoint
@@ -206,3 +208,22 @@
     loads.begin(BAD, MODEL, 0.0)
     assert loads.of_model(MODEL, MAX_LOAD_S - 0.1) == {BAD}
     assert loads.of_model(MODEL, MAX_LOAD_S) == set()
+
+
+async def test_items_do_not_move_while_others_wait(
+    router: Router, dispatcher: ItemDispatcher
+) -> None:
+    """Guards against moves that take the slot of a waiting item."""
+    item = RunningItem(
+        event_count=60.0, run_duration_s=1.0, move_count=0, move_cost_s=0.15
+    )
+    slot = await dispatcher.acquire(placement_request())
+    decision = dispatcher.decide_move(slot, placement_request(), item)
+    assert decision.outcome is MoveOutcome.SMALL_GAIN
+    for number in range(3):
+        router.remove(ids.EndpointId(f'e{number}'), 0.0)
+    waiting = asyncio.create_task(dispatcher.acquire(placement_request()))
+    await asyncio.sleep(0.0)
+    decision = dispatcher.decide_move(slot, placement_request(), item)
+    assert decision.outcome is MoveOutcome.ITEMS_WAIT
+    waiting.cancel()
--- a/tests/services/test_continued_streams.py
+++ b/tests/services/test_continued_streams.py
@@ -21,13 +21,16 @@
 from dogwoodpost.core.batches import BatchItem
 from dogwoodpost.core.batches import BatchJob
 from dogwoodpost.core.batches import ResultState
+from dogwoodpost.core.batches.endpoint_gaps import EndpointGaps
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+from dogwoodpost.core.batches.move_cost import MoveCost
 from dogwoodpost.core.batches.output_lengths import OutputLengths
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.configuration import Route
 from dogwoodpost.core.configuration import RouteKind
 from dogwoodpost.core.configuration import Service
 from dogwoodpost.core.configuration import ServiceKind
+from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.routing import Router
 from dogwoodpost.errors import RequestError
 from dogwoodpost.observability import Metrics
@@ -286,6 +289,9 @@
         dispatcher=OneSlotDispatcher(),
         clock=ImmediateClock(),
         pace=EndpointEventPace(),
+        gaps=EndpointGaps(),
+        move_cost=MoveCost(),
+        policy=PolicyHolder(),
         lengths=OutputLengths(),
         endpoints=SimpleNamespace(note_versions=lambda *_: None),
         routes=RouteFinder(FakeConfiguration(configuration)),
