Share the engines between trainers and start needed items first

Cause: the owner of a job that looks first gets all free slots, so a trainer that comes later waits until another one has all it wants. The demands of other processes come from a callable, by default none. Each job has a GroupNeeds that learns of waiting, started, finished and listed items. An endpoint whose free slots nobody took for 0.4 s is not offered for 2 s. With the policy off, order and placement are as before.

--- a/src/dogwoodpost/core/routing/endpoint_pool.py
+++ b/src/dogwoodpost/core/routing/endpoint_pool.py
@@ -96,6 +96,14 @@
                     self._eligible[distance].append(endpoint_id)
         return self._eligible
 
+    def slot_count(self) -> int:
+        """Return how many requests the eligible endpoints run at once."""
+        return sum(
+            self.endpoints[endpoint_id].capacity_count
+            for endpoint_ids in self.eligible().values()
+            for endpoint_id in endpoint_ids
+        )
+
     def observe(self, duration_s: float, work_units: float) -> None:
         """Add a completed attempt to the moving averages."""
         self.mean_duration_s += _EMA_WEIGHT * (
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -225,6 +225,14 @@
             return None
         return self._pools[service].endpoints.get(endpoint_id)
 
+    def slot_count(self, service: ids.ServiceName) -> int:
+        """Return how many requests a service's endpoints run at once.
+
+        Endpoints that drain or are not ready don't count.
+        """
+        pool = self._pools.get(service)
+        return 0 if pool is None else pool.slot_count()
+
     def own_loads(self) -> dict[ids.EndpointId, int]:
         """Return the number of own attempts in flight, by endpoint."""
         return {
--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -45,7 +45,12 @@
     clock = pipeline.clock
     pace = EndpointEventPace()
     dispatcher = ItemDispatcher(
-        pipeline.router, ItemPlacement(pace), clock, loading_endpoints
+        pipeline.router,
+        ItemPlacement(pace),
+        clock,
+        loading_endpoints,
+        policy=pipeline.policy,
+        metrics=pipeline.metrics,
     )
     configuration.subscribe(lambda _: dispatcher.restart_waiting())
     return BatchContext(
--- a/src/dogwoodpost/services/batches/item_dispatcher.py
+++ b/src/dogwoodpost/services/batches/item_dispatcher.py
@@ -6,45 +6,44 @@
 import uuid
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches.waiting_items import WaitingItems
-from dogwoodpost.core.expiring_keys import ExpiringKeys
+from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.routing import AttemptResult
-from dogwoodpost.core.routing import Endpoint
 from dogwoodpost.core.routing import RouteQuery
+from dogwoodpost.observability import Metrics
+from dogwoodpost.services.batches.capacity_shares import CapacityShares
+from dogwoodpost.services.batches.capacity_shares import no_peer_demands
+from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
+from dogwoodpost.services.batches.job_needs import JobNeeds
+from dogwoodpost.services.batches.slot_candidates import SlotCandidates
+from dogwoodpost.services.batches.trainer_demands import TrainerDemands
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from dogwoodpost.core.batches.placement import ItemPlacement
     from dogwoodpost.core.batches.waiting_items import PlacementRequest
-    from dogwoodpost.core.routing import AvailableEndpoint
+    from dogwoodpost.core.membership.peer_states import ItemDemand
+    from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.core.routing import Router
     from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
     from dogwoodpost.ports.clock import Clock
+    from dogwoodpost.services.batches.capacity_shares import PeerDemands
+    from dogwoodpost.services.batches.start_round import StartRound
 
 # Capacity also becomes free without an event in this process, so waiting
 # items are retried at this interval.
 _POLL_INTERVAL_S = 0.03
 
 
-class EndpointSlot(msgspec.Struct, frozen=True):
-    """Capacity of an endpoint that is held for one attempt.
-
-    :param token_count: expected output of the item in tokens, counted in the
-        endpoint's token load until the slot is released.
-    """
-
-    endpoint: Endpoint
-    attempt_id: ids.AttemptId
-    token_count: int
-
-
 class ItemDispatcher:
     """Queues items and gives free endpoint slots to the most urgent ones.
 
     :param loading_endpoints: endpoints that currently load weights; they get
         no items of the model that they load.
+    :param policy: policy in force; by default every mechanism is off.
+    :param peer_demands: returns the demands of other processes at a time.
     """
 
     def __init__(
@@ -53,16 +52,28 @@
         placement: ItemPlacement,
         clock: Clock,
         loading_endpoints: LoadingEndpoints,
+        *,
+        policy: PolicyHolder | None = None,
+        metrics: Metrics | None = None,
+        peer_demands: PeerDemands = no_peer_demands,
     ) -> None:
         self._router = router
         self._placement = placement
         self._clock = clock
-        self._loading_endpoints = loading_endpoints
+        self._candidates = SlotCandidates(router, loading_endpoints)
+        self._metrics = metrics or Metrics()
+        self.needs = JobNeeds()
+        self._demands = TrainerDemands(self.needs)
+        self._shares = CapacityShares(
+            router,
+            self._candidates,
+            self._demands,
+            policy or PolicyHolder(),
+            self._metrics,
+            peer_demands,
+        )
         self._waiting = WaitingItems()
         self._slot_futures: dict[int, asyncio.Future[EndpointSlot | None]] = {}
-        self._blocks: ExpiringKeys[
-            tuple[ids.EndpointId, ids.ModelName | None]
-        ] = ExpiringKeys()
         self._poll_timer: asyncio.TimerHandle | None = None
         self._is_start_scheduled = False
 
@@ -77,6 +88,9 @@
             requirements of the item.
         """
         request_number = self._waiting.add(request)
+        self._demands.add_waiting(
+            request_number, request, self._clock.monotonic_s()
+        )
         future = asyncio.get_running_loop().create_future()
         self._slot_futures[request_number] = future
         try:
@@ -89,14 +103,20 @@
             raise
         finally:
             self._waiting.remove(request_number)
+            self._demands.remove_waiting(request_number)
             del self._slot_futures[request_number]
 
     def restart_waiting(self) -> None:
         """Let all waiting items determine their requirements again."""
         for request_number, _ in list(self._waiting.by_urgency()):
             self._waiting.remove(request_number)
+            self._demands.remove_waiting(request_number)
             self._slot_futures[request_number].set_result(None)
 
+    def own_demands(self, now_s: float) -> tuple[ItemDemand, ...]:
+        """Return what each trainer runs and waits for at this process."""
+        return self._demands.own_demands(now_s)
+
     def release(
         self,
         slot: EndpointSlot,
@@ -115,6 +135,7 @@
         """
         endpoint_id = slot.endpoint.endpoint_id
         self._placement.token_loads.remove(endpoint_id, slot.token_count)
+        self._demands.release(request)
         result = AttemptResult(
             failed=failed, timed_out=timed_out, conclusive=conclusive
         )
@@ -135,7 +156,7 @@
     ) -> None:
         """Assign no items of a model to an endpoint for ``duration_s``."""
         until_s = self._clock.monotonic_s() + duration_s
-        self._blocks.add((endpoint_id, model), until_s)
+        self._candidates.block(endpoint_id, model, until_s)
 
     def should_move(
         self, slot: EndpointSlot, request: PlacementRequest
@@ -147,7 +168,7 @@
         if self._waiting:
             return False
         now_s = self._clock.monotonic_s()
-        candidates = self._available_endpoints(request, now_s, is_move=True)
+        candidates = self._candidates.available(request, now_s, is_move=True)
         return self._placement.should_move(
             slot.endpoint.endpoint_id, candidates, now_s
         )
@@ -164,8 +185,9 @@
 
     def _start_waiting_items(self) -> None:
         now_s = self._clock.monotonic_s()
+        start_round = self._shares.start_round(now_s)
         unmet: set[tuple[object, ...]] = set()
-        for request_number, request in list(self._waiting.by_urgency()):
+        for request_number, request in self._in_order(start_round):
             requirements = (
                 request.service,
                 request.model,
@@ -175,19 +197,35 @@
             )
             if requirements in unmet:
                 continue
-            candidates = self._available_endpoints(request, now_s)
-            chosen = self._placement.choose(
-                _excluding(candidates, request.interrupted_endpoint_id), now_s
-            )
-            if chosen is None:
+            if start_round and start_round.is_held(
+                request_number, requirements
+            ):
+                continue
+            candidates = self._candidates.preferred(request, now_s)
+            if not candidates:
                 unmet.add(requirements)
+            elif start_round:
+                candidates = start_round.open_candidates(
+                    request_number, requirements, candidates
+                )
+            chosen = self._placement.choose(candidates, now_s)
+            if chosen is None:
                 continue
+            if start_round:
+                start_round.note_started(request_number)
             self._start_item(request_number, request, chosen.endpoint, now_s)
         if self._waiting and self._poll_timer is None:
             self._poll_timer = asyncio.get_running_loop().call_later(
                 _POLL_INTERVAL_S, self._on_poll_timer
             )
 
+    def _in_order(
+        self, start_round: StartRound | None
+    ) -> Iterator[tuple[int, PlacementRequest]]:
+        if start_round is not None:
+            return start_round.items()
+        return iter(list(self._waiting.by_urgency()))
+
     def _start_item(
         self,
         request_number: int,
@@ -195,11 +233,15 @@
         endpoint: Endpoint,
         now_s: float,
     ) -> None:
+        wait_s, need = self._demands.start(request_number, now_s)
         slot = EndpointSlot(
             endpoint,
             ids.AttemptId(uuid.uuid4().hex),
             request.expected_token_count,
+            wait_s,
+            need,
         )
+        self._metrics.observe('item_wait', wait_s)
         self._placement.token_loads.add(endpoint.endpoint_id, slot.token_count)
         self._router.begin(
             endpoint.endpoint_id,
@@ -210,38 +252,6 @@
         self._waiting.remove(request_number)
         self._slot_futures[request_number].set_result(slot)
 
-    def _available_endpoints(
-        self,
-        request: PlacementRequest,
-        now_s: float,
-        *,
-        is_move: bool = False,
-    ) -> list[AvailableEndpoint]:
-        excluded = self._excluded_endpoints(request.model, now_s)
-        if now_s < request.avoided_until_s:
-            excluded |= request.avoided_endpoint_ids
-        query = RouteQuery(
-            service=request.service,
-            model=request.model,
-            min_weight_version=request.min_version,
-            excluded=excluded,
-            allowed_regions=request.allowed_regions,
-            may_probe=not is_move,
-            may_use_cold=not is_move,
-        )
-        return self._router.available_endpoints(query, now_s)
-
-    def _excluded_endpoints(
-        self, model: ids.ModelName | None, now_s: float
-    ) -> frozenset[ids.EndpointId]:
-        """Return endpoints that are blocked for a model or are loading it."""
-        blocked = frozenset(
-            endpoint_id
-            for endpoint_id, blocked_model in self._blocks.current(now_s)
-            if blocked_model == model
-        )
-        return blocked | self._loading_endpoints.of_model(model, now_s)
-
     def _on_poll_timer(self) -> None:
         self._poll_timer = None
         self._start_waiting_items()
@@ -249,15 +259,3 @@
 
 def _has_result(future: asyncio.Future[EndpointSlot | None]) -> bool:
     return future.done() and not future.cancelled()
-
-
-def _excluding(
-    candidates: list[AvailableEndpoint], endpoint_id: ids.EndpointId | None
-) -> list[AvailableEndpoint]:
-    """Return the candidates at other endpoints, or all if there are none."""
-    other_candidates = [
-        candidate
-        for candidate in candidates
-        if candidate.endpoint.endpoint_id != endpoint_id
-    ]
-    return other_candidates or candidates
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -40,7 +40,7 @@
     from dogwoodpost.core.batches import StreamEvent
     from dogwoodpost.ports.endpoint_gateway import EndpointReply
     from dogwoodpost.services.batches.batch_context import BatchContext
-    from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+    from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 
 _log = structlog.get_logger(__name__)
 _STATUS_FAILED = 500
@@ -466,6 +466,8 @@
             number=self._run_count,
             events=self._text.event_count,
             duration_ms=round((now_s - start_s) * 1_000),
+            wait_ms=round(slot.wait_s * 1_000),
+            need=slot.need.value,
         )
 
 
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-from contextlib import asynccontextmanager
 from contextlib import suppress
 from typing import Any
 from typing import TYPE_CHECKING
@@ -16,6 +15,7 @@
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobState
 from dogwoodpost.core.batches import ResultState
+from dogwoodpost.core.batches.group_needs import GroupNeeds
 from dogwoodpost.core.batches.listing_schedule import ListingSchedule
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
@@ -23,9 +23,9 @@
 from dogwoodpost.services.batches.group_checkpoints import GroupCheckpoints
 from dogwoodpost.services.batches.item_run import ItemRun
 from dogwoodpost.services.batches.job_store import StoredHead
+from dogwoodpost.services.batches.limited_write import LimitedWrite
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Coroutine
     from collections.abc import Iterable
@@ -73,13 +73,13 @@
         # listed before this run.
         self._listed_at_s = dict.fromkeys(listed_item_ids, -math.inf)
         self._schedule = ListingSchedule(job, self._listed_at_s)
+        self._needs = GroupNeeds(job, self._listed_at_s)
         self._on_listed = on_listed
         self._pending: list[ItemResult] = []
         self._wake_event = asyncio.Event()
         self._run_ended = asyncio.Event()
         self._is_handing_over = False
-        # Set while results are being written.
-        self._write_timeout: asyncio.Timeout | None = None
+        self._write = LimitedWrite()
         # Lowered after the store has refused a transaction.
         self._max_batch_count: int | None = None
         self._item_tasks: set[asyncio.Task[None]] = set()
@@ -96,15 +96,10 @@
 
     async def run(self) -> None:
         """Run until all items are listed, or the job ends or changes owner."""
+        needs = self._context.dispatcher.needs
         try:
-            await self._start_items()
-            checkpoint_task = self._spawn_auxiliary(
-                self._checkpoints.write_checkpoints()
-            )
-            await self._list_results()
-            checkpoint_task.cancel()
-            self._cancel_items()
-            await self._clean_up()
+            with needs.registered(self._job.job_id, self._needs):
+                await self._run_to_end()
         finally:
             self._run_ended.set()
             self._cancel_items()
@@ -112,6 +107,16 @@
                 auxiliary_task.cancel()
             self._log_end()
 
+    async def _run_to_end(self) -> None:
+        await self._start_items()
+        checkpoint_task = self._spawn_auxiliary(
+            self._checkpoints.write_checkpoints()
+        )
+        await self._list_results()
+        checkpoint_task.cancel()
+        self._cancel_items()
+        await self._clean_up()
+
     async def _list_results(self) -> None:
         """List results until the job is complete or has another owner."""
         while self._owns_job() and not self._stored_head.head.is_complete:
@@ -162,26 +167,16 @@
         ):
             self._stored_head = stored_head
             self._cancel_items()
-            self._limit_write(0.0)
+            self._write.limit(0.0)
             self._wake_event.set()
 
     async def hand_over(self) -> None:
         """Stop running the job and release it to other processes."""
         self._is_handing_over = True
-        self._limit_write(_HAND_OVER_TIMEOUT_S)
+        self._write.limit(_HAND_OVER_TIMEOUT_S)
         self._wake_event.set()
         await self._run_ended.wait()
 
-    def _limit_write(self, timeout_s: float) -> None:
-        """Abandon a running write of results after a time.
-
-        Otherwise a write that the store refuses would be repeated for as long
-        as this process lives.
-        """
-        if self._write_timeout is not None:
-            now_s = asyncio.get_running_loop().time()
-            self._write_timeout.reschedule(now_s + timeout_s)
-
     async def _write_hand_over(self) -> None:
         head = msgspec.structs.replace(
             self._stored_head.head, owner_id=ids.ProcessId('')
@@ -280,9 +275,13 @@
             # Another process or an earlier transaction has listed a result.
             return
         self._pending.append(result)
-        self._schedule.note_finished(result.item_id)
+        self._note_finished(result.item_id)
         self._wake_event.set()
 
+    def _note_finished(self, item_id: ids.ItemId) -> None:
+        self._schedule.note_finished(item_id)
+        self._needs.note_finished(item_id)
+
     async def _list_next_batch(self) -> bool:
         """List as many pending results as fit in one transaction.
 
@@ -290,8 +289,9 @@
             has another owner or is being handed over.
         """
         batch = self._next_batch()
+        timeout_s = _HAND_OVER_TIMEOUT_S if self._is_handing_over else None
         try:
-            async with self._abandonable_write():
+            async with self._write.running(timeout_s):
                 await self._write_batch(batch)
         except TimeoutError:
             _log.info(
@@ -302,16 +302,6 @@
             return False
         return True
 
-    @asynccontextmanager
-    async def _abandonable_write(self) -> AsyncIterator[None]:
-        """Let :meth:`_limit_write` end the block with a TimeoutError."""
-        timeout_s = _HAND_OVER_TIMEOUT_S if self._is_handing_over else None
-        async with asyncio.timeout(timeout_s) as self._write_timeout:
-            try:
-                yield
-            finally:
-                self._write_timeout = None
-
     async def _write_batch(self, batch: list[ItemResult]) -> None:
         """Write results and the head that counts them."""
         head = self._stored_head.head
@@ -350,7 +340,7 @@
         now_s = self._context.clock.monotonic_s()
         for result in results:
             self._listed_at_s.setdefault(result.item_id, now_s)
-            self._schedule.note_finished(result.item_id)
+            self._note_finished(result.item_id)
 
     def _next_batch(self) -> list[ItemResult]:
         count = self._context.store.fitting_count(
@@ -385,7 +375,7 @@
         self._pending.append(
             ItemResult(item_id=item_id, state=ResultState.ERRORED)
         )
-        self._schedule.note_finished(item_id)
+        self._note_finished(item_id)
         self._wake_event.set()
 
     async def _resolve_conflict(self) -> None:
