--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -28,6 +28,7 @@
     from dogwoodpost.ports.endpoint_gateway import EndpointGateway
     from dogwoodpost.ports.object_store import ObjectStore
     from dogwoodpost.ports.row_store import RowStore
+    from dogwoodpost.services.batches.capacity_shares import PeerDemands
     from dogwoodpost.services.entry.request_pipeline import RequestPipeline
     from dogwoodpost.services.entry.route_finder import RouteFinder
 
@@ -45,10 +46,12 @@
     loading_endpoints: LoadingEndpoints,
     rng: random.Random,
     owner_count: Callable[[], int],
+    peer_demands: PeerDemands,
 ) -> BatchContext:
     """Build the collaborators that all batch jobs of a process share.
 
     :param owner_count: returns the number of processes that own batch items.
+    :param peer_demands: returns the demands of other processes at a time.
     """
     clock = pipeline.clock
     pace = EndpointEventPace()
@@ -58,6 +61,9 @@
         ItemPlacement(pace, gaps=gaps),
         clock,
         loading_endpoints,
+        policy=pipeline.policy,
+        metrics=pipeline.metrics,
+        peer_demands=peer_demands,
     )
     configuration.subscribe(lambda _: dispatcher.restart_waiting())
     return BatchContext(
--- a/src/dogwoodpost/platform/membership_parts.py
+++ b/src/dogwoodpost/platform/membership_parts.py
@@ -81,4 +81,5 @@
         pipeline.clock,
         pipeline.metrics,
         owns_items=lambda: batches.running_count > 0,
+        own_demands=batches.own_demands,
     )
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -122,6 +122,7 @@
             max_age_s=_max_age_s(settings),
         )
         self._loading_endpoints = LoadingEndpoints()
+        self._peer_states = PeerStates()
 
     async def run(self) -> int:
         """Run until a stop signal or a crash; return the exit code."""
@@ -262,7 +263,7 @@
             compose_load_exchange(
                 self._settings,
                 self._identity,
-                PeerStates(),
+                self._peer_states,
                 self._presence,
                 pipeline,
                 self._batches,
@@ -321,6 +322,7 @@
             loading_endpoints=self._loading_endpoints,
             rng=self._rng,
             owner_count=self._presence.owner_count,
+            peer_demands=self._peer_states.demands,
         )
         return BatchService(
             context,
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -31,6 +31,7 @@
     from dogwoodpost.core import ids
     from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import BatchJob
+    from dogwoodpost.core.membership.peer_states import ItemDemand
     from dogwoodpost.ports.job_forwarding import JobSubmission
     from dogwoodpost.services.batches.batch_context import BatchContext
     from dogwoodpost.services.batches.job_forwarder import JobForwarder
@@ -104,6 +105,10 @@
         """Return how many items run here."""
         return self._workers.running_count
 
+    def own_demands(self, now_s: float) -> tuple[ItemDemand, ...]:
+        """Return what each trainer runs and waits for at this process."""
+        return self._context.dispatcher.own_demands(now_s)
+
     async def submit(
         self,
         job: BatchJob,
--- a/src/dogwoodpost/services/batches/item_moves.py
+++ b/src/dogwoodpost/services/batches/item_moves.py
@@ -16,7 +16,7 @@
     from dogwoodpost.core.batches.item_length import ItemLength
     from dogwoodpost.core.batches.waiting_items import PlacementRequest
     from dogwoodpost.services.batches.batch_context import BatchContext
-    from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+    from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 
 _CHECK_INTERVAL_S = 0.2
 
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -42,7 +42,7 @@
     from dogwoodpost.core.batches import ItemProgress
     from dogwoodpost.core.batches import StreamEvent
     from dogwoodpost.services.batches.batch_context import BatchContext
-    from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+    from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 
 _STATUS_FAILED = 500
 _STATUS_REJECTED = 422
--- a/src/dogwoodpost/services/batches/item_versions.py
+++ b/src/dogwoodpost/services/batches/item_versions.py
@@ -9,7 +9,7 @@
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.batches import ItemText
     from dogwoodpost.services.batches.batch_context import BatchContext
-    from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+    from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 
 # How long an endpoint whose weights are too old gets no new items of the
 # model.
--- a/src/dogwoodpost/services/batches/run_reports.py
+++ b/src/dogwoodpost/services/batches/run_reports.py
@@ -11,7 +11,7 @@
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.errors import EndpointError
     from dogwoodpost.services.batches.batch_context import BatchContext
-    from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+    from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
     from dogwoodpost.services.batches.run_outcome import RunOutcome
 
 _log = structlog.get_logger(__name__)
@@ -89,5 +89,7 @@
             number=self._run_count,
             events=event_count,
             duration_ms=round(duration_s * 1_000),
+            wait_ms=round(slot.wait_s * 1_000),
+            need=slot.need.value,
             **move_fields,
         )
--- a/tests/services/batches/test_item_moves.py
+++ b/tests/services/batches/test_item_moves.py
@@ -20,7 +20,7 @@
 from dogwoodpost.core.policy import Policy
 from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.observability import Metrics
-from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 from dogwoodpost.services.batches.item_moves import ItemMoves
 from dogwoodpost.standins.virtual_clock import VirtualClock
 from tests.fakes.pipeline import endpoint
--- a/tests/services/batches/test_scored_item.py
+++ b/tests/services/batches/test_scored_item.py
@@ -28,7 +28,7 @@
 from tests.services.test_continued_streams import SERVICE
 
 if TYPE_CHECKING:
-    from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+    from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 
 
 class CountingDispatcher(OneSlotDispatcher):
--- a/tests/services/test_continued_streams.py
+++ b/tests/services/test_continued_streams.py
@@ -35,7 +35,7 @@
 from dogwoodpost.errors import RequestError
 from dogwoodpost.observability import Metrics
 from dogwoodpost.ports.attempt_runner import AttemptData
-from dogwoodpost.services.batches.item_dispatcher import EndpointSlot
+from dogwoodpost.services.batches.endpoint_slot import EndpointSlot
 from dogwoodpost.services.batches.item_run import ItemRun
 from dogwoodpost.services.entry.direct_attempt_runner import (
     DirectAttemptRunner,
