Give attempts and requests a context of their own

Cause: request_pipeline, request_run and attempt_run import each other, so an attempt can't be run beside another one without the whole pipeline. Change: AttemptContext holds what an attempt needs, RequestContext what a request needs; RequestPipeline builds both. An attempt keeps its number from its start, because two attempts may run at once later.

--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -30,7 +30,7 @@
     from dogwoodpost.core import ids
     from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.ports.attempt_runner import AttemptEvent
-    from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from dogwoodpost.services.entry.attempt_context import AttemptContext
     from dogwoodpost.services.entry.request_state import RequestState
 
 _log = structlog.get_logger(__name__)
@@ -42,17 +42,18 @@
 
     def __init__(
         self,
-        pipeline: RequestPipeline,
+        context: AttemptContext,
         state: RequestState,
         endpoint: Endpoint,
         attempt_id: ids.AttemptId,
     ) -> None:
-        self._pipeline = pipeline
+        self._context = context
         self._state = state
         self._request = state.request
         self._endpoint = endpoint
         self._attempt_id = attempt_id
-        clock = pipeline.clock
+        self._number = state.attempt_count
+        clock = context.clock
         self._observation = AttemptObservation(
             clock.monotonic_s(), clock.wall_s()
         )
@@ -66,7 +67,7 @@
         """
         attempt = self._checked_events()
         if self._request.whole_response:
-            attempt = self._pipeline.response_buffer.buffer(attempt)
+            attempt = self._context.response_buffer.buffer(attempt)
         progress = self._state.progress
         async with aclosing(attempt) as events:
             async for event in events:
@@ -92,7 +93,7 @@
         """
         run = cast(
             'AsyncGenerator[AttemptEvent, None]',
-            self._pipeline.runner.run(self._endpoint, self._spec()),
+            self._context.runner.run(self._endpoint, self._spec()),
         )
         try:
             async with aclosing(run):
@@ -112,7 +113,7 @@
     ) -> AttemptEvent:
         state = self._state
         observation = self._observation
-        clock = self._pipeline.clock
+        clock = self._context.clock
         wait_start_s = clock.monotonic_s()
         try:
             async with asyncio.timeout(self._event_timeout_s()):
@@ -220,7 +221,7 @@
             end.prompt_tokens, end.cached_tokens, end.completion_tokens
         )
         if end.outcome is AttemptOutcome.COMPLETED:
-            if not self._pipeline.bills_begun_requests:
+            if not self._context.bills_begun_requests:
                 self._record_completed(end)
             return
         if end.outcome is AttemptOutcome.DEADLINE_PASSED:
@@ -237,7 +238,7 @@
         account_id = self._request.client_account_id
         if account_id is None:
             return
-        self._pipeline.usage.record(
+        self._context.usage.record(
             account_id,
             request_count=1,
             prompt_tokens=end.prompt_tokens,
@@ -249,7 +250,7 @@
         account_id = self._request.client_account_id
         if account_id is None or not self._observation.may_have_run:
             return
-        self._pipeline.usage.record(
+        self._context.usage.record(
             account_id,
             request_count=1,
             prompt_tokens=0,
@@ -258,18 +259,18 @@
         )
 
     def _report_end(self) -> None:
-        pipeline = self._pipeline
+        context = self._context
         observation = self._observation
         if observation.end is None and observation.may_have_run:
             # Without an end there is no reported cost, so the estimate is
             # charged for the work that the endpoint may have done.
             self._state.cost_tokens += self._request.cost_tokens
-        if pipeline.bills_begun_requests:
+        if context.bills_begun_requests:
             self._record_started()
-        now_s = pipeline.clock.monotonic_s()
-        pipeline.metrics.observe('attempt', now_s - observation.start_s)
+        now_s = context.clock.monotonic_s()
+        context.metrics.observe('attempt', now_s - observation.start_s)
         self._log_end(now_s)
-        pipeline.router.finish(
+        context.router.finish(
             self._request.service.name,
             self._endpoint.endpoint_id,
             self._attempt_id,
@@ -284,7 +285,7 @@
             request_id=self._request.request_id,
             route=self._request.route.name,
             endpoint=self._endpoint.endpoint_id,
-            number=self._state.attempt_count,
+            number=self._number,
             completed=observation.end is not None and not observation.failed,
             may_have_run=observation.may_have_run,
             failure=observation.failure_reason,
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -7,13 +7,13 @@
 
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.policy import PolicyHolder
-from dogwoodpost.core.retries import RetryBudget
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.attempt_context import AttemptContext
 from dogwoodpost.services.entry.refusals import count_refusal
+from dogwoodpost.services.entry.request_context import RequestContext
 from dogwoodpost.services.entry.request_queue import RequestQueue
 from dogwoodpost.services.entry.request_run import RequestRun
-from dogwoodpost.services.entry.response_buffer import ResponseBuffer
 
 if TYPE_CHECKING:
     import random
@@ -56,20 +56,28 @@
         bills_begun_requests: bool = False,
         policy: PolicyHolder | None = None,
     ) -> None:
-        self.runner = runner
         self.router = router
         self.admission = admission
-        self.usage = usage
         self.metrics = metrics
         self.clock = clock
-        self.rng = rng
-        self.retry_policy = retry_policy or RetryPolicy()
-        self.current_configuration = current_configuration
-        self.bills_begun_requests = bills_begun_requests
         self.policy = policy or PolicyHolder()
-        self.queue = RequestQueue(admission, router, clock)
-        self.response_buffer = ResponseBuffer()
-        self._budgets: dict[ids.RouteName, RetryBudget] = {}
+        attempts = AttemptContext(
+            runner=runner,
+            router=router,
+            usage=usage,
+            metrics=metrics,
+            clock=clock,
+            bills_begun_requests=bills_begun_requests,
+        )
+        self.response_buffer = attempts.response_buffer
+        self._context = RequestContext(
+            attempts=attempts,
+            admission=admission,
+            queue=RequestQueue(admission, router, clock),
+            rng=rng,
+            retry_policy=retry_policy or RetryPolicy(),
+            current_configuration=current_configuration,
+        )
 
     async def execute(
         self,
@@ -84,7 +92,7 @@
         :raises RequestError: the request was refused or failed; the refusal
             metric already counts it.
         """
-        run = RequestRun(self, request, on_attempt)
+        run = RequestRun(self._context, request, on_attempt)
         try:
             async with aclosing(run.events()) as events:
                 async for event in events:
@@ -92,10 +100,3 @@
         except RequestError as error:
             count_refusal(self.metrics, error)
             raise
-
-    def retry_budget(self, route: ids.RouteName) -> RetryBudget:
-        """Return the budget that all retries of a route share."""
-        budget = self._budgets.get(route)
-        if budget is None:
-            budget = self._budgets[route] = RetryBudget()
-        return budget
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -27,7 +27,7 @@
     from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.ports.attempt_runner import AttemptEvent
     from dogwoodpost.services.entry.pipeline_request import PipelineRequest
-    from dogwoodpost.services.entry.request_pipeline import RequestPipeline
+    from dogwoodpost.services.entry.request_context import RequestContext
 
 _log = structlog.get_logger(__name__)
 _REGION_CHANGE_RETRY_AFTER_S = 0.1
@@ -43,17 +43,20 @@
 
     def __init__(
         self,
-        pipeline: RequestPipeline,
+        context: RequestContext,
         request: PipelineRequest,
         on_attempt: Callable[[ids.EndpointId], None] | None,
     ) -> None:
         self._on_attempt = on_attempt
-        self._pipeline = pipeline
+        self._context = context
+        self._attempts = context.attempts
         self._request = request
-        self._budget = pipeline.retry_budget(request.route.name)
-        self._retry_policy = _policy_for_request(pipeline, request)
+        self._budget = context.retry_budget(request.route.name)
+        self._retry_policy = _policy_for_request(context, request)
         self._state = RequestState(
-            request, pipeline.clock, self._retry_policy.max_attempt_count
+            request,
+            context.attempts.clock,
+            self._retry_policy.max_attempt_count,
         )
         self._tried_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
 
@@ -62,28 +65,30 @@
 
         :raises RequestError: the request was refused or failed.
         """
-        pipeline = self._pipeline
+        context = self._context
         state = self._state
         ticket = self._ticket()
         attempt_id = _new_attempt_id()
-        pipeline.admission.set_limits(
+        context.admission.set_limits(
             ticket.client_account_id, self._request.limits, state.start_s
         )
-        endpoint = await pipeline.queue.acquire(
+        endpoint = await context.queue.acquire(
             ticket, self._query(requires_free_slot=True), attempt_id
         )
-        pipeline.metrics.observe('admission_wait', state.elapsed_s)
+        self._attempts.metrics.observe('admission_wait', state.elapsed_s)
         try:
             if not self._allowed_regions().permits(endpoint.region):
                 endpoint, attempt_id = self._replace_endpoint(
                     endpoint, attempt_id
                 )
-            self._budget.record_first_attempt(pipeline.clock.monotonic_s())
+            self._budget.record_first_attempt(
+                self._attempts.clock.monotonic_s()
+            )
             async with aclosing(self._run(endpoint, attempt_id)) as events:
                 async for event in events:
                     yield event
         finally:
-            pipeline.queue.release(ticket, state.cost_tokens)
+            context.queue.release(ticket, state.cost_tokens)
 
     async def _run(
         self, endpoint: Endpoint, attempt_id: ids.AttemptId
@@ -93,7 +98,7 @@
             if self._on_attempt is not None:
                 self._on_attempt(endpoint.endpoint_id)
             attempt = AttemptRun(
-                self._pipeline, self._state, endpoint, attempt_id
+                self._attempts, self._state, endpoint, attempt_id
             )
             try:
                 async with aclosing(attempt.events()) as events:
@@ -114,14 +119,14 @@
         delay_s = self._retry_delay_s(failure.may_retry)
         if delay_s is None:
             raise failure.error
-        self._pipeline.metrics.retries.labels(failure.reason).inc()
-        await self._pipeline.clock.sleep(delay_s)
+        self._attempts.metrics.retries.labels(failure.reason).inc()
+        await self._attempts.clock.sleep(delay_s)
 
     def _retry_delay_s(self, may_retry: bool) -> float | None:
         progress = self._state.progress
         if not progress.can_continue or not may_retry:
             return None
-        pipeline = self._pipeline
+        context = self._context
         # A resumed stream does not repeat the events generated so far, so it
         # is not charged to the retry budget.
         is_resumed = progress.last_event_id is not None
@@ -129,8 +134,8 @@
             self._state.counted_attempt_count,
             self._state.remaining_s,
             None if is_resumed else self._budget,
-            pipeline.rng,
-            pipeline.clock.monotonic_s(),
+            context.rng,
+            self._attempts.clock.monotonic_s(),
         )
 
     def _start_retry(
@@ -140,8 +145,8 @@
 
         :raises RequestError: ``error``, because no endpoint is available.
         """
-        router = self._pipeline.router
-        now_s = self._pipeline.clock.monotonic_s()
+        router = self._attempts.router
+        now_s = self._attempts.clock.monotonic_s()
         query = self._query(requires_free_slot=False)
         untried_query = msgspec.structs.replace(
             query, excluded=query.excluded | self._tried_endpoint_ids
@@ -163,12 +168,12 @@
         :returns: the new endpoint and attempt.
         :raises RequestError: no endpoint is available.
         """
-        self._pipeline.router.finish(
+        self._attempts.router.finish(
             self._request.service.name,
             endpoint.endpoint_id,
             attempt_id,
             AttemptResult(failed=False, conclusive=False),
-            self._pipeline.clock.monotonic_s(),
+            self._attempts.clock.monotonic_s(),
         )
         error = RequestError(
             'region_not_allowed',
@@ -183,7 +188,7 @@
     def _allowed_regions(self) -> AllowedRegions:
         """Return the regions that the current configuration allows."""
         request = self._request
-        configuration = self._pipeline.current_configuration()
+        configuration = self._context.current_configuration()
         return request.allowed_regions.intersection(
             configuration.allowed_regions(
                 request.route.name, request.client_account_id
@@ -200,7 +205,7 @@
             estimated_tokens=request.cost_tokens,
             deadline_s=self._state.deadline_s,
             enqueued_s=self._state.start_s,
-            priority=self._pipeline.current_configuration().priority(
+            priority=self._context.current_configuration().priority(
                 request.route.name, request.client_account_id
             ),
         )
@@ -222,12 +227,12 @@
 
 
 def _policy_for_request(
-    pipeline: RequestPipeline, request: PipelineRequest
+    context: RequestContext, request: PipelineRequest
 ) -> RetryPolicy:
     if request.max_attempt_count is None:
-        return pipeline.retry_policy
+        return context.retry_policy
     return msgspec.structs.replace(
-        pipeline.retry_policy, max_attempt_count=request.max_attempt_count
+        context.retry_policy, max_attempt_count=request.max_attempt_count
     )
 
 
