--- a/src/dogwoodpost/core/routing/__init__.py
+++ b/src/dogwoodpost/core/routing/__init__.py
@@ -5,6 +5,7 @@
 from dogwoodpost.core.routing.available_endpoint import AvailableEndpoint
 from dogwoodpost.core.routing.endpoint import Endpoint
 from dogwoodpost.core.routing.endpoint import EndpointListener
+from dogwoodpost.core.routing.endpoint_state import EndpointState
 from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.prefix import BLOCK_BYTES
 from dogwoodpost.core.routing.prefix import prefix_hashes
@@ -21,6 +22,7 @@
     'AttemptResult',
     'Endpoint',
     'EndpointListener',
+    'EndpointState',
     'Health',
     'AvailableEndpoint',
     'OutlierSettings',
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -11,6 +11,8 @@
 from dogwoodpost.core.routing.candidate_sampler import CandidateSampler
 from dogwoodpost.core.routing.endpoint_costs import EndpointCosts
 from dogwoodpost.core.routing.endpoint_pool import EndpointPool
+from dogwoodpost.core.routing.endpoint_state import EndpointState
+from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.settings import OutlierSettings
 from dogwoodpost.core.routing.settings import RouterSettings
 from dogwoodpost.core.routing.waiting_policy import WaitingPolicy
@@ -23,7 +25,6 @@
     from dogwoodpost.core import messages
     from dogwoodpost.core.cold_starts import ColdStartLimiter
     from dogwoodpost.core.routing.endpoint import Endpoint
-    from dogwoodpost.core.routing.outlier_detector import Health
     from dogwoodpost.core.routing.route_query import AttemptResult
     from dogwoodpost.core.routing.route_query import RouteQuery
 
@@ -218,6 +219,30 @@
             for endpoint_id in available_ids
         ]
 
+    def endpoint_states(
+        self, query: RouteQuery, now_s: float
+    ) -> tuple[EndpointState, ...]:
+        """Return the state of all endpoints of the query's service.
+
+        Neither regions nor versions are considered.
+        """
+        pool = self._pools.get(query.service)
+        if pool is None:
+            return ()
+        return tuple(
+            EndpointState(
+                endpoint_id=endpoint_id,
+                availability_zone=endpoint.availability_zone,
+                is_ready=endpoint.ready and not endpoint.draining,
+                in_use=endpoint.ready
+                and not endpoint.draining
+                and pool.outliers.health(endpoint_id, now_s) is Health.HEALTHY,
+                slot_count=self._costs.capacity(pool, endpoint_id, query),
+                load_count=pool.loads[endpoint_id].count(now_s),
+            )
+            for endpoint_id, endpoint in pool.endpoints.items()
+        )
+
     def endpoint(self, endpoint_id: ids.EndpointId) -> Endpoint | None:
         """Return an endpoint by its id, or None if it is unknown."""
         service = self._service_by_endpoint.get(endpoint_id)
