Hedge slow idempotent requests of clients

Cause: the slowest responses of a route come from single slow endpoints. Change: the first attempt runs in a task of its own; after the delay a second one starts at another endpoint. The first complete response is forwarded, the other attempt is cancelled at once and its slot released.

--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -264,6 +264,8 @@
             current_configuration=self._configuration.current,
             bills_begun_requests=True,
             policy=self._policy,
+            stop_left_s=self._lifecycle.left_s,
+            loading_endpoints=self._loading_endpoints,
         )
         routes = RouteFinder(self._configuration)
         self._batches = self._compose_batches(
--- a/src/dogwoodpost/platform/request_reader.py
+++ b/src/dogwoodpost/platform/request_reader.py
@@ -183,6 +183,7 @@
             attempt_timeout_s=_attempt_timeout_s(timeout_s),
             event_timeout_s=_EVENT_TIMEOUT_S,
             whole_response=route.kind is RouteKind.REQUEST,
+            may_hedge=True,
         )
 
 
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -86,6 +86,12 @@
                     )
                 yield event
 
+    def abandon(self) -> None:
+        """Report the end of an attempt whose events were never requested."""
+        self._observation.may_have_run = False
+        self._observation.is_conclusive = False
+        self._report_end()
+
     async def _checked_events(self) -> AsyncGenerator[AttemptEvent, None]:
         """Yield the runner's events; report the end of the attempt.
 
@@ -209,7 +215,7 @@
         if status not in RETRIED_STATUSES or not self._request.idempotent:
             return
         state.may_have_run = True
-        if state.has_attempts_left:
+        if state.has_attempts_left or state.other_attempt_runs:
             raise attempt_failures.bad_status(state, status)
 
     def _check_end(self, end: AttemptEnd) -> None:
--- a/src/dogwoodpost/services/entry/http/request_reader.py
+++ b/src/dogwoodpost/services/entry/http/request_reader.py
@@ -146,6 +146,7 @@
             timeout_s=_timeout_s(request, route),
             idempotent=route.idempotent and _is_idempotent(request),
             priority=route.priority,
+            may_hedge=True,
         )
         if completion is None:
             return result
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -37,6 +37,8 @@
         stream is resumed at another endpoint.
     :param whole_response: forward nothing before the response is complete, so
         that the request can still be retried after a partial response.
+    :param may_hedge: a client waits for the response, so a second attempt may
+        be sent beside a slow one.
     """
 
     request_id: ids.RequestId
@@ -62,3 +64,4 @@
     attempt_timeout_s: float | None = None
     event_timeout_s: float | None = None
     whole_response: bool = False
+    may_hedge: bool = False
--- a/src/dogwoodpost/services/entry/request_context.py
+++ b/src/dogwoodpost/services/entry/request_context.py
@@ -17,6 +17,7 @@
     from dogwoodpost.core.configuration import Configuration
     from dogwoodpost.core.retries import RetryPolicy
     from dogwoodpost.services.entry.attempt_context import AttemptContext
+    from dogwoodpost.services.entry.hedger import Hedger
     from dogwoodpost.services.entry.request_queue import RequestQueue
 
 
@@ -30,6 +31,7 @@
     attempts: AttemptContext
     admission: Admission
     queue: RequestQueue
+    hedger: Hedger
     rng: random.Random
     retry_policy: RetryPolicy
     current_configuration: Callable[[], Configuration]
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -10,6 +10,7 @@
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
 from dogwoodpost.services.entry.attempt_context import AttemptContext
+from dogwoodpost.services.entry.hedger import Hedger
 from dogwoodpost.services.entry.refusals import count_refusal
 from dogwoodpost.services.entry.request_context import RequestContext
 from dogwoodpost.services.entry.request_queue import RequestQueue
@@ -23,6 +24,7 @@
     from dogwoodpost.core import ids
     from dogwoodpost.core.admission import Admission
     from dogwoodpost.core.routing import Router
+    from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.attempt_runner import AttemptEvent
     from dogwoodpost.ports.attempt_runner import AttemptRunner
@@ -39,6 +41,11 @@
     :param bills_begun_requests: record usage for each attempt that an endpoint
         may have run, in the window in which the attempt was sent, instead of
         for each completed request.
+    :param policy: the policy in force, which switches hedging.
+    :param stop_left_s: returns the time until a graceful shutdown cuts
+        requests, infinite without one.
+    :param loading_endpoints: endpoints that load weights and get no second
+        attempts.
     """
 
     def __init__(
@@ -55,6 +62,8 @@
         current_configuration: Callable[[], Configuration] = Configuration,
         bills_begun_requests: bool = False,
         policy: PolicyHolder | None = None,
+        stop_left_s: Callable[[float], float] | None = None,
+        loading_endpoints: LoadingEndpoints | None = None,
     ) -> None:
         self.router = router
         self.admission = admission
@@ -74,6 +83,13 @@
             attempts=attempts,
             admission=admission,
             queue=RequestQueue(admission, router, clock),
+            hedger=Hedger(
+                attempts,
+                admission,
+                self.policy,
+                stop_left_s=stop_left_s,
+                loading_endpoints=loading_endpoints,
+            ),
             rng=rng,
             retry_policy=retry_policy or RetryPolicy(),
             current_configuration=current_configuration,
--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -16,6 +16,8 @@
 from dogwoodpost.errors import RequestError
 from dogwoodpost.services.entry.attempt_failure import AttemptFailure
 from dogwoodpost.services.entry.attempt_run import AttemptRun
+from dogwoodpost.services.entry.concurrent_attempt import ConcurrentAttempt
+from dogwoodpost.services.entry.hedged_attempts import HedgedAttempts
 from dogwoodpost.services.entry.request_state import RequestState
 
 if TYPE_CHECKING:
@@ -28,6 +30,7 @@
     from dogwoodpost.ports.attempt_runner import AttemptEvent
     from dogwoodpost.services.entry.pipeline_request import PipelineRequest
     from dogwoodpost.services.entry.request_context import RequestContext
+    from dogwoodpost.services.entry.request_hedge import RequestHedge
 
 _log = structlog.get_logger(__name__)
 _REGION_CHANGE_RETRY_AFTER_S = 0.1
@@ -93,24 +96,71 @@
     async def _run(
         self, endpoint: Endpoint, attempt_id: ids.AttemptId
     ) -> AsyncGenerator[AttemptEvent, None]:
+        hedge = self._context.hedger.request_hedge(self._state)
         while True:
-            self._state.attempt_count += 1
-            if self._on_attempt is not None:
-                self._on_attempt(endpoint.endpoint_id)
-            attempt = AttemptRun(
-                self._attempts, self._state, endpoint, attempt_id
-            )
+            attempt = self._attempt(endpoint, attempt_id)
+            if hedge is None:
+                attempt_events = attempt.events()
+            else:
+                attempt_events = self._hedged_attempts(
+                    hedge, endpoint, attempt_id
+                ).events(attempt, endpoint.endpoint_id)
+                hedge = None
             try:
-                async with aclosing(attempt.events()) as events:
+                async with aclosing(attempt_events) as events:
                     async for event in events:
                         yield event
                 return
             except AttemptFailure as failure:
-                self._tried_endpoint_ids |= {endpoint.endpoint_id}
                 await self._wait_before_retry(failure)
                 attempt_id = _new_attempt_id()
                 endpoint = self._start_retry(attempt_id, failure.error)
 
+    def _attempt(
+        self, endpoint: Endpoint, attempt_id: ids.AttemptId
+    ) -> AttemptRun:
+        """Count an attempt and return its run."""
+        self._state.attempt_count += 1
+        self._tried_endpoint_ids |= {endpoint.endpoint_id}
+        if self._on_attempt is not None:
+            self._on_attempt(endpoint.endpoint_id)
+        return AttemptRun(self._attempts, self._state, endpoint, attempt_id)
+
+    def _hedged_attempts(
+        self,
+        hedge: RequestHedge,
+        endpoint: Endpoint,
+        attempt_id: ids.AttemptId,
+    ) -> HedgedAttempts:
+        delay_s = hedge.begin(
+            endpoint, attempt_id, self._query(requires_free_slot=True)
+        )
+        return HedgedAttempts(
+            hedge, self._state, delay_s, lambda: self._start_second(hedge)
+        )
+
+    def _start_second(self, hedge: RequestHedge) -> ConcurrentAttempt | None:
+        """Start a second attempt beside the first; None for no attempt."""
+        if not self._state.has_attempts_left:
+            return None
+        query = self._query(requires_free_slot=True)
+        untried_query = msgspec.structs.replace(
+            query, excluded=query.excluded | self._tried_endpoint_ids
+        )
+        endpoint = hedge.choose(untried_query, self._budget)
+        if endpoint is None:
+            return None
+        attempt_id = _new_attempt_id()
+        self._attempts.router.begin(
+            endpoint.endpoint_id,
+            attempt_id,
+            query,
+            self._attempts.clock.monotonic_s(),
+        )
+        return ConcurrentAttempt(
+            self._attempt(endpoint, attempt_id), endpoint.endpoint_id
+        )
+
     async def _wait_before_retry(self, failure: AttemptFailure) -> None:
         """Wait for the delay before the next attempt.
 
--- a/src/dogwoodpost/services/entry/request_state.py
+++ b/src/dogwoodpost/services/entry/request_state.py
@@ -16,6 +16,7 @@
 
     ``may_have_run`` is true once a failed attempt may have run at its
     endpoint. ``cost_tokens`` is the cost of all attempts so far.
+    ``other_attempt_runs`` is true while two attempts run at once.
 
     :param max_attempt_count: maximum number of attempts, not counting those
         that ``request.free_not_run_count`` allows in addition.
@@ -33,8 +34,9 @@
         self.not_run_count = 0
         self.may_have_run = False
         self.cost_tokens = 0.0
+        self.other_attempt_runs = False
         self._clock = clock
-        self._max_attempt_count = max_attempt_count
+        self.max_attempt_count = max_attempt_count
 
     @property
     def deadline_s(self) -> float:
@@ -60,4 +62,4 @@
     @property
     def has_attempts_left(self) -> bool:
         """Return whether another attempt would be within the limit."""
-        return self.counted_attempt_count < self._max_attempt_count
+        return self.counted_attempt_count < self.max_attempt_count
