--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -86,12 +86,6 @@
                     )
                 yield event
 
-    def abandon(self) -> None:
-        """Report the end of an attempt whose events were never requested."""
-        self._observation.may_have_run = False
-        self._observation.is_conclusive = False
-        self._report_end()
-
     async def _checked_events(self) -> AsyncGenerator[AttemptEvent, None]:
         """Yield the runner's events; report the end of the attempt.
 
--- a/src/dogwoodpost/services/entry/concurrent_attempt.py
+++ b/src/dogwoodpost/services/entry/concurrent_attempt.py
@@ -26,9 +26,7 @@
         self, attempt: AttemptRun, endpoint_id: ids.EndpointId
     ) -> None:
         self.endpoint_id = endpoint_id
-        self._attempt = attempt
         self._events = attempt.events()
-        self._has_started = False
         self._is_closed = False
         self.task = asyncio.create_task(self._first_event())
 
@@ -55,14 +53,15 @@
                 yield event
 
     async def close(self) -> None:
-        """Cancel the attempt if it runs, and close its connection."""
+        """Cancel the attempt if it runs, and close its connection.
+
+        Must run in a task that was created after the attempt: an attempt that
+        is cancelled before its first step would not report its end.
+        """
         self._is_closed = True
         self.task.cancel()
         await asyncio.wait([self.task])
         await self._events.aclose()
-        if not self._has_started:
-            self._attempt.abandon()
 
     async def _first_event(self) -> AttemptEvent:
-        self._has_started = True
         return await anext(self._events)
--- a/src/dogwoodpost/services/entry/hedger.py
+++ b/src/dogwoodpost/services/entry/hedger.py
@@ -75,6 +75,7 @@
             and request.idempotent
             and request.whole_response
             and request.route.kind is RouteKind.REQUEST
+            and not request.route.resumable
             and state.max_attempt_count > 1
         ):
             return None
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -113,6 +113,7 @@
         self.session = session
         self._folder = folder
         self.grace_s = 4
+        self.policy: dict[str, Any] = {}
         # Replaces the address of the stand-in of the duty API.
         self.duty_address = ''
         # Store addresses of single processes, in place of the common one.
@@ -263,6 +264,7 @@
                 'address': self.duty_address or self._addresses['duties'],
                 'duties': ['usage', 'autoscale'],
             },
+            'policy': self.policy,
             'bounds': {
                 'leaseMs': 1500,
                 'reportWindowS': 1,
--- a/tests/services/entry/test_hedged_attempts.py
+++ b/tests/services/entry/test_hedged_attempts.py
@@ -14,6 +14,7 @@
 from dogwoodpost.core import messages
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.configuration import Route
+from dogwoodpost.core.configuration import RouteKind
 from dogwoodpost.core.configuration import Service
 from dogwoodpost.core.configuration import ServiceKind
 from dogwoodpost.core.policy import HedgingPolicy
@@ -50,6 +51,8 @@
 }
 FAILED = messages.AttemptOutcome.ENDPOINT_FAILED
 ON = HedgingPolicy(extra_send_share=0.2)
+RESUMABLE = Route(name='q', service='s', path_prefix='/', resumable=True)
+STREAM = Route(name='q', service='s', path_prefix='/', kind=RouteKind.STREAM)
 Behaviour = tuple[str, float]
 
 
@@ -260,6 +263,8 @@
         ({'idempotent': False}, ON),
         ({'whole_response': False}, ON),
         ({'max_attempt_count': 1}, ON),
+        ({'route': RESUMABLE}, ON),
+        ({'route': STREAM}, ON),
         ({'may_hedge': False}, ON),
     ],
 )
