Test that the loser ends before the response is read

Cause: mutants of the code that closed the loser late, forwarded a 500 while the other attempt ran, or sent twice to one endpoint passed all tests. Change: three properties more; a check that could not fail is gone.

--- a/src/dogwoodpost/services/entry/request_run.py
+++ b/src/dogwoodpost/services/entry/request_run.py
@@ -141,8 +141,6 @@
 
     def _start_second(self, hedge: RequestHedge) -> ConcurrentAttempt | None:
         """Start a second attempt beside the first; None for no attempt."""
-        if not self._state.has_attempts_left:
-            return None
         query = self._query(requires_free_slot=True)
         untried_query = msgspec.structs.replace(
             query, excluded=query.excluded | self._tried_endpoint_ids
--- a/tests/services/entry/test_hedged_attempts.py
+++ b/tests/services/entry/test_hedged_attempts.py
@@ -117,10 +117,11 @@
         self,
         behave: Callable[[str, int], Behaviour],
         settings: HedgingPolicy = ON,
+        endpoint_count: int = 6,
     ) -> None:
         self.runner = TimedRunner(behave)
         self.router = Router('z0', 'r', random.Random(1))
-        for number in range(6):
+        for number in range(endpoint_count):
             self.router.upsert(
                 endpoint(
                     f'e{number}', 's', availability_zone=f'z{number % 3}'
@@ -146,7 +147,7 @@
             stop_left_s=lambda _now_s: self.stop_left_s,
         )
 
-    async def send(self, **fields: object) -> bytes | RequestError:
+    def request(self, **fields: object) -> PipelineRequest:
         values: dict[str, object] = {
             'request_id': 'r',
             'route': Route(name='q', service='s', path_prefix='/'),
@@ -161,10 +162,14 @@
             'may_hedge': True,
             'max_attempt_count': 2,
         }
+        return PipelineRequest(**{**values, **fields})
+
+    async def send(self, **fields: object) -> bytes | RequestError:
+        """Return the whole response; an error comes before any of it."""
         body = b''
         try:
             async for event in self.pipeline.execute(
-                PipelineRequest(**{**values, **fields}), self.attempted.append
+                self.request(**fields), self.attempted.append
             ):
                 body += event.data if isinstance(event, AttemptData) else b''
         except RequestError as error:
@@ -239,19 +244,27 @@
         if task.cancelled():
             return
         result = task.result()
+        has_good = any(
+            outcome == 'good' and at_s + duration_s < start_s + TIMEOUT_S
+            for (outcome, duration_s), (_, at_s, _) in zip(
+                behaviours, sent, strict=False
+            )
+        )
         if isinstance(result, RequestError):
             is_refused = world.runner.not_run_count == len(sent)
             assert result.not_run is is_refused
-            assert not any(
-                outcome == 'good' and at_s + duration_s < start_s + TIMEOUT_S
-                for (outcome, duration_s), (_, at_s, _) in zip(
-                    behaviours, sent, strict=False
-                )
+            assert not has_good
+            return
+        half = len(result) // 2
+        assert result[:half] == result[half:]
+        outcomes = {
+            name: outcome
+            for (name, _, _), (outcome, _) in zip(
+                sent, behaviours, strict=False
             )
-        else:
-            half = len(result) // 2
-            assert result[:half] == result[half:]
-            assert result[:half].decode() in world.attempted
+        }
+        expected = 'good' if has_good else 'status_500'
+        assert outcomes[result[:half].decode()] == expected
 
     run_virtual(play())
 
@@ -300,6 +313,34 @@
     run_virtual(play())
 
 
+def test_loser_is_closed_before_the_response_is_read() -> None:
+    """Guards against a loser that runs for as long as a client reads."""
+
+    async def play() -> None:
+        world = World(lambda _name, number: ('good', (9.0, 0.1)[number]))
+        await world.warm_up()
+        async for _ in world.pipeline.execute(world.request()):
+            await asyncio.sleep(0.001)
+            assert world.runner.running_count == 0
+            assert world.router.own_loads() == {}
+        assert world.count('hedge_won') == 1
+
+    run_virtual(play())
+
+
+def test_same_endpoint_gets_no_second_attempt() -> None:
+    """Guards against two runs of a request at one endpoint."""
+
+    async def play() -> None:
+        world = World(lambda *_: ('good', 0.1), endpoint_count=1)
+        await world.warm_up()
+        await world.send()
+        assert len(world.runner.sent) == 1
+        assert world.count('hedge_refused_no_endpoint') == 1
+
+    run_virtual(play())
+
+
 def test_stop_and_switch_end_hedging_at_once() -> None:
     """Guards against second attempts that a stop would cut."""
 
