Test that unfit endpoints get no second attempts

Cause: nothing showed that cold, loading, full or ejected endpoints are left out, and the generated examples missed a 500 beside a slower good response. Change: one test by state of the endpoint, two fixed examples.

--- a/tests/services/entry/test_hedged_attempts.py
+++ b/tests/services/entry/test_hedged_attempts.py
@@ -20,8 +20,10 @@
 from dogwoodpost.core.policy import HedgingPolicy
 from dogwoodpost.core.policy import Policy
 from dogwoodpost.core.policy import PolicyHolder
+from dogwoodpost.core.routing import AttemptResult
 from dogwoodpost.core.routing import Endpoint
 from dogwoodpost.core.routing import Router
+from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
 from dogwoodpost.errors import RequestError
 from dogwoodpost.observability import Metrics
 from dogwoodpost.ports.attempt_runner import AttemptData
@@ -118,6 +120,7 @@
         behave: Callable[[str, int], Behaviour],
         settings: HedgingPolicy = ON,
         endpoint_count: int = 6,
+        loading: LoadingEndpoints | None = None,
     ) -> None:
         self.runner = TimedRunner(behave)
         self.router = Router('z0', 'r', random.Random(1))
@@ -145,6 +148,7 @@
             bills_begun_requests=True,
             policy=self.policy,
             stop_left_s=lambda _now_s: self.stop_left_s,
+            loading_endpoints=loading,
         )
 
     def request(self, **fields: object) -> PipelineRequest:
@@ -152,7 +156,10 @@
             'request_id': 'r',
             'route': Route(name='q', service='s', path_prefix='/'),
             'service': Service(
-                name='s', kind=ServiceKind.PLAIN, endpoint_concurrency=6
+                name='s',
+                kind=ServiceKind.PLAIN,
+                model='model',
+                endpoint_concurrency=6,
             ),
             'client_account_id': 'lab',
             'method': 'POST',
@@ -216,6 +223,12 @@
     st.sampled_from([2, 3]),
     st.none() | st.sampled_from([0.0, 0.01, 0.02, 0.021, 0.03, 0.1, 0.98]),
 )
+@hypothesis.example(
+    [('status_500', 0.1), ('good', 0.2), ('good', 0.0)], 2, None
+)
+@hypothesis.example(
+    [('unknown', 0.04), ('refused', 0.03), ('good', 0.0)], 2, None
+)
 def test_request_has_one_response_or_one_error(
     behaviours: list[Behaviour], max_count: int, leaves_s: float | None
 ) -> None:
@@ -341,6 +354,58 @@
     run_virtual(play())
 
 
+class ColdEndpoints:
+    """Takes the second endpoint to be cold."""
+
+    def limits(self, service: str) -> bool:
+        return True
+
+    def is_cold(self, described: Endpoint, now_s: float) -> bool:
+        return described.endpoint_id == 'e1'
+
+    def may_send(self, described: Endpoint, now_s: float) -> bool:
+        return not self.is_cold(described, now_s)
+
+    def ignore(self, *_: object, **__: object) -> None:
+        """Accept any report."""
+
+    note_need = record_send = record_result = wait_s = ignore
+
+
+@pytest.mark.parametrize('state', ['cold', 'loading', 'full', 'ejected'])
+def test_unfit_endpoint_gets_no_second_attempt(state: str) -> None:
+    """Guards against second attempts that have to wait or are refused."""
+
+    async def play() -> None:
+        loading = LoadingEndpoints()
+        world = World(
+            lambda *_: ('good', 0.1), endpoint_count=2, loading=loading
+        )
+        await world.warm_up()
+        now_s = asyncio.get_running_loop().time()
+        if state == 'cold':
+            world.router.limit_cold_starts(ColdEndpoints())
+        elif state == 'loading':
+            loading.begin('e1', 'model', now_s)
+        elif state == 'full':
+            world.router.report_load(
+                messages.EndpointLoad(
+                    endpoint_id='e1', running_count=6, waiting_count=0
+                ),
+                now_s,
+            )
+        else:
+            for _ in range(3):
+                result = AttemptResult(failed=True)
+                world.router.finish('s', 'e1', 'a', result, now_s)
+        await world.send()
+        assert len(world.runner.sent) == 1
+        reason = 'endpoints_lost' if state == 'ejected' else 'no_endpoint'
+        assert world.count(f'hedge_refused_{reason}') == 1
+
+    run_virtual(play())
+
+
 def test_stop_and_switch_end_hedging_at_once() -> None:
     """Guards against second attempts that a stop would cut."""
 
