--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -180,7 +180,6 @@
             idempotent=True,
             max_attempt_count=1,
             whole_response=True,
-            is_scoring_call=True,
             excluded=self._excluded_endpoints(
                 service.name, allowed_regions, attempts.attempted_endpoint_ids
             ),
--- a/src/dogwoodpost/services/entry/request_pipeline.py
+++ b/src/dogwoodpost/services/entry/request_pipeline.py
@@ -10,13 +10,14 @@
 from dogwoodpost.core.batches.client_activity import ClientActivity
 from dogwoodpost.core.configuration import Configuration
 from dogwoodpost.core.policy import PolicyHolder
-from dogwoodpost.core.retries import RetryBudget
 from dogwoodpost.core.retries import RetryPolicy
 from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.attempt_context import AttemptContext
+from dogwoodpost.services.entry.hedger import Hedger
 from dogwoodpost.services.entry.refusals import count_refusal
+from dogwoodpost.services.entry.request_context import RequestContext
 from dogwoodpost.services.entry.request_queue import RequestQueue
 from dogwoodpost.services.entry.request_run import RequestRun
-from dogwoodpost.services.entry.response_buffer import ResponseBuffer
 
 if TYPE_CHECKING:
     import random
@@ -26,6 +27,7 @@
     from dogwoodpost.core import ids
     from dogwoodpost.core.admission import Admission
     from dogwoodpost.core.routing import Router
+    from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.attempt_runner import AttemptEvent
     from dogwoodpost.ports.attempt_runner import AttemptRunner
@@ -42,6 +44,11 @@
     :param bills_begun_requests: record usage for each attempt that an endpoint
         may have run, in the window in which the attempt was sent, instead of
         for each completed request.
+    :param policy: the policy in force, which switches hedging.
+    :param stop_left_s: returns the time until a graceful shutdown cuts
+        requests, infinite without one.
+    :param loading_endpoints: endpoints that load weights and get no second
+        attempts.
     """
 
     def __init__(
@@ -58,22 +65,40 @@
         current_configuration: Callable[[], Configuration] = Configuration,
         bills_begun_requests: bool = False,
         policy: PolicyHolder | None = None,
+        stop_left_s: Callable[[float], float] | None = None,
+        loading_endpoints: LoadingEndpoints | None = None,
     ) -> None:
-        self.runner = runner
         self.router = router
         self.admission = admission
-        self.usage = usage
         self.metrics = metrics
         self.clock = clock
         self.rng = rng
-        self.retry_policy = retry_policy or RetryPolicy()
-        self.current_configuration = current_configuration
-        self.bills_begun_requests = bills_begun_requests
         self.policy = policy or PolicyHolder()
-        self.queue = RequestQueue(admission, router, clock)
-        self.response_buffer = ResponseBuffer()
         self.client_activity = ClientActivity()
-        self._budgets: dict[ids.RouteName, RetryBudget] = {}
+        attempts = AttemptContext(
+            runner=runner,
+            router=router,
+            usage=usage,
+            metrics=metrics,
+            clock=clock,
+            bills_begun_requests=bills_begun_requests,
+        )
+        self.response_buffer = attempts.response_buffer
+        self._context = RequestContext(
+            attempts=attempts,
+            admission=admission,
+            queue=RequestQueue(admission, router, clock),
+            hedger=Hedger(
+                attempts,
+                admission,
+                self.policy,
+                stop_left_s=stop_left_s,
+                loading_endpoints=loading_endpoints,
+            ),
+            rng=rng,
+            retry_policy=retry_policy or RetryPolicy(),
+            current_configuration=current_configuration,
+        )
 
     async def execute(
         self,
@@ -88,7 +113,7 @@
         :raises RequestError: the request was refused or failed; the refusal
             metric already counts it.
         """
-        run = RequestRun(self, request, on_attempt)
+        run = RequestRun(self._context, request, on_attempt)
         try:
             with self._client_use(request):
                 async with aclosing(run.events()) as events:
@@ -98,18 +123,11 @@
             count_refusal(self.metrics, error)
             raise
 
-    def retry_budget(self, route: ids.RouteName) -> RetryBudget:
-        """Return the budget that all retries of a route share."""
-        budget = self._budgets.get(route)
-        if budget is None:
-            budget = self._budgets[route] = RetryBudget()
-        return budget
-
     def _client_use(
         self, request: PipelineRequest
     ) -> AbstractContextManager[None]:
         """Count a client's request as use of its service."""
-        if request.is_scoring_call:
+        if not request.is_client_request:
             return nullcontext()
         return self.client_activity.request(
             request.service.name, self.clock.monotonic_s
