--- a/src/dogwoodpost/services/batches/endpoint_slot.py
+++ b/src/dogwoodpost/services/batches/endpoint_slot.py
@@ -21,5 +21,5 @@
     endpoint: Endpoint
     attempt_id: ids.AttemptId
     token_count: int
-    wait_s: float
-    need: ItemNeed
+    wait_s: float = 0.0
+    need: ItemNeed = ItemNeed.NEEDED
--- a/tests/services/batches/scoring_world.py
+++ b/tests/services/batches/scoring_world.py
@@ -194,6 +194,7 @@
             path='/client',
             timeout_s=3.01,
             whole_response=True,
+            is_client_request=True,
         )
         try:
             async for _ in self.pipeline.execute(request):
--- a/tests/services/batches/test_scored_item.py
+++ b/tests/services/batches/test_scored_item.py
@@ -12,9 +12,12 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import ResultState
 from dogwoodpost.core.batches import ScorerCall
+from dogwoodpost.core.batches.endpoint_gaps import EndpointGaps
 from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
+from dogwoodpost.core.batches.move_cost import MoveCost
 from dogwoodpost.core.batches.output_lengths import OutputLengths
 from dogwoodpost.core.configuration import Configuration
+from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.observability import Metrics
 from dogwoodpost.services.batches.item_run import ItemRun
 from dogwoodpost.services.entry.route_finder import RouteFinder
@@ -76,6 +79,9 @@
         dispatcher=dispatcher,
         clock=ImmediateClock(),
         pace=EndpointEventPace(),
+        gaps=EndpointGaps(),
+        move_cost=MoveCost(),
+        policy=PolicyHolder(),
         lengths=OutputLengths(),
         endpoints=SimpleNamespace(note_versions=lambda *_: None),
         routes=RouteFinder(FakeConfiguration(configuration)),
