Let the soak run with all mechanisms on and switch them at run time

Cause: the soak knew none of the new mechanisms. Change: its processes start with every section of the policy on; each SIGHUP switches all of them off or on again.

--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -113,7 +113,6 @@
         self.session = session
         self._folder = folder
         self.grace_s = 4
-        self.policy: dict[str, Any] = {}
         # Replaces the address of the stand-in of the duty API.
         self.duty_address = ''
         # Table of the settings of processes that start from now on.
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -28,6 +28,14 @@
 SOAK_ZONES = ('zone-a', 'zone-b')
 # The first two processes share a zone, so they pass jobs to each other.
 _FIRST_ZONE_NODE_COUNT = 2
+_POLICY = {
+    'load_exchange': {'enabled': True, 'interval_ms': 50},
+    'capacity_shares': {'enabled': True},
+    'adaptive_moves': {'enabled': True},
+    'scoring_limit': {'enabled': True, 'max_share': 0.5},
+    'host_ownership': {'enabled': True},
+    'hedging': {'extra_send_share': 0.2, 'min_delay_ms': 5},
+}
 
 
 class SoakNode:
@@ -80,7 +88,13 @@
             self._process.send_signal(signal_number)
 
     def hang_up(self) -> None:
-        """Send SIGHUP, unless the interpreter is still starting."""
+        """Switch the policy on or off, as an operator may at any time.
+
+        SIGHUP is not sent while the interpreter is still starting.
+        """
+        policy = {} if self._settings['policy'] else _POLICY
+        self._settings['policy'] = policy
+        self._path.write_bytes(msgspec.json.encode(self._settings))
         process = self._process
         if process is not None and process.returncode is None:
             if outlives_hangup(process.pid):
@@ -117,6 +131,7 @@
         self, session: aiohttp.ClientSession, folder: Path, node_count: int
     ) -> None:
         super().__init__(session, folder)
+        self.policy = _POLICY
         self.nodes: list[SoakNode] = []
         self.store_links: list[FaultProxy] = []
         self.duty_links: list[FaultProxy] = []
