--- a/src/dogwoodpost/services/membership/load_exchange.py
+++ b/src/dogwoodpost/services/membership/load_exchange.py
@@ -103,7 +103,7 @@
     async def _run(self) -> None:
         while not self.should_stop:
             if not self._settings().enabled:
-                await asyncio.sleep(_POLICY_CHECK_INTERVAL_S)
+                await self.sleep(_POLICY_CHECK_INTERVAL_S)
                 continue
             try:
                 await self._exchange_while_enabled()
