--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -32,6 +32,19 @@
     """Bytes of another process can't be decoded."""
 
 
+class DocumentError(DogwoodpostError):
+    """A document can't be read; line and column say where."""
+
+    def __init__(
+        self, found: str, expected: str, line: int = 1, column: int = 1
+    ) -> None:
+        self.found = found
+        self.expected = expected
+        self.line = line
+        self.column = column
+        super().__init__(f'{line}:{column}: found {found}')
+
+
 class SettingsError(InvalidInputError):
     """A settings file is unreadable or invalid."""
 
