--- a/src/dogwoodpost/platform/__main__.py
+++ b/src/dogwoodpost/platform/__main__.py
@@ -1,4 +1,7 @@
-"""Starts the process described by a settings file of the platform."""
+"""Starts the process described by a settings file of the platform.
+
+With the argument ``config-check`` it checks a configuration instead.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +10,7 @@
 import sys
 
 _CERTIFICATE_FILE_VARIABLE = 'SSL_CERT_FILE'
+_CHECK_COMMAND = 'config-check'
 
 
 def _open_standard_descriptors() -> None:
@@ -32,6 +36,11 @@
     # No call uses TLS, but aiohttp loads all certificate authorities of the
     # host when it is imported, which takes 0.1 s of CPU time.
     os.environ[_CERTIFICATE_FILE_VARIABLE] = os.devnull
+    if sys.argv[1:2] == [_CHECK_COMMAND]:
+        # The start of a process must not wait for these imports.
+        from dogwoodpost.platform import configuration_check
+
+        return configuration_check.main(sys.argv[2:])
     from dogwoodpost.platform.launch import main
 
     return main()
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -44,7 +44,7 @@
 
 _log = structlog.get_logger(__name__)
 TABLE = 'op'
-_CONFIGURATION_KEY = 'config'
+CONFIGURATION_KEY = 'config'
 _VERSION_PREFIX = 'version/'
 _EVACUATION_PREFIX = 'evacuate/'
 _DEFAULT_TIMEOUT_MS = 10_000
@@ -127,7 +127,9 @@
     max_body_bytes: BoundedInteger = 33_554_432
 
 
-class _WireConfiguration(_WireStruct, frozen=True, kw_only=True):
+class WireConfiguration(_WireStruct, frozen=True, kw_only=True):
+    """The configuration as the operator sends it."""
+
     version: BoundedInteger
     routes: tuple[_WireRoute, ...] = ()
     services: tuple[_WireService, ...] = ()
@@ -226,7 +228,7 @@
         for row in rows:
             if row.value is None:
                 continue
-            if row.key.key == _CONFIGURATION_KEY:
+            if row.key.key == CONFIGURATION_KEY:
                 self._apply_configuration(row.version, row.value)
             elif row.key.key.startswith(_VERSION_PREFIX):
                 self._apply_announced_version(row.key.key, row.value)
@@ -249,9 +251,8 @@
         if row_version <= self._row_version:
             return
         try:
-            wire = decode_json(value, _WireConfiguration)
-            configuration = _to_configuration(wire, self._regions)
-        except (MalformedDataError, _RegionsError) as error:
+            wire, configuration = decode_configuration(value, self._regions)
+        except (MalformedDataError, RegionsError) as error:
             _log.error(
                 'configuration_unreadable',
                 row_version=row_version,
@@ -292,16 +293,30 @@
     return ids.AvailabilityZone(row.key.key.removeprefix(_EVACUATION_PREFIX))
 
 
-class _RegionsError(ValueError):
+class RegionsError(ValueError):
     """A list of allowed regions is not valid."""
 
 
+def decode_configuration(
+    value: bytes, known_regions: frozenset[str] | None
+) -> tuple[WireConfiguration, Configuration]:
+    """Return a configuration as sent, and converted.
+
+    :param known_regions: regions of the site, None to accept all.
+
+    :raises MalformedDataError: the bytes are not a configuration.
+    :raises RegionsError: a region is unknown or listed twice.
+    """
+    wire = decode_json(value, WireConfiguration)
+    return wire, _to_configuration(wire, known_regions)
+
+
 def _to_configuration(
-    wire: _WireConfiguration, known_regions: frozenset[str]
+    wire: WireConfiguration, known_regions: frozenset[str] | None
 ) -> Configuration:
     """Convert a decoded configuration.
 
-    :raises _RegionsError: a region is unknown or listed twice.
+    :raises RegionsError: a region is unknown or listed twice.
     """
     accounts: dict[ids.ClientAccountId, ClientAccount] = {}
     keys: dict[ids.KeyId, KeyRecord] = {}
@@ -336,28 +351,30 @@
 
 
 def _to_allowed_regions(
-    names: tuple[str, ...], known_regions: frozenset[str], place: str
+    names: tuple[str, ...],
+    known_regions: frozenset[str] | None,
+    place: str,
 ) -> AllowedRegions:
     """Return the regions of a list; an empty list allows all of them.
 
     :param place: what the list belongs to, for the error message.
-    :raises _RegionsError: a region is unknown or listed twice.
+    :raises RegionsError: a region is unknown or listed twice.
     """
     if not names:
         return ANY_REGION
     regions = frozenset(names)
     if len(regions) < len(names):
-        raise _RegionsError(f'{place} lists a region twice: {names}')
-    if not regions <= known_regions:
+        raise RegionsError(f'{place} lists a region twice: {names}')
+    if known_regions is not None and not regions <= known_regions:
         unknown = ', '.join(sorted(regions - known_regions))
-        raise _RegionsError(f'{place} lists unknown regions: {unknown}')
+        raise RegionsError(f'{place} lists unknown regions: {unknown}')
     return AllowedRegions(frozenset(ids.Region(name) for name in names))
 
 
 def _to_route(
     wire: _WireRoute,
-    configuration: _WireConfiguration,
-    known_regions: frozenset[str],
+    configuration: WireConfiguration,
+    known_regions: frozenset[str] | None,
 ) -> Route:
     timeout_ms = wire.timeout_ms or _DEFAULT_TIMEOUT_MS
     weighted_services = tuple(
