Import the whole system only for the commands that run it

Cause: each command of the command line waited for the import of the demo, the entry and the agent, which a configuration check does not use. Change: these commands import them when they run.

--- a/src/dogwoodpost/cli/demo.py
+++ b/src/dogwoodpost/cli/demo.py
@@ -5,8 +5,6 @@
 import asyncio
 
 from dogwoodpost.config import LogSettings
-from dogwoodpost.demo import local_system
-from dogwoodpost.demo import run_scenario
 from dogwoodpost.observability import configure_logs
 
 
@@ -17,6 +15,10 @@
 
 
 async def _run() -> None:
+    # Other commands must not wait for the import of the whole system.
+    from dogwoodpost.demo import local_system
+    from dogwoodpost.demo import run_scenario
+
     async with local_system() as system:
         lines = await run_scenario(system)
     width = max(len(line.action) for line in lines)
--- a/src/dogwoodpost/cli/processes.py
+++ b/src/dogwoodpost/cli/processes.py
@@ -12,8 +12,6 @@
 from dogwoodpost.config import load_settings
 from dogwoodpost.config import ProcessSettings
 from dogwoodpost.observability import configure_logs
-from dogwoodpost.services.agent.process import build_agent_process
-from dogwoodpost.services.entry.process import build_entry_process
 from dogwoodpost.services.process import run_until_stopped
 
 if TYPE_CHECKING:
@@ -24,12 +22,18 @@
 
 def entry(path: Path) -> None:
     """Run an entry process with a settings file."""
+    # Other commands must not wait for the import of the process.
+    from dogwoodpost.services.entry.process import build_entry_process
+
     settings = load_settings(path, EntrySettings)
     _run(settings, lambda: build_entry_process(settings))
 
 
 def agent(path: Path) -> None:
     """Run an agent process with a settings file."""
+    # Other commands must not wait for the import of the process.
+    from dogwoodpost.services.agent.process import build_agent_process
+
     settings = load_settings(path, AgentSettings)
     _run(settings, lambda: build_agent_process(settings))
 
