Bound the values of a checked document

Cause: 16 MiB of empty arrays took 453 MiB, so 64 MiB would take about four times that; a wrong type in the last of 100,000 routes took 10.0 s to locate. Change: more than 4,000,000 commas or 2,000,000 arrays are refused; the search for a place skips members with another key.

--- a/src/dogwoodpost/core/configuration/checks/json_document.py
+++ b/src/dogwoodpost/core/configuration/checks/json_document.py
@@ -15,6 +15,10 @@
 
 # 100,000 routes with all their fields take about 50 MB.
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+# 100,000 routes with all their fields have 2,500,000 values. The parser needs
+# up to 100 bytes for a value and for an array.
+MAX_COMMAS = 4_000_000
+MAX_ARRAYS = 2_000_000
 # The formats nest less than 10 levels deep. An error points at the first level
 # beyond this one. The parser itself stops at a greater depth, which is about
 # 1,000 levels and differs between interpreters.
@@ -58,6 +62,14 @@
                 'a document in UTF-8',
                 *_line_and_column(valid, len(valid)),
             ) from None
+        if (
+            self._text.count(',') > MAX_COMMAS
+            or self._text.count('[') > MAX_ARRAYS
+        ):
+            raise DocumentError(
+                'a document with too many values',
+                f'at most {MAX_COMMAS} commas and {MAX_ARRAYS} arrays',
+            )
         has_comments = '//' in self._text or '/*' in self._text
         if allow_comments and has_comments:
             self._text = _STRING_OR_COMMENT.sub(_blank, self._text)
@@ -138,7 +150,12 @@
         best_offset, best_length = 0, 0
         for offset, keys, _ in self._members():
             length = len(keys)
-            if best_length < length <= len(path) and all(
+            if not best_length < length <= len(path):
+                continue
+            # Most members differ in their own key; this saves the rest.
+            if path[length - 1] not in {'...', str(keys[-1])}:
+                continue
+            if all(
                 part in {'...', str(key)}
                 for part, key in zip(path, keys, strict=False)
             ):
@@ -165,7 +182,8 @@
                     path[-1] = int(path[-1]) + 1
                     yield match.start(), path, False
                 else:
-                    key = json.loads(token)
+                    # Most keys have no escapes, and a parse of each is slow.
+                    key = json.loads(token) if '\\' in token else token[1:-1]
                     is_repeated = key in keys
                     keys.add(key)
                     path[-1] = key
--- a/tests/core/configuration/test_json_document.py
+++ b/tests/core/configuration/test_json_document.py
@@ -27,6 +27,7 @@
         (b'/* ' * 100_000, 1, 300_001),
         (ACCOUNT + b'// on\n "enabled": 3}}}', 3, 2),
         (b' ' * (MAX_DOCUMENT_BYTES + 1), 1, 1),
+        (b'[' + b'[],' * 2_000_000 + b'1]', 1, 1),
         (b'[]', 1, 1),
     ],
 )
