--- a/src/dogwoodpost/core/policy/__init__.py
+++ b/src/dogwoodpost/core/policy/__init__.py
@@ -4,7 +4,6 @@
 
 from dogwoodpost.core.policy.policy import AdaptiveMovePolicy
 from dogwoodpost.core.policy.policy import CapacitySharePolicy
-from dogwoodpost.core.policy.policy import DemandSubsetPolicy
 from dogwoodpost.core.policy.policy import HedgingPolicy
 from dogwoodpost.core.policy.policy import HostOwnershipPolicy
 from dogwoodpost.core.policy.policy import LoadExchangePolicy
@@ -16,7 +15,6 @@
 __all__ = (
     'AdaptiveMovePolicy',
     'CapacitySharePolicy',
-    'DemandSubsetPolicy',
     'HedgingPolicy',
     'HostOwnershipPolicy',
     'LoadExchangePolicy',
--- a/src/dogwoodpost/core/policy/policy.py
+++ b/src/dogwoodpost/core/policy/policy.py
@@ -41,12 +41,6 @@
     enabled: bool = False
 
 
-class DemandSubsetPolicy(_Section, frozen=True, kw_only=True):
-    """Number of endpoints per model by what its trainer asks for."""
-
-    enabled: bool = False
-
-
 class ScoringLimitPolicy(_Section, frozen=True, kw_only=True):
     """Adaptive limit on the concurrent scoring calls of a process.
 
@@ -93,7 +87,6 @@
     load_exchange: LoadExchangePolicy = LoadExchangePolicy()
     capacity_shares: CapacitySharePolicy = CapacitySharePolicy()
     adaptive_moves: AdaptiveMovePolicy = AdaptiveMovePolicy()
-    demand_subsets: DemandSubsetPolicy = DemandSubsetPolicy()
     scoring_limit: ScoringLimitPolicy = ScoringLimitPolicy()
     host_ownership: HostOwnershipPolicy = HostOwnershipPolicy()
     hedging: HedgingPolicy = HedgingPolicy()
