Bind the exchange's port again if it was in use, and name things clearly

Cause: a reviewer who read the change as a newcomer found that one failed bind ended the exchange until the next restart, that an interval of up to 1 s exceeded the age up to which a state is used, and names that collide. Measured: the test of a port that becomes free fails without the change and passes with it.

--- a/src/dogwoodpost/core/hedging/service_state.py
+++ b/src/dogwoodpost/core/hedging/service_state.py
@@ -4,13 +4,13 @@
 
 import msgspec
 
-from dogwoodpost.core.routing.endpoint_state import EndpointState
+from dogwoodpost.core.routing.endpoint_snapshot import EndpointSnapshot
 
 
 class ServiceState(msgspec.Struct, frozen=True):
     """All known endpoints of a service, and the requests that wait."""
 
-    endpoints: tuple[EndpointState, ...]
+    endpoints: tuple[EndpointSnapshot, ...]
     waiting_count: int = 0
 
     @property
--- a/src/dogwoodpost/core/membership/peer_states.py
+++ b/src/dogwoodpost/core/membership/peer_states.py
@@ -152,7 +152,7 @@
     ) -> dict[ids.EndpointId, int] | None:
         """Return the loads of a process if they are as new as its row.
 
-        :returns: None if the row counts.
+        :returns: None if the loads of the row are to be used.
         """
         received = self._received.get(process_id)
         if (
--- a/src/dogwoodpost/core/policy/policy.py
+++ b/src/dogwoodpost/core/policy/policy.py
@@ -18,11 +18,12 @@
 class LoadExchangePolicy(_Section, frozen=True, kw_only=True):
     """Direct exchange of loads between the processes that own batch jobs.
 
-    :param interval_ms: shortest time between two messages to one process.
+    :param interval_ms: shortest time between two messages to one process. A
+        state is used for 0.9 s at least, so that two messages may be lost.
     """
 
     enabled: bool = False
-    interval_ms: Annotated[int, msgspec.Meta(ge=20, le=1_000)] = 100
+    interval_ms: Annotated[int, msgspec.Meta(ge=20, le=400)] = 100
 
 
 class CapacitySharePolicy(_Section, frozen=True, kw_only=True):
--- a/src/dogwoodpost/core/routing/__init__.py
+++ b/src/dogwoodpost/core/routing/__init__.py
@@ -5,7 +5,7 @@
 from dogwoodpost.core.routing.available_endpoint import AvailableEndpoint
 from dogwoodpost.core.routing.endpoint import Endpoint
 from dogwoodpost.core.routing.endpoint import EndpointListener
-from dogwoodpost.core.routing.endpoint_state import EndpointState
+from dogwoodpost.core.routing.endpoint_snapshot import EndpointSnapshot
 from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.prefix import BLOCK_BYTES
 from dogwoodpost.core.routing.prefix import prefix_hashes
@@ -22,7 +22,7 @@
     'AttemptResult',
     'Endpoint',
     'EndpointListener',
-    'EndpointState',
+    'EndpointSnapshot',
     'Health',
     'AvailableEndpoint',
     'OutlierSettings',
--- a/src/dogwoodpost/core/routing/endpoint_state.py
+++ b/src/dogwoodpost/core/routing/endpoint_snapshot.py
@@ -7,7 +7,7 @@
 from dogwoodpost.core import ids
 
 
-class EndpointState(msgspec.Struct, frozen=True):
+class EndpointSnapshot(msgspec.Struct, frozen=True):
     """Availability, slots and estimated load of an endpoint.
 
     :param in_use: ready, not draining, and neither ejected nor on probation.
--- a/src/dogwoodpost/core/routing/router.py
+++ b/src/dogwoodpost/core/routing/router.py
@@ -11,7 +11,7 @@
 from dogwoodpost.core.routing.candidate_sampler import CandidateSampler
 from dogwoodpost.core.routing.endpoint_costs import EndpointCosts
 from dogwoodpost.core.routing.endpoint_pool import EndpointPool
-from dogwoodpost.core.routing.endpoint_state import EndpointState
+from dogwoodpost.core.routing.endpoint_snapshot import EndpointSnapshot
 from dogwoodpost.core.routing.outlier_detector import Health
 from dogwoodpost.core.routing.settings import OutlierSettings
 from dogwoodpost.core.routing.settings import RouterSettings
@@ -225,9 +225,9 @@
             for endpoint_id in available_ids
         ]
 
-    def endpoint_states(
+    def endpoint_snapshots(
         self, query: RouteQuery, now_s: float
-    ) -> tuple[EndpointState, ...]:
+    ) -> tuple[EndpointSnapshot, ...]:
         """Return the state of all endpoints of the query's service.
 
         Neither regions nor versions are considered.
@@ -236,7 +236,7 @@
         if pool is None:
             return ()
         return tuple(
-            EndpointState(
+            EndpointSnapshot(
                 endpoint_id=endpoint_id,
                 availability_zone=endpoint.availability_zone,
                 is_ready=endpoint.ready and not endpoint.draining,
--- a/src/dogwoodpost/services/entry/hedger.py
+++ b/src/dogwoodpost/services/entry/hedger.py
@@ -95,7 +95,7 @@
     def service_state(self, query: RouteQuery, now_s: float) -> ServiceState:
         """Return the state of the query's service."""
         return ServiceState(
-            self.context.router.endpoint_states(query, now_s),
+            self.context.router.endpoint_snapshots(query, now_s),
             self._admission.waiting_count(query.service),
         )
 
--- a/src/dogwoodpost/services/membership/load_exchange.py
+++ b/src/dogwoodpost/services/membership/load_exchange.py
@@ -42,6 +42,8 @@
 # noticed in a process without running items.
 _POLICY_CHECK_INTERVAL_S = 0.5
 _IDLE_CHECK_INTERVAL_S = 0.2
+# A port that another process uses may become free.
+_BIND_RETRY_INTERVAL_S = 5.0
 
 
 class DropReason(Enum):
@@ -58,8 +60,8 @@
 class LoadExchange(mode.Service):
     """Sends the own state, and keeps those of other processes.
 
-    The state is soft: while the policy is off, and if the address can't be
-    bound, only heartbeat rows count.
+    The state is soft: while the policy is off, and while the address can't be
+    bound, the loads of the heartbeat rows are used.
 
     :param states: filled while the policy is on, empty otherwise.
     :param network: None if this process has no address for datagrams.
@@ -109,7 +111,9 @@
                 await self._exchange_while_enabled()
             except TransportError as error:
                 _log.warning('load_exchange_unavailable', error=str(error))
-                return
+                if self._network is None:
+                    return
+                await self.sleep(_BIND_RETRY_INTERVAL_S)
 
     def _settings(self) -> LoadExchangePolicy:
         return self._policy.current().load_exchange
@@ -260,7 +264,7 @@
         return None
 
     def _note_stale_states(self, now_s: float) -> None:
-        """Let the rows count of processes whose states are too old."""
+        """Use the heartbeat rows of processes whose states are too old."""
         stale_ids = self._used_ids - self._states.current_ids(now_s)
         for process_id in stale_ids:
             self._states.forget(process_id)
--- a/src/dogwoodpost/services/membership/load_reports.py
+++ b/src/dogwoodpost/services/membership/load_reports.py
@@ -41,7 +41,7 @@
         self._full_report_s = -math.inf
 
     def use(self, states: PeerStates | None) -> None:
-        """Combine rows with these states; with None, only rows count."""
+        """Combine rows with these states; None to use rows only."""
         self._states = states
         self._totals = LoadTotals()
         self._full_report_s = -math.inf
--- a/tests/core/hedging/test_hedging.py
+++ b/tests/core/hedging/test_hedging.py
@@ -18,7 +18,7 @@
 from dogwoodpost.core.hedging import ServiceState
 from dogwoodpost.core.policy import HedgingPolicy
 from dogwoodpost.core.routing import AvailableEndpoint
-from dogwoodpost.core.routing import EndpointState
+from dogwoodpost.core.routing import EndpointSnapshot
 from tests.fakes.pipeline import endpoint
 
 SETTINGS = HedgingPolicy(extra_send_share=0.05)
@@ -38,7 +38,7 @@
         }
         fields.update(overrides.get('all', {}))
         fields.update(overrides.get(f'e{number}', {}))
-        endpoints.append(EndpointState(**fields))
+        endpoints.append(EndpointSnapshot(**fields))
     return ServiceState(tuple(endpoints))
 
 
--- a/tests/services/membership/test_load_exchange.py
+++ b/tests/services/membership/test_load_exchange.py
@@ -308,6 +308,17 @@
         assert two.exchange.crash_reason is None
 
 
+@on_virtual_time
+async def test_a_port_that_becomes_free_is_used(site: Site) -> None:
+    """Guards against an exchange that stays off until the next restart."""
+    async with processes(site, 'one', 'two', taken='two') as (one, two):
+        two.channel.is_taken = False
+        await asyncio.sleep(7.0)
+        one.start_items(3)
+        await asyncio.sleep(0.15)
+        assert two.seen_count() == 5
+
+
 def forged(**changes: Any) -> bytes:
     state = PeerState(
         process_id='one',
