--- a/tests/services/membership/test_load_exchange.py
+++ b/tests/services/membership/test_load_exchange.py
@@ -232,8 +232,8 @@
 async def test_slots_are_seen_free_and_taken_at_once(site: Site) -> None:
     """Guards against engines that look full for a second after items ended.
 
-    By heartbeats alone, 91% of the item-seconds of waiting of customer E
-    passed while engines had free slots.
+    Loads that are known from heartbeats alone are up to a second old, while
+    most items end within a second.
     """
     seen: dict[bool, list[int]] = {True: [], False: []}
     async with processes(site, 'one', 'two') as (one, two):
