Fold three checks that stood more than once

Cause: the last read of the change found the age of a received state compared in three places, the loop over other processes written twice, and two branches that differ in one duration. Change: one method, one loop, one call; no change of behaviour.

--- a/src/dogwoodpost/core/membership/peer_states.py
+++ b/src/dogwoodpost/core/membership/peer_states.py
@@ -90,6 +90,10 @@
     base_sequence: int
     received_s: float
 
+    def is_recent(self, now_s: float) -> bool:
+        """Return whether the state may still be used."""
+        return now_s - self.received_s <= MAX_STATE_AGE_S
+
 
 class PeerStates:
     """Keeps the newest state of each other process.
@@ -144,7 +148,7 @@
         return {
             process_id
             for process_id, received in self._received.items()
-            if now_s - received.received_s <= MAX_STATE_AGE_S
+            if received.is_recent(now_s)
         }
 
     def newer_loads(
@@ -159,7 +163,7 @@
             received is None
             or received.state.incarnation != row.incarnation
             or received.state.heartbeat_sequence < row.sequence
-            or now_s - received.received_s > MAX_STATE_AGE_S
+            or not received.is_recent(now_s)
         ):
             return None
         return received.loads
@@ -182,6 +186,6 @@
                 age_s=now_s - received.received_s,
             )
             for process_id, received in self._received.items()
-            if now_s - received.received_s <= MAX_STATE_AGE_S
+            if received.is_recent(now_s)
             for demand in received.state.demands
         ]
--- a/src/dogwoodpost/core/membership/presence.py
+++ b/src/dogwoodpost/core/membership/presence.py
@@ -181,10 +181,10 @@
     ) -> dict[ids.EndpointId, int]:
         """Return the attempts of other live processes, by endpoint."""
         loads: dict[ids.EndpointId, int] = {}
-        for process_id, process in self._processes.items():
-            if process_id == own_id or self._is_silent(process, now_s):
+        for _, record, is_silent in self.others(own_id, now_s):
+            if is_silent:
                 continue
-            for endpoint_id, count in process.record.loads.items():
+            for endpoint_id, count in record.loads.items():
                 loads[endpoint_id] = loads.get(endpoint_id, 0) + count
         return loads
 
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -282,14 +282,12 @@
     def _block_endpoint(
         self, slot: EndpointSlot, reason: NotRunReason
     ) -> None:
-        dispatcher = self._context.dispatcher
-        endpoint_id = slot.endpoint.endpoint_id
+        duration_s = _UNREACHABLE_BLOCK_S
         if reason is NotRunReason.OVERLOADED:
-            dispatcher.block(endpoint_id, self._job.model, _OVERLOADED_BLOCK_S)
-        else:
-            dispatcher.block(
-                endpoint_id, self._job.model, _UNREACHABLE_BLOCK_S
-            )
+            duration_s = _OVERLOADED_BLOCK_S
+        self._context.dispatcher.block(
+            slot.endpoint.endpoint_id, self._job.model, duration_s
+        )
 
     def _endpoint_call(self) -> EndpointCall:
         remaining_s = self._remaining_lifetime_s()
