--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -28,6 +28,7 @@
 from aiohttp import web
 
 from dogwoodpost.ports.row_store import RowKey
+from dogwoodpost.ports.row_store import RowPage
 from dogwoodpost.ports.row_store import RowWrite
 from dogwoodpost.standins.memory_row_store import MemoryRowStore
 from dogwoodpost.standins.site.duty_app import DutyApp
@@ -73,9 +74,10 @@
 class Proxy:
     """Forwards connections to an address; can silence the open ones."""
 
-    def __init__(self, target):
+    def __init__(self, target, delay_s=0.0):
         self._host, _, port = target.rpartition(':')
         self._port = int(port)
+        self._delay_s = delay_s
         self._silent = set()
         self._open = set()
         self.refuses_new = False
@@ -131,6 +133,9 @@
             while data := await reader.read(65536):
                 if pair in self._silent:
                     continue
+                if self._delay_s:
+                    # Calls and answers alternate, so each waits once.
+                    await asyncio.sleep(self._delay_s)
                 writer.write(data)
                 await writer.drain()
             if pair not in self._silent:
@@ -152,6 +157,18 @@
             return port
 
 
+class HistoryStore(MemoryRowStore):
+    """Row store whose feeds can go quiet before it drops its history."""
+
+    is_quiet = False
+
+    async def follow(self, table, after, wait_s):
+        if self.is_quiet:
+            await asyncio.sleep(min(wait_s, 0.1))
+            return RowPage((), after)
+        return await super().follow(table, after, wait_s)
+
+
 class Engine(SamplerApp):
     """Sampler of the project with the number of slots of the sheet."""
 
@@ -217,7 +234,9 @@
     def __init__(self, record, *, engines=3, plain=2, event_count=12):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
-        self.store = MemoryRowStore()
+        self.store = HistoryStore()
+        # One way to the store, added to its answers.
+        self.store_distance_s = 0.0
         self.store_app = StoreApp(self.store)
         self.duties = DutyApp()
         self.engines = [
@@ -338,7 +357,9 @@
         }
 
     async def add_node(self, name, zone='montevideo-a'):
-        proxy = await Proxy(self.addresses['store']).start()
+        proxy = await Proxy(
+            self.addresses['store'], self.store_distance_s
+        ).start()
         self.store_proxies[name] = proxy
         first = free_port()
         settings = {
