--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,7 +17,7 @@
 TRAINERS = ((5, 8), (10, 4), (5, 8))
 STEP_S = 4.0
 # A smaller trainer asks its first step right after the silence.
-SMALL_TRAINER = (5, 4)
+SMALL_TRAINER = (4, 4)
 DEADLINE_S = 12.0
 STABLE_S = BOUNDS['stableMs'] / 1000
 # RULES.md, LOST: an item that has been at no sampler for 5 s.
