Log and count calls that are given up on silent connections

What was missing: "no response headers within 2.000 s" names a time-out, not whether the connection was new or kept, how long it had been idle, or how many others to the address are in the same state.

The pool of kept connections now follows when each connection was opened, used and last heard from. A call that is given up after 0.4 s or more without a byte logs "connection_silent" with the request id, the address, the number of the call on its connection, idle, silent and open time, and how many connections to the address are idle and silent. It is counted as connection_silent_used or connection_silent_new.

The connectors move to modules of their own.

--- /dev/null
+++ b/src/dogwoodpost/core/connections/__init__.py
@@ -0,0 +1,8 @@
+"""What the use of a connection tells about it."""
+
+from __future__ import annotations
+
+from dogwoodpost.core.connections.connection_use import CallSilence
+from dogwoodpost.core.connections.connection_use import ConnectionUse
+
+__all__ = ('CallSilence', 'ConnectionUse')
--- /dev/null
+++ b/src/dogwoodpost/platform/bounded_connector.py
@@ -0,0 +1,44 @@
+"""Connector whose connections limit interim responses."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import Any
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from aiohttp.client_proto import ResponseHandler
+
+
+class BoundedProtocolConnector(aiohttp.TCPConnector):
+    """Opens connections that limit interim responses.
+
+    :param keepalive_s: how long to keep idle connections; None closes each
+        connection after its request.
+    :param socket_factory: creates the sockets of connections that are not
+        kept.
+    :param protocol: protocol of the connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        keepalive_s: float | None = None,
+        socket_factory: Callable[[Any], socket.socket] | None = None,
+        protocol: type[ResponseHandler] = BoundedResponseHandler,
+    ) -> None:
+        if keepalive_s is None:
+            super().__init__(
+                limit=0, force_close=True, socket_factory=socket_factory
+            )
+        else:
+            super().__init__(limit=0, keepalive_timeout=keepalive_s)
+        self._factory = partial(protocol, loop=asyncio.get_running_loop())
--- a/src/dogwoodpost/platform/connection_counts.py
+++ b/src/dogwoodpost/platform/connection_counts.py
@@ -1,4 +1,4 @@
-"""Metrics of new connections to endpoints, by cause."""
+"""Metrics of connections: new ones by cause, and silent ones."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from types import SimpleNamespace
 
+    from dogwoodpost.core.connections import CallSilence
     from dogwoodpost.observability import Metrics
 
 
@@ -37,7 +38,7 @@
 
 
 class ConnectionCounts:
-    """Counts the new connections of one process.
+    """Counts the new and the silent connections of one process.
 
     Sessions keep connections by address, so ``NONE_FREE`` rises with the
     number of calls that run at once, and with the number of connections that
@@ -67,6 +68,15 @@
         config.on_connection_create_end.append(on_created)
         return config
 
+    def count_silence(self, silence: CallSilence) -> None:
+        """Count a call that was given up on a silent connection.
+
+        A new connection that receives nothing points to its endpoint, one
+        that has worked before may have gone silent itself.
+        """
+        kind = 'used' if silence.has_worked else 'new'
+        self._metrics.events.labels(f'connection_silent_{kind}').inc()
+
     def _count(self, address: str, *, reuse: bool) -> None:
         if address not in self._known_addresses:
             self._known_addresses.add(address)
