Close silent connections together, and retry items on a new one

Cause: each call learned only about its own connection. A call given up after 2 s closed that one and left 5 to 13 more silent ones to the address for the next calls; the item's next run met a silent one at the next sampler and waited 2, 4 and 8 s.

Change: the pool closes the idle connections to the address of a silent call, unless an older connection to it still receives bytes (a slow endpoint), or they were heard from in the last 0.4 s; a new connection's silence closes none. An item's run after a silent one uses a new connection.

Why it works: an item meets one silent connection at most, and an address loses its silent ones with the first call that is given up there, whatever the step's size and the number of connections and endpoints.

--- a/src/dogwoodpost/core/batches/run_timeouts.py
+++ b/src/dogwoodpost/core/batches/run_timeouts.py
@@ -27,6 +27,12 @@
     def __init__(self) -> None:
         self._silent_run_count = 0
         self._interruption_count = 0
+        self._was_silent = False
+
+    @property
+    def was_silent(self) -> bool:
+        """Return whether the last interrupted run ended with a timeout."""
+        return self._was_silent
 
     @property
     def head_timeout_s(self) -> float:
@@ -47,6 +53,7 @@
         :param has_new_events: whether the run added events to the text.
         :return: pause in seconds.
         """
+        self._was_silent = is_silent
         if has_new_events:
             self._interruption_count = 0
         elif is_silent:
--- a/src/dogwoodpost/core/connections/connection_use.py
+++ b/src/dogwoodpost/core/connections/connection_use.py
@@ -64,6 +64,19 @@
         """Record that bytes were received."""
         self._received_s = now_s
 
+    def was_heard_recently(self, now_s: float) -> bool:
+        """Return whether the peer was heard from a moment ago."""
+        return now_s - self.last_contact_s < MIN_SILENCE_S
+
+    def outlived(self, silence: CallSilence, now_s: float) -> bool:
+        """Return whether the connection works in spite of a silence.
+
+        Only a connection that was open when the silence began tells that it
+        is not the connections which have stopped to work since.
+        """
+        is_older = self.opened_s < silence.since_s
+        return is_older and self.was_heard_recently(now_s)
+
     def silence(self, now_s: float) -> CallSilence | None:
         """Return the silence of the current call.
 
--- a/src/dogwoodpost/platform/connection_counts.py
+++ b/src/dogwoodpost/platform/connection_counts.py
@@ -68,14 +68,17 @@
         config.on_connection_create_end.append(on_created)
         return config
 
-    def count_silence(self, silence: CallSilence) -> None:
+    def count_silence(self, silence: CallSilence, closed_count: int) -> None:
         """Count a call that was given up on a silent connection.
 
         A new connection that receives nothing points to its endpoint, one
         that has worked before may have gone silent itself.
+
+        :param closed_count: idle connections that were closed because of it.
         """
         kind = 'used' if silence.has_worked else 'new'
         self._metrics.events.labels(f'connection_silent_{kind}').inc()
+        self._metrics.events.labels('connection_doubtful').inc(closed_count)
 
     def _count(self, address: str, *, reuse: bool) -> None:
         if address not in self._known_addresses:
--- a/src/dogwoodpost/platform/pooled_connector.py
+++ b/src/dogwoodpost/platform/pooled_connector.py
@@ -30,10 +30,15 @@
 
 
 class PooledConnector(BoundedProtocolConnector):
-    """Discards idle connections that have received bytes.
+    """Discards idle connections that can't be used for another call.
 
-    Such bytes belong to no request, and aiohttp would take them for the
-    response to the next one.
+    Bytes that arrive on an idle connection belong to no request, and aiohttp
+    would take them for the response to the next one.
+
+    Connections may stop to work without a reset, all at the same time. A
+    call that was given up on a silent connection therefore puts the idle ones
+    to the same address in doubt, unless another connection that is as old
+    still works.
     """
 
     def __init__(self, counts: ConnectionCounts) -> None:
@@ -81,19 +86,28 @@
             if should_close and protocol.is_connected():
                 silence = protocol.use.silence(self._loop.time())
                 if silence is not None:
-                    self._report_silence(key, silence)
+                    self._handle_silence(key, silence)
             protocol.use.end_call()
         super()._release(key, protocol, should_close=should_close)
 
-    def _report_silence(
+    def _handle_silence(
         self, key: ConnectionKey, silence: CallSilence
     ) -> None:
+        """Report a call that was given up on a silent connection.
+
+        Closes the idle connections to the address if they are in doubt too. A
+        new connection that receives nothing says nothing about them.
+        """
         now_s = self._loop.time()
         silent_count = sum(
             protocol.use.silence(now_s) is not None
             for protocol in self._busy(key)
         )
-        self._counts.count_silence(silence)
+        others_work = self._has_working_connection(key, silence, now_s)
+        closed_count = 0
+        if silence.has_worked and not others_work:
+            closed_count = self._close_doubtful(key, now_s)
+        self._counts.count_silence(silence, closed_count)
         _log.info(
             'connection_silent',
             request_id=silence.call_id,
@@ -104,9 +118,41 @@
             idle_ms=round(silence.idle_s * _MS_PER_S),
             age_ms=round(silence.age_s * _MS_PER_S),
             silent_connections=silent_count,
+            others_work=others_work,
+            closed_connections=closed_count,
             idle_connections=len(self._conns.get(key, ())),
         )
 
+    def _has_working_connection(
+        self, key: ConnectionKey, silence: CallSilence, now_s: float
+    ) -> bool:
+        """Return whether an older connection to the address still works."""
+        return any(
+            protocol.use.outlived(silence, now_s)
+            for protocol in (*self._busy(key), *self._idle(key))
+        )
+
+    def _close_doubtful(self, key: ConnectionKey, now_s: float) -> int:
+        """Close idle connections that were not heard from a moment ago.
+
+        :returns: number of closed connections.
+        """
+        doubtful = {
+            protocol
+            for protocol in self._idle(key)
+            if not protocol.use.was_heard_recently(now_s)
+        }
+        if not doubtful:
+            return 0
+        kept = [
+            entry for entry in self._conns.pop(key) if entry[0] not in doubtful
+        ]
+        if kept:
+            self._conns[key].extend(kept)
+        for protocol in doubtful:
+            protocol.close()
+        return len(doubtful)
+
     def _busy(self, key: ConnectionKey) -> Iterator[TrackedResponseHandler]:
         """Yield the connections to an address that calls use now."""
         for protocol in self._acquired:
@@ -116,6 +162,12 @@
             ):
                 yield protocol
 
+    def _idle(self, key: ConnectionKey) -> Iterator[TrackedResponseHandler]:
+        """Yield the connections to an address that no call uses."""
+        for protocol, _ in self._conns.get(key, ()):
+            if isinstance(protocol, TrackedResponseHandler):
+                yield protocol
+
 
 def _is_unusable(connection: Connection) -> bool:
     """Return whether a connection is closed or has unread bytes."""
--- a/tests/core/batches/test_run_timeouts.py
+++ b/tests/core/batches/test_run_timeouts.py
@@ -22,6 +22,16 @@
     assert timeouts.head_timeout_s > timeouts.idle_timeout_s
 
 
+def test_silence_of_the_last_run_is_remembered() -> None:
+    """Guards against retries on a connection that may be silent too."""
+    timeouts = RunTimeouts()
+    assert not timeouts.was_silent
+    timeouts.record_interruption(is_silent=True, has_new_events=True)
+    assert timeouts.was_silent
+    timeouts.record_interruption(is_silent=False, has_new_events=True)
+    assert not timeouts.was_silent
+
+
 def test_pauses_grow_between_runs_without_events() -> None:
     """Guards against busy loops while all endpoints fail."""
     timeouts = RunTimeouts()
--- a/tests/core/connections/test_connection_use.py
+++ b/tests/core/connections/test_connection_use.py
@@ -57,3 +57,21 @@
     use.begin_call('call', 1.0)
     use.end_call()
     assert use.silence(9.0) is None
+
+
+@pytest.mark.parametrize(
+    ('opened_s', 'received_s', 'works'),
+    [(1.0, 6.9, True), (1.0, 6.0, False), (5.5, 6.9, False)],
+)
+def test_only_an_older_connection_in_use_outlives_a_silence(
+    opened_s: float, received_s: float, works: bool
+) -> None:
+    """Guards against new connections that vouch for the older ones."""
+    silent = ConnectionUse(opened_s=1.0)
+    silent.begin_call('call', 5.0)
+    silence = silent.silence(7.0)
+    assert silence is not None
+    other = ConnectionUse(opened_s)
+    other.begin_call('other', opened_s)
+    other.note_received(received_s)
+    assert other.outlived(silence, 7.0) is works
