Retry unanswered requests on new connections only

What callers saw: after the connections to five plain services, kept by a burst, had gone silent, a request that may be repeated got a 504 after its 3 s; with two services it took 2.14 s.

Cause: a retry goes to another endpoint, whose kept connections are just as silent. Up to maxAttempts attempts of 1 s each end on such a connection.

Change: once an attempt has received nothing in time, the further attempts of the request use new connections, as requests that must not run twice always do.

Why it works: a request meets one silent connection at most, however many endpoints have some.

--- a/src/dogwoodpost/ports/attempt_runner.py
+++ b/src/dogwoodpost/ports/attempt_runner.py
@@ -27,6 +27,8 @@
     :param resume_after: id of the last event that was forwarded.
     :param continues_response: the head of the response was forwarded by an
         earlier attempt.
+    :param needs_new_connection: no connection that was used before may be
+        used, because all of them may have gone silent.
     """
 
     attempt_id: ids.AttemptId
@@ -42,6 +44,7 @@
     resumable: bool = False
     resume_after: int | None = None
     continues_response: bool = False
+    needs_new_connection: bool = False
 
 
 class AttemptHead(msgspec.Struct, frozen=True):
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -64,7 +64,9 @@
             timeout_s=spec.timeout_s,
             client_account_id=spec.client_account_id,
             resume_after=spec.resume_after,
-            may_reuse_connection=spec.idempotent,
+            may_reuse_connection=(
+                spec.idempotent and not spec.needs_new_connection
+            ),
         )
         try:
             async with self._gateway.open(endpoint, call) as reply:
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from aiohttp import test_utils
 
+from dogwoodpost.standins.site.sampler_app import SamplerApp
 from tests.platform.silencing_proxy import silencing_proxy
 
 if TYPE_CHECKING:
@@ -25,20 +27,43 @@
 KEPT_COUNT = 16
 
 
-@contextlib.asynccontextmanager
-async def proxied(
-    site: Site, services: tuple[str, ...]
-) -> AsyncIterator[list[SilencingProxy]]:
-    """Let the endpoints of services be reached through proxies."""
+# Connections that are kept to the plain services, and work that needs them.
+PLAIN_COUNT = 3
+PLAIN_WORK_S = 0.1
+
+
+@pytest.fixture
+async def engine_proxies(site: Site) -> AsyncIterator[list[SilencingProxy]]:
+    """Let the engines be reached through proxies."""
+    async with contextlib.AsyncExitStack() as stack:
+        proxies = []
+        for engine in site.engines:
+            engine.event_gap_s = 0.02
+            proxy = await stack.enter_async_context(
+                silencing_proxy(site.address_of(engine))
+            )
+            site.move(engine, 'engines', proxy.address)
+            proxies.append(proxy)
+        yield proxies
+
+
+@pytest.fixture
+async def plain_proxies(site: Site) -> AsyncIterator[list[SilencingProxy]]:
+    """Serve several plain services that are reached through proxies."""
+    others = [
+        SamplerApp(f'plain-{number}') for number in range(1, PLAIN_COUNT)
+    ]
     async with contextlib.AsyncExitStack() as stack:
         proxies = []
-        for endpoint, service in site.endpoints():
-            if service in services:
-                proxy = await stack.enter_async_context(
-                    silencing_proxy(site.address_of(endpoint))
-                )
-                site.move(endpoint, service, proxy.address)
-                proxies.append(proxy)
+        for endpoint in (site.plain, *others):
+            endpoint.work_s = PLAIN_WORK_S
+            server = test_utils.TestServer(endpoint.app())
+            await stack.enter_async_context(server)
+            proxy = await stack.enter_async_context(
+                silencing_proxy(f'{server.host}:{server.port}')
+            )
+            site.move(endpoint, 'plain', proxy.address)
+            proxies.append(proxy)
         yield proxies
 
 
@@ -72,22 +97,30 @@
 
 @pytest.mark.parametrize('item_count', [1, 3, 12])
 async def test_items_begin_soon_after_connections_go_silent(
-    site: Site, item_count: int
+    site: Site, engine_proxies: list[SilencingProxy], item_count: int
 ) -> None:
     """Guards against items that wait on one silent connection after another.
 
     The pool keeps more silent connections than the job has items.
     """
-    for engine in site.engines:
-        engine.event_gap_s = 0.02
-    async with (
-        proxied(site, ('engines',)) as proxies,
-        site.node('node-1') as node,
-    ):
+    async with site.node('node-1') as node:
         await run_job(site, node, KEPT_COUNT)
-        for proxy in proxies:
+        for proxy in engine_proxies:
             assert proxy.silence_open() >= KEPT_COUNT // 2
         async with asyncio.timeout(STABLE_S):
             job_id, item_ids = await submit(site, node, item_count)
             await wait_until_begun(site, item_ids)
         assert len(await site.results(node, job_id, item_count)) == item_count
+
+
+async def test_retry_meets_no_second_silent_connection(
+    site: Site, plain_proxies: list[SilencingProxy]
+) -> None:
+    """Guards against requests whose attempts all end on silent connections."""
+    async with site.node('node-1') as node:
+        calls = (site.send(node, '/safe/a') for _ in range(KEPT_COUNT))
+        await asyncio.gather(*calls)
+        for proxy in plain_proxies:
+            assert proxy.silence_open() >= 1
+        status, _, _ = await site.send(node, '/safe/a')
+        assert status == 200
