Score texts on a new connection after an unanswered attempt

Cause: an attempt to score is a request with one attempt of its own, at an endpoint not tried before. Each met a kept connection that was silent, and each doubled the limit of the next: 1, 2 and 4 s.

Change: the attempt after an unanswered one uses a new connection.

--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -184,6 +184,7 @@
                 service.name, allowed_regions, attempts.attempted_endpoint_ids
             ),
             allowed_regions=allowed_regions,
+            needs_new_connection=attempts.was_unanswered,
         )
 
     async def _send_request(
--- a/src/dogwoodpost/services/batches/scoring_attempts.py
+++ b/src/dogwoodpost/services/batches/scoring_attempts.py
@@ -42,6 +42,11 @@
         self._sign: OverloadSign | None = None
         self._backoff = ScoringBackoff()
 
+    @property
+    def was_unanswered(self) -> bool:
+        """Return whether the last attempt received nothing in time."""
+        return self._sign is OverloadSign.TIMED_OUT
+
     def record(
         self,
         head: AttemptHead | None,
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -134,7 +134,7 @@
         except TimeoutError:
             if state.remaining_s > 0.0:
                 observation.record_attempt_timeout()
-                state.was_unanswered = True
+                state.needs_new_connection = True
                 raise attempt_failures.outcome_unknown(
                     state,
                     'attempt_timeout',
@@ -311,5 +311,5 @@
             resumable=request.route.resumable,
             resume_after=self._state.progress.last_event_id,
             continues_response=self._state.progress.has_begun,
-            needs_new_connection=self._state.was_unanswered,
+            needs_new_connection=self._state.needs_new_connection,
         )
--- a/src/dogwoodpost/services/entry/request_state.py
+++ b/src/dogwoodpost/services/entry/request_state.py
@@ -17,7 +17,7 @@
     ``may_have_run`` is true once a failed attempt may have run at its
     endpoint. ``cost_tokens`` is the cost of all attempts so far.
     ``other_attempt_runs`` is true while two attempts run at once.
-    ``was_unanswered`` is true once an attempt received nothing in time.
+    ``needs_new_connection`` is true once an attempt received nothing in time.
 
     :param max_attempt_count: maximum number of attempts, not counting those
         that ``request.free_not_run_count`` allows in addition.
@@ -36,7 +36,7 @@
         self.may_have_run = False
         self.cost_tokens = 0.0
         self.other_attempt_runs = False
-        self.was_unanswered = False
+        self.needs_new_connection = request.needs_new_connection
         self._clock = clock
         self.max_attempt_count = max_attempt_count
 
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -124,3 +124,17 @@
             assert proxy.silence_open() >= 1
         status, _, _ = await site.send(node, '/safe/a')
         assert status == 200
+
+
+async def test_score_comes_soon_after_connections_go_silent(
+    site: Site, plain_proxies: list[SilencingProxy]
+) -> None:
+    """Guards against texts that are scored on silent connections in turn."""
+    async with site.node('node-1') as node:
+        await run_job(site, node, KEPT_COUNT)
+        for proxy in plain_proxies:
+            assert proxy.silence_open() >= 1
+        async with asyncio.timeout(STABLE_S):
+            job_id, _ = await submit(site, node, 1)
+            [result] = await site.results(node, job_id, 1)
+        assert result['state'] == 'completed'
