--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -11,7 +11,9 @@
 import pytest
 from aiohttp import test_utils
 
+from dogwoodpost.platform.store_relay import TIMEOUT_HEADER
 from dogwoodpost.standins.site.sampler_app import SamplerApp
+from tests.platform.platform_site import free_port
 from tests.platform.silencing_proxy import silencing_proxy
 
 if TYPE_CHECKING:
@@ -23,6 +25,8 @@
 
 # The bound ``stableMs`` of the users' deployments.
 STABLE_S = 4.0
+# The bound ``configApplyMs`` of the users' deployments.
+CONFIG_APPLY_S = 2.5
 # Fills all slots of both engines, so that as many connections are kept.
 KEPT_COUNT = 16
 
@@ -95,6 +99,39 @@
     raise AssertionError('items have reached no engine')
 
 
+@pytest.fixture
+async def store_proxy(site: Site) -> AsyncIterator[SilencingProxy]:
+    """Let ``node-1`` reach the store through a proxy."""
+    async with silencing_proxy(site.store_address) as proxy:
+        site.store_addresses['node-1'] = proxy.address
+        yield proxy
+
+
+async def keep_store_connections(
+    site: Site, store_proxy: SilencingProxy, count: int
+) -> None:
+    """Let ``node-1`` make calls for others that wait at the same time."""
+    page = await site.store.read('quiet', '')
+    url = f'http://127.0.0.1:{site.peer_port}/store/rows-feed'
+
+    async def read_feed(number: int) -> None:
+        # Fewer connections at once than servers queue.
+        await asyncio.sleep(number * 0.002)
+        async with site.session.get(
+            url,
+            params={
+                'table': 'quiet',
+                'after': str(page.version),
+                'waitMs': '900',
+            },
+            headers={TIMEOUT_HEADER: '3000'},
+        ) as response:
+            assert response.status == 200
+
+    await asyncio.gather(*(read_feed(number) for number in range(count)))
+    assert store_proxy.open_count >= count
+
+
 @pytest.mark.parametrize('item_count', [1, 3, 12])
 async def test_items_begin_soon_after_connections_go_silent(
     site: Site, engine_proxies: list[SilencingProxy], item_count: int
@@ -138,3 +175,26 @@
             job_id, _ = await submit(site, node, 1)
             [result] = await site.results(node, job_id, 1)
         assert result['state'] == 'completed'
+
+
+@pytest.mark.parametrize('kept_count', [10, 50, 200])
+async def test_key_is_revoked_soon_after_store_connections_go_silent(
+    site: Site, store_proxy: SilencingProxy, kept_count: int
+) -> None:
+    """Guards against feeds that read on one silent connection after another.
+
+    A burst has left as many connections to the store.
+    """
+    site.peer_port = free_port()
+    async with site.node('node-1') as node:
+        await keep_store_connections(site, store_proxy, kept_count)
+        # Connections in use until a moment ago would be kept.
+        await asyncio.sleep(1.0)
+        assert store_proxy.silence_open() >= kept_count
+        configuration = site.configuration(version=3)
+        configuration['tenants'][0]['apiKeys'] = ['another-key']
+        site.configure(configuration)
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            status = 200
+            while status != 401:
+                status, _, _ = await site.send(node, '/safe/a')
