Use the pool that closes silent connections in all sessions

What callers saw: nothing yet.

Change: the connectors and protocols move from platform/ to adapters/http/, as they know no names of the platform, and both sessions use them.

--- a/src/dogwoodpost/platform/bounded_connector.py
+++ b/src/dogwoodpost/adapters/http/bounded_connector.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
+from dogwoodpost.adapters.http.bounded_protocol import BoundedResponseHandler
 
 if TYPE_CHECKING:
     import socket
@@ -23,6 +23,7 @@
 
     :param keepalive_s: how long to keep idle connections; None closes each
         connection after its request.
+    :param limit: largest number of connections, 0 for any number.
     :param socket_factory: creates the sockets of connections that are not
         kept.
     :param protocol: protocol of the connections.
@@ -32,13 +33,14 @@
         self,
         *,
         keepalive_s: float | None = None,
+        limit: int = 0,
         socket_factory: Callable[[Any], socket.socket] | None = None,
         protocol: type[ResponseHandler] = BoundedResponseHandler,
     ) -> None:
         if keepalive_s is None:
             super().__init__(
-                limit=0, force_close=True, socket_factory=socket_factory
+                limit=limit, force_close=True, socket_factory=socket_factory
             )
         else:
-            super().__init__(limit=0, keepalive_timeout=keepalive_s)
+            super().__init__(limit=limit, keepalive_timeout=keepalive_s)
         self._factory = partial(protocol, loop=asyncio.get_running_loop())
--- a/src/dogwoodpost/platform/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -6,9 +6,10 @@
 
 import structlog
 
-from dogwoodpost.platform import header_names
-from dogwoodpost.platform.bounded_connector import BoundedProtocolConnector
-from dogwoodpost.platform.tracked_protocol import TrackedResponseHandler
+from dogwoodpost.adapters.http.bounded_connector import (
+    BoundedProtocolConnector,
+)
+from dogwoodpost.adapters.http.tracked_protocol import TrackedResponseHandler
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -20,12 +21,13 @@
     from aiohttp.tracing import Trace
 
     from dogwoodpost.core.connections import CallSilence
-    from dogwoodpost.platform.connection_counts import ConnectionCounts
+    from dogwoodpost.observability import Metrics
 
 _log = structlog.get_logger(__name__)
 # Endpoints close idle connections earlier or later; a request that fails
 # because its connection was closed is repeated.
 _KEEPALIVE_S = 12.0
+_REQUEST_ID_HEADER = 'X-Request-Id'
 _MS_PER_S = 1_000
 
 
@@ -39,13 +41,17 @@
     call that was given up on a silent connection therefore puts the idle ones
     to the same address in doubt, unless another connection that is as old
     still works.
+
+    :param limit: largest number of connections, 0 for any number.
     """
 
-    def __init__(self, counts: ConnectionCounts) -> None:
+    def __init__(self, metrics: Metrics, *, limit: int = 0) -> None:
         super().__init__(
-            keepalive_s=_KEEPALIVE_S, protocol=TrackedResponseHandler
+            keepalive_s=_KEEPALIVE_S,
+            limit=limit,
+            protocol=TrackedResponseHandler,
         )
-        self._counts = counts
+        self._metrics = metrics
 
     async def connect(
         self,
@@ -58,7 +64,7 @@
         protocol = connection.protocol
         if isinstance(protocol, TrackedResponseHandler):
             protocol.key = req.connection_key
-            call_id = req.headers.get(header_names.REQUEST_ID, '')
+            call_id = req.headers.get(_REQUEST_ID_HEADER, '')
             protocol.use.begin_call(call_id, self._loop.time())
         return connection
 
@@ -107,7 +113,7 @@
         closed_count = 0
         if silence.has_worked and not others_work:
             closed_count = self._close_doubtful(key, now_s)
-        self._counts.count_silence(silence, closed_count)
+        self._count_silence(silence, closed_count)
         _log.info(
             'connection_silent',
             request_id=silence.call_id,
@@ -123,6 +129,16 @@
             idle_connections=len(self._conns.get(key, ())),
         )
 
+    def _count_silence(self, silence: CallSilence, closed_count: int) -> None:
+        """Count a silent call and the idle connections closed because of it.
+
+        A new connection that receives nothing points to its endpoint, one
+        that has worked before may have gone silent itself.
+        """
+        kind = 'used' if silence.has_worked else 'new'
+        self._metrics.events.labels(f'connection_silent_{kind}').inc()
+        self._metrics.events.labels('connection_doubtful').inc(closed_count)
+
     def _has_working_connection(
         self, key: ConnectionKey, silence: CallSilence, now_s: float
     ) -> bool:
--- a/src/dogwoodpost/platform/tracked_protocol.py
+++ b/src/dogwoodpost/adapters/http/tracked_protocol.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.adapters.http.bounded_protocol import BoundedResponseHandler
 from dogwoodpost.core.connections import ConnectionUse
-from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
 
 if TYPE_CHECKING:
     import asyncio
--- a/src/dogwoodpost/platform/connection_counts.py
+++ b/src/dogwoodpost/platform/connection_counts.py
@@ -1,4 +1,4 @@
-"""Metrics of connections: new ones by cause, and silent ones."""
+"""Metrics of new connections to endpoints, by cause."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 if TYPE_CHECKING:
     from types import SimpleNamespace
 
-    from dogwoodpost.core.connections import CallSilence
     from dogwoodpost.observability import Metrics
 
 
@@ -38,7 +37,7 @@
 
 
 class ConnectionCounts:
-    """Counts the new and the silent connections of one process.
+    """Counts the new connections of one process.
 
     Sessions keep connections by address, so ``NONE_FREE`` rises with the
     number of calls that run at once, and with the number of connections that
@@ -46,7 +45,7 @@
     """
 
     def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
+        self.metrics = metrics
         self._known_addresses: set[str] = set()
 
     def trace_config(self, *, reuse: bool) -> aiohttp.TraceConfig:
@@ -68,18 +67,6 @@
         config.on_connection_create_end.append(on_created)
         return config
 
-    def count_silence(self, silence: CallSilence, closed_count: int) -> None:
-        """Count a call that was given up on a silent connection.
-
-        A new connection that receives nothing points to its endpoint, one
-        that has worked before may have gone silent itself.
-
-        :param closed_count: idle connections that were closed because of it.
-        """
-        kind = 'used' if silence.has_worked else 'new'
-        self._metrics.events.labels(f'connection_silent_{kind}').inc()
-        self._metrics.events.labels('connection_doubtful').inc(closed_count)
-
     def _count(self, address: str, *, reuse: bool) -> None:
         if address not in self._known_addresses:
             self._known_addresses.add(address)
@@ -88,4 +75,4 @@
             cause = ConnectionCause.NONE_FREE
         else:
             cause = ConnectionCause.NOT_SHARED
-        self._metrics.events.labels(f'endpoint_connection_{cause.value}').inc()
+        self.metrics.events.labels(f'endpoint_connection_{cause.value}').inc()
--- a/src/dogwoodpost/platform/sessions.py
+++ b/src/dogwoodpost/platform/sessions.py
@@ -8,10 +8,12 @@
 import aiohttp
 import yarl
 
+from dogwoodpost.adapters.http.bounded_connector import (
+    BoundedProtocolConnector,
+)
+from dogwoodpost.adapters.http.pooled_connector import PooledConnector
 from dogwoodpost.adapters.http.send_once import send_once
-from dogwoodpost.platform.bounded_connector import BoundedProtocolConnector
 from dogwoodpost.platform.guarded_calls import create_guarded_socket
-from dogwoodpost.platform.pooled_connector import PooledConnector
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -30,7 +32,9 @@
     :param reuse: keep connections for later calls.
     """
     connector = (
-        PooledConnector(counts) if reuse else BoundedProtocolConnector()
+        PooledConnector(counts.metrics)
+        if reuse
+        else BoundedProtocolConnector()
     )
     async with _session(connector, counts, reuse=reuse) as session:
         yield session
--- a/src/dogwoodpost/services/agent/application.py
+++ b/src/dogwoodpost/services/agent/application.py
@@ -64,7 +64,7 @@
 
     async def on_start(self) -> None:
         """Open the sockets and start the agent."""
-        self._session = endpoint_session()
+        self._session = endpoint_session(self._metrics)
         self.agent = _compose(
             self._settings,
             self._table_store,
--- a/src/dogwoodpost/services/agent/process.py
+++ b/src/dogwoodpost/services/agent/process.py
@@ -53,7 +53,9 @@
     async def open_parts(self) -> None:
         """Open the parts; they close in reverse order, the agent first."""
         platform = self._settings.platform
-        session = await self.open_part(platform_session(platform))
+        session = await self.open_part(
+            platform_session(platform, self.metrics)
+        )
         tables = RetryingTableStore(
             HttpTableStore(
                 session, str(platform.table_store_url), self.metrics
--- a/src/dogwoodpost/services/entry/platform_clients.py
+++ b/src/dogwoodpost/services/entry/platform_clients.py
@@ -71,7 +71,7 @@
     """Open the clients of all platform services that have a URL."""
     timeout_s = settings.timeout_ms / 1000
     token = plain_secret(settings.token)
-    async with platform_session(settings) as session:
+    async with platform_session(settings, metrics) as session:
         unretried_tables = HttpTableStore(
             session, str(settings.table_store_url), metrics
         )
--- a/tests/platform/test_bounded_protocol.py
+++ b/tests/adapters/http/test_bounded_protocol.py
@@ -7,8 +7,8 @@
 import pytest
 from aiohttp.http_exceptions import HttpProcessingError
 
-from dogwoodpost.platform.bounded_protocol import BoundedResponseHandler
-from dogwoodpost.platform.bounded_protocol import MAX_INTERIM_COUNT
+from dogwoodpost.adapters.http.bounded_protocol import BoundedResponseHandler
+from dogwoodpost.adapters.http.bounded_protocol import MAX_INTERIM_COUNT
 
 INTERIM = b'HTTP/1.1 103 Early Hints\r\n\r\n'
 FINAL = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
--- a/tests/adapters/http/test_endpoint_client.py
+++ b/tests/adapters/http/test_endpoint_client.py
@@ -14,6 +14,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
+from dogwoodpost.observability import Metrics
 from dogwoodpost.ports.endpoint_client import EndpointRequest
 
 if TYPE_CHECKING:
@@ -46,7 +47,7 @@
 async def connected(raw: RawServer) -> AsyncIterator[HttpEndpointClient]:
     server = await asyncio.start_server(raw.handle, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
-    async with endpoint_session() as session:
+    async with endpoint_session(Metrics()) as session:
         yield HttpEndpointClient(
             ids.EndpointId('e'),
             f'http://127.0.0.1:{port}/',
@@ -121,7 +122,7 @@
 
 async def test_refused_connection_is_an_error() -> None:
     """Guards against an unhandled error when the endpoint is down."""
-    async with endpoint_session() as session:
+    async with endpoint_session(Metrics()) as session:
         client = HttpEndpointClient(
             ids.EndpointId('e'), 'http://127.0.0.1:1', session
         )
--- a/tests/platform/test_pooled_connector.py
+++ b/tests/adapters/http/test_pooled_connector.py
@@ -9,9 +9,8 @@
 import aiohttp
 import pytest
 
+from dogwoodpost.adapters.http.pooled_connector import PooledConnector
 from dogwoodpost.observability import Metrics
-from dogwoodpost.platform.connection_counts import ConnectionCounts
-from dogwoodpost.platform.sessions import http_session
 from tests.platform.raw_endpoint import raw_endpoint
 
 if TYPE_CHECKING:
@@ -46,7 +45,8 @@
 
 @pytest.fixture
 async def session() -> AsyncIterator[aiohttp.ClientSession]:
-    async with http_session(ConnectionCounts(Metrics()), reuse=True) as opened:
+    connector = PooledConnector(Metrics())
+    async with aiohttp.ClientSession(connector=connector) as opened:
         yield opened
 
 
--- /dev/null
+++ b/tests/adapters/http/test_silent_sessions.py
@@ -0,0 +1,74 @@
+"""Sessions whose kept connections have gone silent."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AbstractAsyncContextManager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from dogwoodpost.adapters.http.endpoint_session import endpoint_session
+from dogwoodpost.adapters.platform.platform_session import platform_session
+from dogwoodpost.config.settings import PlatformSettings
+from dogwoodpost.observability import Metrics
+from tests.platform.raw_endpoint import raw_endpoint
+from tests.platform.silencing_proxy import silencing_proxy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.platform.raw_endpoint import RawRequest
+    from tests.platform.raw_endpoint import RawResponse
+
+KEPT_COUNT = 12
+TIMEOUT_S = 0.7
+
+OpenSession = AbstractAsyncContextManager[aiohttp.ClientSession]
+
+
+def session_to_endpoints() -> OpenSession:
+    return endpoint_session(Metrics())
+
+
+def session_to_the_store() -> OpenSession:
+    settings = PlatformSettings.model_validate(
+        {
+            'table_store_url': 'http://127.0.0.1:1',
+            'object_store_url': 'http://127.0.0.1:1',
+        }
+    )
+    return platform_session(settings, Metrics())
+
+
+@pytest.mark.parametrize(
+    'open_session', [session_to_endpoints, session_to_the_store]
+)
+async def test_one_call_learns_that_all_connections_are_silent(
+    open_session: Callable[[], OpenSession],
+) -> None:
+    """Guards against as many failures as a burst has left connections."""
+
+    async def answer(_request: RawRequest, response: RawResponse) -> None:
+        await asyncio.sleep(0.05)
+        await response.write_response(b'whole')
+
+    async with (
+        raw_endpoint(answer) as raw,
+        silencing_proxy(raw.address) as proxy,
+        open_session() as session,
+    ):
+
+        async def call() -> None:
+            async with session.get(
+                f'http://{proxy.address}/',
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            ) as response:
+                assert await response.read() == b'whole'
+
+        await asyncio.gather(*(call() for _ in range(KEPT_COUNT)))
+        assert proxy.silence_open() == KEPT_COUNT
+        with pytest.raises(TimeoutError):
+            await call()
+        await call()
--- a/tests/fakes/endpoint_caller.py
+++ b/tests/fakes/endpoint_caller.py
@@ -13,6 +13,7 @@
 from dogwoodpost.adapters.http import HttpEndpointClient
 from dogwoodpost.adapters.http.endpoint_session import endpoint_session
 from dogwoodpost.core import ids
+from dogwoodpost.observability import Metrics
 from dogwoodpost.ports.endpoint_client import EndpointRequest
 
 if TYPE_CHECKING:
@@ -102,6 +103,9 @@
 async def serve(
     app: web.Application, idle_timeout_s: float = 30.0
 ) -> AsyncIterator[Caller]:
-    async with TestServer(app) as server, endpoint_session() as session:
+    async with (
+        TestServer(app) as server,
+        endpoint_session(Metrics()) as session,
+    ):
         url = str(server.make_url('')).rstrip('/')
         yield Caller(session, url, idle_timeout_s)
