Trust connections that were heard from during a silence

Cause: after an unanswered call, retries took a new connection each, which was not kept, also where a connection had just been in use. And single requests still met the silent connections of one address after the other, 1.07 s each.

Change: a retry may use a kept connection that was heard from in the second half of the silence, at most 0.75 s ago; a new one is kept. The same measure decides which idle connections are closed. Silences at two addresses within 5 s close the doubtful connections to all addresses. A silence counts from 0.2 s on, as attempts of short requests last for 0.25 s.

--- a/src/dogwoodpost/adapters/http/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
+from contextvars import ContextVar
 from typing import TYPE_CHECKING
 
 import structlog
@@ -10,6 +12,7 @@
     BoundedProtocolConnector,
 )
 from dogwoodpost.adapters.http.tracked_protocol import TrackedResponseHandler
+from dogwoodpost.core.expiring_keys import ExpiringKeys
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -27,8 +30,26 @@
 # Endpoints close idle connections earlier or later; a request that fails
 # because its connection was closed is repeated.
 _KEEPALIVE_S = 12.0
+# Silences at different addresses within this time count as one event.
+_JOINT_SILENCE_S = 5.0
 _REQUEST_ID_HEADER = 'X-Request-Id'
 _MS_PER_S = 1_000
+_max_idle_s: ContextVar[float | None] = ContextVar('max_idle_s', default=None)
+
+
+@contextmanager
+def limited_idle_time(max_idle_s: float | None) -> Iterator[None]:
+    """Limit the kept connections that calls of this task may use.
+
+    :param max_idle_s: longest time since a connection was heard from, in
+        seconds; a call that finds no such connection opens one. None for any
+        time.
+    """
+    token = _max_idle_s.set(max_idle_s)
+    try:
+        yield
+    finally:
+        _max_idle_s.reset(token)
 
 
 class PooledConnector(BoundedProtocolConnector):
@@ -40,7 +61,7 @@
     Connections may stop to work without a reset, all at the same time. A
     call that was given up on a silent connection therefore puts the idle ones
     to the same address in doubt, unless another connection that is as old
-    still works.
+    still works. Silences at two addresses put those to all others in doubt.
 
     :param limit: largest number of connections, 0 for any number.
     """
@@ -52,6 +73,7 @@
             protocol=TrackedResponseHandler,
         )
         self._metrics = metrics
+        self._silent_keys: ExpiringKeys[ConnectionKey] = ExpiringKeys()
 
     async def connect(
         self,
@@ -71,12 +93,38 @@
     async def _get(
         self, key: ConnectionKey, traces: list[Trace]
     ) -> Connection | None:
+        max_idle_s = _max_idle_s.get()
+        if max_idle_s is not None and not self._prefer(key, max_idle_s):
+            return None
         connection = await super()._get(key, traces)
         while connection is not None and _is_unusable(connection):
             connection.close()
             connection = await super()._get(key, traces)
         return connection
 
+    def _prefer(self, key: ConnectionKey, max_idle_s: float) -> bool:
+        """Let the next call use the connection heard from last.
+
+        :returns: whether it was idle for ``max_idle_s`` at most.
+        """
+        protocol = max(
+            self._idle(key),
+            key=lambda idle: idle.use.last_contact_s,
+            default=None,
+        )
+        if protocol is None:
+            return False
+        if protocol.use.idle_s(self._loop.time()) > max_idle_s:
+            return False
+        entries = self._conns[key]
+        [position] = [
+            number
+            for number, (idle, _) in enumerate(entries)
+            if idle is protocol
+        ]
+        entries.rotate(-position)
+        return True
+
     def _release(
         self,
         key: ConnectionKey,
@@ -101,8 +149,8 @@
     ) -> None:
         """Report a call that was given up on a silent connection.
 
-        Closes the idle connections to the address if they are in doubt too. A
-        new connection that receives nothing says nothing about them.
+        Closes the idle connections that are in doubt because of it. A new
+        connection that receives nothing says nothing about them.
         """
         now_s = self._loop.time()
         silent_count = sum(
@@ -112,7 +160,7 @@
         others_work = self._has_working_connection(key, silence, now_s)
         closed_count = 0
         if silence.has_worked and not others_work:
-            closed_count = self._close_doubtful(key, now_s)
+            closed_count = self._close_after_silence(key, silence, now_s)
         self._count_silence(silence, closed_count)
         _log.info(
             'connection_silent',
@@ -148,15 +196,34 @@
             for protocol in (*self._busy(key), *self._idle(key))
         )
 
-    def _close_doubtful(self, key: ConnectionKey, now_s: float) -> int:
-        """Close idle connections that were not heard from a moment ago.
+    def _close_after_silence(
+        self, key: ConnectionKey, silence: CallSilence, now_s: float
+    ) -> int:
+        """Close the idle connections that may be lost like a silent one.
+
+        :returns: number of closed connections.
+        """
+        self._silent_keys.add(key, now_s + _JOINT_SILENCE_S)
+        closed_count = self._close_doubtful(key, silence, now_s)
+        if len(self._silent_keys.current(now_s)) > 1:
+            closed_count += sum(
+                self._close_doubtful(other, silence, now_s)
+                for other in list(self._conns)
+                if not self._has_working_connection(other, silence, now_s)
+            )
+        return closed_count
+
+    def _close_doubtful(
+        self, key: ConnectionKey, silence: CallSilence, now_s: float
+    ) -> int:
+        """Close the idle connections to an address that are in doubt.
 
         :returns: number of closed connections.
         """
         doubtful = {
             protocol
             for protocol in self._idle(key)
-            if not protocol.use.was_heard_recently(now_s)
+            if protocol.use.is_doubtful(silence, now_s)
         }
         if not doubtful:
             return 0
--- a/src/dogwoodpost/core/batches/run_timeouts.py
+++ b/src/dogwoodpost/core/batches/run_timeouts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dogwoodpost.core.connections import trusted_idle_s
+
 # Includes the time for queueing and for processing the prompt.
 _HEAD_TIMEOUT_S = 2.0
 # A change of weights delays the events of a stream by about a second.
@@ -27,12 +29,16 @@
     def __init__(self) -> None:
         self._silent_run_count = 0
         self._interruption_count = 0
-        self._was_silent = False
+        self._max_idle_s: float | None = None
 
     @property
-    def was_silent(self) -> bool:
-        """Return whether the last interrupted run ended with a timeout."""
-        return self._was_silent
+    def max_idle_s(self) -> float | None:
+        """Return how long the next run's connection may have been idle.
+
+        All kept connections may have gone silent together. None after a run
+        that was not silent.
+        """
+        return self._max_idle_s
 
     @property
     def head_timeout_s(self) -> float:
@@ -53,7 +59,9 @@
         :param has_new_events: whether the run added events to the text.
         :return: pause in seconds.
         """
-        self._was_silent = is_silent
+        self._max_idle_s = (
+            trusted_idle_s(self.idle_timeout_s) if is_silent else None
+        )
         if has_new_events:
             self._interruption_count = 0
         elif is_silent:
--- a/src/dogwoodpost/core/connections/__init__.py
+++ b/src/dogwoodpost/core/connections/__init__.py
@@ -4,5 +4,6 @@
 
 from dogwoodpost.core.connections.connection_use import CallSilence
 from dogwoodpost.core.connections.connection_use import ConnectionUse
+from dogwoodpost.core.connections.connection_use import trusted_idle_s
 
-__all__ = ('CallSilence', 'ConnectionUse')
+__all__ = ('CallSilence', 'ConnectionUse', 'trusted_idle_s')
--- a/src/dogwoodpost/core/connections/connection_use.py
+++ b/src/dogwoodpost/core/connections/connection_use.py
@@ -5,7 +5,21 @@
 import msgspec
 
 # A call that is given up sooner tells nothing about its connection.
-MIN_SILENCE_S = 0.4
+MIN_SILENCE_S = 0.2
+# Contact with another connection before this time doesn't count.
+_MAX_TRUSTED_IDLE_S = 0.75
+
+
+def trusted_idle_s(silence_s: float) -> float:
+    """Return how long a connection that still works may have been idle.
+
+    A connection that was heard from in the second half of a silence is
+    unlikely to have been lost together with the silent one.
+
+    :param silence_s: how long the silent connection received nothing.
+    :returns: longest time since the last contact, in seconds.
+    """
+    return min(silence_s / 2, _MAX_TRUSTED_IDLE_S)
 
 
 class CallSilence(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +42,11 @@
     idle_s: float
     age_s: float
 
+    @property
+    def trusted_idle_s(self) -> float:
+        """Return how long a connection that still works may be idle."""
+        return trusted_idle_s(self.duration_s)
+
 
 class ConnectionUse:
     """Follows the calls on one connection.
@@ -42,7 +61,7 @@
         self._call_id = ''
         self._call_count = 0
         self._call_start_s: float | None = None
-        self._idle_s = 0.0
+        self._call_idle_s = 0.0
 
     @property
     def last_contact_s(self) -> float:
@@ -54,7 +73,7 @@
         self._call_id = call_id
         self._call_count += 1
         self._call_start_s = now_s
-        self._idle_s = now_s - self.last_contact_s
+        self._call_idle_s = self.idle_s(now_s)
 
     def end_call(self) -> None:
         """Record that the call has ended."""
@@ -64,18 +83,22 @@
         """Record that bytes were received."""
         self._received_s = now_s
 
-    def was_heard_recently(self, now_s: float) -> bool:
-        """Return whether the peer was heard from a moment ago."""
-        return now_s - self.last_contact_s < MIN_SILENCE_S
+    def idle_s(self, now_s: float) -> float:
+        """Return the time since the last contact."""
+        return now_s - self.last_contact_s
+
+    def is_doubtful(self, silence: CallSilence, now_s: float) -> bool:
+        """Return whether the connection may be lost like the silent one."""
+        return self.idle_s(now_s) > silence.trusted_idle_s
 
     def outlived(self, silence: CallSilence, now_s: float) -> bool:
         """Return whether the connection works in spite of a silence.
 
-        Only a connection that was open when the silence began tells that it
-        is not the connections which have stopped to work since.
+        Only a connection that was open when the silence began tells that
+        those which are as old still work.
         """
         is_older = self.opened_s < silence.since_s
-        return is_older and self.was_heard_recently(now_s)
+        return is_older and not self.is_doubtful(silence, now_s)
 
     def silence(self, now_s: float) -> CallSilence | None:
         """Return the silence of the current call.
@@ -93,6 +116,6 @@
             has_worked=self._received_s is not None,
             since_s=since_s,
             duration_s=now_s - since_s,
-            idle_s=self._idle_s,
+            idle_s=self._call_idle_s,
             age_s=now_s - self.opened_s,
         )
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from dogwoodpost.adapters.http.call_errors import call_failure
+from dogwoodpost.adapters.http.pooled_connector import limited_idle_time
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.http.send_once import MAY_REPEAT
 from dogwoodpost.adapters.http.send_once import NOT_CONNECTED_ERRORS
@@ -255,24 +256,14 @@
     async def _send(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> aiohttp.ClientResponse:
-        session = self._session_for(endpoint, call)
+        """Send a request and wait for the head of its response."""
         response_timeout_s = call.timeout_s
         if call.head_timeout_s is not None:
             response_timeout_s = min(response_timeout_s, call.head_timeout_s)
         try:
-            async with asyncio.timeout(response_timeout_s):
-                return await session.request(
-                    call.method,
-                    _url(endpoint, call.path),
-                    headers=_request_headers(endpoint, call),
-                    data=call.body or None,
-                    allow_redirects=False,
-                    skip_auto_headers=_AIOHTTP_DEFAULT_HEADERS,
-                    trace_request_ctx=EndpointTraceContext(endpoint.address),
-                    timeout=aiohttp.ClientTimeout(
-                        total=None, sock_connect=_CONNECT_TIMEOUT_S
-                    ),
-                )
+            with limited_idle_time(call.max_idle_s):
+                async with asyncio.timeout(response_timeout_s):
+                    return await self._request(endpoint, call)
         except NOT_CONNECTED_ERRORS as error:
             raise EndpointNotRunError(
                 NotRunReason.UNREACHABLE,
@@ -287,6 +278,23 @@
                 f'call failed without a response: {call_failure(error)}'
             ) from error
 
+    async def _request(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> aiohttp.ClientResponse:
+        session = self._session_for(endpoint, call)
+        return await session.request(
+            call.method,
+            _url(endpoint, call.path),
+            headers=_request_headers(endpoint, call),
+            data=call.body or None,
+            allow_redirects=False,
+            skip_auto_headers=_AIOHTTP_DEFAULT_HEADERS,
+            trace_request_ctx=EndpointTraceContext(endpoint.address),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=_CONNECT_TIMEOUT_S
+            ),
+        )
+
     def _session_for(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> aiohttp.ClientSession:
--- a/src/dogwoodpost/ports/attempt_runner.py
+++ b/src/dogwoodpost/ports/attempt_runner.py
@@ -27,8 +27,8 @@
     :param resume_after: id of the last event that was forwarded.
     :param continues_response: the head of the response was forwarded by an
         earlier attempt.
-    :param needs_new_connection: no connection that was used before may be
-        used, because all of them may have gone silent.
+    :param max_idle_s: longest time since a kept connection was heard from, in
+        seconds; None for any time.
     """
 
     attempt_id: ids.AttemptId
@@ -44,7 +44,7 @@
     resumable: bool = False
     resume_after: int | None = None
     continues_response: bool = False
-    needs_new_connection: bool = False
+    max_idle_s: float | None = None
 
 
 class AttemptHead(msgspec.Struct, frozen=True):
--- a/src/dogwoodpost/ports/endpoint_gateway.py
+++ b/src/dogwoodpost/ports/endpoint_gateway.py
@@ -30,6 +30,8 @@
     :param may_reuse_connection: the request may be sent on a connection that
         was used before. The endpoint may have closed such a connection
         unnoticed, so a request that must not run twice needs a new one.
+    :param max_idle_s: longest time since such a connection was heard from, in
+        seconds; None for any time.
     """
 
     request_id: ids.RequestId
@@ -42,6 +44,7 @@
     resume_after: int | None = None
     head_timeout_s: float | None = None
     may_reuse_connection: bool = True
+    max_idle_s: float | None = None
 
 
 class NotRunReason(Enum):
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -301,8 +301,7 @@
             client_account_id=self._job.client_account_id,
             resume_after=self._text.last_event_id,
             head_timeout_s=self._timeouts.head_timeout_s,
-            # All kept connections may have gone silent together.
-            may_reuse_connection=not self._timeouts.was_silent,
+            max_idle_s=self._timeouts.max_idle_s,
         )
 
     def _placement_request(self) -> PlacementRequest | None:
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -184,7 +184,7 @@
                 service.name, allowed_regions, attempts.attempted_endpoint_ids
             ),
             allowed_regions=allowed_regions,
-            needs_new_connection=attempts.was_unanswered,
+            max_idle_s=attempts.max_idle_s,
         )
 
     async def _send_request(
--- a/src/dogwoodpost/services/batches/scoring_attempts.py
+++ b/src/dogwoodpost/services/batches/scoring_attempts.py
@@ -6,6 +6,7 @@
 
 from dogwoodpost.core.batches.scoring_backoff import ScoringBackoff
 from dogwoodpost.core.batches.scoring_limit import OverloadSign
+from dogwoodpost.core.connections import trusted_idle_s
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +28,9 @@
 class ScoringAttempts:
     """Failures, timeout, delays and endpoints of the attempts at one text.
 
+    ``max_idle_s`` limits how long a connection may have been idle, after an
+    attempt that received nothing in time.
+
     :param client_account_id: account that the text belongs to.
     :param due_s: when the step of the text is due, on the process's clock.
     """
@@ -37,16 +41,12 @@
         self.client_account_id = client_account_id
         self.due_s = due_s
         self.failure_count = 0
+        self.max_idle_s: float | None = None
         self.attempt_timeout_s = _INITIAL_TIMEOUT_S
         self.attempted_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
         self._sign: OverloadSign | None = None
         self._backoff = ScoringBackoff()
 
-    @property
-    def was_unanswered(self) -> bool:
-        """Return whether the last attempt received nothing in time."""
-        return self._sign is OverloadSign.TIMED_OUT
-
     def record(
         self,
         head: AttemptHead | None,
@@ -61,6 +61,11 @@
         :param duration_s: duration of the attempt in seconds.
         """
         self._sign = sign
+        self.max_idle_s = (
+            trusted_idle_s(duration_s)
+            if sign is OverloadSign.TIMED_OUT
+            else None
+        )
         self.attempted_endpoint_ids = self.attempted_endpoint_ids.union(
             attempted_endpoint_ids
         )
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -10,6 +10,7 @@
 import structlog
 
 from dogwoodpost.core.admission import actual_cost_tokens
+from dogwoodpost.core.connections import trusted_idle_s
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.streams import is_stream_head
 from dogwoodpost.errors import EndpointError
@@ -134,7 +135,9 @@
         except TimeoutError:
             if state.remaining_s > 0.0:
                 observation.record_attempt_timeout()
-                state.needs_new_connection = True
+                state.max_idle_s = trusted_idle_s(
+                    clock.monotonic_s() - wait_start_s
+                )
                 raise attempt_failures.outcome_unknown(
                     state,
                     'attempt_timeout',
@@ -311,5 +314,5 @@
             resumable=request.route.resumable,
             resume_after=self._state.progress.last_event_id,
             continues_response=self._state.progress.has_begun,
-            needs_new_connection=self._state.needs_new_connection,
+            max_idle_s=self._state.max_idle_s,
         )
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -64,9 +64,8 @@
             timeout_s=spec.timeout_s,
             client_account_id=spec.client_account_id,
             resume_after=spec.resume_after,
-            may_reuse_connection=(
-                spec.idempotent and not spec.needs_new_connection
-            ),
+            may_reuse_connection=spec.idempotent,
+            max_idle_s=spec.max_idle_s,
         )
         try:
             async with self._gateway.open(endpoint, call) as reply:
--- a/src/dogwoodpost/services/entry/pipeline_request.py
+++ b/src/dogwoodpost/services/entry/pipeline_request.py
@@ -40,8 +40,8 @@
     :param is_client_request: whether a client waits for the response, and not
         this process itself; only then a second attempt may be sent beside a
         slow one.
-    :param needs_new_connection: no connection that was used before may be
-        used.
+    :param max_idle_s: longest time since a kept connection was heard from, in
+        seconds; None for any time.
     """
 
     request_id: ids.RequestId
@@ -68,4 +68,4 @@
     event_timeout_s: float | None = None
     whole_response: bool = False
     is_client_request: bool = False
-    needs_new_connection: bool = False
+    max_idle_s: float | None = None
--- a/src/dogwoodpost/services/entry/request_state.py
+++ b/src/dogwoodpost/services/entry/request_state.py
@@ -17,7 +17,8 @@
     ``may_have_run`` is true once a failed attempt may have run at its
     endpoint. ``cost_tokens`` is the cost of all attempts so far.
     ``other_attempt_runs`` is true while two attempts run at once.
-    ``needs_new_connection`` is true once an attempt received nothing in time.
+    ``max_idle_s`` limits how long a connection may have been idle, once an
+    attempt has received nothing in time.
 
     :param max_attempt_count: maximum number of attempts, not counting those
         that ``request.free_not_run_count`` allows in addition.
@@ -36,7 +37,7 @@
         self.may_have_run = False
         self.cost_tokens = 0.0
         self.other_attempt_runs = False
-        self.needs_new_connection = request.needs_new_connection
+        self.max_idle_s = request.max_idle_s
         self._clock = clock
         self.max_attempt_count = max_attempt_count
 
