--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -6,7 +6,7 @@
 import signal
 from typing import TYPE_CHECKING
 
-from tests.soak.fault_proxy import Harm
+from tests.fakes.fault_proxy import Harm
 from tests.soak.soak_plan import FaultKind
 from tests.soak.soak_site import SOAK_ZONES
 
@@ -15,7 +15,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from tests.soak.fault_proxy import FaultProxy
+    from tests.fakes.fault_proxy import FaultProxy
     from tests.soak.soak_plan import Fault
     from tests.soak.soak_site import SoakNode
     from tests.soak.soak_site import SoakSite
@@ -50,6 +50,7 @@
             FaultKind.EVACUATION: self._evacuation,
             FaultKind.ZONE_LOSS: self._zone_loss,
             FaultKind.ZONE_CUT: self._zone_cut,
+            FaultKind.SILENCE: self._silence,
         }
 
     async def run(self, fault: Fault) -> None:
@@ -178,6 +179,10 @@
         links = self._site.links_of(self._zone(fault))
         await self._apply_harm(links, Harm.SILENT, fault.for_s)
 
+    async def _silence(self, fault: Fault) -> None:
+        for link in self._links():
+            link.silence_open()
+
     def _zone(self, fault: Fault) -> str:
         return SOAK_ZONES[fault.target % len(SOAK_ZONES)]
 
--- a/tests/soak/soak_site.py
+++ b/tests/soak/soak_site.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
+from tests.fakes.fault_proxy import FaultProxy
 from tests.platform.platform_site import outlives_hangup
 from tests.platform.platform_site import Site
 from tests.platform.platform_site import SpawnedNode
-from tests.soak.fault_proxy import FaultProxy
 
 if TYPE_CHECKING:
     import contextlib
