Move the endpoint's response to a module of its own

The response and the checks on it move to platform/endpoint_reply.py, unchanged; the errors of a failed call, which stood twice, move to adapters/http/call_errors.py.

--- a/src/dogwoodpost/adapters/http/call_errors.py
+++ b/src/dogwoodpost/adapters/http/call_errors.py
@@ -6,6 +6,9 @@
 
 import aiohttp
 
+# Errors of calls whose connection or response failed.
+CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+
 
 class CallError(aiohttp.ClientError):
     """A failed call; the text has no bytes of its peer."""
--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -11,6 +11,7 @@
 import msgspec
 import yarl
 
+from dogwoodpost.adapters.http.call_errors import CALL_ERRORS
 from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
@@ -67,7 +68,6 @@
     _Action.LOAD_MODEL: ('/control/models/load', 'model'),
     _Action.SET_ROLE: ('/control/role', 'role'),
 }
-_CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
 class _Load(msgspec.Struct):
@@ -106,7 +106,7 @@
                 raise EndpointError(
                     f'no bytes of the body for {self._idle_timeout_s} s'
                 ) from None
-            except _CALL_ERRORS as error:
+            except CALL_ERRORS as error:
                 raise EndpointError(
                     f'body ended early: {call_failure(error)}'
                 ) from error
@@ -229,7 +229,7 @@
             raise EndpointError(
                 f'no answer within {timeout_s:.3f} s'
             ) from None
-        except _CALL_ERRORS as error:
+        except CALL_ERRORS as error:
             raise EndpointError(f'no answer: {call_failure(error)}') from error
 
     async def _call_control(
@@ -250,7 +250,7 @@
                 body = await read_body(response, max_bytes=MAX_DOCUMENT_BYTES)
         except TimeoutError:
             raise EndpointError(f'{path}: no answer') from None
-        except _CALL_ERRORS as error:
+        except CALL_ERRORS as error:
             raise EndpointError(f'{path}: {call_failure(error)}') from error
         if response.status in _UNSUPPORTED_STATUSES:
             raise EndpointUnsupportedError(
--- a/src/dogwoodpost/platform/endpoint_calls.py
+++ b/src/dogwoodpost/platform/endpoint_calls.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.call_errors import CALL_ERRORS
 from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.pooled_connector import limited_idle_time
 from dogwoodpost.adapters.http.response_body import read_body
@@ -18,7 +18,6 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.decoding import BoundedInteger
 from dogwoodpost.core.decoding import decode_json
-from dogwoodpost.core.decoding import parse_integer
 from dogwoodpost.core.http_headers import end_to_end_headers
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointSilentError
@@ -26,7 +25,8 @@
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.connection_counts import EndpointTraceContext
-from dogwoodpost.platform.event_stream import EventDecoder
+from dogwoodpost.platform.endpoint_reply import check_response
+from dogwoodpost.platform.endpoint_reply import HttpEndpointReply
 from dogwoodpost.platform.guarded_calls import guarded_post
 from dogwoodpost.platform.guarded_calls import same_lease
 from dogwoodpost.platform.sent_ids import SentIds
@@ -44,9 +44,7 @@
     from collections.abc import Callable
 
     import yarl
-    from aiohttp.client_proto import ResponseHandler
 
-    from dogwoodpost.core.batches import StreamEvent
     from dogwoodpost.core.routing import Endpoint
     from dogwoodpost.platform.leave_notices import LeaveNotices
     from dogwoodpost.ports.endpoint_gateway import EndpointCall
@@ -60,7 +58,6 @@
 _ORDER_PATH = '/api/order'
 _MS_PER_S = 1_000
 _STATUS_OK = 200
-_STATUS_MISDIRECTED = 421
 # Headers that aiohttp would add to requests that lack them.
 _AIOHTTP_DEFAULT_HEADERS = (
     'Accept',
@@ -68,7 +65,6 @@
     'Content-Type',
     'User-Agent',
 )
-_CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 _WIRE_MODES = {
     SwitchMode.FINISH_FIRST: 'wait',
     SwitchMode.RESET: 'truncate',
@@ -114,54 +110,6 @@
     expected: int
 
 
-class HttpEndpointReply(EndpointReply):
-    """A response over HTTP."""
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._response = response
-        # Taken now: the response releases its connection with the end of
-        # the body.
-        self._body_connection = _close_delimited_connection(response)
-        self.status = response.status
-        self.headers = end_to_end_headers(response.headers.items())
-        self.weight_version = _weight_version(response)
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives."""
-        try:
-            async for data in self._response.content.iter_any():
-                yield data
-        except _CALL_ERRORS as error:
-            raise EndpointError(
-                f'response body ended early: {call_failure(error)}'
-            ) from error
-        self._check_not_reset()
-
-    async def events(self) -> AsyncIterator[StreamEvent]:
-        """Yield the events of a stream, each once it is complete."""
-        decoder = EventDecoder()
-        async for data in self.chunks():
-            for event in decoder.feed(data):
-                yield event
-        decoder.finish()
-
-    def _check_not_reset(self) -> None:
-        """Check that the body was not ended by a connection reset.
-
-        A body without a length ends when its connection closes, and aiohttp
-        treats a reset as such an end too.
-
-        :raises EndpointError: the connection was reset.
-        """
-        if self._body_connection is None:
-            return
-        error = self._body_connection.exception()
-        if isinstance(error, OSError):
-            raise EndpointError(
-                f'response body ended early: {call_failure(error)}'
-            )
-
-
 class HttpEndpointGateway(EndpointGateway):
     """Calls endpoints and checks that responses belong to their calls.
 
@@ -195,7 +143,7 @@
         response = await self._send(endpoint, call)
         try:
             self._leave_notices.handle_response(endpoint, response)
-            _check_response(response, call.request_id)
+            check_response(response, call.request_id)
             yield HttpEndpointReply(response)
         finally:
             # Closes the connection unless the body was read to its end.
@@ -273,7 +221,7 @@
             raise EndpointSilentError(
                 f'no response headers within {response_timeout_s:.3f} s'
             ) from error
-        except _CALL_ERRORS as error:
+        except CALL_ERRORS as error:
             raise EndpointError(
                 f'call failed without a response: {call_failure(error)}'
             ) from error
@@ -329,7 +277,7 @@
                 return response.status, data
         except TimeoutError as error:
             raise EndpointError('no engine report in time') from error
-        except _CALL_ERRORS as error:
+        except CALL_ERRORS as error:
             raise EndpointError(
                 f'no engine report: {call_failure(error)}'
             ) from error
@@ -359,72 +307,3 @@
     if call.resume_after is not None:
         headers.append((header_names.LAST_EVENT_ID, str(call.resume_after)))
     return headers
-
-
-def _check_response(
-    response: aiohttp.ClientResponse, request_id: ids.RequestId
-) -> None:
-    """Check that a response belongs to a request and that it was run.
-
-    :raises EndpointNotRunError: the endpoint states that it has not run the
-        request.
-    :raises EndpointError: the response belongs to another request, or is not
-        in the form in which an endpoint sends it.
-    """
-    headers = response.headers
-    response_id = headers.get(header_names.REQUEST_ID)
-    if response_id not in {None, request_id}:
-        raise EndpointError('the response belongs to another request')
-    if response.status == _STATUS_MISDIRECTED:
-        raise EndpointNotRunError(
-            NotRunReason.REPLACED, 'another endpoint now uses the address'
-        )
-    if header_names.NOT_RUN in headers:
-        raise EndpointNotRunError(
-            NotRunReason.OVERLOADED,
-            f'endpoint has not run the request, status {response.status}',
-            _retry_after_s(headers.get(header_names.RETRY_AFTER)),
-        )
-    if 'Content-Encoding' in headers:
-        raise EndpointError('response has a Content-Encoding')
-    is_success = 200 <= response.status < 300
-    if is_success and header_names.SIGNATURE not in headers:
-        raise EndpointError('successful response has no signature')
-    if is_success and response_id is None:
-        # It may be a late duplicate of the response to an earlier request on
-        # the connection.
-        raise EndpointError('successful response has no request id')
-
-
-def _close_delimited_connection(
-    response: aiohttp.ClientResponse,
-) -> ResponseHandler | None:
-    """Return the connection if its close marks the end of the body.
-
-    :returns: None if the headers state how the body ends.
-    """
-    has_length = 'Content-Length' in response.headers
-    if has_length or 'Transfer-Encoding' in response.headers:
-        return None
-    connection = response.connection
-    return connection.protocol if connection is not None else None
-
-
-def _retry_after_s(value: str | None) -> float | None:
-    try:
-        delay_s = float(value) if value is not None else math.nan
-    except ValueError:
-        return None
-    return delay_s if 0.0 <= delay_s < math.inf else None
-
-
-def _weight_version(
-    response: aiohttp.ClientResponse,
-) -> ids.WeightVersion | None:
-    value = response.headers.get(header_names.WEIGHT_VERSION)
-    if value is None:
-        return None
-    try:
-        return ids.WeightVersion(parse_integer(value))
-    except MalformedDataError as error:
-        raise EndpointError(f'malformed weight version: {error}') from error
