Let a retry fall back on no doubtful connection

Cause: if the connection that was heard from last had been closed by its peer, the pool discarded it and took the next one in line, whatever its idle time.

Change: only open connections are looked at, and the limit is checked for each one that is taken.

Measured: test_retry_does_not_fall_back_on_a_doubtful_connection, which failed before.

--- a/src/dogwoodpost/adapters/http/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -93,36 +93,32 @@
     async def _get(
         self, key: ConnectionKey, traces: list[Trace]
     ) -> Connection | None:
-        max_idle_s = _max_idle_s.get()
-        if max_idle_s is not None and not self._prefer(key, max_idle_s):
-            return None
-        connection = await super()._get(key, traces)
-        while connection is not None and _is_unusable(connection):
-            connection.close()
+        while self._has_permitted(key):
             connection = await super()._get(key, traces)
-        return connection
+            if connection is None or not _is_unusable(connection):
+                return connection
+            connection.close()
+        return None
 
-    def _prefer(self, key: ConnectionKey, max_idle_s: float) -> bool:
-        """Let the next call use the connection heard from last.
+    def _has_permitted(self, key: ConnectionKey) -> bool:
+        """Return whether an idle connection may be used by this call.
 
-        :returns: whether it was idle for ``max_idle_s`` at most.
+        If the call limits its idle time, the next one to be used is the one
+        that was heard from last.
         """
-        protocol = max(
-            self._idle(key),
+        max_idle_s = _max_idle_s.get()
+        if max_idle_s is None:
+            return key in self._conns
+        last = max(
+            (idle for idle in self._idle(key) if idle.is_connected()),
             key=lambda idle: idle.use.last_contact_s,
             default=None,
         )
-        if protocol is None:
-            return False
-        if protocol.use.idle_s(self._loop.time()) > max_idle_s:
+        if last is None or last.use.idle_s(self._loop.time()) > max_idle_s:
             return False
         entries = self._conns[key]
-        [position] = [
-            number
-            for number, (idle, _) in enumerate(entries)
-            if idle is protocol
-        ]
-        entries.rotate(-position)
+        protocols = [protocol for protocol, _ in entries]
+        entries.rotate(-protocols.index(last))
         return True
 
     def _release(
--- a/tests/adapters/http/test_pooled_connector.py
+++ b/tests/adapters/http/test_pooled_connector.py
@@ -29,7 +29,11 @@
 
 
 class DelayedEndpoint:
-    """Answers after ``delay_s``, or drips a body if the id is ``drip``."""
+    """Answers after ``delay_s``.
+
+    Requests with the id ``drip`` get an endless body; those with the id
+    ``close`` are the last ones on their connection.
+    """
 
     def __init__(self) -> None:
         self.delay_s = 0.0
@@ -42,6 +46,8 @@
                 await asyncio.sleep(DRIP_INTERVAL_S)
         await asyncio.sleep(self.delay_s)
         await response.write_response(b'whole')
+        if request.request_id == 'close':
+            response.close()
 
 
 @pytest.fixture
@@ -186,6 +192,20 @@
         assert raw.connection_count == count + 1
 
 
+async def test_retry_does_not_fall_back_on_a_doubtful_connection(
+    session: aiohttp.ClientSession,
+) -> None:
+    """Guards against an old connection in place of one that was closed."""
+    async with delayed_endpoint() as (delayed, raw):
+        await keep_connections(session, delayed, raw.address)
+        count = raw.connection_count
+        await call(session, raw.address, 'close')
+        await asyncio.sleep(0.05)
+        with limited_idle_time(IDLE_S / 2):
+            await call(session, raw.address)
+        assert raw.connection_count == count + 1
+
+
 async def test_silences_at_two_addresses_close_idle_connections_to_others(
     session: aiohttp.ClientSession,
 ) -> None:
