Take no response that waits for its caller for a silence

Cause: while a caller does not take a response, reading from the connection is paused. A caller that left then counted as a call on a silent connection, and the idle connections to the endpoint were closed.

Change: a connection whose reading is paused is not silent.

--- a/src/dogwoodpost/adapters/http/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -93,18 +93,18 @@
     async def _get(
         self, key: ConnectionKey, traces: list[Trace]
     ) -> Connection | None:
-        while self._has_permitted(key):
+        while self._has_usable(key):
             connection = await super()._get(key, traces)
             if connection is None or not _is_unusable(connection):
                 return connection
             connection.close()
         return None
 
-    def _has_permitted(self, key: ConnectionKey) -> bool:
-        """Return whether an idle connection may be used by this call.
+    def _has_usable(self, key: ConnectionKey) -> bool:
+        """Return whether there is an idle connection for the current call.
 
-        If the call limits its idle time, the next one to be used is the one
-        that was heard from last.
+        If the call limits the idle time, the connection that was heard from
+        last moves to the front, where it is taken next.
         """
         max_idle_s = _max_idle_s.get()
         if max_idle_s is None:
@@ -133,7 +133,7 @@
         :param should_close: the call was given up, or failed.
         """
         if isinstance(protocol, TrackedResponseHandler):
-            if should_close and protocol.is_connected():
+            if should_close and protocol.is_receiving():
                 silence = protocol.use.silence(self._loop.time())
                 if silence is not None:
                     self._handle_silence(key, silence)
--- a/src/dogwoodpost/adapters/http/tracked_protocol.py
+++ b/src/dogwoodpost/adapters/http/tracked_protocol.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from dogwoodpost.adapters.http.bounded_protocol import BoundedResponseHandler
 from dogwoodpost.core.connections import ConnectionUse
 
 if TYPE_CHECKING:
-    import asyncio
-
     from aiohttp.client_reqrep import ConnectionKey
 
 
@@ -24,6 +23,18 @@
         self.key: ConnectionKey | None = None
         self.use = ConnectionUse(loop.time())
 
+    def is_receiving(self) -> bool:
+        """Return whether bytes from the peer would be received.
+
+        Reading is paused while the caller does not take the response.
+        """
+        transport = self.transport
+        return (
+            isinstance(transport, asyncio.ReadTransport)
+            and self.is_connected()
+            and transport.is_reading()
+        )
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         if data:
--- a/src/dogwoodpost/core/connections/connection_use.py
+++ b/src/dogwoodpost/core/connections/connection_use.py
@@ -5,8 +5,8 @@
 import msgspec
 
 # A call that is given up sooner tells nothing about its connection.
-MIN_SILENCE_S = 0.2
-# Contact with another connection before this time doesn't count.
+_MIN_SILENCE_S = 0.2
+# Limit on the time since the last contact with a trusted connection.
 _MAX_TRUSTED_IDLE_S = 0.75
 
 
@@ -108,7 +108,7 @@
         if self._call_start_s is None:
             return None
         since_s = max(self._call_start_s, self.last_contact_s)
-        if now_s - since_s < MIN_SILENCE_S:
+        if now_s - since_s < _MIN_SILENCE_S:
             return None
         return CallSilence(
             call_id=self._call_id,
--- a/tests/adapters/http/test_pooled_connector.py
+++ b/tests/adapters/http/test_pooled_connector.py
@@ -12,6 +12,7 @@
 from dogwoodpost.adapters.http.pooled_connector import limited_idle_time
 from dogwoodpost.adapters.http.pooled_connector import PooledConnector
 from dogwoodpost.observability import Metrics
+from tests.platform.raw_endpoint import CHUNK
 from tests.platform.raw_endpoint import raw_endpoint
 
 if TYPE_CHECKING:
@@ -31,7 +32,8 @@
 class DelayedEndpoint:
     """Answers after ``delay_s``.
 
-    Requests with the id ``drip`` get an endless body; those with the id
+    Requests with the id ``drip`` get an endless body a byte at a time, and
+    those with the id ``flood`` as fast as it is read. Those with the id
     ``close`` are the last ones on their connection.
     """
 
@@ -44,6 +46,9 @@
             while True:
                 await response.write(b'1\r\nx\r\n')
                 await asyncio.sleep(DRIP_INTERVAL_S)
+        if request.request_id == 'flood':
+            await response.write_head()
+            await response.write_endlessly(CHUNK)
         await asyncio.sleep(self.delay_s)
         await response.write_response(b'whole')
         if request.request_id == 'close':
@@ -174,6 +179,20 @@
         assert await new_connection_count(session, delayed, raw) == 0
 
 
+async def test_response_that_is_not_read_is_no_silence(
+    session: aiohttp.ClientSession,
+) -> None:
+    """Guards against slow callers whose leaving costs kept connections."""
+    async with delayed_endpoint() as (delayed, raw):
+        await keep_connections(session, delayed, raw.address)
+        async with session.get(
+            f'http://{raw.address}/', headers={'X-Request-Id': 'flood'}
+        ) as response:
+            await asyncio.sleep(IDLE_S)
+            response.close()
+        assert await new_connection_count(session, delayed, raw) == 0
+
+
 async def test_retry_uses_only_a_connection_that_was_heard_from(
     session: aiohttp.ClientSession,
 ) -> None:
