Tidy the tests of silent connections, and add one on streams

The fixtures stand together, a parameter without use goes, and a resumable stream is asked for after the engines' connections have gone silent.

--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -14,6 +14,7 @@
 from dogwoodpost.platform.store_relay import TIMEOUT_HEADER
 from dogwoodpost.standins.site.sampler_app import SamplerApp
 from tests.fakes.fault_proxy import FaultProxy
+from tests.platform.platform_site import EVENT_COUNT
 from tests.platform.platform_site import free_port
 
 if TYPE_CHECKING:
@@ -28,10 +29,8 @@
 CONFIG_APPLY_S = 2.5
 # Fills all slots of both engines, so that as many connections are kept.
 KEPT_COUNT = 16
-
-
-# Connections that are kept to the plain services, and work that needs them.
 PLAIN_COUNT = 3
+# Calls that take so long need a connection each.
 PLAIN_WORK_S = 0.1
 
 
@@ -70,6 +69,14 @@
         yield proxies
 
 
+@pytest.fixture
+async def store_proxy(site: Site) -> AsyncIterator[FaultProxy]:
+    """Let ``node-1`` reach the store through a proxy."""
+    async with FaultProxy(site.store_address).serving() as proxy:
+        site.store_addresses['node-1'] = proxy.address
+        yield proxy
+
+
 async def submit(
     site: Site, node: Node, item_count: int
 ) -> tuple[str, set[str]]:
@@ -98,17 +105,7 @@
     raise AssertionError('items have reached no engine')
 
 
-@pytest.fixture
-async def store_proxy(site: Site) -> AsyncIterator[FaultProxy]:
-    """Let ``node-1`` reach the store through a proxy."""
-    async with FaultProxy(site.store_address).serving() as proxy:
-        site.store_addresses['node-1'] = proxy.address
-        yield proxy
-
-
-async def keep_store_connections(
-    site: Site, store_proxy: FaultProxy, count: int
-) -> None:
+async def keep_store_connections(site: Site, count: int) -> None:
     """Let ``node-1`` make calls for others that wait at the same time."""
     page = await site.store.read('quiet', '')
     url = f'http://127.0.0.1:{site.peer_port}/store/rows-feed'
@@ -161,6 +158,20 @@
         assert status == 200
 
 
+async def test_stream_begins_soon_after_connections_go_silent(
+    site: Site, engine_proxies: list[FaultProxy]
+) -> None:
+    """Guards against streams whose attempts all end on silent connections."""
+    async with site.node('node-1') as node:
+        await run_job(site, node, KEPT_COUNT)
+        for proxy in engine_proxies:
+            assert proxy.silence_open() >= KEPT_COUNT // 2
+        async with asyncio.timeout(STABLE_S):
+            status, _, body = await site.send(node, '/resumable/a')
+        assert status == 200
+        assert body.count(b'data: piece') == EVENT_COUNT
+
+
 async def test_score_comes_soon_after_connections_go_silent(
     site: Site, plain_proxies: list[FaultProxy]
 ) -> None:
@@ -185,7 +196,7 @@
     """
     site.peer_port = free_port()
     async with site.node('node-1') as node:
-        await keep_store_connections(site, store_proxy, kept_count)
+        await keep_store_connections(site, kept_count)
         # Connections in use until a moment ago would be kept.
         await asyncio.sleep(1.0)
         assert store_proxy.silence_open() >= kept_count
