--- a/src/dogwoodpost/adapters/http/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -58,10 +58,10 @@
     Bytes that arrive on an idle connection belong to no request, and aiohttp
     would take them for the response to the next one.
 
-    Connections may stop to work without a reset, all at the same time. A
-    call that was given up on a silent connection therefore puts the idle ones
-    to the same address in doubt, unless another connection that is as old
-    still works. Silences at two addresses put those to all others in doubt.
+    Connections may stop working without a reset, all at the same time. A call
+    that was given up on a silent connection therefore makes the idle ones to
+    the same address suspect, unless another connection that is as old still
+    works. Silences at two addresses make those to all others suspect.
 
     :param limit: largest number of connections, 0 for any number.
     """
@@ -145,7 +145,7 @@
     ) -> None:
         """Report a call that was given up on a silent connection.
 
-        Closes the idle connections that are in doubt because of it. A new
+        Closes the idle connections that are suspect because of it. A new
         connection that receives nothing says nothing about them.
         """
         now_s = self._loop.time()
@@ -181,7 +181,9 @@
         """
         kind = 'used' if silence.has_worked else 'new'
         self._metrics.events.labels(f'connection_silent_{kind}').inc()
-        self._metrics.events.labels('connection_doubtful').inc(closed_count)
+        self._metrics.events.labels('connection_suspect_closed').inc(
+            closed_count
+        )
 
     def _has_working_connection(
         self, key: ConnectionKey, silence: CallSilence, now_s: float
@@ -200,37 +202,37 @@
         :returns: number of closed connections.
         """
         self._silent_keys.add(key, now_s + _JOINT_SILENCE_S)
-        closed_count = self._close_doubtful(key, silence, now_s)
+        closed_count = self._close_suspects(key, silence, now_s)
         if len(self._silent_keys.current(now_s)) > 1:
             closed_count += sum(
-                self._close_doubtful(other, silence, now_s)
+                self._close_suspects(other, silence, now_s)
                 for other in list(self._conns)
                 if not self._has_working_connection(other, silence, now_s)
             )
         return closed_count
 
-    def _close_doubtful(
+    def _close_suspects(
         self, key: ConnectionKey, silence: CallSilence, now_s: float
     ) -> int:
-        """Close the idle connections to an address that are in doubt.
+        """Close the suspect idle connections to an address.
 
         :returns: number of closed connections.
         """
-        doubtful = {
+        suspects = {
             protocol
             for protocol in self._idle(key)
-            if protocol.use.is_doubtful(silence, now_s)
+            if protocol.use.is_suspect(silence, now_s)
         }
-        if not doubtful:
+        if not suspects:
             return 0
         kept = [
-            entry for entry in self._conns.pop(key) if entry[0] not in doubtful
+            entry for entry in self._conns.pop(key) if entry[0] not in suspects
         ]
         if kept:
             self._conns[key].extend(kept)
-        for protocol in doubtful:
+        for protocol in suspects:
             protocol.close()
-        return len(doubtful)
+        return len(suspects)
 
     def _busy(self, key: ConnectionKey) -> Iterator[TrackedResponseHandler]:
         """Yield the connections to an address that calls use now."""
--- a/src/dogwoodpost/core/connections/connection_use.py
+++ b/src/dogwoodpost/core/connections/connection_use.py
@@ -87,7 +87,7 @@
         """Return the time since the last contact."""
         return now_s - self.last_contact_s
 
-    def is_doubtful(self, silence: CallSilence, now_s: float) -> bool:
+    def is_suspect(self, silence: CallSilence, now_s: float) -> bool:
         """Return whether the connection may be lost like the silent one."""
         return self.idle_s(now_s) > silence.trusted_idle_s
 
@@ -98,7 +98,7 @@
         those which are as old still work.
         """
         is_older = self.opened_s < silence.since_s
-        return is_older and not self.is_doubtful(silence, now_s)
+        return is_older and not self.is_suspect(silence, now_s)
 
     def silence(self, now_s: float) -> CallSilence | None:
         """Return the silence of the current call.
--- a/tests/adapters/http/test_pooled_connector.py
+++ b/tests/adapters/http/test_pooled_connector.py
@@ -211,7 +211,7 @@
         assert raw.connection_count == count + 1
 
 
-async def test_retry_does_not_fall_back_on_a_doubtful_connection(
+async def test_retry_does_not_fall_back_on_a_suspect_connection(
     session: aiohttp.ClientSession,
 ) -> None:
     """Guards against an old connection in place of one that was closed."""
