--- a/tests/services/batches/test_job_invariants.py
+++ b/tests/services/batches/test_job_invariants.py
@@ -23,7 +23,7 @@
 from dogwoodpost.standins.memory_row_store import MemoryRowStore
 from dogwoodpost.standins.memory_row_store import RowFault
 from dogwoodpost.standins.memory_store import MemoryObjectStore
-from dogwoodpost.standins.virtual_clock import VirtualClock
+from tests.fakes.immediate_clock import ImmediateClock
 
 JOB = ids.JobId('job')
 FAULTS = st.lists(
@@ -40,13 +40,6 @@
 )
 
 
-class ImmediateClock(VirtualClock):
-    """Advances the virtual time at once when a call sleeps."""
-
-    async def sleep(self, duration_s: float) -> None:
-        await self.advance(duration_s)
-
-
 def batch_job(body: bytes = b'prompt') -> BatchJob:
     items = tuple(
         BatchItem(
--- a/tests/services/test_continued_streams.py
+++ b/tests/services/test_continued_streams.py
@@ -43,7 +43,7 @@
 from dogwoodpost.services.entry.pipeline_request import PipelineRequest
 from dogwoodpost.services.entry.request_pipeline import RequestPipeline
 from dogwoodpost.services.entry.route_finder import RouteFinder
-from dogwoodpost.standins.virtual_clock import VirtualClock
+from tests.fakes.immediate_clock import ImmediateClock
 from tests.fakes.pipeline import endpoint
 from tests.fakes.pipeline import FakeUsage
 from tests.fakes.scripted_gateway import ScriptedGateway
@@ -63,13 +63,6 @@
 )
 
 
-class ImmediateClock(VirtualClock):
-    """Advances the virtual time at once when a call sleeps."""
-
-    async def sleep(self, duration_s: float) -> None:
-        await self.advance(duration_s)
-
-
 @pytest.fixture(autouse=True, scope='module')
 def quiet_logs() -> Any:
     structlog.configure(
