Close connections only to the address of a silent call

Cause: silences at two addresses within 5 s closed the idle connections to all others that had not been heard from.

Change: a silent call makes suspect what is kept to its own address, and nothing else.

What it costs: after a silence, each of the first requests to different endpoints meets one silent connection again, for one attempt.

--- a/src/dogwoodpost/adapters/http/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -12,7 +12,6 @@
     BoundedProtocolConnector,
 )
 from dogwoodpost.adapters.http.tracked_protocol import TrackedResponseHandler
-from dogwoodpost.core.expiring_keys import ExpiringKeys
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -30,8 +29,6 @@
 # Endpoints close idle connections earlier or later; a request that fails
 # because its connection was closed is repeated.
 _KEEPALIVE_S = 12.0
-# Silences at different addresses within this time count as one event.
-_JOINT_SILENCE_S = 5.0
 _REQUEST_ID_HEADER = 'X-Request-Id'
 _MS_PER_S = 1_000
 _max_idle_s: ContextVar[float | None] = ContextVar('max_idle_s', default=None)
@@ -61,7 +58,7 @@
     Connections may stop working without a reset, all at the same time. A call
     that was given up on a silent connection therefore makes the idle ones to
     the same address suspect, unless another connection that is as old still
-    works. Silences at two addresses make those to all others suspect.
+    works.
 
     :param limit: largest number of connections, 0 for any number.
     """
@@ -73,7 +70,6 @@
             protocol=TrackedResponseHandler,
         )
         self._metrics = metrics
-        self._silent_keys: ExpiringKeys[ConnectionKey] = ExpiringKeys()
 
     async def connect(
         self,
@@ -156,7 +152,7 @@
         others_work = self._has_working_connection(key, silence, now_s)
         closed_count = 0
         if silence.has_worked and not others_work:
-            closed_count = self._close_after_silence(key, silence, now_s)
+            closed_count = self._close_suspects(key, silence, now_s)
         self._count_silence(silence, closed_count)
         _log.info(
             'connection_silent',
@@ -194,23 +190,6 @@
             for protocol in (*self._busy(key), *self._idle(key))
         )
 
-    def _close_after_silence(
-        self, key: ConnectionKey, silence: CallSilence, now_s: float
-    ) -> int:
-        """Close the idle connections that may be lost like a silent one.
-
-        :returns: number of closed connections.
-        """
-        self._silent_keys.add(key, now_s + _JOINT_SILENCE_S)
-        closed_count = self._close_suspects(key, silence, now_s)
-        if len(self._silent_keys.current(now_s)) > 1:
-            closed_count += sum(
-                self._close_suspects(other, silence, now_s)
-                for other in list(self._conns)
-                if not self._has_working_connection(other, silence, now_s)
-            )
-        return closed_count
-
     def _close_suspects(
         self, key: ConnectionKey, silence: CallSilence, now_s: float
     ) -> int:
