--- a/tests/fakes/fault_proxy.py
+++ b/tests/fakes/fault_proxy.py
@@ -74,6 +74,11 @@
         if harm is Harm.RESET:
             self._abort_all()
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of connections that forward bytes."""
+        return sum(not one.is_silent for one in self._connections)
+
     def silence_open(self) -> int:
         """Let the open connections forward nothing more; new ones do.
 
