Share the parts of tests with raw responses

Chunks and events of a raw response, and the gateway that is opened without a site, stood in two test modules; a third is to come. write_stream, write_lines and RawAnswer.content are for it.

--- a/tests/platform/raw_client.py
+++ b/tests/platform/raw_client.py
@@ -38,6 +38,20 @@
             return self.body.endswith(b'0\r\n\r\n')
         return True
 
+    @property
+    def content(self) -> bytes:
+        """Return the body without the sizes of its chunks."""
+        if 'transfer-encoding' not in self.headers:
+            return self.body
+        content = b''
+        rest = self.body
+        while rest:
+            size, _, rest = rest.partition(b'\r\n')
+            length = int(size, 16)
+            content += rest[:length]
+            rest = rest[length + 2 :]
+        return content
+
 
 async def raw_call(
     node: Node | SpawnedNode,
--- a/tests/platform/raw_endpoint.py
+++ b/tests/platform/raw_endpoint.py
@@ -18,6 +18,19 @@
     from collections.abc import Callable
 
 CHUNK = b'x' * 65_536
+CHUNKED = 'Transfer-Encoding: chunked'
+EMPTY_CHUNK = b'0\r\n\r\n'
+STREAM_FIELDS = ('Content-Type: text/event-stream', 'X-Weight-Versions: 1')
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a chunked body."""
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
 
 class RawRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,18 +65,28 @@
 
         :param fields: further header lines.
         """
-        lines = (
-            f'HTTP/1.1 {status}',
-            f'X-Request-Id: {self._request.request_id}',
-            f'X-Response-Signature: signed-{self._request.request_id}',
-            *fields,
+        await self.write_lines(f'HTTP/1.1 {status}', *fields)
+
+    async def write_lines(self, *lines: str) -> None:
+        """Write the lines of a head, and those that name the request last."""
+        request_id = self._request.request_id
+        own_lines = (
+            f'X-Request-Id: {request_id}',
+            f'X-Response-Signature: signed-{request_id}',
         )
-        await self.write('\r\n'.join((*lines, '', '')).encode())
+        await self.write('\r\n'.join((*lines, *own_lines, '', '')).encode())
 
     async def write_response(self, body: bytes) -> None:
         await self.write_head(f'Content-Length: {len(body)}')
         await self.write(body)
 
+    async def write_stream(self, event_count: int) -> None:
+        """Write a whole stream."""
+        await self.write_head(*STREAM_FIELDS, CHUNKED)
+        for number in range(event_count):
+            await self.write(chunk(event(number)))
+        await self.write(EMPTY_CHUNK)
+
     async def write_endlessly(self, data: bytes) -> None:
         """Write the same bytes until the caller closes the connection."""
         while True:
--- a/tests/platform/test_broken_heads.py
+++ b/tests/platform/test_broken_heads.py
@@ -3,30 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 import pytest
 import structlog.testing
 
-from dogwoodpost.core import ids
-from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
 from dogwoodpost.errors import EndpointError
-from dogwoodpost.observability import Metrics
-from dogwoodpost.platform.connection_counts import ConnectionCounts
-from dogwoodpost.platform.endpoint_calls import HttpEndpointGateway
-from dogwoodpost.platform.leave_notices import LeaveNotices
-from dogwoodpost.platform.sessions import http_session
-from dogwoodpost.ports.endpoint_gateway import EndpointCall
-from dogwoodpost.standins.virtual_clock import VirtualClock
-from tests.core.membership.test_endpoint_registry import FakeListener
 from tests.fakes.pipeline import endpoint
+from tests.platform.opened_gateway import endpoint_call
+from tests.platform.opened_gateway import opened_gateway
 from tests.platform.raw_client import raw_call
 from tests.platform.raw_endpoint import raw_endpoint
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from tests.platform.platform_site import Site
     from tests.platform.raw_endpoint import RawRequest
     from tests.platform.raw_endpoint import RawResponse
@@ -71,19 +60,6 @@
             response.close()
 
 
-@contextlib.asynccontextmanager
-async def opened_gateway() -> AsyncIterator[HttpEndpointGateway]:
-    counts = ConnectionCounts(Metrics())
-    notices = LeaveNotices(EndpointRegistry(FakeListener()), VirtualClock())
-    async with (
-        http_session(counts, reuse=True) as session,
-        http_session(counts, reuse=False) as fresh_session,
-    ):
-        yield HttpEndpointGateway(
-            session, fresh_session, fresh_session, 'node', notices
-        )
-
-
 @pytest.mark.parametrize('reuses', [False, True])
 @pytest.mark.parametrize('name', RESPONSES)
 async def test_response_cut_at_any_byte_is_an_error(
@@ -99,15 +75,7 @@
         raw_endpoint(response.answer) as raw,
         opened_gateway() as gateway,
     ):
-        call = EndpointCall(
-            request_id=ids.RequestId('request'),
-            method='GET',
-            path='/a',
-            headers=(),
-            body=b'',
-            timeout_s=2.0,
-            may_reuse_connection=reuses,
-        )
+        call = endpoint_call(reuses=reuses)
         target = endpoint('e', 'plain', address=raw.address)
         for response.resets in (False, True):
             for response.cut in range(len(text)):
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -10,7 +10,12 @@
 
 from tests.platform.platform_site import EVENT_COUNT
 from tests.platform.raw_client import raw_call
+from tests.platform.raw_endpoint import chunk
+from tests.platform.raw_endpoint import CHUNKED
+from tests.platform.raw_endpoint import EMPTY_CHUNK
+from tests.platform.raw_endpoint import event
 from tests.platform.raw_endpoint import raw_endpoint
+from tests.platform.raw_endpoint import STREAM_FIELDS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -22,20 +27,10 @@
 
     Answer = Callable[[RawRequest, RawResponse], Awaitable[None]]
 
-STREAM_FIELDS = ('Content-Type: text/event-stream', 'X-Weight-Versions: 1')
 PLAIN_FIELDS = ('Content-Type: text/plain',)
-CHUNKED = 'Transfer-Encoding: chunked'
 BIG_BYTES = 4 * 1024 * 1024
 
 
-def chunk(data: bytes) -> bytes:
-    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
-
-
-def event(number: int) -> bytes:
-    return f'id: {number}\ndata: piece {number}\n\n'.encode()
-
-
 def broken(fields: tuple[str, ...], body: bytes, *, resets: bool) -> Answer:
     """Return an endpoint's response that breaks off after a part."""
 
@@ -150,7 +145,6 @@
     assert not received.looks_whole
 
 
-EMPTY_CHUNK = chunk(b'')
 FOREIGN = b'upstream failure'
 # Fields and body of responses that continue no stream.
 OTHER_RESPONSES = {
