Log why an attempt failed, also if it is retried

Operators saw failure=outcome_unknown in the line of an attempt, whatever had happened; the error itself was logged only if the client got it.

Cause: the attempt's line had the label of the retry counter alone.

Change: detail has the text of the error, which quotes no bytes of a peer; it is the name that item_run uses.

Measured: test_log_tells_why_a_retried_attempt_failed fails before (KeyError: 'detail') and passes now.

--- a/src/dogwoodpost/services/entry/attempt_observation.py
+++ b/src/dogwoodpost/services/entry/attempt_observation.py
@@ -38,6 +38,7 @@
         self.start_s = start_s
         self.sent_wall_s = sent_wall_s
         self.failure_reason = ''
+        self.failure_detail = ''
         self.total_wait_s = 0.0
         self.failed = False
         self.timed_out = False
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -105,6 +105,7 @@
                     yield event
         except AttemptFailure as failure:
             self._observation.failure_reason = failure.reason
+            self._observation.failure_detail = str(failure.error)
             raise
         finally:
             self._report_end()
@@ -293,6 +294,7 @@
             completed=observation.end is not None and not observation.failed,
             may_have_run=observation.may_have_run,
             failure=observation.failure_reason,
+            detail=observation.failure_detail,
             last_event=self._state.progress.last_event_id,
             duration_ms=round((now_s - observation.start_s) * _MS_PER_S, 1),
             remaining_ms=round(self._state.remaining_s * _MS_PER_S, 1),
--- a/tests/services/entry/test_request_pipeline.py
+++ b/tests/services/entry/test_request_pipeline.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+import structlog.testing
 
 from dogwoodpost.core import messages
 from dogwoodpost.core.admission import Admission
@@ -157,6 +158,17 @@
     assert metrics.retries.labels('draining')._value.get() == 2
 
 
+async def test_log_tells_why_a_retried_attempt_failed(
+    pipeline: RequestPipeline, runner: FakeRunner
+) -> None:
+    """Guards against failures whose cause is lost because of a retry."""
+    runner.scripts = [[UNKNOWN], GOOD]
+    with structlog.testing.capture_logs() as logs:
+        await run(pipeline, request())
+    details = [log['detail'] for log in logs if log['event'] == 'attempt']
+    assert details == ['agent lost', '']
+
+
 async def test_whole_response_is_retried_after_partial_body(
     pipeline: RequestPipeline, runner: FakeRunner
 ) -> None:
