Reject responses with a status that none may have

Callers saw HTTP/1.1 0 with a sampler's fields and body, on all four kinds of route, for each three digits below 200 (interim responses apart) and above 599, although another attempt was left.

Cause: the lenient parser takes any three digits, and what followed asked only which statuses to retry and which are a success.

Change: ResponseHeadValidator checks the status line before the parser gets it, in the protocol class of all calls to endpoints, the store, the duty API and other processes. The connection is aborted, and the call fails like any other whose outcome is unknown. RTSP, ICE and unknown versions are refused too.

--- a/src/dogwoodpost/adapters/http/bounded_protocol.py
+++ b/src/dogwoodpost/adapters/http/bounded_protocol.py
@@ -1,13 +1,20 @@
-"""Client protocol that limits interim responses."""
+"""Client protocol that rejects malformed heads and too many responses."""
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from dogwoodpost.adapters.http.response_head import MalformedHeadError
+from dogwoodpost.adapters.http.response_head import ResponseHeadValidator
+from dogwoodpost.core.http_status import is_interim_status
+
 if TYPE_CHECKING:
+    import asyncio
+
     from aiohttp import StreamReader
     from aiohttp.http_parser import RawResponseMessage
 
@@ -20,48 +27,64 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Aborts connections that send too many interim responses.
+    """Aborts connections whose responses are malformed or do not end.
 
-    An endless sequence of them would keep the event loop busy until the call
-    times out, and delay all other calls.
+    An endless sequence of interim responses would keep the event loop busy
+    until the call times out, and delay all other calls.
     """
 
-    _interim_count = 0
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head_validator = ResponseHeadValidator()
+        self._interim_count = 0
+        self._is_rejected = False
+
+    def set_response_params(self, *args: Any, **kwargs: Any) -> None:
+        """Prepare for the response to a request."""
+        self._head_validator = ResponseHeadValidator()
+        super().set_response_params(*args, **kwargs)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         # Empty data makes the parser continue with data that it held back.
         for start in range(0, max(len(data), 1), _PARSE_CHUNK_BYTES):
-            if self._interim_count > MAX_INTERIM_COUNT:
+            if self._is_rejected:
                 return
-            super().data_received(data[start : start + _PARSE_CHUNK_BYTES])
+            self._parse(data[start : start + _PARSE_CHUNK_BYTES])
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Pass the head of a response on unless the limit is exceeded."""
         message, _ = data
-        if not _is_interim(message):
+        if not is_interim_status(message.code):
             self._interim_count = 0
             super().feed_data(data, size)
             return
         self._interim_count += 1
         if self._interim_count <= MAX_INTERIM_COUNT:
             super().feed_data(data, size)
-        elif self._interim_count == MAX_INTERIM_COUNT + 1:
-            self._abort()
-
-    def _abort(self) -> None:
-        self.set_exception(
-            HttpProcessingError(
-                code=_STATUS_BAD_GATEWAY,
-                message=f'more than {MAX_INTERIM_COUNT} interim responses',
+        elif not self._is_rejected:
+            self._reject(
+                HttpProcessingError(
+                    code=_STATUS_BAD_GATEWAY,
+                    message=f'more than {MAX_INTERIM_COUNT} interim responses',
+                )
             )
-        )
-        if self.transport is not None:
-            self.transport.abort()
 
+    def _parse(self, data: bytes) -> None:
+        # Without a parser, the bytes are kept until there is one.
+        if self._parser is not None:
+            try:
+                self._head_validator.feed(data)
+            except MalformedHeadError as error:
+                self._reject(error)
+                return
+        super().data_received(data)
 
-def _is_interim(message: RawResponseMessage) -> bool:
-    """Return whether the final response is still to come."""
-    return 100 <= message.code < 200 and message.code != 101
+    def _reject(self, error: Exception) -> None:
+        """Fail the call and abort the connection."""
+        self._is_rejected = True
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/src/dogwoodpost/adapters/http/response_head.py
@@ -0,0 +1,78 @@
+"""Validation of response heads before they are parsed."""
+
+from __future__ import annotations
+
+import re
+from enum import Enum
+
+from dogwoodpost.adapters.http.call_errors import CallError
+from dogwoodpost.core.http_status import is_final_status
+from dogwoodpost.core.http_status import is_interim_status
+
+# RFC 9112, section 4; some servers leave out the space before an empty reason.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] (\d{3})(?: .*)?', re.DOTALL)
+
+
+class MalformedHeadError(CallError):
+    """The head of a response is malformed; the text has none of its bytes."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(f'malformed response head: {detail}')
+
+
+class _Section(Enum):
+    """What the next line of a response belongs to."""
+
+    STATUS_LINE = 'status_line'
+    FIELDS = 'fields'
+    BODY = 'body'
+
+
+class ResponseHeadValidator:
+    """Checks the heads of one final response and of interim ones before it.
+
+    aiohttp's parser accepts heads that others reject or read differently, so
+    what it makes of them must not be passed on.
+    """
+
+    def __init__(self) -> None:
+        self._section = _Section.STATUS_LINE
+        self._is_interim = False
+        # Start of a line whose end has not arrived.
+        self._partial_line = b''
+
+    def feed(self, data: bytes) -> None:
+        """Check received bytes; a line is checked once it is complete.
+
+        :raises MalformedHeadError: a line of a head is malformed.
+        """
+        start = 0
+        while self._section is not _Section.BODY:
+            end = data.find(b'\n', start)
+            if end < 0:
+                self._partial_line += data[start:]
+                return
+            line = self._partial_line + data[start:end]
+            self._partial_line = b''
+            self._check_line(line.removesuffix(b'\r'))
+            start = end + 1
+
+    def _check_line(self, line: bytes) -> None:
+        if self._section is _Section.STATUS_LINE:
+            # The parser skips empty lines before the status line.
+            if line:
+                self._check_status_line(line)
+                self._section = _Section.FIELDS
+        elif not line:
+            self._section = (
+                _Section.STATUS_LINE if self._is_interim else _Section.BODY
+            )
+
+    def _check_status_line(self, line: bytes) -> None:
+        match = _STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedHeadError('no valid status line')
+        status = int(match[1])
+        self._is_interim = is_interim_status(status)
+        if not self._is_interim and not is_final_status(status):
+            raise MalformedHeadError('a status that no response may have')
--- /dev/null
+++ b/tests/adapters/http/test_response_head.py
@@ -0,0 +1,86 @@
+"""Validation of response heads."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dogwoodpost.adapters.http.bounded_protocol import BoundedResponseHandler
+from dogwoodpost.adapters.http.response_head import MalformedHeadError
+from dogwoodpost.adapters.http.response_head import ResponseHeadValidator
+
+HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n'
+BODY = b'HTTP/9.9 000\r\n not : a head\r\n\r\n'
+SOUND_HEADS = {
+    'no_fields': b'HTTP/1.1 200 OK\r\n\r\n',
+    'no_reason': b'HTTP/1.1 200\r\n\r\n',
+    'old_version': b'HTTP/1.0 599 X\r\n\r\n',
+    'bare_line_feeds': b'HTTP/1.1 200 OK\nX-A: a\n\n',
+    'empty_lines_first': b'\r\n\r\nHTTP/1.1 200 OK\r\n\r\n',
+    'interim': HINTS * 3 + b'HTTP/1.1 200 OK\r\nX-A: a\r\n\r\n',
+    'folded_value': b'HTTP/1.1 200 OK\r\nX-A: a\r\n b : c\r\n\td\r\n\r\n',
+}
+STATUS_LINES = (
+    *(b'HTTP/1.1 000 ', b'HTTP/1.1 099 X', b'HTTP/1.1 101 X'),
+    *(b'HTTP/1.1 600 X', b'HTTP/1.1 999 X', b'HTTP/1.1 0200 X'),
+    *(b'HTTP/1.1 20 X', b'HTTP/1.1 2x0 X', b'HTTP/1.1  200 X'),
+    *(b'HTTP/1.1 +20 X', b'HTTP/1.1', b'HTTP/1.1 '),
+    *(b'HTTP/2.0 200 OK', b'HTTP/0.9 200 OK', b'RTSP/1.0 200 OK'),
+    *(b'ICE/1.1 200 OK', b' HTTP/1.1 200 OK', b'x'),
+)
+MALFORMED_HEADS = {
+    repr(line): line + b'\r\nX-A: a\r\n\r\n' for line in STATUS_LINES
+}
+
+
+def split(data: bytes, size_bytes: int) -> list[bytes]:
+    starts = range(0, len(data), size_bytes)
+    return [data[start : start + size_bytes] for start in starts]
+
+
+@pytest.mark.parametrize('size_bytes', [1, 2, 7, 1_000])
+@pytest.mark.parametrize('name', SOUND_HEADS)
+def test_sound_heads_and_any_bodies_are_accepted(
+    name: str, size_bytes: int
+) -> None:
+    """Guards against refused responses, and against checks of bodies."""
+    validator = ResponseHeadValidator()
+    for part in split(SOUND_HEADS[name] + BODY, size_bytes):
+        validator.feed(part)
+
+
+@pytest.mark.parametrize('before', [b'', HINTS, b'\r\n'])
+@pytest.mark.parametrize('size_bytes', [1, 2, 7, 1_000])
+@pytest.mark.parametrize('name', MALFORMED_HEADS)
+def test_malformed_heads_are_rejected(
+    name: str, size_bytes: int, before: bytes
+) -> None:
+    """Guards against heads that pass because of where reads end."""
+    validator = ResponseHeadValidator()
+    with pytest.raises(MalformedHeadError):
+        for part in split(before + MALFORMED_HEADS[name], size_bytes):
+            validator.feed(part)
+
+
+@pytest.mark.parametrize('size_bytes', [1, 7, 1_000])
+@pytest.mark.parametrize('name', MALFORMED_HEADS)
+async def test_malformed_head_fails_the_call(
+    name: str, size_bytes: int
+) -> None:
+    """Guards against messages that pass before their head is rejected.
+
+    Bytes may also arrive before the request that they seem to answer.
+    """
+    for is_early in (False, True):
+        protocol = BoundedResponseHandler(asyncio.get_running_loop())
+        if not is_early:
+            protocol.set_response_params(read_until_eof=True)
+        for part in split(HINTS + MALFORMED_HEADS[name], size_bytes):
+            protocol.data_received(part)
+        if is_early:
+            protocol.set_response_params(read_until_eof=True)
+        with pytest.raises(MalformedHeadError):
+            while (await protocol.read())[0].code == 103:
+                pass
+        assert protocol.should_close
--- /dev/null
+++ b/tests/platform/malformed_responses.py
@@ -0,0 +1,65 @@
+"""Responses whose heads no endpoint may send, for tests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from tests.platform.platform_site import EVENT_COUNT
+
+if TYPE_CHECKING:
+    from tests.platform.raw_endpoint import RawRequest
+    from tests.platform.raw_endpoint import RawResponse
+
+# Bytes of an endpoint that must not reach a client, an error or a log line.
+MARK = 'upstream'
+SOUND_BODY = b'whole'
+_BODY = f'8\r\n{MARK}\r\n0\r\n\r\n'.encode()
+
+
+class MalformedHead(msgspec.Struct, frozen=True, kw_only=True):
+    """A response with a malformed head.
+
+    :param lines: header lines, each with what ends it.
+    """
+
+    status: str = '200 OK'
+    lines: tuple[str, ...] = ()
+
+    async def write(self, response: RawResponse) -> None:
+        """Write the response; the connection stays open."""
+        await response.write_lines(
+            f'HTTP/1.1 {self.status}', *self.lines, f'X-Mark: {MARK}'
+        )
+        await response.write(_BODY)
+
+
+# Numbers that are no status of a final response.
+STATUSES = {
+    f'status_{status}': MalformedHead(
+        status=f'{status} {MARK}', lines=('Transfer-Encoding: chunked',)
+    )
+    for status in (
+        *('000', '001', '010', '099', '101', '600', '999'),
+        *('0', '20', '0200', '+200', '2x0', ''),
+    )
+}
+
+
+class MalformedResponses:
+    """Answers with a malformed head as often as asked, then soundly."""
+
+    def __init__(self, head: MalformedHead, *, is_stream: bool) -> None:
+        self.head = head
+        self._is_stream = is_stream
+        self.malformed_left = 0
+
+    async def answer(self, request: RawRequest, response: RawResponse) -> None:
+        if self.malformed_left:
+            self.malformed_left -= 1
+            await self.head.write(response)
+        elif self._is_stream:
+            await response.write_stream(EVENT_COUNT)
+        else:
+            await response.write_response(SOUND_BODY)
