Reject field names with a blank or a control byte

Callers saw a sampler's line 'Transfer-Encoding : chunked' passed on as it stood, and Connection, Proxy-Connection and Upgrade likewise; whoever reads such a line otherwise takes another body out of the same bytes.

Cause: the lenient parser skips blanks before the colon of the fields that frame a message, but keeps them in the name, so the list of fields of one connection did not find it.

Change: ResponseHeadValidator checks the name of each field line.

--- a/src/dogwoodpost/adapters/http/response_head.py
+++ b/src/dogwoodpost/adapters/http/response_head.py
@@ -6,11 +6,16 @@
 from enum import Enum
 
 from dogwoodpost.adapters.http.call_errors import CallError
+from dogwoodpost.core.http_headers import TOKEN_PATTERN
 from dogwoodpost.core.http_status import is_final_status
 from dogwoodpost.core.http_status import is_interim_status
 
 # RFC 9112, section 4; some servers leave out the space before an empty reason.
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] (\d{3})(?: .*)?', re.DOTALL)
+# RFC 9112, section 5.1: no blank between a name and its colon.
+_FIELD_NAME = re.compile(TOKEN_PATTERN.encode() + b':')
+# Begin a line that continues the value of the line before.
+_BLANKS = b' \t'
 
 
 class MalformedHeadError(CallError):
@@ -67,6 +72,8 @@
             self._section = (
                 _Section.STATUS_LINE if self._is_interim else _Section.BODY
             )
+        elif line[0] not in _BLANKS and _FIELD_NAME.match(line) is None:
+            raise MalformedHeadError('an invalid field name')
 
     def _check_status_line(self, line: bytes) -> None:
         match = _STATUS_LINE.fullmatch(line)
--- a/src/dogwoodpost/core/http_headers.py
+++ b/src/dogwoodpost/core/http_headers.py
@@ -24,7 +24,8 @@
 )
 
 # RFC 9110, sections 5.6.2 and 5.5; tabs are allowed in values.
-_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+TOKEN_PATTERN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TOKEN = re.compile(TOKEN_PATTERN)
 _CONTROL_CODE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
 CONTENT_LENGTH = 'content-length'
--- a/tests/adapters/http/test_response_head.py
+++ b/tests/adapters/http/test_response_head.py
@@ -29,8 +29,17 @@
     *(b'HTTP/2.0 200 OK', b'HTTP/0.9 200 OK', b'RTSP/1.0 200 OK'),
     *(b'ICE/1.1 200 OK', b' HTTP/1.1 200 OK', b'x'),
 )
+FIELD_LINES = (
+    *(b'Transfer-Encoding : chunked', b'Content-Length : 3', b'X A: a'),
+    *(b'Connection\t: close', b'X-A', b': a', b'X-\x00A: a', b'X-A\x7f: a'),
+    *(b'X-\xe9: a', b'X-(: a', b'X-A\r: a'),
+)
 MALFORMED_HEADS = {
-    repr(line): line + b'\r\nX-A: a\r\n\r\n' for line in STATUS_LINES
+    **{repr(line): line + b'\r\nX-A: a\r\n\r\n' for line in STATUS_LINES},
+    **{
+        repr(line): b'HTTP/1.1 200 OK\r\nX-A: a\r\n' + line + b'\r\n\r\n'
+        for line in FIELD_LINES
+    },
 }
 
 
--- a/tests/platform/malformed_responses.py
+++ b/tests/platform/malformed_responses.py
@@ -46,6 +46,29 @@
     )
 }
 
+# Names that the parser treats itself, and another one.
+NAMES_BEFORE_BLANKS = {
+    f'blank_after_{line}': MalformedHead(lines=(line,))
+    for line in (
+        'Transfer-Encoding : chunked',
+        'Transfer-Encoding  : chunked',
+        'Content-Length : 3',
+        'Connection : close',
+        'Proxy-Connection : close',
+        'Upgrade : odd',
+        'X-Odd : a',
+        'X Odd: a',
+    )
+}
+CONTROL_BYTES = [chr(code) for code in (*range(0x20), 0x7F)]
+# A line feed or a tab at the beginning of a line is no part of a name.
+NAMES_WITH_CONTROL_BYTES = {
+    f'name_{name!a}': MalformedHead(lines=('X-First: a', f'{name}: a'))
+    for control in CONTROL_BYTES
+    for name in (f'{control}X-Odd', f'X-{control}Odd', f'X-Odd{control}')
+    if name[0] not in '\n\t'
+}
+
 
 class MalformedResponses:
     """Answers with a malformed head as often as asked, then soundly."""
--- a/tests/platform/test_malformed_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -12,6 +12,8 @@
 from tests.fakes.pipeline import endpoint
 from tests.platform.malformed_responses import MalformedResponses
 from tests.platform.malformed_responses import MARK
+from tests.platform.malformed_responses import NAMES_BEFORE_BLANKS
+from tests.platform.malformed_responses import NAMES_WITH_CONTROL_BYTES
 from tests.platform.malformed_responses import SOUND_BODY
 from tests.platform.malformed_responses import STATUSES
 from tests.platform.opened_gateway import endpoint_call
@@ -25,9 +27,16 @@
     from tests.platform.platform_site import Site
     from tests.platform.raw_endpoint import RawEndpoint
 
-HEADS = STATUSES
+_TIMEOUT_S = 3.0
+HEADS = {**STATUSES, **NAMES_BEFORE_BLANKS, **NAMES_WITH_CONTROL_BYTES}
 # One head of each kind, for tests that take longer.
-CHOSEN_HEADS = ('status_000', 'status_999')
+CHOSEN_HEADS = (
+    'status_000',
+    'status_999',
+    'blank_after_Transfer-Encoding : chunked',
+    'blank_after_Connection : close',
+    "name_'X-\\x00Odd'",
+)
 REPEATABLE_PATHS = ('/safe/a', '/resumable/a')
 SEND_ONCE_PATHS = ('/unsafe/a', '/stream/a')
 WHOLE_STREAM = b''.join(event(number) for number in range(EVENT_COUNT))
@@ -59,7 +68,10 @@
             responses.malformed_left = 1
             call = endpoint_call(f'malformed-{number}', reuses=reuses)
             with pytest.raises(EndpointError) as caught:
-                async with gateway.open(target, call) as reply:
+                async with (
+                    asyncio.timeout(_TIMEOUT_S),
+                    gateway.open(target, call) as reply,
+                ):
                     async for _ in reply.chunks():
                         pass
             assert 'malformed' in str(caught.value)
