Reject field values with a control byte

Callers saw 500 internal_error on all four kinds of route, without a retry where one was allowed, and the log a traceback. No byte of the sampler's was passed on.

Cause: the lenient parser takes control bytes in values, so the attempt ended well; aiohttp's server then refused to write the value.

Change: ResponseHeadValidator refuses control codes in field lines, but tabs.

--- a/src/dogwoodpost/adapters/http/response_head.py
+++ b/src/dogwoodpost/adapters/http/response_head.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from dogwoodpost.adapters.http.call_errors import CallError
+from dogwoodpost.core.http_headers import CONTROL_CODE_PATTERN
 from dogwoodpost.core.http_headers import TOKEN_PATTERN
 from dogwoodpost.core.http_status import is_final_status
 from dogwoodpost.core.http_status import is_interim_status
@@ -14,6 +15,7 @@
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] (\d{3})(?: .*)?', re.DOTALL)
 # RFC 9112, section 5.1: no blank between a name and its colon.
 _FIELD_NAME = re.compile(TOKEN_PATTERN.encode() + b':')
+_CONTROL_CODE = re.compile(CONTROL_CODE_PATTERN.encode())
 # Begin a line that continues the value of the line before.
 _BLANKS = b' \t'
 
@@ -72,8 +74,8 @@
             self._section = (
                 _Section.STATUS_LINE if self._is_interim else _Section.BODY
             )
-        elif line[0] not in _BLANKS and _FIELD_NAME.match(line) is None:
-            raise MalformedHeadError('an invalid field name')
+        else:
+            self._check_field_line(line)
 
     def _check_status_line(self, line: bytes) -> None:
         match = _STATUS_LINE.fullmatch(line)
@@ -83,3 +85,10 @@
         self._is_interim = is_interim_status(status)
         if not self._is_interim and not is_final_status(status):
             raise MalformedHeadError('a status that no response may have')
+
+    def _check_field_line(self, line: bytes) -> None:
+        is_continuation = line[0] in _BLANKS
+        if not is_continuation and _FIELD_NAME.match(line) is None:
+            raise MalformedHeadError('an invalid field name')
+        if _CONTROL_CODE.search(line) is not None:
+            raise MalformedHeadError('a control code in a field')
--- a/src/dogwoodpost/core/http_headers.py
+++ b/src/dogwoodpost/core/http_headers.py
@@ -25,8 +25,9 @@
 
 # RFC 9110, sections 5.6.2 and 5.5; tabs are allowed in values.
 TOKEN_PATTERN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+CONTROL_CODE_PATTERN = r'[\x00-\x08\x0a-\x1f\x7f]'
 _TOKEN = re.compile(TOKEN_PATTERN)
-_CONTROL_CODE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+_CONTROL_CODE = re.compile(CONTROL_CODE_PATTERN)
 
 CONTENT_LENGTH = 'content-length'
 # More digits than any length has; int() refuses thousands of them.
--- a/tests/adapters/http/test_response_head.py
+++ b/tests/adapters/http/test_response_head.py
@@ -19,6 +19,7 @@
     'bare_line_feeds': b'HTTP/1.1 200 OK\nX-A: a\n\n',
     'empty_lines_first': b'\r\n\r\nHTTP/1.1 200 OK\r\n\r\n',
     'interim': HINTS * 3 + b'HTTP/1.1 200 OK\r\nX-A: a\r\n\r\n',
+    'tabs_and_other_bytes': b'HTTP/1.1 200 \xff\r\nX-A:\ta\t\xe9\r\n\r\n',
     'folded_value': b'HTTP/1.1 200 OK\r\nX-A: a\r\n b : c\r\n\td\r\n\r\n',
 }
 STATUS_LINES = (
@@ -32,7 +33,8 @@
 FIELD_LINES = (
     *(b'Transfer-Encoding : chunked', b'Content-Length : 3', b'X A: a'),
     *(b'Connection\t: close', b'X-A', b': a', b'X-\x00A: a', b'X-A\x7f: a'),
-    *(b'X-\xe9: a', b'X-(: a', b'X-A\r: a'),
+    *(b'X-\xe9: a', b'X-(: a', b'X-A\r: a', b'X-A: a\x00'),
+    *(b'X-A: a\rb', b'X-A: a\r\n \x1f', b'X-A:\x7f'),
 )
 MALFORMED_HEADS = {
     **{repr(line): line + b'\r\nX-A: a\r\n\r\n' for line in STATUS_LINES},
--- a/tests/platform/malformed_responses.py
+++ b/tests/platform/malformed_responses.py
@@ -68,6 +68,14 @@
     for name in (f'{control}X-Odd', f'X-{control}Odd', f'X-Odd{control}')
     if name[0] not in '\n\t'
 }
+VALUES_WITH_CONTROL_BYTES = {
+    f'value_{control!a}': MalformedHead(
+        lines=(f'X-Odd: a{control}b', 'Transfer-Encoding: chunked')
+    )
+    for control in CONTROL_BYTES
+    # A line feed ends the line, and a tab may stand in a value.
+    if control not in '\n\t'
+}
 
 
 class MalformedResponses:
--- a/tests/platform/test_malformed_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -16,6 +16,7 @@
 from tests.platform.malformed_responses import NAMES_WITH_CONTROL_BYTES
 from tests.platform.malformed_responses import SOUND_BODY
 from tests.platform.malformed_responses import STATUSES
+from tests.platform.malformed_responses import VALUES_WITH_CONTROL_BYTES
 from tests.platform.opened_gateway import endpoint_call
 from tests.platform.opened_gateway import opened_gateway
 from tests.platform.platform_site import EVENT_COUNT
@@ -28,7 +29,12 @@
     from tests.platform.raw_endpoint import RawEndpoint
 
 _TIMEOUT_S = 3.0
-HEADS = {**STATUSES, **NAMES_BEFORE_BLANKS, **NAMES_WITH_CONTROL_BYTES}
+HEADS = {
+    **STATUSES,
+    **NAMES_BEFORE_BLANKS,
+    **NAMES_WITH_CONTROL_BYTES,
+    **VALUES_WITH_CONTROL_BYTES,
+}
 # One head of each kind, for tests that take longer.
 CHOSEN_HEADS = (
     'status_000',
@@ -36,6 +42,7 @@
     'blank_after_Transfer-Encoding : chunked',
     'blank_after_Connection : close',
     "name_'X-\\x00Odd'",
+    "value_'\\x0b'",
 )
 REPEATABLE_PATHS = ('/safe/a', '/resumable/a')
 SEND_ONCE_PATHS = ('/unsafe/a', '/stream/a')
