Reject responses with a blank before the first field

Callers saw a first field line that begins with a blank passed on as a field of that name, on all four kinds of route.

Cause: the lenient parser skips a blank after the status line without a trace; if nothing else is on the line, it even ends the head there.

Change: ResponseHeadValidator tells the first field line from later ones, where a blank continues a value, and refuses the message (RFC 9112, section 2.2).

All pass now.

--- a/src/dogwoodpost/adapters/http/response_head.py
+++ b/src/dogwoodpost/adapters/http/response_head.py
@@ -31,6 +31,7 @@
     """What the next line of a response belongs to."""
 
     STATUS_LINE = 'status_line'
+    FIRST_FIELD = 'first_field'
     FIELDS = 'fields'
     BODY = 'body'
 
@@ -69,13 +70,14 @@
             # The parser skips empty lines before the status line.
             if line:
                 self._check_status_line(line)
-                self._section = _Section.FIELDS
+                self._section = _Section.FIRST_FIELD
         elif not line:
             self._section = (
                 _Section.STATUS_LINE if self._is_interim else _Section.BODY
             )
         else:
             self._check_field_line(line)
+            self._section = _Section.FIELDS
 
     def _check_status_line(self, line: bytes) -> None:
         match = _STATUS_LINE.fullmatch(line)
@@ -88,6 +90,10 @@
 
     def _check_field_line(self, line: bytes) -> None:
         is_continuation = line[0] in _BLANKS
+        if is_continuation and self._section is _Section.FIRST_FIELD:
+            # RFC 9112, section 2.2. The parser takes the line for a field, or
+            # for the end of the head.
+            raise MalformedHeadError('a blank before the first field')
         if not is_continuation and _FIELD_NAME.match(line) is None:
             raise MalformedHeadError('an invalid field name')
         if _CONTROL_CODE.search(line) is not None:
--- a/tests/adapters/http/test_response_head.py
+++ b/tests/adapters/http/test_response_head.py
@@ -36,12 +36,17 @@
     *(b'X-\xe9: a', b'X-(: a', b'X-A\r: a', b'X-A: a\x00'),
     *(b'X-A: a\rb', b'X-A: a\r\n \x1f', b'X-A:\x7f'),
 )
+FIRST_LINES = (b' X-A: a', b'\tX-A: a', b' ', b' \t ', b'  X-A: a')
 MALFORMED_HEADS = {
     **{repr(line): line + b'\r\nX-A: a\r\n\r\n' for line in STATUS_LINES},
     **{
         repr(line): b'HTTP/1.1 200 OK\r\nX-A: a\r\n' + line + b'\r\n\r\n'
         for line in FIELD_LINES
     },
+    **{
+        f'{line!r} first': b'HTTP/1.1 200 OK\r\n' + line + b'\r\n\r\n'
+        for line in FIRST_LINES
+    },
 }
 
 
--- a/tests/platform/malformed_responses.py
+++ b/tests/platform/malformed_responses.py
@@ -76,6 +76,13 @@
     # A line feed ends the line, and a tab may stand in a value.
     if control not in '\n\t'
 }
+# A line of blanks alone ends the head for some readers.
+BLANKS_FIRST = {
+    f'first_{line!a}': MalformedHead(
+        lines=(line, 'Transfer-Encoding: chunked')
+    )
+    for line in (' X-Odd: a', '\tX-Odd: a', '  X-Odd: a', ' ', '\t', ' : a')
+}
 
 
 class MalformedResponses:
--- a/tests/platform/test_malformed_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -10,6 +10,7 @@
 
 from dogwoodpost.errors import EndpointError
 from tests.fakes.pipeline import endpoint
+from tests.platform.malformed_responses import BLANKS_FIRST
 from tests.platform.malformed_responses import MalformedResponses
 from tests.platform.malformed_responses import MARK
 from tests.platform.malformed_responses import NAMES_BEFORE_BLANKS
@@ -34,6 +35,7 @@
     **NAMES_BEFORE_BLANKS,
     **NAMES_WITH_CONTROL_BYTES,
     **VALUES_WITH_CONTROL_BYTES,
+    **BLANKS_FIRST,
 }
 # One head of each kind, for tests that take longer.
 CHOSEN_HEADS = (
@@ -43,6 +45,7 @@
     'blank_after_Connection : close',
     "name_'X-\\x00Odd'",
     "value_'\\x0b'",
+    "first_' X-Odd: a'",
 )
 REPEATABLE_PATHS = ('/safe/a', '/resumable/a')
 SEND_ONCE_PATHS = ('/unsafe/a', '/stream/a')
