Reject bodies in an unknown transfer coding

Callers saw chunk sizes as part of a stream when a sampler answered with 'Transfer-Encoding: odd', and coded bytes without the coding's name.

Cause: the parser reads such a body until the connection closes, and the field is dropped on the way because it applies to one connection.

Change: any transfer coding but a single chunked that the parser has removed fails the call. No request names other codings, so no endpoint may use them; passing the field on would claim a coding that our own chunks do not have.

--- a/src/dogwoodpost/adapters/http/bounded_protocol.py
+++ b/src/dogwoodpost/adapters/http/bounded_protocol.py
@@ -8,6 +8,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from dogwoodpost.adapters.http.response_framing import check_transfer_coding
 from dogwoodpost.adapters.http.response_head import MalformedHeadError
 from dogwoodpost.adapters.http.response_head import ResponseHeadValidator
 from dogwoodpost.core.http_status import is_interim_status
@@ -55,8 +56,13 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
-        """Pass the head of a response on unless the limit is exceeded."""
+        """Pass the head of a response on if it is accepted."""
         message, _ = data
+        try:
+            check_transfer_coding(message)
+        except MalformedHeadError as error:
+            self._reject(error)
+            return
         if not is_interim_status(message.code):
             self._interim_count = 0
             super().feed_data(data, size)
--- a/tests/platform/malformed_responses.py
+++ b/tests/platform/malformed_responses.py
@@ -83,6 +83,22 @@
     )
     for line in (' X-Odd: a', '\tX-Odd: a', '  X-Odd: a', ' ', '\t', ' : a')
 }
+TRANSFER_CODINGS = {
+    f'coding_{line!a}': MalformedHead(lines=(line,))
+    for line in (
+        'Transfer-Encoding: odd',
+        'Transfer-Encoding: identity',
+        'Transfer-Encoding: chunked, odd',
+        'Transfer-Encoding: odd, chunked',
+        'Transfer-Encoding: xchunked',
+        'Transfer-Encoding: chunked;a=b',
+        'Transfer-Encoding:',
+        'Transfer-Encoding: chunked\r\n ',
+        'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked',
+        'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
+        'Transfer-Encoding: chunked\r\nTransfer-Encoding: odd',
+    )
+}
 
 
 class MalformedResponses:
--- a/tests/platform/test_malformed_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -17,6 +17,7 @@
 from tests.platform.malformed_responses import NAMES_WITH_CONTROL_BYTES
 from tests.platform.malformed_responses import SOUND_BODY
 from tests.platform.malformed_responses import STATUSES
+from tests.platform.malformed_responses import TRANSFER_CODINGS
 from tests.platform.malformed_responses import VALUES_WITH_CONTROL_BYTES
 from tests.platform.opened_gateway import endpoint_call
 from tests.platform.opened_gateway import opened_gateway
@@ -36,6 +37,7 @@
     **NAMES_WITH_CONTROL_BYTES,
     **VALUES_WITH_CONTROL_BYTES,
     **BLANKS_FIRST,
+    **TRANSFER_CODINGS,
 }
 # One head of each kind, for tests that take longer.
 CHOSEN_HEADS = (
@@ -46,6 +48,8 @@
     "name_'X-\\x00Odd'",
     "value_'\\x0b'",
     "first_' X-Odd: a'",
+    "coding_'Transfer-Encoding: odd'",
+    "coding_'Transfer-Encoding: odd, chunked'",
 )
 REPEATABLE_PATHS = ('/safe/a', '/resumable/a')
 SEND_ONCE_PATHS = ('/unsafe/a', '/stream/a')
