Reject interim responses with a body

A sampler's interim response with a length could hide a whole response; no caller is known to have seen one.

Cause: the parser takes a body after 104 to 199 and none after 100, 102 and 103, though interim responses have none, so readers disagree about the bytes.

Change: an interim response with a transfer coding or a length above zero fails the call, and messages read together with a refused one are dropped.

--- a/src/dogwoodpost/adapters/http/bounded_protocol.py
+++ b/src/dogwoodpost/adapters/http/bounded_protocol.py
@@ -8,7 +8,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
-from dogwoodpost.adapters.http.response_framing import check_transfer_coding
+from dogwoodpost.adapters.http.response_framing import check_framing
 from dogwoodpost.adapters.http.response_head import MalformedHeadError
 from dogwoodpost.adapters.http.response_head import ResponseHeadValidator
 from dogwoodpost.core.http_status import is_interim_status
@@ -57,9 +57,11 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Pass the head of a response on if it is accepted."""
+        if self._is_rejected:
+            return
         message, _ = data
         try:
-            check_transfer_coding(message)
+            check_framing(message)
         except MalformedHeadError as error:
             self._reject(error)
             return
@@ -70,7 +72,7 @@
         self._interim_count += 1
         if self._interim_count <= MAX_INTERIM_COUNT:
             super().feed_data(data, size)
-        elif not self._is_rejected:
+        else:
             self._reject(
                 HttpProcessingError(
                     code=_STATUS_BAD_GATEWAY,
--- a/tests/adapters/http/test_response_head.py
+++ b/tests/adapters/http/test_response_head.py
@@ -100,3 +100,36 @@
             while (await protocol.read())[0].code == 103:
                 pass
         assert protocol.should_close
+
+
+def hidden_response(interim: str, final: str) -> bytes:
+    """Return an interim response whose body is a whole response."""
+    hidden = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n'
+    length = f'Content-Length: {len(hidden) + 6}'
+    head = f'HTTP/1.1 {interim}\r\n{length}\r\n\r\n'
+    return head.encode() + hidden + b'hidden' + final.encode()
+
+
+@pytest.mark.parametrize('status', ['100', '102', '103', '104', '199'])
+async def test_interim_response_with_a_body_fails_the_call(
+    status: str,
+) -> None:
+    """Guards against responses that some readers take for a body."""
+    final = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal'
+    protocol = BoundedResponseHandler(asyncio.get_running_loop())
+    protocol.set_response_params(read_until_eof=True)
+    protocol.data_received(hidden_response(f'{status} X', final))
+    with pytest.raises(MalformedHeadError):
+        await protocol.read()
+
+
+async def test_interim_response_may_state_a_length_of_zero() -> None:
+    """Guards against refused responses that no reader takes otherwise."""
+    protocol = BoundedResponseHandler(asyncio.get_running_loop())
+    protocol.set_response_params(read_until_eof=True)
+    protocol.data_received(
+        b'HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n'
+        + SOUND_HEADS['no_fields']
+    )
+    assert (await protocol.read())[0].code == 100
+    assert (await protocol.read())[0].code == 200
