Check response heads in the sessions of the own deployment

In the product's own deployment, an order or usage report whose response had a malformed head ('Connection : close', a blank before the first name) counted as accepted.

Cause: orders, downloads of weights, the trainer's command and the demo had aiohttp's own connector, without our protocol class.

Change: they use BoundedProtocolConnector or PooledConnector, and a rule of the layout keeps sessions from being opened otherwise.

--- a/src/dogwoodpost/adapters/http/bounded_connector.py
+++ b/src/dogwoodpost/adapters/http/bounded_connector.py
@@ -1,4 +1,4 @@
-"""Connector whose connections limit interim responses."""
+"""Connector whose connections reject malformed responses."""
 
 from __future__ import annotations
 
@@ -17,9 +17,15 @@
 
     from aiohttp.client_proto import ResponseHandler
 
+# Endpoints close idle connections earlier or later; a request that fails
+# because its connection was closed is repeated.
+KEEPALIVE_S = 12.0
+
 
 class BoundedProtocolConnector(aiohttp.TCPConnector):
-    """Opens connections that limit interim responses.
+    """Opens connections that reject malformed responses.
+
+    All sessions use it; see ``BoundedResponseHandler``.
 
     :param keepalive_s: how long to keep idle connections; None closes each
         connection after its request.
--- a/src/dogwoodpost/adapters/http/pooled_connector.py
+++ b/src/dogwoodpost/adapters/http/pooled_connector.py
@@ -11,6 +11,7 @@
 from dogwoodpost.adapters.http.bounded_connector import (
     BoundedProtocolConnector,
 )
+from dogwoodpost.adapters.http.bounded_connector import KEEPALIVE_S
 from dogwoodpost.adapters.http.tracked_protocol import TrackedResponseHandler
 
 if TYPE_CHECKING:
@@ -26,9 +27,6 @@
     from dogwoodpost.observability import Metrics
 
 _log = structlog.get_logger(__name__)
-# Endpoints close idle connections earlier or later; a request that fails
-# because its connection was closed is repeated.
-_KEEPALIVE_S = 12.0
 _REQUEST_ID_HEADER = 'X-Request-Id'
 _MS_PER_S = 1_000
 _max_idle_s: ContextVar[float | None] = ContextVar('max_idle_s', default=None)
@@ -65,7 +63,7 @@
 
     def __init__(self, metrics: Metrics, *, limit: int = 0) -> None:
         super().__init__(
-            keepalive_s=_KEEPALIVE_S,
+            keepalive_s=KEEPALIVE_S,
             limit=limit,
             protocol=TrackedResponseHandler,
         )
--- a/src/dogwoodpost/adapters/platform/guarded_http_client.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http_client.py
@@ -10,6 +10,9 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.bounded_connector import (
+    BoundedProtocolConnector,
+)
 from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
@@ -144,9 +147,8 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    force_close=True,
-                    socket_factory=create_reset_on_close_socket,
+                connector=BoundedProtocolConnector(
+                    socket_factory=create_reset_on_close_socket
                 ),
                 timeout=aiohttp.ClientTimeout(total=self.timeout_s),
                 headers=self._headers,
--- a/src/dogwoodpost/cli/trainer.py
+++ b/src/dogwoodpost/cli/trainer.py
@@ -8,6 +8,10 @@
 import aiohttp
 import cyclopts
 
+from dogwoodpost.adapters.http.bounded_connector import (
+    BoundedProtocolConnector,
+)
+from dogwoodpost.adapters.http.bounded_connector import KEEPALIVE_S
 from dogwoodpost.client import TrainerClient
 from dogwoodpost.core import ids
 from dogwoodpost.standins.trainer import StandinTrainer
@@ -33,7 +37,8 @@
     entry_url: str, trainer_id: str, service: str, step_count: int, key: str
 ) -> TrainerState:
     state = TrainerState()
-    async with aiohttp.ClientSession() as session:
+    connector = BoundedProtocolConnector(keepalive_s=KEEPALIVE_S)
+    async with aiohttp.ClientSession(connector=connector) as session:
         client = TrainerClient(
             session,
             [entry_url],
--- a/src/dogwoodpost/demo/scenario.py
+++ b/src/dogwoodpost/demo/scenario.py
@@ -9,6 +9,10 @@
 import aiohttp
 import msgspec
 
+from dogwoodpost.adapters.http.bounded_connector import (
+    BoundedProtocolConnector,
+)
+from dogwoodpost.adapters.http.bounded_connector import KEEPALIVE_S
 from dogwoodpost.client import StepSubmission
 from dogwoodpost.client import TrainerClient
 from dogwoodpost.core import ids
@@ -282,8 +286,9 @@
 
     :raises DemoFailedError: a step had an unexpected result.
     """
+    connector = BoundedProtocolConnector(keepalive_s=KEEPALIVE_S)
     async with (
-        aiohttp.ClientSession() as session,
+        aiohttp.ClientSession(connector=connector) as session,
         administrator(system.entry.admin_port) as admin,
     ):
         scenario = Scenario(system, session, admin)
--- a/src/dogwoodpost/services/agent/process.py
+++ b/src/dogwoodpost/services/agent/process.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from dogwoodpost.adapters.clock import BoottimeClock
+from dogwoodpost.adapters.http.pooled_connector import PooledConnector
 from dogwoodpost.adapters.platform.platform_session import platform_session
 from dogwoodpost.adapters.platform.retrying_table_store import (
     RetryingTableStore,
@@ -86,7 +87,10 @@
         # Downloads of weights take longer than other calls, so their session
         # has no total timeout; the cache sets connect and read timeouts.
         session = await self.open_part(
-            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None))
+            aiohttp.ClientSession(
+                connector=PooledConnector(self.metrics),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
         )
         store = HttpWeightStore(
             session,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -116,3 +116,29 @@
         check=True,
     )
     assert output.stdout.strip() == '[]'
+
+
+def calls_in_sources(name: str) -> Iterator[tuple[Path, ast.Call]]:
+    """Yield the calls of an attribute, such as a class of aiohttp."""
+    for path in sorted(ROOT.rglob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr == name
+            ):
+                yield path, node
+
+
+def test_all_sessions_reject_malformed_responses() -> None:
+    """Guards against sessions with the connector of aiohttp.
+
+    BoundedProtocolConnector, the only class that extends it, checks the heads
+    of responses.
+    """
+    assert not [path for path, _ in calls_in_sources('TCPConnector')]
+    sessions = list(calls_in_sources('ClientSession'))
+    assert sessions
+    for path, call in sessions:
+        names = [keyword.arg for keyword in call.keywords]
+        assert 'connector' in names, path
