Take only named statuses for a success

In the own deployment, a 204, 206, 302 or 304 of the object store became an object, and a trainer that got 000, 101, 302 or 304 ended with a decoding error.

Cause: the object store's client and TrainerClient asked for status >= 400 only.

Change: an object is the body of a 200, a change is done with a 2xx, and TrainerClient repeats a call whose status no server may send.

--- a/src/dogwoodpost/adapters/platform/object_store.py
+++ b/src/dogwoodpost/adapters/platform/object_store.py
@@ -8,12 +8,15 @@
 import aiohttp
 
 from dogwoodpost.adapters.http.call_errors import call_failure
+from dogwoodpost.adapters.http.call_errors import CallError
+from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.errors import StoreUnavailableError
 from dogwoodpost.ports.object_store import ObjectStore
 
 if TYPE_CHECKING:
     from dogwoodpost.observability import Metrics
 
+_OK = 200
 _NOT_FOUND = 404
 
 
@@ -58,7 +61,7 @@
                 if response.status == _NOT_FOUND and method != 'PUT':
                     self._count_call(operation, 'missing')
                     return None
-                response.raise_for_status()
+                _check_status(method, response.status)
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             self._count_call(operation, 'unavailable')
@@ -70,3 +73,15 @@
     def _count_call(self, operation: str, result: str) -> None:
         if self._metrics is not None:
             self._metrics.store_calls.labels(operation, result).inc()
+
+
+def _check_status(method: str, status: int) -> None:
+    """Check that a call was successful.
+
+    Only a response with status 200 has an object as its body.
+
+    :raises CallError: the call failed.
+    """
+    is_done = status == _OK if method == 'GET' else is_success_status(status)
+    if not is_done:
+        raise CallError(f'status {status}')
--- a/src/dogwoodpost/client/trainer_client.py
+++ b/src/dogwoodpost/client/trainer_client.py
@@ -15,6 +15,8 @@
 from dogwoodpost.client.batch import Batch
 from dogwoodpost.core import ids
 from dogwoodpost.core.decoding import decode_json
+from dogwoodpost.core.http_status import is_final_status
+from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.core.rollouts.trainer_api import Acknowledgement
 from dogwoodpost.core.rollouts.trainer_api import ErrorReply
 from dogwoodpost.core.rollouts.trainer_api import FetchReply
@@ -202,7 +204,7 @@
         ) as response:
             body = await response.read()
             self._last_call_s = time.monotonic() - start_s
-            if response.status >= 400:
+            if not is_success_status(response.status):
                 raise _request_error(response.status, body)
             return decode_json(body, reply_type)
 
@@ -212,6 +214,9 @@
 
 
 def _request_error(status: int, body: bytes) -> RequestError:
+    if not is_final_status(status):
+        # No server may send it, so the body tells nothing either.
+        return RequestError('unavailable', 'an invalid status', status=503)
     try:
         detail = decode_json(body, ErrorReply).error
     except MalformedDataError:
--- a/src/dogwoodpost/core/http_status.py
+++ b/src/dogwoodpost/core/http_status.py
@@ -13,6 +13,11 @@
     return 100 <= status < 200 and status != _SWITCHING_PROTOCOLS
 
 
+def is_success_status(status: int) -> bool:
+    """Return whether a request was successful."""
+    return 200 <= status < 300
+
+
 def is_final_status(status: int) -> bool:
     """Return whether a response with the status may be the final one."""
     return 200 <= status < 600
