Check heads that agents of earlier builds pass on

In the own deployment, an entry took any status and any fields from an agent's message. While builds are mixed, an agent of an earlier one still takes what ours refuses, and the entry's client would have got it.

Cause: only the process that calls the endpoint checked the head.

Change: EntryAttempt fails an attempt whose head has an invalid status, name or value; its outcome is unknown.

Measured: 11 new cases of tests/core/attempts/test_entry_attempt.py failed before and pass now; the one on status 599 passed before.

--- a/src/dogwoodpost/core/attempts/entry_attempt.py
+++ b/src/dogwoodpost/core/attempts/entry_attempt.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from dogwoodpost.core import messages
+from dogwoodpost.core.http_headers import is_header
+from dogwoodpost.core.http_status import is_final_status
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
 from dogwoodpost.ports.attempt_runner import AttemptHead
@@ -85,7 +87,7 @@
             # so its answer does not show whether the attempt has run.
             self._fail_unknown('the agent has restarted')
         elif isinstance(part, messages.ResponseHead):
-            self._head = self._head or part
+            self._receive_head(part)
         elif isinstance(part, messages.ResponseChunk):
             self._receive_chunk(part)
         elif isinstance(part, messages.ResponseEnd):
@@ -151,6 +153,16 @@
     def _is_overdue(self, now_s: float) -> bool:
         return now_s > self.deadline_s + DEADLINE_GRACE_S
 
+    def _receive_head(self, head: messages.ResponseHead) -> None:
+        """Record the head, which an earlier build passes on unchecked."""
+        is_sound = is_final_status(head.status) and all(
+            is_header(name, value) for name, value in head.headers
+        )
+        if is_sound:
+            self._head = self._head or head
+        else:
+            self._fail_unknown('malformed response head')
+
     def _receive_chunk(self, part: messages.ResponseChunk) -> None:
         index = part.index
         if index < self.next_index or index in self._buffer:
--- a/tests/core/attempts/test_entry_attempt.py
+++ b/tests/core/attempts/test_entry_attempt.py
@@ -48,6 +48,15 @@
     ([HEAD, messages.AttemptMissing(**RESTARTED, restarted=False)], UNKNOWN),
     ([HEAD, REFUSED], type(None)),
     ([chunk(1), REFUSED], type(None)),
+    *(
+        ([messages.ResponseHead(**AGENT, status=status, headers=())], UNKNOWN)
+        for status in (-1, 0, 99, 100, 101, 199, 600, 999)
+    ),
+    ([messages.ResponseHead(**AGENT, status=599, headers=())], type(None)),
+    *(
+        ([messages.ResponseHead(**AGENT, status=200, headers=(h,))], UNKNOWN)
+        for h in (('Upgrade ', 'a'), ('', 'a'), ('X-A', 'a\x0b'))
+    ),
 ]
 
 
