--- a/src/dogwoodpost/adapters/platform/guarded_http_client.py
+++ b/src/dogwoodpost/adapters/platform/guarded_http_client.py
@@ -17,6 +17,7 @@
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
 from dogwoodpost.adapters.http.response_body import read_body
 from dogwoodpost.adapters.reset_on_close import set_reset_on_close
+from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.core.leases import LeaseTerms
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import PlatformError
@@ -138,7 +139,7 @@
         :raises PlatformOutcomeUnknownError: the platform may have accepted
             the document.
         """
-        if 200 <= status < 300:
+        if is_success_status(status):
             return
         if 300 <= status < 500 and status != 408:
             raise PlatformError(f'{path}: status {status}')
--- a/src/dogwoodpost/platform/endpoint_reply.py
+++ b/src/dogwoodpost/platform/endpoint_reply.py
@@ -10,6 +10,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.decoding import parse_integer
 from dogwoodpost.core.http_headers import end_to_end_headers
+from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import MalformedDataError
 from dogwoodpost.platform import header_names
@@ -103,7 +104,7 @@
         )
     if 'Content-Encoding' in headers:
         raise EndpointError('response has a Content-Encoding')
-    is_success = 200 <= response.status < 300
+    is_success = is_success_status(response.status)
     if is_success and header_names.SIGNATURE not in headers:
         raise EndpointError('successful response has no signature')
     if is_success and response_id is None:
--- a/src/dogwoodpost/services/batches/item_scorer.py
+++ b/src/dogwoodpost/services/batches/item_scorer.py
@@ -8,6 +8,7 @@
 import structlog
 
 from dogwoodpost.core.configuration import NO_LIMITS
+from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.core.routing import RouteQuery
 from dogwoodpost.errors import DogwoodpostError
 from dogwoodpost.errors import RequestError
@@ -234,7 +235,7 @@
         return previous_endpoint_ids
 
     def _score_from(self, head: AttemptHead | None) -> str | None:
-        if head is None or not 200 <= head.status < 300:
+        if head is None or not is_success_status(head.status):
             return None
         for name, value in head.headers:
             if name.lower() == self._score_header:
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -11,6 +11,7 @@
 
 from dogwoodpost.core.admission import actual_cost_tokens
 from dogwoodpost.core.connections import trusted_idle_s
+from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.streams import is_stream_head
 from dogwoodpost.errors import EndpointError
@@ -208,7 +209,7 @@
         """
         state = self._state
         if state.progress.has_begun:
-            if not 200 <= status < 300:
+            if not is_success_status(status):
                 raise attempt_failures.bad_status(state, status)
             return
         if status not in RETRIED_STATUSES or not self._request.idempotent:
