Bound the line of a head that is kept for its check

An endpoint that sends blanks or carriage returns without an end, which the parser skips, would have filled the memory of the new check.

Cause: the check keeps a line until its end arrives; the parser's limits count neither.

Change: a line of more than 16 KiB is refused; the parser takes 8,190 bytes.

Measured: test_endless_line_is_rejected, six of six failed before; 774 tests of tests/adapters/http and test_endpoint_troubles.py pass.

--- a/src/dogwoodpost/adapters/http/response_head.py
+++ b/src/dogwoodpost/adapters/http/response_head.py
@@ -16,6 +16,8 @@
 # RFC 9112, section 5.1: no blank between a name and its colon.
 _FIELD_NAME = re.compile(TOKEN_PATTERN.encode() + b':')
 _CONTROL_CODE = re.compile(CONTROL_CODE_PATTERN.encode())
+# The parser's own limit is 8,190 bytes, blanks around a value not counted.
+_MAX_LINE_BYTES = 16 * 1024
 # Begin a line that continues the value of the line before.
 _BLANKS = b' \t'
 
@@ -58,13 +60,18 @@
         while self._section is not _Section.BODY:
             end = data.find(b'\n', start)
             if end < 0:
-                self._partial_line += data[start:]
+                self._keep_partial_line(data[start:])
                 return
             line = self._partial_line + data[start:end]
             self._partial_line = b''
             self._check_line(line.removesuffix(b'\r'))
             start = end + 1
 
+    def _keep_partial_line(self, data: bytes) -> None:
+        self._partial_line += data
+        if len(self._partial_line) > _MAX_LINE_BYTES:
+            raise MalformedHeadError('a line that is too long')
+
     def _check_line(self, line: bytes) -> None:
         if self._section is _Section.STATUS_LINE:
             # The parser skips empty lines before the status line.
--- a/tests/adapters/http/test_response_head.py
+++ b/tests/adapters/http/test_response_head.py
@@ -102,6 +102,17 @@
         assert protocol.should_close
 
 
+@pytest.mark.parametrize('byte', [b'\r', b' ', b'a'])
+@pytest.mark.parametrize('before', [b'', b'HTTP/1.1 200 OK\r\nX-A: '])
+def test_endless_line_is_rejected(before: bytes, byte: bytes) -> None:
+    """Guards against lines that fill the memory; the parser skips some."""
+    validator = ResponseHeadValidator()
+    validator.feed(before)
+    with pytest.raises(MalformedHeadError):
+        for _ in range(100):
+            validator.feed(byte * 1_000)
+
+
 def hidden_response(interim: str, final: str) -> bytes:
     """Return an interim response whose body is a whole response."""
     hidden = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n'
