Tidy the rule on sessions and two texts

The rule of the layout sees calls by a bare name too, and a trainer's error names the invalid status. tests/test_layout.py and test_trainer_client.py pass.

--- a/src/dogwoodpost/adapters/http/bounded_protocol.py
+++ b/src/dogwoodpost/adapters/http/bounded_protocol.py
@@ -1,4 +1,4 @@
-"""Client protocol that rejects malformed heads and too many responses."""
+"""Client protocol that rejects malformed and endless responses."""
 
 from __future__ import annotations
 
--- a/src/dogwoodpost/client/trainer_client.py
+++ b/src/dogwoodpost/client/trainer_client.py
@@ -215,8 +215,9 @@
 
 def _request_error(status: int, body: bytes) -> RequestError:
     if not is_final_status(status):
-        # No server may send it, so the body tells nothing either.
-        return RequestError('unavailable', 'an invalid status', status=503)
+        # No server may send it, so its body is of no use either.
+        message = f'invalid HTTP status {status}'
+        return RequestError('unavailable', message, status=503)
     try:
         detail = decode_json(body, ErrorReply).error
     except MalformedDataError:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -119,14 +119,15 @@
 
 
 def calls_in_sources(name: str) -> Iterator[tuple[Path, ast.Call]]:
-    """Yield the calls of an attribute, such as a class of aiohttp."""
+    """Yield the calls of a class, by its name or as a module's attribute."""
     for path in sorted(ROOT.rglob('*.py')):
         for node in ast.walk(ast.parse(path.read_text())):
-            if (
-                isinstance(node, ast.Call)
-                and isinstance(node.func, ast.Attribute)
-                and node.func.attr == name
-            ):
+            if not isinstance(node, ast.Call):
+                continue
+            called = node.func
+            if isinstance(called, ast.Attribute) and called.attr == name:
+                yield path, node
+            elif isinstance(called, ast.Name) and called.id == name:
                 yield path, node
 
 
