Fuzz that accepted fields are those of the head

Generated heads of known and odd pieces, in the protocol class as it runs in production: either the call fails, or the fields are those that RFC 9112 reads.

--- a/tests/adapters/http/test_response_head.py
+++ b/tests/adapters/http/test_response_head.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
+import hypothesis
 import pytest
+from aiohttp.http_exceptions import HttpProcessingError
+from hypothesis import strategies as st
 
 from dogwoodpost.adapters.http.bounded_protocol import BoundedResponseHandler
 from dogwoodpost.adapters.http.response_head import MalformedHeadError
@@ -144,3 +148,45 @@
     )
     assert (await protocol.read())[0].code == 100
     assert (await protocol.read())[0].code == 200
+
+
+LINES = st.tuples(
+    st.sampled_from([b'', b'', b' ', b'\t']),
+    st.sampled_from([b'X-A', b'Connection', b'Upgrade', b'X\x00', b'']),
+    st.sampled_from([b': ', b': ', b':', b' :', b'']),
+    st.sampled_from([b'a', b'close', b'a: b', b'\x0b', b'\xe9', b' ', b'']),
+    st.sampled_from([b'\r\n', b'\r\n', b'\n', b'\r', b'\r\r\n']),
+).map(b''.join)
+
+
+def read_fields(head: bytes) -> list[tuple[bytes, bytes]]:
+    """Return the fields of a head as RFC 9112 reads them."""
+    fields: list[tuple[bytes, bytes]] = []
+    for line in head.replace(b'\r\n', b'\n').split(b'\n')[1:]:
+        if line[:1] in {b' ', b'\t'}:
+            name, value = fields[-1]
+            fields[-1] = (name, value + line)
+        elif line:
+            name, _, value = line.partition(b':')
+            fields.append((name, value))
+    return [(name, b''.join(value.split())) for name, value in fields]
+
+
+@hypothesis.given(st.lists(LINES, max_size=5).map(b''.join))
+async def test_accepted_fields_are_those_of_the_head(lines: bytes) -> None:
+    """Guards against parsers that lose, join or invent parts of a head."""
+    head = b'HTTP/1.1 200 OK\r\n' + lines
+    protocol = BoundedResponseHandler(asyncio.get_running_loop())
+    protocol.set_response_params(read_until_eof=True)
+    protocol.data_received(head + b'\r\n\r\n')
+    try:
+        message, _ = await protocol.read()
+    except (MalformedHeadError, HttpProcessingError):
+        return
+    end = re.search(rb'\n\r?\n', head + b'\r\n\r\n')
+    assert end is not None
+    accepted = [
+        (name, b''.join(value.split())) for name, value in message.raw_headers
+    ]
+    assert message.code == 200
+    assert accepted == read_fields(head[: end.start()])
