Test scores, reports and orders with malformed heads

The test on items and scores looked at the texts only, and both responses had the same score. Now the malformed one has a score of its own, and reports and orders of engines are called too.

--- a/tests/platform/malformed_responses.py
+++ b/tests/platform/malformed_responses.py
@@ -21,7 +21,9 @@
 class MalformedHead(msgspec.Struct, frozen=True, kw_only=True):
     """A response with a malformed head.
 
-    :param lines: header lines, each with what ends it.
+    It states a signature of its own, which is the score of a scoring call.
+
+    :param lines: header lines.
     """
 
     status: str = '200 OK'
@@ -30,7 +32,10 @@
     async def write(self, response: RawResponse) -> None:
         """Write the response; the connection stays open."""
         await response.write_lines(
-            f'HTTP/1.1 {self.status}', *self.lines, f'X-Mark: {MARK}'
+            f'HTTP/1.1 {self.status}',
+            *self.lines,
+            f'X-Mark: {MARK}',
+            f'X-Response-Signature: {MARK}',
         )
         await response.write(_BODY)
 
@@ -46,7 +51,7 @@
     )
 }
 
-# Names that the parser treats itself, and another one.
+# Names that the parser treats itself, and others.
 NAMES_BEFORE_BLANKS = {
     f'blank_after_{line}': MalformedHead(lines=(line,))
     for line in (
--- a/tests/platform/test_malformed_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -8,7 +8,10 @@
 import pytest
 import structlog.testing
 
+from dogwoodpost.core import ids
 from dogwoodpost.errors import EndpointError
+from dogwoodpost.ports.endpoint_gateway import SwitchMode
+from dogwoodpost.ports.endpoint_gateway import VersionOrder
 from tests.fakes.pipeline import endpoint
 from tests.platform.malformed_responses import BLANKS_FIRST
 from tests.platform.malformed_responses import MalformedResponses
@@ -39,7 +42,7 @@
     **BLANKS_FIRST,
     **TRANSFER_CODINGS,
 }
-# One head of each kind, for tests that take longer.
+# Heads of each kind, for tests that take longer.
 CHOSEN_HEADS = (
     'status_000',
     'status_999',
@@ -53,6 +56,12 @@
 )
 REPEATABLE_PATHS = ('/safe/a', '/resumable/a')
 SEND_ONCE_PATHS = ('/unsafe/a', '/stream/a')
+ORDER = VersionOrder(
+    model=ids.ModelName('model-a'),
+    version=ids.WeightVersion(2),
+    mode=SwitchMode.RESET,
+    expected_sequence=1,
+)
 WHOLE_STREAM = b''.join(event(number) for number in range(EVENT_COUNT))
 
 
@@ -98,6 +107,25 @@
     assert raw.connection_count == (3 if reuses else 4)
 
 
+@pytest.mark.parametrize('name', HEADS)
+async def test_malformed_head_is_no_report_and_no_outcome_of_an_order(
+    name: str,
+) -> None:
+    """Guards against orders that count as accepted or refused."""
+    responses = MalformedResponses(HEADS[name], is_stream=False)
+    async with (
+        raw_endpoint(responses.answer) as raw,
+        opened_gateway() as gateway,
+    ):
+        target = endpoint('e', 'engines', address=raw.address)
+        responses.malformed_left = 2
+        with pytest.raises(EndpointError, match='malformed response head'):
+            await gateway.report(target)
+        with pytest.raises(EndpointError, match='malformed response head'):
+            await gateway.order(target, ORDER, lambda: ids.FencingNumber(1))
+        assert responses.malformed_left == 0
+
+
 @pytest.mark.parametrize('name', CHOSEN_HEADS)
 @pytest.mark.parametrize('path', REPEATABLE_PATHS)
 async def test_request_is_repeated_after_a_malformed_head(
@@ -193,8 +221,13 @@
         await asyncio.sleep(0.5)
         item_responses.malformed_left = 2
         score_responses.malformed_left = 2
-        assert await site.submit(node, site.job(item_count=2), 'job-1') == 202
+        job = site.job(item_count=2)
+        assert await site.submit(node, job, 'job-1') == 202
         results = await site.results(node, 'job-1', 2)
+    assert {result['id']: result['score'] for result in results} == {
+        item['id']: f'signed-{item["scorer"]["id"]}'
+        for item in job['requests']
+    }
     assert {result['text'] for result in results} == {
         '\n'.join(f'piece {number}' for number in range(EVENT_COUNT))
     }
