Share the heads and sessions that two tests list

test_session_heads.py listed four of the six kinds of malformed heads a second time, and built the sessions of the own deployment as test_silent_sessions.py does.

--- a/tests/adapters/http/test_session_heads.py
+++ b/tests/adapters/http/test_session_heads.py
@@ -8,49 +8,29 @@
 import pytest
 
 from dogwoodpost.adapters.http.call_errors import CALL_ERRORS
-from dogwoodpost.adapters.http.endpoint_session import endpoint_session
 from dogwoodpost.adapters.platform.guarded_http_client import GuardedHttpClient
-from dogwoodpost.adapters.platform.platform_session import platform_session
-from dogwoodpost.config.settings import PlatformSettings
 from dogwoodpost.errors import PlatformError
 from dogwoodpost.errors import PlatformOutcomeUnknownError
 from dogwoodpost.observability import Metrics
 from dogwoodpost.platform.connection_counts import ConnectionCounts
 from dogwoodpost.platform.sessions import guarded_session
 from dogwoodpost.platform.sessions import http_session
-from tests.platform.malformed_responses import BLANKS_FIRST
+from tests.fakes.sessions import session_to_endpoints
+from tests.fakes.sessions import session_to_the_store
+from tests.platform.malformed_responses import HEADS
 from tests.platform.malformed_responses import MalformedResponses
-from tests.platform.malformed_responses import NAMES_BEFORE_BLANKS
 from tests.platform.malformed_responses import STATUSES
-from tests.platform.malformed_responses import TRANSFER_CODINGS
 from tests.platform.raw_endpoint import raw_endpoint
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Callable
-    from contextlib import AbstractAsyncContextManager
 
-    import aiohttp
+    from tests.fakes.sessions import OpenSession
 
-    OpenSession = Callable[
-        [], AbstractAsyncContextManager[aiohttp.ClientSession]
-    ]
-
-HEADS = {
-    **STATUSES,
-    **NAMES_BEFORE_BLANKS,
-    **BLANKS_FIRST,
-    **TRANSFER_CODINGS,
-}
-SETTINGS = PlatformSettings.model_validate(
-    {
-        'table_store_url': 'http://127.0.0.1:1',
-        'object_store_url': 'http://127.0.0.1:1',
-    }
-)
-SESSIONS: dict[str, OpenSession] = {
-    'endpoints': lambda: endpoint_session(Metrics()),
-    'store': lambda: platform_session(SETTINGS, Metrics()),
+SESSIONS: dict[str, Callable[[], OpenSession]] = {
+    'endpoints': session_to_endpoints,
+    'store': session_to_the_store,
     'kept': lambda: http_session(ConnectionCounts(Metrics()), reuse=True),
     'fresh': lambda: http_session(ConnectionCounts(Metrics()), reuse=False),
     'guarded': lambda: guarded_session(ConnectionCounts(Metrics())),
--- a/tests/adapters/http/test_silent_sessions.py
+++ b/tests/adapters/http/test_silent_sessions.py
@@ -3,44 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AbstractAsyncContextManager
 from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 
-from dogwoodpost.adapters.http.endpoint_session import endpoint_session
-from dogwoodpost.adapters.platform.platform_session import platform_session
-from dogwoodpost.config.settings import PlatformSettings
-from dogwoodpost.observability import Metrics
 from tests.fakes.fault_proxy import FaultProxy
+from tests.fakes.sessions import session_to_endpoints
+from tests.fakes.sessions import session_to_the_store
 from tests.platform.raw_endpoint import raw_endpoint
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tests.fakes.sessions import OpenSession
     from tests.platform.raw_endpoint import RawRequest
     from tests.platform.raw_endpoint import RawResponse
 
 KEPT_COUNT = 12
 TIMEOUT_S = 0.7
 
-OpenSession = AbstractAsyncContextManager[aiohttp.ClientSession]
-
-
-def session_to_endpoints() -> OpenSession:
-    return endpoint_session(Metrics())
-
-
-def session_to_the_store() -> OpenSession:
-    settings = PlatformSettings.model_validate(
-        {
-            'table_store_url': 'http://127.0.0.1:1',
-            'object_store_url': 'http://127.0.0.1:1',
-        }
-    )
-    return platform_session(settings, Metrics())
-
 
 @pytest.mark.parametrize(
     'open_session', [session_to_endpoints, session_to_the_store]
--- a/tests/platform/malformed_responses.py
+++ b/tests/platform/malformed_responses.py
@@ -104,6 +104,14 @@
         'Transfer-Encoding: chunked\r\nTransfer-Encoding: odd',
     )
 }
+HEADS = {
+    **STATUSES,
+    **NAMES_BEFORE_BLANKS,
+    **NAMES_WITH_CONTROL_BYTES,
+    **VALUES_WITH_CONTROL_BYTES,
+    **BLANKS_FIRST,
+    **TRANSFER_CODINGS,
+}
 
 
 class MalformedResponses:
--- a/tests/platform/test_malformed_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -13,15 +13,10 @@
 from dogwoodpost.ports.endpoint_gateway import SwitchMode
 from dogwoodpost.ports.endpoint_gateway import VersionOrder
 from tests.fakes.pipeline import endpoint
-from tests.platform.malformed_responses import BLANKS_FIRST
+from tests.platform.malformed_responses import HEADS
 from tests.platform.malformed_responses import MalformedResponses
 from tests.platform.malformed_responses import MARK
-from tests.platform.malformed_responses import NAMES_BEFORE_BLANKS
-from tests.platform.malformed_responses import NAMES_WITH_CONTROL_BYTES
 from tests.platform.malformed_responses import SOUND_BODY
-from tests.platform.malformed_responses import STATUSES
-from tests.platform.malformed_responses import TRANSFER_CODINGS
-from tests.platform.malformed_responses import VALUES_WITH_CONTROL_BYTES
 from tests.platform.opened_gateway import endpoint_call
 from tests.platform.opened_gateway import opened_gateway
 from tests.platform.platform_site import EVENT_COUNT
@@ -34,14 +29,6 @@
     from tests.platform.raw_endpoint import RawEndpoint
 
 _TIMEOUT_S = 3.0
-HEADS = {
-    **STATUSES,
-    **NAMES_BEFORE_BLANKS,
-    **NAMES_WITH_CONTROL_BYTES,
-    **VALUES_WITH_CONTROL_BYTES,
-    **BLANKS_FIRST,
-    **TRANSFER_CODINGS,
-}
 # Heads of each kind, for tests that take longer.
 CHOSEN_HEADS = (
     'status_000',
