Reject responses in one place of the protocol

feed_data passed messages on in two branches and rejected them in two others; both checks now raise, and one handler rejects. Behaviour as before.

--- a/src/dogwoodpost/adapters/http/bounded_protocol.py
+++ b/src/dogwoodpost/adapters/http/bounded_protocol.py
@@ -36,7 +36,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self._head_validator = ResponseHeadValidator()
+        self._head_validator: ResponseHeadValidator | None = None
         self._interim_count = 0
         self._is_rejected = False
 
@@ -62,27 +62,30 @@
         message, _ = data
         try:
             check_framing(message)
-        except MalformedHeadError as error:
+            self._check_interim_count(message)
+        except (MalformedHeadError, HttpProcessingError) as error:
             self._reject(error)
             return
+        super().feed_data(data, size)
+
+    def _check_interim_count(self, message: RawResponseMessage) -> None:
+        """Count interim responses up to the next final one.
+
+        :raises HttpProcessingError: there are too many.
+        """
         if not is_interim_status(message.code):
             self._interim_count = 0
-            super().feed_data(data, size)
             return
         self._interim_count += 1
-        if self._interim_count <= MAX_INTERIM_COUNT:
-            super().feed_data(data, size)
-        else:
-            self._reject(
-                HttpProcessingError(
-                    code=_STATUS_BAD_GATEWAY,
-                    message=f'more than {MAX_INTERIM_COUNT} interim responses',
-                )
+        if self._interim_count > MAX_INTERIM_COUNT:
+            raise HttpProcessingError(
+                code=_STATUS_BAD_GATEWAY,
+                message=f'more than {MAX_INTERIM_COUNT} interim responses',
             )
 
     def _parse(self, data: bytes) -> None:
-        # Without a parser, the bytes are kept until there is one.
-        if self._parser is not None:
+        # Bytes that arrive before the first request are kept until then.
+        if self._head_validator is not None:
             try:
                 self._head_validator.feed(data)
             except MalformedHeadError as error:
