--- a/review/lib-3/small_site.py
+++ b/review/lib-3/small_site.py
@@ -39,11 +39,16 @@
 _READY_TIMEOUT_S = 20.0
 _FIRST_PORT = 10_000
 _END_PORT = 30_000
-_ZONES = {
+PIZARRA_ZONES = {
     'montevideo-a': 'montevideo',
     'minas-a': 'minas',
     'colonia-a': 'colonia',
 }
+SWANMAT_ZONES = {
+    'osborne-park': 'perth-metro',
+    'picton': 'south-west',
+    'boulder': 'goldfields',
+}
 # The figures of the small deployments' sheets.
 _BOUNDS = {
     'seedLagS': 3,
@@ -131,6 +136,7 @@
         self.record = record
         self.folder = folder
         self.processes: list[Process] = []
+        self.zones = PIZARRA_ZONES
         self.store_address = ''
         self.duty_address = ''
 
@@ -177,7 +183,11 @@
         )
 
     def settings(
-        self, node: str, zone: str, store_address: str | None
+        self,
+        node: str,
+        zone: str,
+        store_address: str | None,
+        memory_mb: int,
     ) -> dict[str, Any]:
         port = free_port()
         return {
@@ -187,8 +197,8 @@
             'serves': ['front'],
             'ip': '127.0.0.1',
             'zone': zone,
-            'region': _ZONES[zone],
-            'zones': _ZONES,
+            'region': self.zones[zone],
+            'zones': self.zones,
             'listen': {
                 'front': f'127.0.0.1:{free_port()}',
                 'ready': f'127.0.0.1:{free_port()}',
@@ -199,7 +209,7 @@
             'limits': {
                 'cpuShare': 0.717,
                 'cores': 3,
-                'memoryMb': 370,
+                'memoryMb': memory_mb,
                 'maxFds': 8200,
                 'linkMbps': 1000.0,
                 'diskMb': 0,
@@ -242,11 +252,13 @@
     async def start_front(
         self,
         node: str,
-        zone: str = 'montevideo-a',
+        zone: str = '',
         store_address: str | None = None,
+        memory_mb: int = 370,
     ) -> tuple[Process, str]:
         """Start a process of the system; return it and its address."""
-        settings = self.settings(node, zone, store_address)
+        zone = zone or next(iter(self.zones))
+        settings = self.settings(node, zone, store_address, memory_mb)
         path = self.folder / f'{node}.json'
         path.write_text(json.dumps(settings), encoding='utf-8')
         with (self.folder / f'{node}.log').open('ab') as log:
@@ -315,7 +327,7 @@
 
 
 def server_entry(
-    service: str, address: str, sequence: int = 1, **fields: Any
+    service: str, address: str, **fields: Any
 ) -> dict[str, Any]:
     """Return the entry of a server in the platform's store."""
     return {
@@ -328,7 +340,7 @@
         'coldRemainingMs': 0,
         'stage': 'both',
         'models': [],
-        'sequence': sequence,
+        'sequence': 1,
         'born': int(time.time() * 1000),
         **fields,
     }
