Show a batch job that is deleted while it is open

It claims that LOST is broken: a batch job whose results are all listed is deleted 60 s after statusS although its client has not ended it, so that results which were read give 404.

--- a/review/lib-3/small_site.py
+++ b/review/lib-3/small_site.py
@@ -137,6 +137,7 @@
         self.folder = folder
         self.processes: list[Process] = []
         self.zones = PIZARRA_ZONES
+        self.bounds: dict[str, Any] = dict(_BOUNDS)
         self.store_address = ''
         self.duty_address = ''
 
@@ -217,7 +218,7 @@
             'discovery': 'platform',
             'entry': 'vip',
             'heartbeatMs': 1200,
-            'bounds': _BOUNDS,
+            'bounds': self.bounds,
             'platform': {
                 'address': store_address or self.store_address,
                 'form': 'table',
