--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,12 +1,11 @@
-"""Batch jobs with large bodies, and the memory that the processes need."""
+"""A batch job that its client has not ended is read again later."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
-import os
 import sys
+import time
 import uuid
 from collections import deque
 from pathlib import Path
@@ -17,78 +16,44 @@
 import small_site as lib  # noqa: E402
 from dogwoodpost.standins.site.sampler_app import SamplerApp  # noqa: E402
 from limited_machine import call  # noqa: E402
-from limited_machine import is_fault  # noqa: E402
-from limited_machine import Machine  # noqa: E402
 
-_MEMORY_MB = 180
-_NODES = tuple(f'front-osborne-park-{number}' for number in (1, 2, 3))
-# Each has another owner among the three processes.
-_MODELS = ('rkkr597919', 'ddrv346468', 'door944117')
-_JOB_COUNT = 66
+_MODEL = 'daka510000'
 _ITEM_COUNT = 8
-_BODY_BYTES = 325_000 if lib.TROUBLE else 600
-_JOB_INTERVAL_S = 0.3
-_ROUND_COUNT = 4
-
-
-def _job(number: int) -> dict[str, object]:
-    model = _MODELS[number % len(_MODELS)]
-    return {
-        'step': number,
-        'model': model,
-        'minVersion': 1,
-        'desired': 1,
-        'requests': [
-            {
-                'id': uuid.uuid4().hex[:16],
-                'path': f'/pule252/{number}/{item}',
-                'headers': {'X-Model': model, 'X-Token-Usage': '540,400'},
-                'body': base64.b64encode(os.urandom(_BODY_BYTES)).decode(),
-                'tokens': 940,
-                'group': f'g{number}',
-            }
-            for item in range(_ITEM_COUNT)
-        ],
-    }
-
-
-async def submit(
-    machines: list[Machine], number: int, items: dict[str, str]
-) -> int:
-    """Submit a job until it is accepted; return its size."""
-    document = _job(number)
-    body = json.dumps(document).encode()
-    job_id = uuid.uuid4().hex[:16]
-    for attempt in range(20):
-        machine = machines[(number + attempt) % len(machines)]
-        await machine.is_up.wait()
-        status, _ = await call(
-            machine.address, 'POST', '/pule252/7c41e0', job_id, body
-        )
-        if status == 202:
-            items[job_id] = document['requests'][0]['id']
-            return len(body)
-        await asyncio.sleep(0.2)
-    return 0
-
-
-async def read_bodies(machine: Machine, items: dict[str, str]) -> int:
-    """Request a body of each job at a machine; return the number got."""
-    count = 0
-    for job_id, item_id in items.items():
-        await machine.is_up.wait()
-        status, body = await call(
-            machine.address,
-            'GET',
-            f'/api/items/{job_id}?id={item_id}',
-            job_id,
-        )
-        count += status == 200 and len(body) == _BODY_BYTES
-    return count
+# 120 on the sheets; shorter, so that the script sees what comes after it.
+_STATUS_S = 20 if lib.TROUBLE else 120
+_READ_INTERVAL_S = 4.0
+_WATCH_S = 100.0
+_NOT_FOUND = (404, 410)
+
+
+def _job() -> bytes:
+    return json.dumps(
+        {
+            'step': 1,
+            'model': _MODEL,
+            'minVersion': 1,
+            'desired': 1,
+            'requests': [
+                {
+                    'id': uuid.uuid4().hex[:16],
+                    'path': f'/pule252/3/{number}',
+                    'headers': {
+                        'X-Model': _MODEL,
+                        'X-Token-Usage': '540,400',
+                        'X-Prompt-Prefix': '9c2e41:300,5d07b8:240',
+                    },
+                    'body': 'q83vEjRWeJA=',
+                    'tokens': 940,
+                    'group': 'g1002a',
+                }
+                for number in range(_ITEM_COUNT)
+            ],
+        }
+    ).encode()
 
 
 async def main(site: lib.SmallSite) -> int:
-    site.zones = lib.SWANMAT_ZONES
+    site.bounds['statusS'] = _STATUS_S
     site.configure(
         routes=[
             {
@@ -99,65 +64,63 @@
                 'timeoutMs': 10000,
                 'targetLatencyMs': 500,
                 'dueMs': 7500,
-                'queueTtlS': 100,
+                'queueTtlS': 40,
                 'priority': 0,
                 'maxAttempts': 3,
                 'public': False,
             }
         ],
-        services=[{'name': 'huvo11a', 'engine': {'slots': 12}}],
+        services=[{'name': 'huvo11a', 'engine': {'slots': 16}}],
     )
     sampler = SamplerApp(
-        'i-7f3a91c2', event_count=60, models=_MODELS, faults=deque()
+        'i-7f3a91c2', event_count=25, models=(_MODEL,), faults=deque()
     )
     sampler.event_gap_s = 0.02
     async with lib.serving(sampler.app()) as address:
-        entry = lib.server_entry(
-            'huvo11a',
-            address,
-            slots=12,
-            zone='osborne-park',
-            models=[
-                {'name': model, 'version': 1, 'adapters': []}
-                for model in _MODELS
-            ],
-        )
+        models = [{'name': _MODEL, 'version': 1, 'adapters': []}]
+        entry = lib.server_entry('huvo11a', address, models=models)
         site.put('servers', 'i-7f3a91c2', entry)
-        machines = [Machine(site, node, _MEMORY_MB) for node in _NODES]
-        tasks = [asyncio.create_task(machine.run()) for machine in machines]
-        try:
-            return await _load(site, machines)
-        finally:
-            for task in tasks:
-                task.cancel()
+        addresses = [
+            (await site.start_front(f'front-montevideo-a-{number}'))[1]
+            for number in (1, 2)
+        ]
+        await asyncio.sleep(2.0)
+        return await _read(site, addresses)
 
 
-async def _load(site: lib.SmallSite, machines: list[Machine]) -> int:
-    for machine in machines:
-        async with asyncio.timeout(20.0):
-            await machine.is_up.wait()
-    items: dict[str, str] = {}
-    size = 0
-    for number in range(_JOB_COUNT):
-        size += await submit(machines, number, items)
-        await asyncio.sleep(_JOB_INTERVAL_S)
-    site.record.add(
-        f'{len(items)} jobs accepted, {size / len(items) / 1e6:.2f} MB of '
-        f'JSON each'
+async def _read(site: lib.SmallSite, addresses: list[str]) -> int:
+    job_id = uuid.uuid4().hex[:16]
+    status, _ = await call(
+        addresses[0], 'POST', '/pule252/7c41e0', job_id, _job()
     )
-    for machine in machines:
-        site.record.add(f'{machine.node}: peak {machine.peak_mb:.0f} MB')
-    for number in range(_ROUND_COUNT):
-        counts = await asyncio.gather(
-            *(read_bodies(machine, items) for machine in machines)
-        )
-        site.record.add(f'round {number}: bodies got {counts}')
-    for machine in machines:
-        site.record.add(
-            f'{machine.node}: killed {machine.kill_count} times, peak '
-            f'{machine.peak_mb:.0f} MB'
-        )
-    return lib.EXIT_BROKEN if is_fault(machines) else lib.EXIT_HELD
+    site.record.add(f'job {job_id} is submitted: status {status}')
+    if status != 202:
+        return lib.EXIT_NOT_RUN
+    start_s = time.monotonic()
+    known: list[object] = []
+    while time.monotonic() - start_s < _WATCH_S:
+        for address in addresses:
+            status, body = await call(
+                address, 'GET', f'/api/lots/{job_id}?after=0', job_id
+            )
+            results = json.loads(body)['results'] if status == 200 else []
+            age_s = time.monotonic() - start_s
+            site.record.add(
+                f'{age_s:.1f} s after the 202, read from the start: status '
+                f'{status}, {len(results)} results'
+            )
+            is_lost = status in _NOT_FOUND
+            if status == 200:
+                is_lost = results[: len(known)] != known
+                known = max(known, results, key=len)
+            if is_lost:
+                site.record.add(
+                    f'{len(known)} results were read before, and the client '
+                    'has not ended the job'
+                )
+                return lib.EXIT_BROKEN
+        await asyncio.sleep(_READ_INTERVAL_S)
+    return lib.EXIT_HELD if len(known) == _ITEM_COUNT else lib.EXIT_NOT_RUN
 
 
 if __name__ == '__main__':
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,5 +7,5 @@
 PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1 python3 -c '
 import sys
 sys.path.insert(0, "review/lib-3")
-import limited_machine, small_site, stream_server
+import limited_machine, reading_server, small_site, stream_server
 '
--- a/review/lib-3/limited_machine.py
+++ b/review/lib-3/limited_machine.py
@@ -72,7 +72,13 @@
 
 
 async def call(
-    address: str, method: str, path: str, job_id: str, body: bytes = b''
+    address: str,
+    method: str,
+    path: str,
+    request_id: str,
+    body: bytes = b'',
+    *,
+    deadline_ms: int = 4000,
 ) -> tuple[int, bytes]:
     """Make a call on a new connection; status 0 if it gets no answer."""
     host, _, port = address.partition(':')
@@ -82,7 +88,7 @@
             writer.write(
                 f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
                 f'Authorization: Bearer {KEY}\r\n'
-                f'X-Request-Id: {job_id}\r\nX-Deadline-Ms: 4000\r\n'
+                f'X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
                 'Connection: close\r\n'
                 f'Content-Length: {len(body)}\r\n\r\n'.encode()
             )
--- a/review/lib-3/small_site.py
+++ b/review/lib-3/small_site.py
@@ -106,9 +106,7 @@
 class Process:
     """A started process; ``name`` is its node or server."""
 
-    def __init__(
-        self, name: str, child: asyncio.subprocess.Process
-    ) -> None:
+    def __init__(self, name: str, child: asyncio.subprocess.Process) -> None:
         self.name = name
         self.child = child
 
@@ -177,9 +175,7 @@
                     'headerTimeoutMs': 3000,
                     'idleTimeoutMs': 15000,
                 },
-                'tenants': [
-                    {'name': TENANT, 'apiKeys': [KEY], 'priority': 1}
-                ],
+                'tenants': [{'name': TENANT, 'apiKeys': [KEY], 'priority': 1}],
             },
         )
 
@@ -327,9 +323,7 @@
         await runner.cleanup()
 
 
-def server_entry(
-    service: str, address: str, **fields: Any
-) -> dict[str, Any]:
+def server_entry(service: str, address: str, **fields: Any) -> dict[str, Any]:
     """Return the entry of a server in the platform's store."""
     return {
         'service': service,
