End streams without a length only after a whole event

Cause: the end of the connection ends such a response, and the kernel closes the connections of a crashed process like sound ones. Whether the bytes end after a whole event was asked only for continuations, items and resumable routes, and whether there were events only for continuations and items. The product's agents asked neither, and took a reset for an end.

Change: EventScanner says where events end, StreamRun whether events are missing, for first runs too if only the connection marks the end. Streams of plain services at agents follow the same rule. BodyEnd tells both HTTP clients how a body ends and whether a reset ended it. Events may end with CR or CRLF, and long events are no longer copied for each piece.

--- a/src/dogwoodpost/adapters/http/endpoint_client.py
+++ b/src/dogwoodpost/adapters/http/endpoint_client.py
@@ -11,6 +11,7 @@
 import msgspec
 import yarl
 
+from dogwoodpost.adapters.http.body_end import BodyEnd
 from dogwoodpost.adapters.http.call_errors import CALL_ERRORS
 from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.adapters.http.response_body import MAX_DOCUMENT_BYTES
@@ -86,6 +87,8 @@
     ) -> None:
         self._response = response
         self._idle_timeout_s = idle_timeout_s
+        self._body_end = BodyEnd(response)
+        self.ends_with_connection = self._body_end.is_connection_end
         self.status = response.status
         self.headers = end_to_end_headers(
             response.headers.items(), _HEADERS_SET_BY_AIOHTTP
@@ -111,6 +114,7 @@
                     f'body ended early: {call_failure(error)}'
                 ) from error
             if not data:
+                self._body_end.check_not_reset()
                 return
             for start in range(0, len(data), _MAX_CHUNK_BYTES):
                 yield data[start : start + _MAX_CHUNK_BYTES]
--- a/src/dogwoodpost/core/streams/event_block.py
+++ b/src/dogwoodpost/core/streams/event_block.py
@@ -20,8 +20,8 @@
 
 def event_fields(block: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yield the names and values of an event's fields, without comments."""
-    for line in block.split(b'\n'):
-        name, _, value = line.rstrip(b'\r').partition(b':')
+    for line in block.splitlines():
+        name, _, value = line.partition(b':')
         if name:
             yield name, value.removeprefix(b' ')
 
@@ -57,6 +57,6 @@
 def is_comment(block: bytes) -> bool:
     """Return whether a block has no fields, such as a keep-alive."""
     return all(
-        not line.rstrip(b'\r') or line.startswith(_COMMENT_START)
-        for line in block.split(b'\n')
+        not line or line.startswith(_COMMENT_START)
+        for line in block.splitlines()
     )
--- a/src/dogwoodpost/core/streams/ordered_event_splitter.py
+++ b/src/dogwoodpost/core/streams/ordered_event_splitter.py
@@ -6,13 +6,12 @@
 
 from dogwoodpost.core.streams.event_block import event_id
 from dogwoodpost.core.streams.event_block import is_comment
-from dogwoodpost.core.streams.event_splitter import EVENT_END
 from dogwoodpost.core.streams.event_splitter import EventSplitter
 from dogwoodpost.errors import EndpointError
 
 # Replaces the comments of a run that continues a stream: their text would
 # stand in the middle of another endpoint's response.
-_EMPTY_COMMENT = b':'
+_EMPTY_COMMENT = b':\n\n'
 
 
 class EventChunk(msgspec.Struct, frozen=True):
@@ -66,15 +65,19 @@
                 has_events = True
                 self._check_event(block)
                 checked.append(block)
-        joined = EVENT_END.join(checked) + EVENT_END
-        return EventChunk(joined, self._last_id, has_events, self._can_resume)
+        return EventChunk(
+            b''.join(checked), self._last_id, has_events, self._can_resume
+        )
 
-    def finish(self) -> None:
-        """Check that the stream has not ended in the middle of an event.
+    def finish(self) -> EventChunk | None:
+        """Return the comments at the end of the stream, None without any.
 
-        :raises EndpointError: an incomplete event is left.
+        :raises EndpointError: the stream has ended in the middle of an event.
         """
-        self._splitter.finish()
+        comments = self._splitter.finish()
+        if not comments or self._continues:
+            return None
+        return EventChunk(comments, self._last_id, False, self._can_resume)
 
     def _check_event(self, block: bytes) -> None:
         """Check and record the id of an event."""
--- a/src/dogwoodpost/core/streams/stream_progress.py
+++ b/src/dogwoodpost/core/streams/stream_progress.py
@@ -37,12 +37,22 @@
         self._resumable = self._resumable and is_stream
         self._names_versions = names_version
 
-    def next_run(self) -> StreamRun | None:
-        """Return the checks of the next run, None before a head."""
+    def next_run(self, requested_after: int | None) -> StreamRun:
+        """Return the checks of the next run.
+
+        :param requested_after: event after which the caller itself resumes
+            the stream of an earlier request, None if it does not.
+        """
         if not self.has_begun:
-            return None
+            return StreamRun(
+                after=requested_after,
+                names_versions=None,
+                must_be_stream=False,
+            )
+        after = self.last_event_id
         return StreamRun(
-            after=self.last_event_id, names_versions=self._names_versions
+            after=requested_after if after is None else after,
+            names_versions=self._names_versions,
         )
 
     def note_data(
--- a/src/dogwoodpost/platform/endpoint_reply.py
+++ b/src/dogwoodpost/platform/endpoint_reply.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from dogwoodpost.adapters.http.body_end import BodyEnd
 from dogwoodpost.adapters.http.call_errors import CALL_ERRORS
 from dogwoodpost.adapters.http.call_errors import call_failure
 from dogwoodpost.core import ids
@@ -23,7 +24,6 @@
     from collections.abc import AsyncIterator
 
     import aiohttp
-    from aiohttp.client_proto import ResponseHandler
 
     from dogwoodpost.core.batches import StreamEvent
 
@@ -35,9 +35,8 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
-        # Taken now: the response releases its connection with the end of
-        # the body.
-        self._body_connection = _close_delimited_connection(response)
+        self._body_end = BodyEnd(response)
+        self.ends_with_connection = self._body_end.is_connection_end
         self.status = response.status
         self.headers = end_to_end_headers(response.headers.items())
         self.weight_version = _weight_version(response)
@@ -51,7 +50,7 @@
             raise EndpointError(
                 f'response body ended early: {call_failure(error)}'
             ) from error
-        self._check_not_reset()
+        self._body_end.check_not_reset()
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yield the events of a stream, each once it is complete."""
@@ -61,22 +60,6 @@
                 yield event
         decoder.finish()
 
-    def _check_not_reset(self) -> None:
-        """Check that the body was not ended by a connection reset.
-
-        A body without a length ends when its connection closes, and aiohttp
-        treats a reset as such an end too.
-
-        :raises EndpointError: the connection was reset.
-        """
-        if self._body_connection is None:
-            return
-        error = self._body_connection.exception()
-        if isinstance(error, OSError):
-            raise EndpointError(
-                f'response body ended early: {call_failure(error)}'
-            )
-
 
 def check_response(
     response: aiohttp.ClientResponse, request_id: ids.RequestId
@@ -121,20 +104,6 @@
     return delay_s if 0.0 <= delay_s < math.inf else None
 
 
-def _close_delimited_connection(
-    response: aiohttp.ClientResponse,
-) -> ResponseHandler | None:
-    """Return the connection if its close marks the end of the body.
-
-    :returns: None if the headers state how the body ends.
-    """
-    has_length = 'Content-Length' in response.headers
-    if has_length or 'Transfer-Encoding' in response.headers:
-        return None
-    connection = response.connection
-    return connection.protocol if connection is not None else None
-
-
 def _weight_version(
     response: aiohttp.ClientResponse,
 ) -> ids.WeightVersion | None:
--- a/src/dogwoodpost/ports/attempt_runner.py
+++ b/src/dogwoodpost/ports/attempt_runner.py
@@ -51,11 +51,14 @@
     """Status and headers of the response.
 
     :param weight_version: weight version that the head names.
+    :param ends_with_connection: only the end of the endpoint's connection
+        marks that of the body.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     weight_version: ids.WeightVersion | None = None
+    ends_with_connection: bool = False
 
 
 class AttemptData(msgspec.Struct, frozen=True):
--- a/src/dogwoodpost/ports/endpoint_client.py
+++ b/src/dogwoodpost/ports/endpoint_client.py
@@ -42,10 +42,15 @@
 
 
 class EndpointResponse(abc.ABC):
-    """A response whose body is still being received."""
+    """A response whose body is still being received.
+
+    :param ends_with_connection: only the end of the connection marks that of
+        the body.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    ends_with_connection: bool = False
 
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/src/dogwoodpost/ports/endpoint_gateway.py
+++ b/src/dogwoodpost/ports/endpoint_gateway.py
@@ -73,11 +73,14 @@
     """A response whose head has arrived and whose body is being received.
 
     :param weight_version: weight version that produced the first token.
+    :param ends_with_connection: only the end of the connection marks that of
+        the body.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     weight_version: ids.WeightVersion | None
+    ends_with_connection: bool = False
 
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/src/dogwoodpost/services/agent/attempt_worker.py
+++ b/src/dogwoodpost/services/agent/attempt_worker.py
@@ -12,6 +12,9 @@
 from dogwoodpost.core.attempts.response_usage import ResponseUsage
 from dogwoodpost.core.http_headers import is_event_stream
 from dogwoodpost.core.messages import AttemptOutcome
+from dogwoodpost.core.streams import EventScanner
+from dogwoodpost.core.streams import requested_resume_point
+from dogwoodpost.core.streams import StreamRun
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import TransportError
 from dogwoodpost.ports.endpoint_client import EndpointRequest
@@ -26,6 +29,7 @@
     from dogwoodpost.core.attempts import AgentAttempts
     from dogwoodpost.core.attempts import AttemptKey
     from dogwoodpost.core.attempts import AttemptRecord
+    from dogwoodpost.core.http_headers import Headers
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.ports.endpoint_client import EndpointClient
@@ -155,30 +159,55 @@
                 record, response.status, response.headers
             )
             await self._send(record, head)
-            return await self._relay_body(
-                record, response, _is_engine(message)
-            )
+            if _is_engine(message):
+                return await self._relay_engine_body(record, response)
+            return await self._relay_body(record, response, message.headers)
 
-    async def _relay_body(
-        self,
-        record: AttemptRecord,
-        response: EndpointResponse,
-        is_engine: bool,
+    async def _relay_engine_body(
+        self, record: AttemptRecord, response: EndpointResponse
     ) -> ResponseUsage:
         is_stream = is_event_stream(response.headers)
         usage = ResponseUsage(
-            is_stream=is_stream,
-            max_body_bytes=_MAX_JSON_BODY_BYTES if is_engine else 0,
+            is_stream=is_stream, max_body_bytes=_MAX_JSON_BODY_BYTES
         )
         async for data in response.chunks():
-            if is_engine:
-                usage.feed(data)
-            chunk = self._attempts.add_chunk(record, data)
-            await self._send(record, chunk)
-        if is_engine and is_stream and not usage.done_event_received:
+            usage.feed(data)
+            await self._send(record, self._attempts.add_chunk(record, data))
+        if is_stream and not usage.done_event_received:
             raise EndpointError('the stream ended without its end mark')
         return usage
 
+    async def _relay_body(
+        self,
+        record: AttemptRecord,
+        response: EndpointResponse,
+        request_headers: Headers,
+    ) -> ResponseUsage:
+        """Relay a plain service's body; it reports no usage."""
+        stream_run = StreamRun(
+            after=requested_resume_point(request_headers),
+            names_versions=None,
+            must_be_stream=False,
+        )
+        stream_run.check_head(
+            response.status,
+            response.headers,
+            None,
+            ends_with_connection=response.ends_with_connection,
+        )
+        is_stream = is_event_stream(response.headers)
+        scanner = EventScanner()
+        async for data in response.chunks():
+            if is_stream:
+                scanner.feed(data)
+            await self._send(record, self._attempts.add_chunk(record, data))
+        if scanner.has_events:
+            stream_run.note_event()
+        stream_run.check_end()
+        if response.ends_with_connection:
+            scanner.check_end()
+        return ResponseUsage(is_stream=is_stream, max_body_bytes=0)
+
     async def _send(
         self, record: AttemptRecord, message: messages.AnyMessage
     ) -> None:
--- a/src/dogwoodpost/services/batches/item_run.py
+++ b/src/dogwoodpost/services/batches/item_run.py
@@ -238,7 +238,10 @@
                 after=self._text.last_event_id, names_versions=True
             )
             stream_run.check_head(
-                reply.status, reply.headers, reply.weight_version
+                reply.status,
+                reply.headers,
+                reply.weight_version,
+                ends_with_connection=reply.ends_with_connection,
             )
             if not self._versions.accept_reply(slot, reply.weight_version):
                 return RunOutcome.VERSION_MISMATCH
--- a/src/dogwoodpost/services/entry/attempt_run.py
+++ b/src/dogwoodpost/services/entry/attempt_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import aclosing
+from contextlib import contextmanager
 from typing import cast
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from dogwoodpost.core.http_status import is_success_status
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.streams import is_stream_head
+from dogwoodpost.core.streams import requested_resume_point
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
@@ -28,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
+    from collections.abc import Iterator
 
     from dogwoodpost.core import ids
     from dogwoodpost.core.routing import Endpoint
@@ -59,8 +62,9 @@
         self._observation = AttemptObservation(
             clock.monotonic_s(), clock.wall_s()
         )
-        # None unless the attempt continues a response that has begun.
-        self._stream_run = state.progress.next_run()
+        self._stream_run = state.progress.next_run(
+            requested_resume_point(state.request.headers)
+        )
 
     async def events(self) -> AsyncGenerator[AttemptEvent, None]:
         """Yield the events of this attempt that are forwarded to the caller.
@@ -102,7 +106,6 @@
                 while self._observation.end is None:
                     event = await self._next_event(run)
                     self._check_event(event)
-                    self._check_continuation(event)
                     yield event
         except AttemptFailure as failure:
             self._observation.failure_reason = failure.reason
@@ -169,36 +172,41 @@
         return remaining_s if limit_s is None else min(limit_s, remaining_s)
 
     def _check_event(self, event: AttemptEvent) -> None:
+        """Check an event of the response.
+
+        :raises AttemptFailure: the response is rejected.
+        """
         if isinstance(event, AttemptHead):
             self._observation.record_status(
                 event.status, self._request.service.kind
             )
             self._check_status(event.status)
+            with self._rejecting('not_continued'):
+                self._stream_run.check_head(
+                    event.status,
+                    event.headers,
+                    event.weight_version,
+                    ends_with_connection=event.ends_with_connection,
+                )
         elif isinstance(event, AttemptEnd):
             self._observation.end = event
             self._check_end(event)
+        elif event.has_events:
+            with self._rejecting('not_continued'):
+                self._stream_run.note_event()
 
-    def _check_continuation(self, event: AttemptEvent) -> None:
-        """Reject a response that does not continue the one that has begun.
+    @contextmanager
+    def _rejecting(self, reason: str) -> Iterator[None]:
+        """Reject the response if the block finds that it breaks its stream.
 
         :raises AttemptFailure: the response is rejected.
         """
-        stream_run = self._stream_run
-        if stream_run is None:
-            return
         try:
-            if isinstance(event, AttemptHead):
-                stream_run.check_head(
-                    event.status, event.headers, event.weight_version
-                )
-            elif isinstance(event, AttemptEnd):
-                stream_run.check_end()
-            elif event.has_events:
-                stream_run.note_event()
+            yield
         except EndpointError as error:
             self._observation.failed = True
             raise attempt_failures.outcome_unknown(
-                self._state, 'not_continued', str(error)
+                self._state, reason, str(error)
             ) from error
 
     def _check_status(self, status: int) -> None:
@@ -227,6 +235,8 @@
             end.prompt_tokens, end.cached_tokens, end.completion_tokens
         )
         if end.outcome is AttemptOutcome.COMPLETED:
+            with self._rejecting('stream_incomplete'):
+                self._stream_run.check_end()
             if not self._context.bills_begun_requests:
                 self._record_completed(end)
             return
--- a/src/dogwoodpost/services/entry/direct_attempt_runner.py
+++ b/src/dogwoodpost/services/entry/direct_attempt_runner.py
@@ -7,8 +7,9 @@
 from dogwoodpost.core.http_headers import is_event_stream
 from dogwoodpost.core.messages import AttemptOutcome
 from dogwoodpost.core.messages import RefusalReason
-from dogwoodpost.core.streams import is_event_id
+from dogwoodpost.core.streams import EventScanner
 from dogwoodpost.core.streams import OrderedEventSplitter
+from dogwoodpost.core.streams import requested_resume_point
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.ports.attempt_runner import AttemptData
 from dogwoodpost.ports.attempt_runner import AttemptEnd
@@ -24,13 +25,12 @@
     from collections.abc import AsyncIterator
 
     from dogwoodpost.core.routing import Endpoint
+    from dogwoodpost.core.streams import EventChunk
     from dogwoodpost.ports.attempt_runner import AttemptEvent
     from dogwoodpost.ports.attempt_runner import AttemptSpec
     from dogwoodpost.ports.endpoint_gateway import EndpointGateway
     from dogwoodpost.ports.endpoint_gateway import EndpointReply
 
-# In the HTML standard's section on server-sent events.
-_LAST_EVENT_ID = 'last-event-id'
 # None counts as a failure of the endpoint.
 _REFUSAL_REASONS = {
     NotRunReason.UNREACHABLE: None,
@@ -70,7 +70,10 @@
         try:
             async with self._gateway.open(endpoint, call) as reply:
                 yield AttemptHead(
-                    reply.status, reply.headers, reply.weight_version
+                    reply.status,
+                    reply.headers,
+                    reply.weight_version,
+                    reply.ends_with_connection,
                 )
                 async for data in _body_events(reply, spec):
                     yield data
@@ -93,34 +96,52 @@
 async def _body_events(
     reply: EndpointReply, spec: AttemptSpec
 ) -> AsyncIterator[AttemptData]:
-    """Yield the body; a resumable stream is yielded in whole events."""
-    if not spec.resumable or not is_event_stream(reply.headers):
+    """Yield the body; a resumable stream is yielded in whole events.
+
+    :raises EndpointError: the body ended early.
+    """
+    if not is_event_stream(reply.headers):
         async for data in reply.chunks():
             yield AttemptData(data)
         return
+    body = _whole_events(reply, spec) if spec.resumable else _stream(reply)
+    async for part in body:
+        yield part
+
+
+async def _whole_events(
+    reply: EndpointReply, spec: AttemptSpec
+) -> AsyncIterator[AttemptData]:
+    """Yield the events of a stream, each once it is complete."""
+    resume_after = spec.resume_after
+    if resume_after is None:
+        resume_after = requested_resume_point(spec.headers)
     splitter = OrderedEventSplitter(
-        _resume_point(spec), continues=spec.continues_response
+        resume_after, continues=spec.continues_response
     )
     async for data in reply.chunks():
-        piece = splitter.feed(data)
-        if piece is not None:
-            yield AttemptData(
-                piece.data,
-                ends_event=piece.can_resume,
-                last_event_id=piece.last_event_id,
-                has_events=piece.has_events,
-            )
-    splitter.finish()
-
+        chunk = splitter.feed(data)
+        if chunk is not None:
+            yield _attempt_data(chunk)
+    chunk = splitter.finish()
+    if chunk is not None:
+        yield _attempt_data(chunk)
 
-def _resume_point(spec: AttemptSpec) -> int | None:
-    """Return the id of the event after which the response has to resume.
 
-    A client may itself resume a stream that broke off in an earlier request.
-    """
-    if spec.resume_after is not None:
-        return spec.resume_after
-    for name, value in spec.headers:
-        if name.lower() == _LAST_EVENT_ID and is_event_id(value.encode()):
-            return int(value)
-    return None
+async def _stream(reply: EndpointReply) -> AsyncIterator[AttemptData]:
+    """Yield the bytes of a stream as they arrive."""
+    scanner = EventScanner()
+    async for data in reply.chunks():
+        scanner.feed(data)
+        yield AttemptData(data, has_events=scanner.has_events)
+    if reply.ends_with_connection:
+        scanner.check_end()
+
+
+def _attempt_data(chunk: EventChunk) -> AttemptData:
+    return AttemptData(
+        chunk.data,
+        ends_event=chunk.can_resume,
+        last_event_id=chunk.last_event_id,
+        has_events=chunk.has_events,
+    )
--- a/tests/adapters/http/test_endpoint_client.py
+++ b/tests/adapters/http/test_endpoint_client.py
@@ -11,6 +11,7 @@
 
 from dogwoodpost.adapters.http import HttpEndpointClient
 from dogwoodpost.adapters.http.endpoint_session import endpoint_session
+from dogwoodpost.adapters.reset_on_close import set_reset_on_close
 from dogwoodpost.core import ids
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.errors import EndpointUnsupportedError
@@ -112,6 +113,28 @@
     assert len(raw.requests) == 1
 
 
+async def test_reset_does_not_end_a_body_without_a_length() -> None:
+    """Guards against a part of a body that is taken for all of it.
+
+    aiohttp reports a reset as the end of such a body.
+    """
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        await asyncio.sleep(0.05)
+        set_reset_on_close(writer.get_extra_info('socket'), enabled=True)
+        writer.close()
+
+    raw = RawServer(b'')
+    raw.handle = handle
+    async with connected(raw) as client:
+        with pytest.raises(EndpointError, match='ended early'):
+            await call(client)
+
+
 async def test_silent_engine_is_found_before_the_time_limit() -> None:
     """Guards against waiting the whole time limit for a silent engine."""
     raw = RawServer(b'', silent=True)
--- a/tests/fakes/scripted_gateway.py
+++ b/tests/fakes/scripted_gateway.py
@@ -59,6 +59,7 @@
         self.status = response.status
         self.headers = response.headers
         self.weight_version = response.version
+        self.ends_with_connection = response.length_bytes is None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         body = self._response.body
--- a/tests/platform/raw_client.py
+++ b/tests/platform/raw_client.py
@@ -60,13 +60,16 @@
     version: str = '1.0',
     method: str = 'POST',
     read_delay_s: float = 0.0,
+    fields: tuple[str, ...] = (),
 ) -> RawAnswer:
     """Send a request and read until the connection ends.
 
     :param read_delay_s: how long to wait before the first read.
+    :param fields: further header lines.
     """
     address, port = node.front.removeprefix('http://').split(':')
     reader, writer = await asyncio.open_connection(address, int(port))
+    further_lines = ''.join(f'{field}\r\n' for field in fields)
     writer.write(
         (
             f'{method} {path} HTTP/{version}\r\n'
@@ -75,6 +78,7 @@
             f'X-Request-Id: raw-{port}-{id(writer)}\r\n'
             'X-Deadline-Ms: 2000\r\n'
             f'X-Model: {MODEL}\r\n'
+            f'{further_lines}'
             'Connection: close\r\n'
             'Content-Length: 0\r\n\r\n'
         ).encode()
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -78,6 +78,147 @@
                 assert not received.looks_whole
 
 
+# Parts of streams that end in the middle of an event, or without any.
+BROKEN_PARTS = [
+    b'',
+    b': comment\n\n',
+    event(0)[:6],
+    event(0)[:-1],
+    event(0) + event(1)[:-3],
+    event(0) + b': comm',
+]
+WHOLE_STREAM = b''.join(event(number) for number in range(EVENT_COUNT))
+LONG_EVENT = b'id: 0\ndata: ' + b'x' * 100_000 + b'\n\n'
+WHOLE_STREAMS = [
+    WHOLE_STREAM,
+    WHOLE_STREAM.replace(b'\n', b'\r\n'),
+    WHOLE_STREAM.replace(b'\n', b'\r'),
+    b': comment\n\n' + WHOLE_STREAM + b': comment\n',
+    LONG_EVENT,
+]
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('path', ['/stream/a', '/resumable/a', '/safe/a'])
+async def test_stream_without_a_length_ends_only_after_an_event(
+    site: Site, version: str, path: str
+) -> None:
+    """Guards against streams of a crashed endpoint that look whole.
+
+    The kernel closes the connections of a process that has crashed, and the
+    end of its connection is the end of a stream without a length.
+    """
+    async with site.node('node-1') as node:
+        for part in BROKEN_PARTS:
+            answer = broken(STREAM_FIELDS, part, resets=False)
+            async with raw_endpoint(answer) as endpoint:
+                move_all(site, endpoint.address)
+                await asyncio.sleep(0.3)
+                received = await raw_call(node, path, version=version)
+            assert endpoint.request_count
+            if 'stream' in path:
+                # It may have run, so it must not be sent again.
+                assert endpoint.request_count == 1
+            assert received.status in {0, 200, 502}
+            if received.status == 200:
+                assert not received.looks_whole
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('path', ['/stream/a', '/resumable/a'])
+async def test_whole_stream_without_a_length_reaches_the_client(
+    site: Site, version: str, path: str
+) -> None:
+    """Guards against sound streams that are taken for broken ones."""
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_head(*STREAM_FIELDS)
+        # An odd size, so that line ends are cut as well.
+        for start in range(0, len(stream), 1_001):
+            await response.write(stream[start : start + 1_001])
+        response.close()
+
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        move_all(site, endpoint.address)
+        await asyncio.sleep(0.5)
+        for number, stream in enumerate(WHOLE_STREAMS, 1):
+            received = await raw_call(node, path, version=version)
+            assert received.looks_whole
+            assert received.content == stream
+            assert endpoint.request_count == number
+
+
+@pytest.mark.parametrize(
+    ('fields', 'body'),
+    [
+        ((*STREAM_FIELDS, CHUNKED), EMPTY_CHUNK),
+        ((*STREAM_FIELDS, CHUNKED), chunk(b'data: a') + EMPTY_CHUNK),
+        ((*STREAM_FIELDS, 'Content-Length: 7'), b'data: a'),
+        (PLAIN_FIELDS, b'data: a'),
+    ],
+)
+async def test_end_that_the_endpoint_marks_is_passed_on(
+    site: Site, fields: tuple[str, ...], body: bytes
+) -> None:
+    """Guards against rejecting a response that HTTP marks as whole."""
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_head(*fields)
+        await response.write(body)
+        response.close()
+
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        move_all(site, endpoint.address)
+        await asyncio.sleep(0.5)
+        received = await raw_call(node, '/stream/a', version='1.1')
+    assert (received.status, received.looks_whole) == (200, True)
+    assert received.content == (b'' if body == EMPTY_CHUNK else b'data: a')
+
+
+async def test_client_may_resume_after_the_last_event(site: Site) -> None:
+    """Guards against rejecting the honest end of a client's continuation.
+
+    The endpoint has nothing left to send, so it names no weight version.
+    """
+    heads = [STREAM_FIELDS, STREAM_FIELDS[:1]]
+
+    async def answer(_: RawRequest, response: RawResponse) -> None:
+        await response.write_head(*fields)
+        response.close()
+
+    async with (
+        raw_endpoint(answer) as endpoint,
+        site.node('node-1') as node,
+    ):
+        move_all(site, endpoint.address)
+        await asyncio.sleep(0.5)
+        for fields in heads:
+            received = await raw_call(
+                node,
+                '/resumable/a',
+                version='1.1',
+                fields=(f'Last-Event-Id: {EVENT_COUNT - 1}',),
+            )
+            is_honest_end = fields is heads[1]
+            assert (
+                received.status == 200 and received.looks_whole
+            ) is is_honest_end
+            assert received.content == b''
+
+
+def move_all(site: Site, address: str) -> None:
+    """Let all endpoints of the site have the same address."""
+    for engine in site.engines:
+        site.move(engine, 'engines', address)
+    site.move(site.plain, 'plain', address)
+
+
 async def test_length_of_a_response_is_passed_on(site: Site) -> None:
     """Guards against a response that loses its length on the way.
 
--- a/tests/services/agent/test_attempt_worker.py
+++ b/tests/services/agent/test_attempt_worker.py
@@ -32,7 +32,13 @@
 class FakeResponse:
     status = 200
 
-    def __init__(self, content_type: str, steps: list[object]) -> None:
+    def __init__(
+        self,
+        content_type: str,
+        steps: list[object],
+        ends_with_connection: bool = False,
+    ) -> None:
+        self.ends_with_connection = ends_with_connection
         self.headers = (('Content-Type', content_type),)
         self._steps = steps
 
@@ -45,8 +51,15 @@
 
 
 class FakeClient:
-    def __init__(self, content_type: str, steps: list[object]) -> None:
-        self._response = FakeResponse(content_type, steps)
+    def __init__(
+        self,
+        content_type: str,
+        steps: list[object],
+        ends_with_connection: bool = False,
+    ) -> None:
+        self._response = FakeResponse(
+            content_type, steps, ends_with_connection
+        )
         self.cancelled: list[str] = []
 
     @contextlib.asynccontextmanager
@@ -71,12 +84,15 @@
 
 
 async def run(
-    agent: AgentAttempts, client: FakeClient, transport: FakeTransport
+    agent: AgentAttempts,
+    client: FakeClient,
+    transport: FakeTransport,
+    path: str = '/v1/completions',
 ) -> messages.ResponseEnd:
     worker = AttemptWorker(
         agent, {ENDPOINT: client}, transport, BoottimeClock(), Metrics()
     )
-    message = start(path='/v1/completions', remaining_ms=60_000)
+    message = start(path=path, remaining_ms=60_000)
     # Deadlines of the record are compared with the worker's clock.
     record = agent.start(message, BoottimeClock().monotonic_s())
     worker.start(record, message)
@@ -114,6 +130,33 @@
     await asyncio.sleep(0)
 
 
+@pytest.mark.parametrize(
+    ('data', 'is_whole'),
+    [
+        (b'', False),
+        (b': comment\n\n', False),
+        (b'data: a', False),
+        (b'data: a\n', False),
+        (b'data: a\n\n', True),
+        (b'data: a\r\n\r\n: comment\r\n', True),
+        (b'data: a\n\ndata: b', False),
+    ],
+)
+@pytest.mark.parametrize('ends_with_connection', [False, True])
+async def test_stream_without_a_length_ends_after_an_event(
+    data: bytes, is_whole: bool, ends_with_connection: bool
+) -> None:
+    """Guards against a plain service's broken stream that looks whole."""
+    agent = make_agent()
+    agent.record_hello(1, BoottimeClock().monotonic_s())
+    client = FakeClient(STREAM, [data], ends_with_connection)
+    end = await run(agent, client, FakeTransport(), path='/events')
+    outcome = AttemptOutcome.COMPLETED
+    if ends_with_connection and not is_whole:
+        outcome = AttemptOutcome.ENDPOINT_FAILED
+    assert end.outcome is outcome
+
+
 async def test_response_outlives_a_broken_connection() -> None:
     """Guards against losing a response when its connection breaks.
 
