Start the items of a job by slots and not all at once

Cause: the owner made a run, a task (about 8 KB) and, for each group, a read of the store for every item at once, and the dispatcher sorted all of them at each release and each 30 ms.

Change: ItemStarter starts a job's groups as earlier items are listed, two items a slot or 256, whichever is more, so that the jobs of the sheets (32 to 128 items) start as before. Groups with a listed item come first, then those with the longest items. Runs whose texts have been read are dropped.

--- a/src/dogwoodpost/services/batches/group_checkpoints.py
+++ b/src/dogwoodpost/services/batches/group_checkpoints.py
@@ -31,7 +31,8 @@
 class GroupCheckpoints:
     """Checkpoints of the item texts of one job, saved by group.
 
-    :param runs: the runs of the job's items; grows as they start.
+    The runs of groups that a trainer has read are dropped.
+
     :param listed_at_s: when each item was listed, on the process's clock.
     """
 
@@ -40,13 +41,12 @@
         archive: TextArchive,
         clock: Clock,
         job: BatchJob,
-        runs: Mapping[ids.ItemId, ItemRun],
         listed_at_s: Mapping[ids.ItemId, float],
     ) -> None:
         self._archive = archive
         self._clock = clock
         self._job = job
-        self._runs = runs
+        self._runs: dict[ids.ItemId, ItemRun] = {}
         self._listed_at_s = listed_at_s
         self._saved_counts: dict[ids.ItemId, int] = {}
         self._archived: set[ids.GroupId] = set()
@@ -62,8 +62,9 @@
             self._archived.add(group_id)
         return saved_progress
 
-    def note_started(self, run: ItemRun) -> None:
-        """Register a run whose text so far needs no checkpoint."""
+    def add_run(self, run: ItemRun) -> None:
+        """Add a run whose text so far needs no checkpoint."""
+        self._runs[run.item.item_id] = run
         self._saved_counts[run.item.item_id] = run.event_count
 
     async def write_checkpoints(self) -> None:
@@ -74,6 +75,7 @@
         """
         while True:
             await self._clock.sleep(_CHECKPOINT_INTERVAL_S)
+            self._drop_read_runs()
             await self._save(self._due_checkpoints())
 
     async def archive(self) -> None:
@@ -104,6 +106,15 @@
         for group_id in group_ids:
             await self._archive.delete(group_id)
 
+    def _drop_read_runs(self) -> None:
+        """Drop the runs whose texts are not needed any more."""
+        unread_ids = self._unread_group_ids()
+        for item_id, run in list(self._runs.items()):
+            is_listed = item_id in self._listed_at_s
+            if is_listed and run.item.group_id not in unread_ids:
+                del self._runs[item_id]
+                del self._saved_counts[item_id]
+
     def _due_checkpoints(self) -> dict[ids.GroupId, list[ItemProgress]]:
         """Return the progress, by group, that needs a new checkpoint."""
         progress_by_group: dict[ids.GroupId, list[ItemProgress]] = {}
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -22,6 +22,9 @@
 from dogwoodpost.errors import StoreRejectedError
 from dogwoodpost.services.batches.group_checkpoints import GroupCheckpoints
 from dogwoodpost.services.batches.item_run import ItemRun
+from dogwoodpost.services.batches.item_starter import ItemStarter
+from dogwoodpost.services.batches.item_starter import max_started_count
+from dogwoodpost.services.batches.item_starter import ordered_batches
 from dogwoodpost.services.batches.job_store import StoredHead
 from dogwoodpost.services.batches.limited_write import LimitedWrite
 
@@ -30,6 +33,7 @@
     from collections.abc import Coroutine
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from dogwoodpost.core.batches import BatchItem
     from dogwoodpost.core.batches import BatchJob
@@ -38,9 +42,6 @@
 
 _log = structlog.get_logger(__name__)
 _STORE_RETRY_DELAY_S = 0.2
-# Groups whose saved texts take longer to load are started one by one as their
-# texts arrive.
-_TEXT_LOAD_WAIT_S = 0.1
 _HAND_OVER_TIMEOUT_S = 0.8
 # Shortest time until a result is written again that the store has refused.
 _REJECTED_DELAY_S = 5.0
@@ -84,15 +85,22 @@
         self._max_batch_count: int | None = None
         self._item_tasks: set[asyncio.Task[None]] = set()
         self._auxiliary_tasks: list[asyncio.Task[Any]] = []
-        self._runs: dict[ids.ItemId, ItemRun] = {}
         self._checkpoints = GroupCheckpoints(
-            context.archive, context.clock, job, self._runs, self._listed_at_s
+            context.archive, context.clock, job, self._listed_at_s
+        )
+        self._starter = ItemStarter(
+            ordered_batches(
+                job.items, self._listed_at_s, self._expected_tokens
+            ),
+            self._load_progress,
+            self._start_items,
+            self._max_started_count,
         )
 
     @property
     def running_count(self) -> int:
         """Return how many items have no result yet."""
-        return len(self._item_tasks)
+        return self._starter.waiting_count + len(self._item_tasks)
 
     async def run(self) -> None:
         """Run until all items are listed, or the job ends or changes owner."""
@@ -108,7 +116,8 @@
             self._log_end()
 
     async def _run_to_end(self) -> None:
-        await self._start_items()
+        await self._starter.start_first()
+        self._spawn_auxiliary(self._starter.start_rest())
         checkpoint_task = self._spawn_auxiliary(
             self._checkpoints.write_checkpoints()
         )
@@ -153,6 +162,7 @@
             await self._write_hand_over()
 
     def _cancel_items(self) -> None:
+        self._starter.stop()
         for task in self._item_tasks:
             task.cancel()
 
@@ -212,47 +222,47 @@
     def _owns_job(self) -> bool:
         return self._assigns_job_here(self._stored_head)
 
-    async def _start_items(self) -> None:
-        """Start the items, each from its saved progress if there is any."""
-        groups: dict[ids.GroupId | None, list[BatchItem]] = {}
-        for item in self._job.items:
-            if item.item_id not in self._listed_at_s:
-                groups.setdefault(item.group_id, []).append(item)
-        loop = asyncio.get_running_loop()
-        load_tasks = {
-            loop.create_task(self._checkpoints.load(group_id)): items
-            for group_id, items in groups.items()
-        }
-        self._auxiliary_tasks += load_tasks
-        if not load_tasks:
-            return
-        # Groups are started together so that slots go to the longest items of
-        # all groups first.
-        completed_loads, pending_loads = await asyncio.wait(
-            load_tasks, timeout=_TEXT_LOAD_WAIT_S
+    def _expected_tokens(self, item: BatchItem) -> int:
+        return self._context.lengths.expected_tokens(
+            item.expected_token_count, longest_event_count=0
+        )
+
+    def _max_started_count(self) -> int:
+        configuration = self._context.routes.configuration
+        route = configuration.routes.get(self._job.route_name)
+        services = route.services if route is not None else ()
+        router = self._context.router
+        return max_started_count(
+            sum(router.slot_count(service) for service in services)
         )
-        for load in completed_loads:
-            self._start_group(load_tasks[load], load.result())
-        for load in pending_loads:
-            self._start_group(load_tasks[load], await load)
 
-    def _start_group(
+    async def _load_progress(
+        self, group_id: ids.GroupId | None
+    ) -> Mapping[ids.ItemId, ItemProgress]:
+        """Return the saved progress of a group, none if it is too late."""
+        if self._remaining_lifetime_s() <= 0.0:
+            return {}
+        return await self._checkpoints.load(group_id)
+
+    def _start_items(
         self,
-        items: Iterable[BatchItem],
+        items: Sequence[BatchItem],
         saved_progress: Mapping[ids.ItemId, ItemProgress],
     ) -> None:
         if not self._owns_job():
             # The job ended while the saved texts were being read.
             return
         for item in items:
+            if item.item_id in self._listed_at_s:
+                self._starter.note_ended([item.item_id])
+                continue
             run = ItemRun(
                 self._context,
                 self._job,
                 item,
                 saved_progress.get(item.item_id),
             )
-            self._runs[item.item_id] = run
-            self._checkpoints.note_started(run)
+            self._checkpoints.add_run(run)
             task = asyncio.get_running_loop().create_task(self._run_item(run))
             self._item_tasks.add(task)
             task.add_done_callback(self._on_item_done)
@@ -336,11 +346,12 @@
         self._stored_head = StoredHead(new_head, version)
         self._on_listed(self._stored_head, batch)
 
-    def _note_listed(self, results: Iterable[ItemResult]) -> None:
+    def _note_listed(self, results: Sequence[ItemResult]) -> None:
         now_s = self._context.clock.monotonic_s()
         for result in results:
             self._listed_at_s.setdefault(result.item_id, now_s)
             self._note_finished(result.item_id)
+        self._starter.note_ended(result.item_id for result in results)
 
     def _next_batch(self) -> list[ItemResult]:
         count = self._context.store.fitting_count(
@@ -362,6 +373,7 @@
         self._max_batch_count = max(len(batch) // 2, 1)
         if len(batch) == 1:
             self._pending.remove(batch[0])
+            self._starter.note_ended([batch[0].item_id])
             self._spawn_auxiliary(self._give_up_later(batch[0].item_id))
 
     async def _give_up_later(self, item_id: ids.ItemId) -> None:
@@ -369,9 +381,9 @@
 
         Before that, an item must not be given up.
         """
-        end_s = self._job.accepted_wall_s + self._job.item_lifetime_s
-        remaining_s = end_s - self._context.clock.wall_s()
-        await self._context.clock.sleep(max(remaining_s, _REJECTED_DELAY_S))
+        await self._context.clock.sleep(
+            max(self._remaining_lifetime_s(), _REJECTED_DELAY_S)
+        )
         self._pending.append(
             ItemResult(item_id=item_id, state=ResultState.ERRORED)
         )
@@ -410,6 +422,10 @@
             listed=stored_head.head.listed_count,
         )
 
+    def _remaining_lifetime_s(self) -> float:
+        end_s = self._job.accepted_wall_s + self._job.item_lifetime_s
+        return end_s - self._context.clock.wall_s()
+
     def _log_end(self) -> None:
         head = self._stored_head.head
         _log.info(
@@ -420,7 +436,7 @@
             state=head.state.value,
             listed=head.listed_count,
             total=head.total_count,
-            unfinished=len(self._item_tasks),
+            unfinished=self.running_count,
             age_ms=round(
                 (self._context.clock.wall_s() - self._job.accepted_wall_s)
                 * 1_000
