Bound the memory of batch jobs before they are accepted

Cause: beside the items that were all started at once, nothing counted what a job takes; only the bodies being read had a bound, and a decoded item takes three to twenty times the bytes of its JSON.

Change: one budget of 45% of the memory that the settings allow, for bodies of requests, jobs that run, jobs being decoded or loaded, and cached jobs and results, which give way to the others. A submission that doesn't fit is refused with 503 before it is stored. A job may take a quarter of the memory of the smallest process that may own it, so that all processes answer alike and each can take over what another accepted; the head states its memory. A takeover without memory is left to others.

--- a/src/dogwoodpost/core/batches/job_head.py
+++ b/src/dogwoodpost/core/batches/job_head.py
@@ -26,6 +26,8 @@
     :param listed_count: number of results that have a position in the job's
         list, where readers see them.
     :param route_name: route by which the job was submitted.
+    :param memory_bytes: memory that the job takes in its owner; 0 if an
+        earlier version has written the head.
     """
 
     owner_id: ids.ProcessId
@@ -36,6 +38,7 @@
     listed_count: int = 0
     state: JobState = JobState.OPEN
     route_name: ids.RouteName = ids.RouteName('')
+    memory_bytes: int = 0
 
     def belongs_to(
         self, process_id: ids.ProcessId, incarnation: ids.Incarnation
--- a/src/dogwoodpost/core/membership/host_weight.py
+++ b/src/dogwoodpost/core/membership/host_weight.py
@@ -14,6 +14,9 @@
 
 # Hosts with less than this share of the best weight own no jobs.
 _MIN_WEIGHT_SHARE = 0.25
+_MIB = 1024 * 1024
+# Memory of a host that does not state it.
+_DEFAULT_MEMORY_MB = 128.0
 
 
 class HostResources(msgspec.Struct, frozen=True, kw_only=True):
@@ -27,6 +30,11 @@
     descriptor_count: int = 0
     link_mbps: float = 0.0
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory to count on, in bytes."""
+        return int((self.memory_mb or _DEFAULT_MEMORY_MB) * _MIB)
+
 
 _NAMES = tuple(field.name for field in msgspec.structs.fields(HostResources))
 
--- a/src/dogwoodpost/errors.py
+++ b/src/dogwoodpost/errors.py
@@ -144,6 +144,10 @@
     """The platform's answer was lost; the call may have taken effect."""
 
 
+class MemoryExceededError(DogwoodpostError):
+    """Something would take more memory than the process may use for it."""
+
+
 class RequestError(DogwoodpostError):
     """An error that is reported to a caller over HTTP.
 
--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -11,6 +11,7 @@
 from dogwoodpost.core.batches import BatchItem
 from dogwoodpost.core.batches import BatchJob
 from dogwoodpost.core.batches import ScorerCall
+from dogwoodpost.core.batches.job_memory import decoding_memory_bytes
 from dogwoodpost.core.decoding import BoundedInteger
 from dogwoodpost.core.decoding import decode_json
 from dogwoodpost.core.decoding import MAX_INTEGER
@@ -18,12 +19,14 @@
 from dogwoodpost.core.http_headers import is_header_value
 from dogwoodpost.core.http_headers import is_request_target
 from dogwoodpost.errors import MalformedDataError
+from dogwoodpost.errors import MemoryExceededError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.platform import header_names
 from dogwoodpost.platform.job_forwarding import submission_to_forward
 from dogwoodpost.platform.request_reader import request_id_of
 from dogwoodpost.platform.request_reader import time_limit_s
 from dogwoodpost.services.entry.http.active_requests import RequestPhase
+from dogwoodpost.services.entry.refusals import memory_refusal
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -70,7 +73,7 @@
     :param desired: number of groups that the trainer waits for.
     """
 
-    requests: tuple[_WireItem, ...]
+    requests: list[_WireItem]
     step: BoundedInteger | None = None
     model: str | None = None
     min_version: BoundedInteger | None = None
@@ -124,19 +127,27 @@
             body = await reservation.read(
                 request, route.max_body_bytes, timeout_s
             )
-            job = _decode_job(
-                body,
-                job_id,
-                request.headers.get('Host', ''),
-                route,
-                identity.client_account_id if identity else None,
-                self._clock.wall_s(),
-            )
-            # From here on, the store may have the job.
-            active.phase = RequestPhase.RUNNING
-            await self._batches.submit(
-                job, start_s + timeout_s, submission_to_forward(request, body)
-            )
+            with self._batches.memory.reservation() as memory:
+                try:
+                    memory.grow(decoding_memory_bytes(body))
+                except MemoryExceededError as error:
+                    raise memory_refusal(error) from error
+                job = _decode_job(
+                    body,
+                    job_id,
+                    request.headers.get('Host', ''),
+                    route,
+                    identity.client_account_id if identity else None,
+                    self._clock.wall_s(),
+                )
+                # From here on, the store may have the job.
+                active.phase = RequestPhase.RUNNING
+                await self._batches.submit(
+                    job,
+                    start_s + timeout_s,
+                    submission_to_forward(request, body),
+                    memory,
+                )
         return web.Response(status=202)
 
     async def results(
@@ -229,7 +240,7 @@
 ) -> BatchJob:
     try:
         wire = decode_json(body, _WireJob)
-        items = tuple(_to_item(wire_item) for wire_item in wire.requests)
+        items = _to_items(wire.requests)
     except (MalformedDataError, ValueError) as error:
         raise RequestError(
             'malformed_batch_job', str(error), status=400, not_run=True
@@ -256,6 +267,21 @@
     )
 
 
+def _to_items(wire_items: list[_WireItem]) -> tuple[BatchItem, ...]:
+    """Convert the items of a submitted job and empty the list.
+
+    Each item is dropped once it is converted, since a large job would take
+    twice the memory otherwise.
+
+    :raises ValueError: an item can't be run.
+    """
+    items: list[BatchItem] = []
+    wire_items.reverse()
+    while wire_items:
+        items.append(_to_item(wire_items.pop()))
+    return tuple(items)
+
+
 def _to_item(wire: _WireItem) -> BatchItem:
     """Convert an item of a submitted job.
 
--- a/src/dogwoodpost/platform/batch_parts.py
+++ b/src/dogwoodpost/platform/batch_parts.py
@@ -23,6 +23,7 @@
 
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+    from dogwoodpost.core.memory_budget import MemoryBudget
     from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
     from dogwoodpost.ports.configuration_source import ConfigurationSource
     from dogwoodpost.ports.endpoint_gateway import EndpointGateway
@@ -47,11 +48,13 @@
     rng: random.Random,
     owner_count: Callable[[], int],
     peer_demands: PeerDemands,
+    memory: MemoryBudget,
 ) -> BatchContext:
     """Build the collaborators that all batch jobs of a process share.
 
     :param owner_count: returns the number of processes that own batch items.
     :param peer_demands: returns the demands of other processes at a time.
+    :param memory: memory for all work of the process.
     """
     clock = pipeline.clock
     pace = EndpointEventPace()
@@ -90,4 +93,5 @@
         rng=rng,
         metrics=pipeline.metrics,
         policy=pipeline.policy,
+        memory=memory,
     )
--- a/src/dogwoodpost/platform/ingress.py
+++ b/src/dogwoodpost/platform/ingress.py
@@ -22,6 +22,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from dogwoodpost.core.memory_budget import MemoryBudget
     from dogwoodpost.errors import RequestError
     from dogwoodpost.observability import Metrics
     from dogwoodpost.ports.configuration_source import ConfigurationSource
@@ -50,7 +51,7 @@
 class Ingress:
     """Serves clients' requests and the batch job API.
 
-    :param max_body_memory_bytes: bound on the memory of all request bodies.
+    :param body_memory: memory that request bodies may use.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         routes: RouteFinder,
         lifecycle: Lifecycle,
         metrics: Metrics,
-        max_body_memory_bytes: int,
+        body_memory: MemoryBudget,
     ) -> None:
         self._lifecycle = lifecycle
         self._authenticator = Authenticator(configuration)
@@ -71,7 +72,7 @@
             self._authenticator,
             lifecycle,
             pipeline.clock,
-            max_body_memory_bytes,
+            body_memory,
         )
         self._handler = RequestHandler(
             pipeline, self._reader, ends_streams_with_error=False
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -15,6 +15,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.admission import Admission
 from dogwoodpost.core.membership.peer_states import PeerStates
+from dogwoodpost.core.memory_budget import MemoryBudget
 from dogwoodpost.core.policy import PolicyHolder
 from dogwoodpost.core.stop_schedule import StopSchedule
 from dogwoodpost.core.weights.loading_endpoints import LoadingEndpoints
@@ -71,7 +72,11 @@
 _USAGE_WRITE_INTERVAL_S = 0.7
 _TICK_INTERVAL_S = 0.1
 _SETTINGS_CHECK_INTERVAL_S = 1.0
-# Share of the process's memory that request bodies may use.
+# Share of the process's memory for its work: bodies of requests, batch jobs
+# and caches. The rest is for the program itself, connections, the buffers of
+# calls and fragmentation.
+_WORK_MEMORY_SHARE = 0.45
+# Share of the process's memory that request bodies may use of that.
 _BODY_MEMORY_SHARE = 0.2
 # Clients that a stop refuses may turn to another process at once.
 _STOP_RETRY_AFTER_S = 0.05
@@ -99,6 +104,9 @@
         self._log_buffer = log_buffer
         self._clock = BoottimeClock()
         self._rng = random.Random()
+        self._memory = MemoryBudget(
+            int(settings.limits.memory_bytes * _WORK_MEMORY_SHARE)
+        )
         self._lifecycle = Lifecycle(_STOP_RETRY_AFTER_S)
         self._front_listener: Listener | None = None
         self._is_leaving = False
@@ -281,8 +289,8 @@
             routes=routes,
             lifecycle=self._lifecycle,
             metrics=self._metrics,
-            max_body_memory_bytes=int(
-                self._settings.limits.memory_bytes * _BODY_MEMORY_SHARE
+            body_memory=self._memory.part(
+                int(self._settings.limits.memory_bytes * _BODY_MEMORY_SHARE)
             ),
         )
         await self._open_addresses()
@@ -325,6 +333,7 @@
             rng=self._rng,
             owner_count=self._presence.owner_count,
             peer_demands=self._peer_states.demands,
+            memory=self._memory,
         )
         return BatchService(
             context,
--- a/src/dogwoodpost/platform/request_reader.py
+++ b/src/dogwoodpost/platform/request_reader.py
@@ -19,6 +19,7 @@
     from aiohttp import web
 
     from dogwoodpost.core.configuration import Route
+    from dogwoodpost.core.memory_budget import MemoryBudget
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.services.entry.http.active_requests import ActiveRequest
     from dogwoodpost.services.entry.http.authentication import Authenticator
@@ -46,7 +47,7 @@
     """Reads and checks requests.
 
     :param lifecycle: knows when a stop of this process cuts requests.
-    :param max_body_memory_bytes: bound on the memory of all request bodies.
+    :param body_memory: memory that request bodies may use.
     """
 
     def __init__(
@@ -55,11 +56,11 @@
         authenticator: Authenticator,
         lifecycle: Lifecycle,
         clock: Clock,
-        max_body_memory_bytes: int,
+        body_memory: MemoryBudget,
     ) -> None:
         self.lifecycle = lifecycle
         self._clock = clock
-        self.memory = BodyMemory(max_body_memory_bytes)
+        self.memory = BodyMemory(body_memory)
         self._routes = routes
         self._authenticator = authenticator
 
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -17,8 +17,6 @@
 from dogwoodpost.platform.listen_address import ListenAddress
 
 PATH_VARIABLE = 'DOGWOODPOST_BOOT'
-_MIB = 1024 * 1024
-_DEFAULT_MEMORY_MB = 128.0
 
 
 class _SettingsStruct(
@@ -47,7 +45,7 @@
     @property
     def memory_bytes(self) -> int:
         """Return the memory to count on, in bytes."""
-        return int((self.memory_mb or _DEFAULT_MEMORY_MB) * _MIB)
+        return self.resources.memory_bytes
 
     @property
     def resources(self) -> HostResources:
--- a/src/dogwoodpost/services/batches/batch_context.py
+++ b/src/dogwoodpost/services/batches/batch_context.py
@@ -4,10 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from dogwoodpost.core.batches.job_memory import job_memory_bytes
+from dogwoodpost.core.batches.started_items import max_started_count
+
 if TYPE_CHECKING:
     import random
 
+    from dogwoodpost.core import ids
     from dogwoodpost.core.allowed_regions import AllowedRegions
+    from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.batches import JobHead
     from dogwoodpost.core.batches.endpoint_gaps import EndpointGaps
     from dogwoodpost.core.batches.endpoint_pace import EndpointEventPace
@@ -15,6 +20,7 @@
     from dogwoodpost.core.batches.output_lengths import OutputLengths
     from dogwoodpost.core.membership import ProcessIdentity
     from dogwoodpost.core.membership.endpoint_registry import EndpointRegistry
+    from dogwoodpost.core.memory_budget import MemoryBudget
     from dogwoodpost.core.policy import PolicyHolder
     from dogwoodpost.core.routing import Router
     from dogwoodpost.observability import Metrics
@@ -28,7 +34,10 @@
 
 
 class BatchContext:
-    """Dependencies that the batch job services of a process share."""
+    """Dependencies that the batch job services of a process share.
+
+    :param memory: memory for all work of the process.
+    """
 
     def __init__(
         self,
@@ -50,6 +59,7 @@
         rng: random.Random,
         metrics: Metrics,
         policy: PolicyHolder,
+        memory: MemoryBudget,
     ) -> None:
         self.identity = identity
         self.store = store
@@ -68,9 +78,22 @@
         self.rng = rng
         self.metrics = metrics
         self.policy = policy
+        self.memory = memory
 
     def head_regions(self, head: JobHead) -> AllowedRegions:
         """Return the regions in which a job may be kept now."""
         return self.routes.allowed_regions(
             head.route_name, head.client_account_id
         )
+
+    def max_started_count(self, route_name: ids.RouteName) -> int:
+        """Return how many items of a route's job are started at a time."""
+        route = self.routes.configuration.routes.get(route_name)
+        services = route.services if route is not None else ()
+        return max_started_count(
+            sum(self.router.slot_count(service) for service in services)
+        )
+
+    def job_memory_bytes(self, job: BatchJob) -> int:
+        """Return the memory that a job takes in the process that runs it."""
+        return job_memory_bytes(job, self.max_started_count(job.route_name))
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -11,7 +11,9 @@
 from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.batches import JobState
+from dogwoodpost.core.batches.job_memory import max_job_memory_bytes
 from dogwoodpost.core.routing import RouteQuery
+from dogwoodpost.errors import MemoryExceededError
 from dogwoodpost.errors import RequestError
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
@@ -24,6 +26,7 @@
 from dogwoodpost.services.batches.result_cache import ResultCache
 from dogwoodpost.services.batches.takeover_watch import TakeoverWatch
 from dogwoodpost.services.composite_service import CompositeService
+from dogwoodpost.services.entry.refusals import memory_refusal
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -32,6 +35,8 @@
     from dogwoodpost.core.allowed_regions import AllowedRegions
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.membership.peer_states import ItemDemand
+    from dogwoodpost.core.memory_budget import MemoryBudget
+    from dogwoodpost.core.memory_budget import MemoryReservation
     from dogwoodpost.ports.job_forwarding import JobSubmission
     from dogwoodpost.services.batches.batch_context import BatchContext
     from dogwoodpost.services.batches.job_forwarder import JobForwarder
@@ -44,6 +49,8 @@
 # before a client is told that a job or new results do not exist.
 _MAX_HEAD_AGE_S = 1.5
 _NO_REGION_RETRY_AFTER_S = 1.0
+# Hosts with more memory may replace those that can't run a job.
+_TOO_LARGE_RETRY_AFTER_S = 2.0
 
 
 class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,15 +83,19 @@
         self._context = context
         self._presence = presence
         self._forwarder = forwarder
-        self._job_cache = JobCache(context.store)
-        self._result_cache = ResultCache()
+        self._job_cache = JobCache(context.store, context.memory)
+        self._result_cache = ResultCache(context.memory)
         self._workers = JobWorkers(
             context, self._job_cache, self._result_cache
         )
         self.directory = self._workers.directory
         self._takeover_watch = TakeoverWatch(context, presence, self._workers)
         self._job_cleaner = JobCleaner(
-            context, presence, self.directory, retention_s=retention_s
+            context,
+            presence,
+            self.directory,
+            self._job_cache,
+            retention_s=retention_s,
         )
 
     async def open_parts(self) -> None:
@@ -100,6 +111,11 @@
         finally:
             await self._workers.cancel()
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """Return the memory for all work of the process."""
+        return self._context.memory
+
     @property
     def running_count(self) -> int:
         """Return how many items run here."""
@@ -114,10 +130,13 @@
         job: BatchJob,
         deadline_s: float,
         submission: JobSubmission | None,
+        memory: MemoryReservation,
     ) -> None:
         """Store a job durably, here or through another process.
 
         :param deadline_s: when storing must end, on the process's clock.
+        :param memory: memory that the job takes while it is submitted; if it
+            runs here, it keeps the memory until its run ends.
         :param submission: the client's call, None if another process has
             forwarded it.
         :raises RequestError: the job is not accepted, or the outcome is
@@ -129,9 +148,10 @@
             job.route_name, job.client_account_id
         )
         self._check_has_region(job, allowed_regions)
+        self._check_size(job, allowed_regions)
         if submission is None:
             self._check_accepts_forwarded()
-            await self._accept(job, deadline_s)
+            await self._accept(job, deadline_s, memory)
             return
         outcome = await self._forwarder.forward(
             job, submission, allowed_regions
@@ -139,7 +159,7 @@
         if outcome is ForwardOutcome.ACCEPTED:
             return
         try:
-            await self._accept(job, deadline_s)
+            await self._accept(job, deadline_s, memory)
         except RequestError as error:
             if error.not_run and outcome is ForwardOutcome.UNKNOWN:
                 # The other process may still store the job.
@@ -192,17 +212,30 @@
         :raises RequestError: there is no such item, or it can't be read.
         """
         stored_head = await self._head_for_account(job_id, client_account_id)
-        allowed_regions = self._context.head_regions(stored_head.head)
-        try:
-            job = await self._job_cache.get(job_id, allowed_regions)
-        except StoreError as error:
-            raise _store_unavailable_error(error) from error
+        job = await self._load(job_id, stored_head.head)
         if job is not None:
             for item in job.items:
                 if item.item_id == item_id:
                     return item.body
         raise _unknown_job_error()
 
+    async def _load(self, job_id: ids.JobId, head: JobHead) -> BatchJob | None:
+        """Return a job, None if there is none.
+
+        :raises RequestError: it can't be read now.
+        """
+        job = self._workers.running_job(job_id)
+        if job is not None:
+            return job
+        try:
+            return await self._job_cache.get(
+                job_id, head, self._context.head_regions(head)
+            )
+        except StoreError as error:
+            raise _store_unavailable_error(error) from error
+        except MemoryExceededError as error:
+            raise memory_refusal(error) from error
+
     async def end(
         self,
         job_id: ids.JobId,
@@ -270,6 +303,38 @@
             retry_after_s=_NO_REGION_RETRY_AFTER_S,
         )
 
+    def _check_size(
+        self, job: BatchJob, allowed_regions: AllowedRegions
+    ) -> None:
+        """Refuse a job that is too large for a process which may run it.
+
+        Any process in the allowed regions may have to take the job over, so
+        the one with the least memory decides.
+
+        :raises RequestError: the job is too large.
+        """
+        size_bytes = self._context.job_memory_bytes(job)
+        max_bytes = max_job_memory_bytes(
+            self._presence.least_memory_bytes(allowed_regions)
+        )
+        if size_bytes <= max_bytes:
+            return
+        _log.warning(
+            'job_too_large',
+            job_id=job.job_id,
+            items=len(job.items),
+            size_bytes=size_bytes,
+            max_bytes=max_bytes,
+        )
+        raise RequestError(
+            'job_too_large',
+            f'the job takes {size_bytes} bytes of memory, and a process can '
+            f'run jobs of {max_bytes} bytes; split the job',
+            status=503,
+            not_run=True,
+            retry_after_s=_TOO_LARGE_RETRY_AFTER_S,
+        )
+
     def _check_accepts_forwarded(self) -> None:
         """Refuse a forwarded job if the sender should accept it itself.
 
@@ -285,7 +350,19 @@
                 not_run=True,
             )
 
-    async def _accept(self, job: BatchJob, deadline_s: float) -> None:
+    async def _accept(
+        self, job: BatchJob, deadline_s: float, memory: MemoryReservation
+    ) -> None:
+        """Store a job and run it.
+
+        :raises RequestError: the job is not accepted, or the outcome is
+            unknown.
+        """
+        size_bytes = self._context.job_memory_bytes(job)
+        try:
+            memory.resize(size_bytes)
+        except MemoryExceededError as error:
+            raise memory_refusal(error) from error
         identity = self._context.identity
         head = JobHead(
             owner_id=identity.process_id,
@@ -294,6 +371,7 @@
             accepted_wall_s=job.accepted_wall_s,
             total_count=len(job.items),
             route_name=job.route_name,
+            memory_bytes=size_bytes,
         )
         with self._workers.reserve_start(job.job_id):
             version = await self._store_job(job, head, deadline_s)
@@ -312,7 +390,7 @@
         )
         self._job_cache.add(job)
         stored_head = StoredHead(head, version)
-        self._workers.start(job, stored_head)
+        self._workers.start(job, stored_head, memory)
         self.directory.update(job.job_id, stored_head)
 
     async def _store_job(
--- a/src/dogwoodpost/services/batches/item_starter.py
+++ b/src/dogwoodpost/services/batches/item_starter.py
@@ -10,6 +10,7 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import BatchItem
+from dogwoodpost.core.batches.started_items import MIN_STARTED_COUNT
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -24,24 +25,11 @@
 
     SavedProgress = Mapping[ids.ItemId, ItemProgress]
 
-# Jobs of up to this many items start at once, whatever the capacity.
-MIN_STARTED_COUNT = 256
-# Items that are started for each slot of the job's services, so that a slot
-# finds a waiting item when it becomes free.
-_STARTED_PER_SLOT = 2
 # Groups whose saved texts take longer to load are started one by one as their
 # texts arrive.
 _TEXT_LOAD_WAIT_S = 0.1
 
 
-def max_started_count(slot_count: int) -> int:
-    """Return how many items of a job are started at a time.
-
-    :param slot_count: slots of the services that can run the items.
-    """
-    return max(MIN_STARTED_COUNT, _STARTED_PER_SLOT * slot_count)
-
-
 class ItemBatch(msgspec.Struct, frozen=True):
     """Items that are started together, all of one group or of none."""
 
--- a/src/dogwoodpost/services/batches/job_cleaner.py
+++ b/src/dogwoodpost/services/batches/job_cleaner.py
@@ -8,12 +8,15 @@
 import structlog
 
 from dogwoodpost.core.batches.takeover import takeover_delay_s
+from dogwoodpost.errors import MemoryExceededError
 from dogwoodpost.errors import StoreError
 
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
     from dogwoodpost.core.allowed_regions import AllowedRegions
+    from dogwoodpost.core.batches import JobHead
     from dogwoodpost.services.batches.batch_context import BatchContext
+    from dogwoodpost.services.batches.job_cache import JobCache
     from dogwoodpost.services.batches.job_directory import JobDirectory
     from dogwoodpost.services.membership.presence_service import (
         PresenceService,
@@ -37,6 +40,7 @@
         context: BatchContext,
         presence: PresenceService,
         directory: JobDirectory,
+        job_cache: JobCache,
         *,
         retention_s: float,
     ) -> None:
@@ -44,6 +48,7 @@
         self._context = context
         self._presence = presence
         self._directory = directory
+        self._job_cache = job_cache
         self._retention_s = retention_s + _RETENTION_MARGIN_S
 
     @mode.Service.task
@@ -55,13 +60,14 @@
                 expired = stored_head.head.accepted_wall_s < oldest_kept_s
                 if expired and stored_head.head.is_complete:
                     await self._delete_if_ranked_first(
-                        job_id, self._context.head_regions(stored_head.head)
+                        job_id, stored_head.head
                     )
 
     async def _delete_if_ranked_first(
-        self, job_id: ids.JobId, allowed_regions: AllowedRegions
+        self, job_id: ids.JobId, head: JobHead
     ) -> None:
         """Delete a job, unless another process in its regions ranks first."""
+        allowed_regions = self._context.head_regions(head)
         if not allowed_regions.permits(self._presence.region):
             return
         delay_s = takeover_delay_s(
@@ -73,17 +79,17 @@
             return
         deadline_s = self._context.clock.monotonic_s() + _DELETE_TIMEOUT_S
         try:
-            await self._delete_texts(job_id, allowed_regions)
+            await self._delete_texts(job_id, head, allowed_regions)
             await self._context.store.delete(job_id, deadline_s)
-        except StoreError as error:
+        except (StoreError, MemoryExceededError) as error:
             _log.info('job_not_deleted', job_id=job_id, error=str(error))
         else:
             _log.info('job_deleted', job_id=job_id)
 
     async def _delete_texts(
-        self, job_id: ids.JobId, allowed_regions: AllowedRegions
+        self, job_id: ids.JobId, head: JobHead, allowed_regions: AllowedRegions
     ) -> None:
-        job = await self._context.store.load(job_id, allowed_regions)
+        job = await self._job_cache.get(job_id, head, allowed_regions)
         groups = {item.group_id for item in job.items} if job else set()
         for group_id in groups:
             if group_id is not None:
--- a/src/dogwoodpost/services/batches/job_worker.py
+++ b/src/dogwoodpost/services/batches/job_worker.py
@@ -23,7 +23,6 @@
 from dogwoodpost.services.batches.group_checkpoints import GroupCheckpoints
 from dogwoodpost.services.batches.item_run import ItemRun
 from dogwoodpost.services.batches.item_starter import ItemStarter
-from dogwoodpost.services.batches.item_starter import max_started_count
 from dogwoodpost.services.batches.item_starter import ordered_batches
 from dogwoodpost.services.batches.job_store import StoredHead
 from dogwoodpost.services.batches.limited_write import LimitedWrite
@@ -68,7 +67,7 @@
         on_listed: Callable[[StoredHead, list[ItemResult]], None],
     ) -> None:
         self._context = context
-        self._job = job
+        self.job = job
         self._stored_head = stored_head
         # When each item was listed, on the process's clock; -inf for items
         # listed before this run.
@@ -94,7 +93,7 @@
             ),
             self._load_progress,
             self._start_items,
-            self._max_started_count,
+            lambda: context.max_started_count(job.route_name),
         )
 
     @property
@@ -106,7 +105,7 @@
         """Run until all items are listed, or the job ends or changes owner."""
         needs = self._context.dispatcher.needs
         try:
-            with needs.registered(self._job.job_id, self._needs):
+            with needs.registered(self.job.job_id, self._needs):
                 await self._run_to_end()
         finally:
             self._run_ended.set()
@@ -194,7 +193,7 @@
         deadline_s = self._context.clock.monotonic_s() + _HAND_OVER_TIMEOUT_S
         try:
             version = await self._context.store.write_head(
-                self._job.job_id,
+                self.job.job_id,
                 self._stored_head.version,
                 head,
                 (),
@@ -204,12 +203,12 @@
             # Other processes take the job over once this process is gone.
             _log.warning(
                 'job_not_handed_over',
-                job_id=self._job.job_id,
+                job_id=self.job.job_id,
                 error=str(error),
             )
             return
         self._stored_head = StoredHead(head, version)
-        _log.info('job_handed_over', job_id=self._job.job_id, version=version)
+        _log.info('job_handed_over', job_id=self.job.job_id, version=version)
 
     def _assigns_job_here(self, stored_head: StoredHead) -> bool:
         """Return whether the job is open and owned by this process."""
@@ -227,15 +226,6 @@
             item.expected_token_count, longest_event_count=0
         )
 
-    def _max_started_count(self) -> int:
-        configuration = self._context.routes.configuration
-        route = configuration.routes.get(self._job.route_name)
-        services = route.services if route is not None else ()
-        router = self._context.router
-        return max_started_count(
-            sum(router.slot_count(service) for service in services)
-        )
-
     async def _load_progress(
         self, group_id: ids.GroupId | None
     ) -> Mapping[ids.ItemId, ItemProgress]:
@@ -258,7 +248,7 @@
                 continue
             run = ItemRun(
                 self._context,
-                self._job,
+                self.job,
                 item,
                 saved_progress.get(item.item_id),
             )
@@ -306,7 +296,7 @@
         except TimeoutError:
             _log.info(
                 'listing_abandoned',
-                job_id=self._job.job_id,
+                job_id=self.job.job_id,
                 results=len(batch),
             )
             return False
@@ -320,7 +310,7 @@
         )
         try:
             version = await self._context.store.write_head(
-                self._job.job_id,
+                self.job.job_id,
                 self._stored_head.version,
                 new_head,
                 batch,
@@ -335,7 +325,7 @@
         except StoreError as error:
             _log.warning(
                 'results_not_listed',
-                job_id=self._job.job_id,
+                job_id=self.job.job_id,
                 error=str(error),
             )
             await self._context.clock.sleep(_STORE_RETRY_DELAY_S)
@@ -355,7 +345,7 @@
 
     def _next_batch(self) -> list[ItemResult]:
         count = self._context.store.fitting_count(
-            self._job.job_id, self._stored_head.head, self._pending
+            self.job.job_id, self._stored_head.head, self._pending
         )
         return self._pending[: min(count, self._max_batch_count or count)]
 
@@ -365,7 +355,7 @@
         """Write fewer results next; put aside one that is refused alone."""
         _log.error(
             'results_rejected',
-            job_id=self._job.job_id,
+            job_id=self.job.job_id,
             results=len(batch),
             first_item_id=batch[0].item_id,
             error=str(error),
@@ -394,16 +384,14 @@
         """Read the current head and the results listed since."""
         store = self._context.store
         try:
-            stored_head = await store.read_head(self._job.job_id)
+            stored_head = await store.read_head(self.job.job_id)
             if stored_head is None:
                 return
             results = await store.results(
-                self._job.job_id, self._stored_head.head.listed_count
+                self.job.job_id, self._stored_head.head.listed_count
             )
         except StoreError as error:
-            _log.info(
-                'job_not_read', job_id=self._job.job_id, error=str(error)
-            )
+            _log.info('job_not_read', job_id=self.job.job_id, error=str(error))
             await self._context.clock.sleep(_STORE_RETRY_DELAY_S)
             return
         self._note_listed(results)
@@ -415,7 +403,7 @@
         self._stored_head = stored_head
         _log.info(
             'job_conflict_resolved',
-            job_id=self._job.job_id,
+            job_id=self.job.job_id,
             version=stored_head.version,
             owner=stored_head.head.owner_id,
             state=stored_head.head.state.value,
@@ -423,14 +411,14 @@
         )
 
     def _remaining_lifetime_s(self) -> float:
-        end_s = self._job.accepted_wall_s + self._job.item_lifetime_s
+        end_s = self.job.accepted_wall_s + self.job.item_lifetime_s
         return end_s - self._context.clock.wall_s()
 
     def _log_end(self) -> None:
         head = self._stored_head.head
         _log.info(
             'job_run_ended',
-            job_id=self._job.job_id,
+            job_id=self.job.job_id,
             version=self._stored_head.version,
             owner=head.owner_id,
             state=head.state.value,
@@ -438,7 +426,7 @@
             total=head.total_count,
             unfinished=self.running_count,
             age_ms=round(
-                (self._context.clock.wall_s() - self._job.accepted_wall_s)
+                (self._context.clock.wall_s() - self.job.accepted_wall_s)
                 * 1_000
             ),
         )
--- a/src/dogwoodpost/services/batches/job_workers.py
+++ b/src/dogwoodpost/services/batches/job_workers.py
@@ -8,6 +8,8 @@
 
 import structlog
 
+from dogwoodpost.core.expiring_keys import ExpiringKeys
+from dogwoodpost.errors import MemoryExceededError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.services.background_tasks import BackgroundTasks
 from dogwoodpost.services.batches.job_directory import JobDirectory
@@ -21,12 +23,14 @@
     from dogwoodpost.core.batches import BatchJob
     from dogwoodpost.core.batches import ItemResult
     from dogwoodpost.core.batches import JobHead
+    from dogwoodpost.core.memory_budget import MemoryReservation
     from dogwoodpost.services.batches.batch_context import BatchContext
     from dogwoodpost.services.batches.job_cache import JobCache
     from dogwoodpost.services.batches.job_store import StoredHead
     from dogwoodpost.services.batches.result_cache import ResultCache
 
 _log = structlog.get_logger(__name__)
+_LOG_INTERVAL_S = 5.0
 
 
 class JobWorkers:
@@ -46,6 +50,7 @@
         self._workers: dict[ids.JobId, JobWorker] = {}
         self._reserved_job_ids: set[ids.JobId] = set()
         self._background = BackgroundTasks()
+        self._logged_jobs: ExpiringKeys[ids.JobId] = ExpiringKeys()
 
     @property
     def running_count(self) -> int:
@@ -63,6 +68,11 @@
         """Return whether a job runs here or is being started."""
         return job_id in self._workers or job_id in self._reserved_job_ids
 
+    def running_job(self, job_id: ids.JobId) -> BatchJob | None:
+        """Return a job that runs here, None if it does not."""
+        worker = self._workers.get(job_id)
+        return worker.job if worker is not None else None
+
     @contextmanager
     def reserve_start(self, job_id: ids.JobId) -> Iterator[None]:
         """Prevent other code paths from starting a job within the context.
@@ -80,10 +90,12 @@
         self,
         job: BatchJob,
         stored_head: StoredHead,
+        memory: MemoryReservation,
         listed_item_ids: Sequence[ids.ItemId] = (),
     ) -> None:
         """Run a job unless it runs here already.
 
+        :param memory: memory of the job, which the run takes over.
         :param listed_item_ids: items whose results are already listed.
         """
         job_id = job.job_id
@@ -101,7 +113,7 @@
             self._context, job, stored_head, listed_item_ids, on_listed
         )
         self._workers[job_id] = worker
-        self._background.spawn(self._run(job_id, worker))
+        self._background.spawn(self._run(worker, memory.moved()))
 
     def load_and_start(
         self, job_id: ids.JobId, stored_head: StoredHead
@@ -144,19 +156,36 @@
         self, job_id: ids.JobId, stored_head: StoredHead
     ) -> None:
         """Load a job and its listed items, and run it."""
-        with self.reserve_start(job_id):
+        head = stored_head.head
+        with (
+            self.reserve_start(job_id),
+            self._context.memory.reservation() as memory,
+        ):
             try:
                 job = await self._job_cache.get(
-                    job_id, self._context.head_regions(stored_head.head)
-                )
-                listed = await self._load_listed_item_ids(
-                    job_id, stored_head.head
+                    job_id, head, self._context.head_regions(head)
                 )
+                if job is None:
+                    return
+                memory.grow(self._context.job_memory_bytes(job))
+                listed = await self._load_listed_item_ids(job_id, head)
             except StoreError as error:
                 _log.warning('job_not_read', job_id=job_id, error=str(error))
-                return
-        if job is not None:
-            self.start(job, stored_head, listed)
+            except MemoryExceededError as error:
+                self.log_lack_of_memory(job_id, error)
+            else:
+                self.start(job, stored_head, memory, listed)
+
+    def log_lack_of_memory(
+        self, job_id: ids.JobId, error: MemoryExceededError
+    ) -> None:
+        """Log, at intervals, that a job can't be run here for now."""
+        now_s = self._context.clock.monotonic_s()
+        if job_id not in self._logged_jobs.current(now_s):
+            self._logged_jobs.add(job_id, now_s + _LOG_INTERVAL_S)
+            _log.warning(
+                'job_waits_for_memory', job_id=job_id, error=str(error)
+            )
 
     def _may_run(self, job_id: ids.JobId, stored_head: StoredHead) -> bool:
         """Return whether no newer head ends the job or gives it away.
@@ -189,8 +218,9 @@
             listed += [result.item_id for result in page]
         return listed
 
-    async def _run(self, job_id: ids.JobId, worker: JobWorker) -> None:
+    async def _run(self, worker: JobWorker, memory: MemoryReservation) -> None:
         try:
             await worker.run()
         finally:
-            del self._workers[job_id]
+            del self._workers[worker.job.job_id]
+            memory.release()
--- a/src/dogwoodpost/services/batches/result_cache.py
+++ b/src/dogwoodpost/services/batches/result_cache.py
@@ -8,11 +8,14 @@
 import msgspec
 
 from dogwoodpost.core.batches import ItemResult
+from dogwoodpost.core.memory_budget import MemoryReservation
+from dogwoodpost.errors import MemoryExceededError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dogwoodpost.core import ids
+    from dogwoodpost.core.memory_budget import MemoryBudget
 
 _MAX_BYTES = 8 * 1024 * 1024
 # A response holds at most 1 MB of JSON.
@@ -27,13 +30,19 @@
 
 
 class ResultCache:
-    """Caches immutable results by job and position, up to a total size."""
+    """Caches immutable results by job and position, up to a total size.
 
-    def __init__(self, max_bytes: int = _MAX_BYTES) -> None:
+    :param budget: memory for all work; cached results give way to other uses.
+    """
+
+    def __init__(
+        self, budget: MemoryBudget, max_bytes: int = _MAX_BYTES
+    ) -> None:
         self._max_bytes = max_bytes
+        self._memory = MemoryReservation(budget)
+        budget.add_reclaimer(self._drop_oldest)
         self._results: OrderedDict[tuple[ids.JobId, int], _CachedResult]
         self._results = OrderedDict()
-        self._total_size_bytes = 0
 
     def add(
         self,
@@ -48,12 +57,26 @@
         for position, result in enumerate(results, first_position):
             key = (job_id, position)
             if key not in self._results:
-                cached = _CachedResult(result, _result_size_bytes(result))
-                self._results[key] = cached
-                self._total_size_bytes += cached.size_bytes
-        while self._total_size_bytes > self._max_bytes:
+                self._add(key, result)
+        self._drop_oldest(self._memory.size_bytes - self._max_bytes)
+
+    def _add(self, key: tuple[ids.JobId, int], result: ItemResult) -> None:
+        """Add a result unless there is no memory for it."""
+        cached = _CachedResult(result, _result_size_bytes(result))
+        try:
+            self._memory.grow(cached.size_bytes)
+        except MemoryExceededError:
+            return
+        self._results[key] = cached
+
+    def _drop_oldest(self, excess_bytes: int) -> None:
+        """Drop the results added first until the bytes are free."""
+        size_bytes = self._memory.size_bytes
+        while self._results and excess_bytes > 0:
             _, dropped = self._results.popitem(last=False)
-            self._total_size_bytes -= dropped.size_bytes
+            excess_bytes -= dropped.size_bytes
+            size_bytes -= dropped.size_bytes
+        self._memory.resize(size_bytes)
 
     def page(self, job_id: ids.JobId, first_position: int) -> list[ItemResult]:
         """Return consecutive cached results, up to the size of a page."""
--- a/src/dogwoodpost/services/batches/takeover_watch.py
+++ b/src/dogwoodpost/services/batches/takeover_watch.py
@@ -9,6 +9,7 @@
 import structlog
 
 from dogwoodpost.core.batches.takeover import takeover_delay_s
+from dogwoodpost.errors import MemoryExceededError
 from dogwoodpost.errors import RowConflictError
 from dogwoodpost.errors import StoreError
 from dogwoodpost.services.background_tasks import BackgroundTasks
@@ -106,6 +107,12 @@
     async def _take_over(
         self, job_id: ids.JobId, stored_head: StoredHead
     ) -> None:
+        try:
+            self._check_memory(stored_head.head)
+        except MemoryExceededError as error:
+            # Another process takes the job over, or this one does later.
+            self._workers.log_lack_of_memory(job_id, error)
+            return
         identity = self._context.identity
         head = msgspec.structs.replace(
             stored_head.head,
@@ -132,3 +139,11 @@
             total=head.total_count,
         )
         self._workers.directory.update(job_id, StoredHead(head, version))
+
+    def _check_memory(self, head: JobHead) -> None:
+        """Check that a job can be run here now.
+
+        :raises MemoryExceededError: it would take too much memory.
+        """
+        with self._context.memory.reservation() as memory:
+            memory.grow(head.memory_bytes)
--- a/src/dogwoodpost/services/entry/http/request_body.py
+++ b/src/dogwoodpost/services/entry/http/request_body.py
@@ -8,53 +8,41 @@
 
 from aiohttp import web
 
+from dogwoodpost.core.memory_budget import MemoryBudget
+from dogwoodpost.errors import MemoryExceededError
 from dogwoodpost.errors import RequestError
+from dogwoodpost.services.entry.refusals import memory_refusal
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from dogwoodpost.core.memory_budget import MemoryReservation
+
 # Bodies are kept in memory while their requests wait and run.
 _MAX_TOTAL_BODY_BYTES = 512 * 1024 * 1024
 
 
 class BodyMemory:
-    """Limits the memory that all request bodies use together."""
+    """Limits the memory that all request bodies use together.
+
+    :param budget: memory that they may use.
+    """
 
-    def __init__(self, max_bytes: int = _MAX_TOTAL_BODY_BYTES) -> None:
-        self._max_bytes = max_bytes
-        self.used_bytes = 0
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
+        self._budget = budget or MemoryBudget(_MAX_TOTAL_BODY_BYTES)
 
     @contextmanager
     def reservation(self) -> Iterator[BodyReservation]:
         """Yield a reservation and release its memory after the block."""
-        reservation = BodyReservation(self)
-        try:
-            yield reservation
-        finally:
-            self.used_bytes -= reservation.reserved_bytes
-
-    def reserve(self, size_bytes: int) -> None:
-        """Reserve memory for a part of a body.
-
-        :raises RequestError: the bodies would exceed the memory limit.
-        """
-        if self.used_bytes + size_bytes > self._max_bytes:
-            raise RequestError(
-                'entry_overloaded',
-                'this entry holds too many request bodies',
-                status=503,
-                not_run=True,
-                retry_after_s=1.0,
-            )
-        self.used_bytes += size_bytes
+        with self._budget.reservation() as memory:
+            yield BodyReservation(memory)
 
 
 class BodyReservation:
     """The memory that the body of one request uses."""
 
-    def __init__(self, memory: BodyMemory) -> None:
+    def __init__(self, memory: MemoryReservation) -> None:
         self._memory = memory
-        self.reserved_bytes = 0
 
     async def read(
         self, request: web.Request, max_bytes: int, timeout_s: float
@@ -73,9 +61,10 @@
                 async for chunk in request.content.iter_any():
                     if len(body) + len(chunk) > max_bytes:
                         raise _too_large(max_bytes)
-                    self._memory.reserve(len(chunk))
-                    self.reserved_bytes += len(chunk)
+                    self._memory.grow(len(chunk))
                     body += chunk
+        except MemoryExceededError as error:
+            raise memory_refusal(error) from error
         except TimeoutError:
             raise RequestError(
                 'body_timeout',
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -142,6 +142,19 @@
             if allowed_regions.permits(record.region)
         ]
 
+    def least_memory_bytes(self, allowed_regions: AllowedRegions) -> int:
+        """Return the memory of the smallest process in allowed regions.
+
+        The process itself counts even if no heartbeat of it is known.
+        """
+        live = self.view.live(self._clock.monotonic_s()).values()
+        resources = [self._resources] + [
+            HostResources(cores=record.cores, memory_mb=record.memory_mb)
+            for record in live
+            if allowed_regions.permits(record.region)
+        ]
+        return min(one.memory_bytes for one in resources)
+
     def contact_since_s(self) -> float | None:
         """Return since when heartbeats have been written without a break.
 
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -113,6 +113,8 @@
         self.session = session
         self._folder = folder
         self.grace_s = 4
+        # Memory of processes by their name; others don't state it.
+        self.memory_mb: dict[str, float] = {}
         # Replaces the address of the stand-in of the duty API.
         self.duty_address = ''
         # Table of the settings of processes that start from now on.
@@ -253,6 +255,7 @@
             'region': REGIONS[zone],
             'zones': REGIONS,
             'ip': '127.0.0.1',
+            'limits': {'memoryMb': self.memory_mb.get(name, 0.0)},
             'portRange': [peer_port, peer_port],
             'listen': {
                 'front': f'127.0.0.1:{free_port()}',
--- a/tests/platform/test_store_limits.py
+++ b/tests/platform/test_store_limits.py
@@ -15,6 +15,7 @@
 from dogwoodpost.core.batches import ItemText
 from dogwoodpost.core.batches import ResultState
 from dogwoodpost.core.batches import StreamEvent
+from dogwoodpost.core.memory_budget import MemoryBudget
 from dogwoodpost.errors import EndpointError
 from dogwoodpost.platform.store_client import _transaction
 from dogwoodpost.ports.row_store import RowCheck
@@ -76,7 +77,7 @@
     results: list[ItemResult],
 ) -> None:
     """Guards against pages over 1 MB, which clients may refuse."""
-    cache = ResultCache(max_bytes=2**30)
+    cache = ResultCache(MemoryBudget(2**30), max_bytes=2**30)
     cache.add(JOB, 0, results)
     position = 0
     while position < len(results):
--- a/tests/services/batches/test_item_starter.py
+++ b/tests/services/batches/test_item_starter.py
@@ -10,9 +10,9 @@
 
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import BatchItem
+from dogwoodpost.core.batches.started_items import max_started_count
+from dogwoodpost.core.batches.started_items import MIN_STARTED_COUNT
 from dogwoodpost.services.batches.item_starter import ItemStarter
-from dogwoodpost.services.batches.item_starter import max_started_count
-from dogwoodpost.services.batches.item_starter import MIN_STARTED_COUNT
 from dogwoodpost.services.batches.item_starter import ordered_batches
 
 if TYPE_CHECKING:
--- a/tests/services/batches/test_job_workers.py
+++ b/tests/services/batches/test_job_workers.py
@@ -11,6 +11,7 @@
 from dogwoodpost.core import ids
 from dogwoodpost.core.batches import JobState
 from dogwoodpost.core.membership import ProcessIdentity
+from dogwoodpost.core.memory_budget import MemoryBudget
 from dogwoodpost.services.batches.job_store import StoredHead
 from dogwoodpost.services.batches.job_workers import JobWorkers
 from dogwoodpost.services.batches.result_cache import ResultCache
@@ -18,6 +19,8 @@
 from tests.services.batches.test_job_invariants import head
 from tests.services.batches.test_job_invariants import JOB
 
+MEMORY = MemoryBudget(2**20)
+
 
 @pytest.fixture
 def workers() -> JobWorkers:
@@ -28,7 +31,7 @@
     )
     context: Any = SimpleNamespace(identity=identity)
     job_cache: Any = None
-    return JobWorkers(context, job_cache, ResultCache())
+    return JobWorkers(context, job_cache, ResultCache(MEMORY))
 
 
 @pytest.mark.parametrize(
@@ -46,5 +49,6 @@
     workers.directory.update(
         JOB, StoredHead(msgspec.structs.replace(head('owner'), **changes), 2)
     )
-    workers.start(batch_job(), StoredHead(head('owner'), 1))
+    with MEMORY.reservation() as memory:
+        workers.start(batch_job(), StoredHead(head('owner'), 1), memory)
     assert not workers.is_active(JOB)
