--- a/src/dogwoodpost/core/batches/job_head.py
+++ b/src/dogwoodpost/core/batches/job_head.py
@@ -10,7 +10,7 @@
 
 
 class JobState(Enum):
-    """Whether a batch job still accepts results."""
+    """Whether the client has ended a batch job."""
 
     OPEN = 'open'
     ENDED = 'ended'
@@ -47,8 +47,20 @@
         same_process = self.owner_id == process_id
         return same_process and self.owner_incarnation == incarnation
 
+    @property
+    def is_ended(self) -> bool:
+        """Return whether the client has ended the job."""
+        return self.state is JobState.ENDED
+
     @property
     def is_complete(self) -> bool:
-        """Return whether no item is left to run."""
-        all_listed = self.listed_count >= self.total_count
-        return all_listed or self.state is JobState.ENDED
+        """Return whether no item is left to run.
+
+        A job that is not ended stays readable even if it is complete.
+        """
+        return self.is_ended or self.listed_count >= self.total_count
+
+    @property
+    def is_kept_open(self) -> bool:
+        """Return whether only its client's end of the job is missing."""
+        return self.is_complete and not self.is_ended
--- a/src/dogwoodpost/observability/metrics.py
+++ b/src/dogwoodpost/observability/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client.core import SummaryMetricFamily
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -64,6 +65,15 @@
             registry=self.registry,
         )
 
+    def add_gauge(
+        self, name: str, documentation: str, read: Callable[[], float]
+    ) -> None:
+        """Add a gauge whose value is read with each rendering."""
+        gauge = prometheus_client.Gauge(
+            f'dogwoodpost_{name}', documentation, registry=self.registry
+        )
+        gauge.set_function(read)
+
     def observe(self, operation: str, duration_s: float) -> None:
         """Record the duration of an operation in seconds."""
         histogram = self._latencies.get(operation)
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -48,6 +48,7 @@
 # If the feed of heads is older than this, a head is read from the store
 # before a client is told that a job or new results do not exist.
 _MAX_HEAD_AGE_S = 1.5
+_RETRY_AFTER_S = 0.2
 _NO_REGION_RETRY_AFTER_S = 1.0
 # Hosts with more memory may replace those that can't run a job.
 _TOO_LARGE_RETRY_AFTER_S = 2.0
@@ -98,6 +99,25 @@
             retention_s=retention_s,
         )
 
+        context.metrics.add_gauge(
+            'complete_open_jobs',
+            'Complete batch jobs that are kept until their clients end them.',
+            lambda: len(self._kept_open_since_s()),
+        )
+        context.metrics.add_gauge(
+            'oldest_complete_open_job_timestamp_seconds',
+            'Acceptance of the oldest of these jobs; 0 without any.',
+            lambda: min(self._kept_open_since_s(), default=0.0),
+        )
+
+    def _kept_open_since_s(self) -> list[float]:
+        """Return when the jobs that only wait for their end were accepted."""
+        return [
+            stored_head.head.accepted_wall_s
+            for _, stored_head in self.directory.heads()
+            if stored_head.head.is_kept_open
+        ]
+
     async def open_parts(self) -> None:
         """Start the background parts of the service."""
         await self.open_part(self._running_workers())
@@ -421,7 +441,7 @@
                 str(error),
                 status=503,
                 not_run=True,
-                retry_after_s=0.2,
+                retry_after_s=_RETRY_AFTER_S,
             ) from error
 
     async def _head_for_account(
@@ -467,6 +487,8 @@
             )
         except StoreError as error:
             raise _store_unavailable_error(error) from error
+        if not stored_results:
+            raise _missing_results_error(job_id, first_position, head)
         self._result_cache.add(job_id, first_position, stored_results)
         return (
             self._result_cache.page(job_id, first_position)
@@ -474,6 +496,29 @@
         )
 
 
+def _missing_results_error(
+    job_id: ids.JobId, first_position: int, head: JobHead
+) -> RequestError:
+    """Return the error for results that the head counts and nobody finds.
+
+    The job is being deleted, or its head has changed since it was read.
+    """
+    _log.warning(
+        'results_missing',
+        job_id=job_id,
+        first_position=first_position,
+        listed=head.listed_count,
+        state=head.state.value,
+    )
+    return RequestError(
+        'results_missing',
+        'the results can not be read now',
+        status=503,
+        not_run=True,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
 def _unknown_job_error() -> RequestError:
     return RequestError(
         'unknown_job', 'there is no such batch job', status=404, not_run=True
@@ -486,5 +531,5 @@
         str(error),
         status=503,
         not_run=True,
-        retry_after_s=0.2,
+        retry_after_s=_RETRY_AFTER_S,
     )
--- a/src/dogwoodpost/services/batches/job_store.py
+++ b/src/dogwoodpost/services/batches/job_store.py
@@ -182,8 +182,16 @@
         )
         return list(job_rows.joined_values(page.rows, ItemResult))
 
-    async def delete(self, job_id: ids.JobId, deadline_s: float) -> None:
-        """Delete all rows and objects of a job, the head last."""
+    async def delete(
+        self, job_id: ids.JobId, head_version: int, deadline_s: float
+    ) -> None:
+        """Delete all rows and objects of a job, the head last.
+
+        A delayed deletion has no effect on a job that is stored again.
+
+        :raises RowConflictError: the head has changed.
+        """
+        checks = [RowCheck(job_rows.head_key(job_id), head_version)]
         rows = await self._read_all(job_id, _OBJECT_LIST_KEY)
         for object_list in job_rows.joined_values(rows, _ObjectList):
             for name in object_list.names:
@@ -195,9 +203,9 @@
             if not page.rows:
                 break
             writes = [RowWrite(row.key, None) for row in page.rows]
-            await self._commit([], writes, deadline_s)
+            await self._commit(checks, writes, deadline_s)
         await self._commit(
-            [], [RowWrite(job_rows.head_key(job_id), None)], deadline_s
+            checks, [RowWrite(job_rows.head_key(job_id), None)], deadline_s
         )
 
     async def _read_all(
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -113,6 +113,7 @@
         self.session = session
         self._folder = folder
         self.grace_s = 4
+        self.status_s: float | None = None
         # Memory of processes by their name; others don't state it.
         self.memory_mb: dict[str, float] = {}
         # Replaces the address of the stand-in of the duty API.
@@ -275,6 +276,9 @@
                 'leaseMs': 1500,
                 'reportWindowS': 1,
                 'graceS': self.grace_s,
+                **(
+                    {} if self.status_s is None else {'statusS': self.status_s}
+                ),
                 'coldOverage': 1.5,
             },
         }
--- a/tests/services/batches/test_job_invariants.py
+++ b/tests/services/batches/test_job_invariants.py
@@ -198,10 +198,27 @@
     version = await store.accept(large, head('node-0'), deadline_s=1.0)
     assert await store.load(JOB) == large
     long_text = 'y' * 150_000
-    await store.write_head(
+    version = await store.write_head(
         JOB, version, head('node-0', 1), [result(0, long_text)], 1.0
     )
     assert (await store.results(JOB, 0))[0].text == long_text
     assert all(len(row.value or b'') <= 65_536 for row in rows.rows.values())
-    await store.delete(JOB, deadline_s=1.0)
+    await store.delete(JOB, version, deadline_s=1.0)
+    assert rows.rows == {}
+
+
+async def test_deletion_does_not_meet_a_job_that_has_changed(
+    rows: MemoryRowStore,
+) -> None:
+    """Guards against deleting a job that was stored or changed meanwhile."""
+    store = job_store(rows)
+    version = await store.accept(batch_job(), head('node-0'), deadline_s=1.0)
+    newer_version = await store.write_head(
+        JOB, version, head('node-0', 1), [result(0)], 1.0
+    )
+    with pytest.raises(RowConflictError):
+        await store.delete(JOB, version, deadline_s=1.0)
+    assert await store.load(JOB) == batch_job()
+    assert await store.results(JOB, 0) == [result(0)]
+    await store.delete(JOB, newer_version, deadline_s=1.0)
     assert rows.rows == {}
