Start the batches of a job in their order

Their order followed that of a set of tasks, so begun groups came first only by chance: test_begun_groups_and_long_items_start_first failed in one of about four runs. It passes five of five now, and loaded batches still start before those whose texts are late.

--- a/src/dogwoodpost/services/batches/item_starter.py
+++ b/src/dogwoodpost/services/batches/item_starter.py
@@ -113,12 +113,8 @@
                 tasks.create_task(self._load_batch(batch)): batch
                 for batch in batches
             }
-            completed_loads, pending_loads = await asyncio.wait(
-                loads, timeout=_TEXT_LOAD_WAIT_S
-            )
-            for load in completed_loads:
-                self._start(loads[load].items, load.result())
-            for load in pending_loads:
+            await asyncio.wait(loads, timeout=_TEXT_LOAD_WAIT_S)
+            for load in sorted(loads, key=lambda load: not load.done()):
                 self._start(loads[load].items, await load)
 
     async def _load_batch(self, batch: ItemBatch) -> SavedProgress:
