Log answers without results, and whole reads of tables

Answers with no result past a position name the head's version, its count and the age of the feed; a read of a whole table names its length and rows. Needed to tell apart the ways in which a listed position may be missing at another process.

--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -49,6 +49,7 @@
 # before a client is told that a job or new results do not exist.
 _MAX_HEAD_AGE_S = 1.5
 _RETRY_AFTER_S = 0.2
+_MS_PER_S = 1_000
 _NO_REGION_RETRY_AFTER_S = 1.0
 # Hosts with more memory may replace those that can't run a job.
 _TOO_LARGE_RETRY_AFTER_S = 2.0
@@ -212,6 +213,8 @@
             )
             remaining_s = end_s - clock.monotonic_s()
             if page_results or head.is_complete or remaining_s <= 0.0:
+                if not page_results:
+                    self._log_no_results(job_id, first_position, stored_head)
                 return ResultPage(
                     total_count=head.total_count,
                     results=tuple(page_results),
@@ -221,6 +224,21 @@
                 job_id, stored_head.version, min(remaining_s, _MAX_HEAD_AGE_S)
             )
 
+    def _log_no_results(
+        self, job_id: ids.JobId, first_position: int, stored_head: StoredHead
+    ) -> None:
+        age_s = (
+            self._context.clock.monotonic_s() - self.directory.last_contact_s
+        )
+        _log.info(
+            'no_results',
+            job_id=job_id,
+            first_position=first_position,
+            version=stored_head.version,
+            listed=stored_head.head.listed_count,
+            head_age_ms=round(age_s * _MS_PER_S, 1),
+        )
+
     async def item_body(
         self,
         job_id: ids.JobId,
--- a/src/dogwoodpost/services/rows/table_follower.py
+++ b/src/dogwoodpost/services/rows/table_follower.py
@@ -23,6 +23,7 @@
 _log = structlog.get_logger(__name__)
 FEED_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.15
+_MS_PER_S = 1_000
 
 
 class RowSink(Protocol):
@@ -104,6 +105,7 @@
         self._sink.note_contact(now_s)
 
     async def _read_table(self) -> None:
+        start_s = self._clock.monotonic_s()
         rows: list[VersionedRow] = []
         first_version: int | None = None
         partitions = ['']
@@ -129,6 +131,14 @@
         self._sink.replace(rows, now_s)
         self._feed_version = first_version or 0
         self._sink.note_contact(now_s)
+        _log.info(
+            'table_read',
+            table=self._table,
+            version=self._feed_version,
+            rows=len(rows),
+            partitions=len(partitions),
+            duration_ms=round((now_s - start_s) * _MS_PER_S, 1),
+        )
 
     def _note_failure(self, error: StoreError) -> None:
         self._metrics.events.labels(f'feed_failed_{self._table}').inc()
