Say that a result is missing only by a recent head

Change: rows are known as of the time at which the call was sent, those of a whole read as of its first call.

--- a/src/dogwoodpost/platform/batch_calls.py
+++ b/src/dogwoodpost/platform/batch_calls.py
@@ -35,7 +35,7 @@
     from dogwoodpost.platform.request_reader import PlatformRequestReader
     from dogwoodpost.ports.clock import Clock
     from dogwoodpost.services.batches.batch_service import BatchService
-    from dogwoodpost.services.batches.batch_service import ResultPage
+    from dogwoodpost.services.batches.job_reader import ResultPage
     from dogwoodpost.services.entry.http.active_requests import ActiveRequest
     from dogwoodpost.services.entry.http.authentication import Authenticator
 
@@ -163,7 +163,7 @@
         wait_ms = _non_negative_int(
             request.headers.get(header_names.WAIT_MS, '0')
         )
-        page = await self._batches.results(
+        page = await self._batches.reader.results(
             job_id,
             account_id,
             first_position,
@@ -184,7 +184,9 @@
         """
         job_id, account_id = self._identify_job(request, active)
         item_id = ids.ItemId(request.query.get('id', ''))
-        body = await self._batches.item_body(job_id, account_id, item_id)
+        body = await self._batches.reader.item_body(
+            job_id, account_id, item_id
+        )
         return web.Response(body=body)
 
     async def end(
--- a/src/dogwoodpost/platform/configuration_rows.py
+++ b/src/dogwoodpost/platform/configuration_rows.py
@@ -220,7 +220,7 @@
         )
         self._apply_values(rows)
 
-    def note_contact(self, now_s: float) -> None:
+    def note_contact(self, now_s: float, as_of_s: float) -> None:
         """Record that all changes up to now have been applied."""
         self._last_contact_s = now_s
 
--- a/src/dogwoodpost/platform/endpoint_rows.py
+++ b/src/dogwoodpost/platform/endpoint_rows.py
@@ -94,7 +94,7 @@
         listed = frozenset(ids.EndpointId(row.key.key) for row in rows)
         self._registry.remove_all_except(listed, now_s)
 
-    def note_contact(self, now_s: float) -> None:
+    def note_contact(self, now_s: float, as_of_s: float) -> None:
         """Note that the entries are up to date."""
         self._registry.note_contact(now_s)
         self._cold_tracker.note_read(now_s)
--- a/src/dogwoodpost/platform/process.py
+++ b/src/dogwoodpost/platform/process.py
@@ -340,6 +340,7 @@
             self._presence,
             forwarder,
             retention_s=self._settings.bounds.status_s,
+            settle_s=self._settings.bounds.settle_ms / _MS_PER_S,
         )
 
     async def _follow_tables(
--- a/src/dogwoodpost/platform/settings.py
+++ b/src/dogwoodpost/platform/settings.py
@@ -69,6 +69,8 @@
     :param report_window_s: length of a window of usage reports.
     :param status_s: how long results of a batch job stay readable after its
         acceptance.
+    :param settle_ms: time within which all processes have to show a batch job
+        or a result that one of them has shown.
     :param cold_overage: factor on the rate that a cold endpoint tolerates, up
         to which it may get requests.
     :param revoke_ms: time within which a revoked key must stop working.
@@ -81,6 +83,7 @@
     report_window_s: float = 5.0
     usage_late_s: float = 10.0
     status_s: float = 120.0
+    settle_ms: float = 1000.0
     revoke_ms: float = 5000.0
     strict_revoke: bool = False
     cold_overage: float = 1.0
--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -1,4 +1,4 @@
-"""Accepts, serves and takes over batch jobs."""
+"""Accepts, ends and runs batch jobs."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
 import msgspec
 import structlog
 
-from dogwoodpost.core.batches import ItemResult
 from dogwoodpost.core.batches import JobHead
 from dogwoodpost.core.batches import JobState
 from dogwoodpost.core.batches.job_memory import max_job_memory_bytes
@@ -21,6 +20,7 @@
 from dogwoodpost.ports.job_forwarding import ForwardOutcome
 from dogwoodpost.services.batches.job_cache import JobCache
 from dogwoodpost.services.batches.job_cleaner import JobCleaner
+from dogwoodpost.services.batches.job_reader import JobReader
 from dogwoodpost.services.batches.job_store import StoredHead
 from dogwoodpost.services.batches.job_workers import JobWorkers
 from dogwoodpost.services.batches.result_cache import ResultCache
@@ -45,32 +45,20 @@
     )
 
 _log = structlog.get_logger(__name__)
-# If the feed of heads is older than this, a head is read from the store
-# before a client is told that a job or new results do not exist.
-_MAX_HEAD_AGE_S = 1.5
 _RETRY_AFTER_S = 0.2
-_MS_PER_S = 1_000
 _NO_REGION_RETRY_AFTER_S = 1.0
 # Hosts with more memory may replace those that can't run a job.
 _TOO_LARGE_RETRY_AFTER_S = 2.0
 
 
-class ResultPage(msgspec.Struct, frozen=True, kw_only=True):
-    """Consecutive results of a job.
-
-    :param total_count: number of items of the job.
-    :param next_position: position after the last result of the page.
-    """
-
-    total_count: int
-    results: tuple[ItemResult, ...]
-    next_position: int
-
-
 class BatchService(CompositeService):
-    """Serves calls for batch jobs at one process.
+    """Accepts, ends and runs batch jobs at one process.
+
+    ``reader`` answers the calls that read jobs.
 
     :param retention_s: how long results stay readable after acceptance.
+    :param settle_s: time within which all processes have to show what one of
+        them has shown, in seconds.
     """
 
     def __init__(
@@ -80,6 +68,7 @@
         forwarder: JobForwarder,
         *,
         retention_s: float,
+        settle_s: float,
     ) -> None:
         super().__init__()
         self._context = context
@@ -91,6 +80,13 @@
             context, self._job_cache, self._result_cache
         )
         self.directory = self._workers.directory
+        self.reader = JobReader(
+            context,
+            self._workers,
+            self._job_cache,
+            self._result_cache,
+            settle_s=settle_s,
+        )
         self._takeover_watch = TakeoverWatch(context, presence, self._workers)
         self._job_cleaner = JobCleaner(
             context,
@@ -99,7 +95,6 @@
             self._job_cache,
             retention_s=retention_s,
         )
-
         context.metrics.add_gauge(
             'complete_open_jobs',
             'Complete batch jobs that are kept until their clients end them.',
@@ -189,91 +184,6 @@
                 ) from error
             raise
 
-    async def results(
-        self,
-        job_id: ids.JobId,
-        client_account_id: ids.ClientAccountId | None,
-        first_position: int,
-        wait_s: float,
-    ) -> ResultPage:
-        """Return results from a position on.
-
-        :param wait_s: how long to wait for a first result, in seconds.
-        :raises RequestError: there is no such job, or it can't be read.
-        """
-        clock = self._context.clock
-        end_s = clock.monotonic_s() + wait_s
-        while True:
-            stored_head = await self._head_for_account(
-                job_id, client_account_id
-            )
-            head = stored_head.head
-            page_results = await self._results_from(
-                job_id, first_position, head
-            )
-            remaining_s = end_s - clock.monotonic_s()
-            if page_results or head.is_complete or remaining_s <= 0.0:
-                if not page_results:
-                    self._log_no_results(job_id, first_position, stored_head)
-                return ResultPage(
-                    total_count=head.total_count,
-                    results=tuple(page_results),
-                    next_position=first_position + len(page_results),
-                )
-            await self.directory.wait_change(
-                job_id, stored_head.version, min(remaining_s, _MAX_HEAD_AGE_S)
-            )
-
-    def _log_no_results(
-        self, job_id: ids.JobId, first_position: int, stored_head: StoredHead
-    ) -> None:
-        age_s = (
-            self._context.clock.monotonic_s() - self.directory.last_contact_s
-        )
-        _log.info(
-            'no_results',
-            job_id=job_id,
-            first_position=first_position,
-            version=stored_head.version,
-            listed=stored_head.head.listed_count,
-            head_age_ms=round(age_s * _MS_PER_S, 1),
-        )
-
-    async def item_body(
-        self,
-        job_id: ids.JobId,
-        client_account_id: ids.ClientAccountId | None,
-        item_id: ids.ItemId,
-    ) -> bytes:
-        """Return the body of an item of an open job.
-
-        :raises RequestError: there is no such item, or it can't be read.
-        """
-        stored_head = await self._head_for_account(job_id, client_account_id)
-        job = await self._load(job_id, stored_head.head)
-        if job is not None:
-            for item in job.items:
-                if item.item_id == item_id:
-                    return item.body
-        raise _unknown_job_error()
-
-    async def _load(self, job_id: ids.JobId, head: JobHead) -> BatchJob | None:
-        """Return a job, None if there is none.
-
-        :raises RequestError: it can't be read now.
-        """
-        job = self._workers.running_job(job_id)
-        if job is not None:
-            return job
-        try:
-            return await self._job_cache.get(
-                job_id, head, self._context.head_regions(head)
-            )
-        except StoreError as error:
-            raise _store_unavailable_error(error) from error
-        except MemoryExceededError as error:
-            raise memory_refusal(error) from error
-
     async def end(
         self,
         job_id: ids.JobId,
@@ -286,10 +196,8 @@
             confirm the change.
         """
         while True:
-            stored_head = await self._head_for_account(
-                job_id, client_account_id
-            )
-            if stored_head.head.state is JobState.ENDED:
+            stored_head = await self.reader.head(job_id, client_account_id)
+            if stored_head.head.is_ended:
                 return
             head = msgspec.structs.replace(
                 stored_head.head, state=JobState.ENDED
@@ -299,9 +207,15 @@
                     job_id, stored_head.version, head, (), deadline_s
                 )
             except RowConflictError:
-                await self._reload_head(job_id)
+                await self.reader.refresh(job_id)
             except StoreError as error:
-                raise _store_unavailable_error(error) from error
+                raise RequestError(
+                    'store_unavailable',
+                    str(error),
+                    status=503,
+                    not_run=True,
+                    retry_after_s=_RETRY_AFTER_S,
+                ) from error
             else:
                 self.directory.update(job_id, StoredHead(head, version))
                 _log.info('job_ended', job_id=job_id, version=version)
@@ -461,93 +375,3 @@
                 not_run=True,
                 retry_after_s=_RETRY_AFTER_S,
             ) from error
-
-    async def _head_for_account(
-        self,
-        job_id: ids.JobId,
-        client_account_id: ids.ClientAccountId | None,
-    ) -> StoredHead:
-        """Return the head of a job of a client account.
-
-        :raises RequestError: the account has no such job, or the store can't
-            be read.
-        """
-        stored_head = self.directory.get(job_id)
-        age_s = (
-            self._context.clock.monotonic_s() - self.directory.last_contact_s
-        )
-        if stored_head is None or age_s > _MAX_HEAD_AGE_S:
-            try:
-                stored_head = await self._reload_head(job_id)
-            except StoreError as error:
-                raise _store_unavailable_error(error) from error
-        if stored_head is None:
-            raise _unknown_job_error()
-        if stored_head.head.client_account_id != client_account_id:
-            raise _unknown_job_error()
-        return stored_head
-
-    async def _reload_head(self, job_id: ids.JobId) -> StoredHead | None:
-        stored_head = await self._context.store.read_head(job_id)
-        if stored_head is not None:
-            self.directory.update(job_id, stored_head)
-        return stored_head
-
-    async def _results_from(
-        self, job_id: ids.JobId, first_position: int, head: JobHead
-    ) -> list[ItemResult]:
-        page_results = self._result_cache.page(job_id, first_position)
-        if page_results or first_position >= head.listed_count:
-            return page_results
-        try:
-            stored_results = await self._context.store.results(
-                job_id, first_position
-            )
-        except StoreError as error:
-            raise _store_unavailable_error(error) from error
-        if not stored_results:
-            raise _missing_results_error(job_id, first_position, head)
-        self._result_cache.add(job_id, first_position, stored_results)
-        return (
-            self._result_cache.page(job_id, first_position)
-            or stored_results[:1]
-        )
-
-
-def _missing_results_error(
-    job_id: ids.JobId, first_position: int, head: JobHead
-) -> RequestError:
-    """Return the error for results that the head counts and nobody finds.
-
-    The job is being deleted, or its head has changed since it was read.
-    """
-    _log.warning(
-        'results_missing',
-        job_id=job_id,
-        first_position=first_position,
-        listed=head.listed_count,
-        state=head.state.value,
-    )
-    return RequestError(
-        'results_missing',
-        'the results can not be read now',
-        status=503,
-        not_run=True,
-        retry_after_s=_RETRY_AFTER_S,
-    )
-
-
-def _unknown_job_error() -> RequestError:
-    return RequestError(
-        'unknown_job', 'there is no such batch job', status=404, not_run=True
-    )
-
-
-def _store_unavailable_error(error: StoreError) -> RequestError:
-    return RequestError(
-        'store_unavailable',
-        str(error),
-        status=503,
-        not_run=True,
-        retry_after_s=_RETRY_AFTER_S,
-    )
--- a/src/dogwoodpost/services/batches/job_directory.py
+++ b/src/dogwoodpost/services/batches/job_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,9 @@
 class JobDirectory:
     """Follows the feed of heads and notifies waiters of changes.
 
+    ``last_contact_s`` is when the feed last answered, and all changes up to
+    ``as_of_s`` are known, both on the process's clock.
+
     :param on_change: called with each new head, and with None when a job is
         deleted.
     """
@@ -31,7 +35,8 @@
         self._on_change = on_change
         self._heads: dict[ids.JobId, StoredHead] = {}
         self._change_events: dict[ids.JobId, asyncio.Event] = {}
-        self.last_contact_s = float('-inf')
+        self.last_contact_s = -math.inf
+        self.as_of_s = -math.inf
 
     def get(self, job_id: ids.JobId) -> StoredHead | None:
         """Return a job's head, None if the directory has no such job."""
@@ -81,9 +86,10 @@
             self._remove(job_id)
         self.apply(rows, now_s)
 
-    def note_contact(self, now_s: float) -> None:
-        """Record that the heads are up to date as of ``now_s``."""
+    def note_contact(self, now_s: float, as_of_s: float) -> None:
+        """Record up to when all changes of the heads are known."""
         self.last_contact_s = now_s
+        self.as_of_s = max(self.as_of_s, as_of_s)
 
     def _apply_row(self, row: VersionedRow) -> None:
         job_id = ids.JobId(row.key.partition)
--- a/src/dogwoodpost/services/control/endpoint_versions.py
+++ b/src/dogwoodpost/services/control/endpoint_versions.py
@@ -117,7 +117,7 @@
         """Apply all rows of the table."""
         self.apply(rows, now_s)
 
-    def note_contact(self, now_s: float) -> None:
+    def note_contact(self, now_s: float, as_of_s: float) -> None:
         """Do nothing: the rows are hints, whatever their age."""
 
     def _apply_record(
--- a/src/dogwoodpost/services/membership/presence_service.py
+++ b/src/dogwoodpost/services/membership/presence_service.py
@@ -192,7 +192,7 @@
         """Apply all rows of the table."""
         self.apply(rows, now_s)
 
-    def note_contact(self, now_s: float) -> None:
+    def note_contact(self, now_s: float, as_of_s: float) -> None:
         """Record that all rows have been applied up to now.
 
         Ignored while this process's own heartbeats fail.
--- a/src/dogwoodpost/services/rows/table_follower.py
+++ b/src/dogwoodpost/services/rows/table_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,8 @@
 _log = structlog.get_logger(__name__)
 FEED_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.15
+# A page with this many rows may not be the last one.
+_FULL_PAGE_ROW_COUNT = 500
 _MS_PER_S = 1_000
 
 
@@ -35,8 +38,13 @@
     def replace(self, rows: Sequence[VersionedRow], now_s: float) -> None:
         """Replace all rows by those of a complete read of the table."""
 
-    def note_contact(self, now_s: float) -> None:
-        """Record that all changes up to now have been passed on."""
+    def note_contact(self, now_s: float, as_of_s: float) -> None:
+        """Record that changes have been passed on.
+
+        :param now_s: time at which the store's answer arrived.
+        :param as_of_s: time up to which all changes have been passed on. The
+            store may have given its answer at any time since.
+        """
 
 
 class TableFollower(mode.Service):
@@ -72,6 +80,7 @@
         self._pause_factor = pause_factor
         self._partitioned = partitioned
         self._feed_version: int | None = None
+        self._as_of_s = -math.inf
         self._is_connected = True
 
     @mode.Service.task
@@ -95,6 +104,7 @@
         if self._feed_version is None:
             await self._read_table()
             return
+        sent_s = self._clock.monotonic_s()
         page = await self._store.follow(
             self._table, self._feed_version, FEED_WAIT_S
         )
@@ -102,7 +112,9 @@
         if page.rows:
             self._sink.apply(page.rows, now_s)
         self._feed_version = max(self._feed_version, page.version)
-        self._sink.note_contact(now_s)
+        if len(page.rows) < _FULL_PAGE_ROW_COUNT:
+            self._as_of_s = sent_s
+        self._sink.note_contact(now_s, self._as_of_s)
 
     async def _read_table(self) -> None:
         start_s = self._clock.monotonic_s()
@@ -130,7 +142,9 @@
         now_s = self._clock.monotonic_s()
         self._sink.replace(rows, now_s)
         self._feed_version = first_version or 0
-        self._sink.note_contact(now_s)
+        # Rows may have changed since they were read.
+        self._as_of_s = start_s
+        self._sink.note_contact(now_s, self._as_of_s)
         _log.info(
             'table_read',
             table=self._table,
--- a/tests/services/membership/test_load_exchange.py
+++ b/tests/services/membership/test_load_exchange.py
@@ -192,7 +192,7 @@
                             await self.presence.write_heartbeat()
                     page = await self.site.rows.read(TABLE, '')
                     self.presence.apply(page.rows, self.now_s)
-                    self.presence.note_contact(self.now_s)
+                    self.presence.note_contact(self.now_s, self.now_s)
                 await asyncio.sleep(READ_INTERVAL_S)
 
 
--- a/tests/services/membership/test_presence_service.py
+++ b/tests/services/membership/test_presence_service.py
@@ -69,7 +69,7 @@
 ) -> None:
     page = await store.read(TABLE, '')
     service.apply(page.rows, clock.monotonic_s())
-    service.note_contact(clock.monotonic_s())
+    service.note_contact(clock.monotonic_s(), clock.monotonic_s())
 
 
 async def test_peers_stay_alive_while_own_heartbeats_fail(
