--- a/src/dogwoodpost/services/batches/batch_service.py
+++ b/src/dogwoodpost/services/batches/batch_service.py
@@ -27,6 +27,7 @@
 from dogwoodpost.services.batches.takeover_watch import TakeoverWatch
 from dogwoodpost.services.composite_service import CompositeService
 from dogwoodpost.services.entry.refusals import memory_refusal
+from dogwoodpost.services.entry.refusals import store_unavailable
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -45,7 +46,6 @@
     )
 
 _log = structlog.get_logger(__name__)
-_RETRY_AFTER_S = 0.2
 _NO_REGION_RETRY_AFTER_S = 1.0
 # Hosts with more memory may replace those that can't run a job.
 _TOO_LARGE_RETRY_AFTER_S = 2.0
@@ -209,13 +209,7 @@
             except RowConflictError:
                 await self.reader.refresh(job_id)
             except StoreError as error:
-                raise RequestError(
-                    'store_unavailable',
-                    str(error),
-                    status=503,
-                    not_run=True,
-                    retry_after_s=_RETRY_AFTER_S,
-                ) from error
+                raise store_unavailable(str(error)) from error
             else:
                 self.directory.update(job_id, StoredHead(head, version))
                 _log.info('job_ended', job_id=job_id, version=version)
@@ -368,10 +362,4 @@
             ) from error
         except StoreError as error:
             _log.warning('job_refused', job_id=job.job_id, error=str(error))
-            raise RequestError(
-                'store_unavailable',
-                str(error),
-                status=503,
-                not_run=True,
-                retry_after_s=_RETRY_AFTER_S,
-            ) from error
+            raise store_unavailable(str(error)) from error
--- a/src/dogwoodpost/services/batches/job_reader.py
+++ b/src/dogwoodpost/services/batches/job_reader.py
@@ -13,6 +13,7 @@
 from dogwoodpost.errors import StoreError
 from dogwoodpost.services.batches.job_store import StoredHead
 from dogwoodpost.services.entry.refusals import memory_refusal
+from dogwoodpost.services.entry.refusals import store_unavailable
 
 if TYPE_CHECKING:
     from dogwoodpost.core import ids
@@ -197,7 +198,7 @@
             return known
         recent = await self._read_head(job_id)
         if not self._is_recent(recent):
-            raise _store_unavailable_error('the store is too slow to be sure')
+            raise store_unavailable('the store is too slow to be sure')
         return recent
 
     def _is_recent(self, known: _KnownHead) -> bool:
@@ -213,7 +214,7 @@
         try:
             stored_head = await self._context.store.read_head(job_id)
         except StoreError as error:
-            raise _store_unavailable_error(str(error)) from error
+            raise store_unavailable(str(error)) from error
         if stored_head is not None:
             self._directory.update(job_id, stored_head)
         return _KnownHead(self._directory.get(job_id), start_s)
@@ -229,7 +230,7 @@
                 job_id, first_position
             )
         except StoreError as error:
-            raise _store_unavailable_error(str(error)) from error
+            raise store_unavailable(str(error)) from error
         if not stored_results:
             raise _missing_results_error(job_id, first_position, head)
         self._result_cache.add(job_id, first_position, stored_results)
@@ -251,7 +252,7 @@
                 job_id, head, self._context.head_regions(head)
             )
         except StoreError as error:
-            raise _store_unavailable_error(str(error)) from error
+            raise store_unavailable(str(error)) from error
         except MemoryExceededError as error:
             raise memory_refusal(error) from error
 
@@ -309,13 +310,3 @@
     return RequestError(
         'unknown_job', 'there is no such batch job', status=404, not_run=True
     )
-
-
-def _store_unavailable_error(reason: str) -> RequestError:
-    return RequestError(
-        'store_unavailable',
-        reason,
-        status=503,
-        not_run=True,
-        retry_after_s=_RETRY_AFTER_S,
-    )
--- a/src/dogwoodpost/services/entry/refusals.py
+++ b/src/dogwoodpost/services/entry/refusals.py
@@ -11,6 +11,7 @@
     from dogwoodpost.observability import Metrics
 
 _NO_MEMORY_RETRY_AFTER_S = 1.0
+_NO_STORE_RETRY_AFTER_S = 0.2
 
 
 def count_refusal(metrics: Metrics, error: RequestError) -> None:
@@ -30,3 +31,14 @@
         not_run=True,
         retry_after_s=_NO_MEMORY_RETRY_AFTER_S,
     )
+
+
+def store_unavailable(reason: str) -> RequestError:
+    """Return the refusal of a call that needs the store, which fails now."""
+    return RequestError(
+        'store_unavailable',
+        reason,
+        status=503,
+        not_run=True,
+        retry_after_s=_NO_STORE_RETRY_AFTER_S,
+    )
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -164,14 +164,8 @@
     site: Site, fields: tuple[str, ...], body: bytes
 ) -> None:
     """Guards against rejecting a response that HTTP marks as whole."""
-
-    async def answer(_: RawRequest, response: RawResponse) -> None:
-        await response.write_head(*fields)
-        await response.write(body)
-        response.close()
-
     async with (
-        raw_endpoint(answer) as endpoint,
+        raw_endpoint(broken(fields, body, resets=False)) as endpoint,
         site.node('node-1') as node,
     ):
         move_all(site, endpoint.address)
