--- a/src/dogwoodpost/core/batches/job_memory.py
+++ b/src/dogwoodpost/core/batches/job_memory.py
@@ -8,7 +8,7 @@
     from dogwoodpost.core.batches.job import BatchItem
     from dogwoodpost.core.batches.job import BatchJob
 
-# Objects and table entries of the interpreter on a 64-bit machine.
+# Objects and table entries of a 64-bit interpreter.
 _OBJECT_BYTES = 150
 _STRING_BYTES = 80
 _ITEM_BYTES = 700
--- a/tests/platform/test_large_jobs.py
+++ b/tests/platform/test_large_jobs.py
@@ -9,6 +9,7 @@
 
 from dogwoodpost.core.batches.started_items import MIN_STARTED_COUNT
 from dogwoodpost.services.batches import job_rows
+from tests.fakes.site import eventually
 
 if TYPE_CHECKING:
     from typing import Any
@@ -43,10 +44,11 @@
 
     site.store.read = counted_read
     for engine in site.engines:
-        engine.event_gap_s = 0.2
+        engine.event_gap_s = 2.0
     async with site.node('node-1') as node:
         job = large_job(site, item_count)
         assert await site.submit(node, job, 'job-1') == 202
+        await eventually(lambda: any(engine.runs for engine in site.engines))
         await asyncio.sleep(0.5)
         process = node.process
         assert process.running_item_count == item_count
